Add the workspace, its checks and the base package

Cause: the repository was empty; everything else needs one build, one formatter and linter setting, numbered results and events, counters, settings and a clock first. Before: nothing.

--- /dev/null
+++ b/packages/base/result.h
@@ -0,0 +1,126 @@
+#pragma once
+
+// Numbered result codes and the variant that carries either a value or an error.
+//
+//     auto readPort(std::string_view text) -> result<std::uint16_t>;
+//
+//     const auto port = readPort(text);
+//     if (const auto *failure = std::get_if<error>(&port))
+//         return *failure;
+//     use(std::get<std::uint16_t>(port));
+//
+// The numbers are part of the public interface: callers and operators see them in answers and logs.
+// A number is never reused for another meaning. docs/RESULT_CODES.md lists them, and a test holds
+// that page equal to the table here.
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace mustardline {
+
+enum class result_code : std::uint16_t {
+    ok = 0,
+
+    // 1xx: the caller's request is at fault.
+    bad_request = 100,
+    unauthenticated = 101,
+    forbidden = 102,
+    not_found = 103,
+    body_too_large = 104,
+    header_too_large = 105,
+    malformed_json = 106,
+    method_not_allowed = 107,
+    rate_limited = 108,
+    concurrency_limited = 109,
+    key_withdrawn = 110,
+    idempotency_conflict = 111,
+
+    // 2xx: there is no capacity for the request now.
+    overloaded = 200,
+    queue_full = 201,
+    deadline_unmeetable = 202,
+    no_endpoint = 203,
+    retry_budget_exhausted = 204,
+    draining = 205,
+    no_configuration = 206,
+
+    // 3xx: what became of a request that was sent to an endpoint.
+    not_run = 300,
+    outcome_unknown = 301,
+    answer_cut = 302,
+    cancelled = 303,
+    endpoint_failed = 304,
+    deadline_exceeded = 305,
+    preempted = 306,
+    answer_too_large = 307,
+
+    // 4xx: configuration and operators.
+    conflict = 400,
+    outcome_pending = 401,
+    invalid_entity = 402,
+    operator_unauthorised = 403,
+    no_such_entity = 404,
+    log_unavailable = 405,
+    offset_expired = 406,
+    lease_not_held = 407,
+    stale_fencing = 408,
+
+    // 5xx: settings files.
+    settings_unreadable = 500,
+    settings_malformed = 501,
+    settings_unknown_field = 502,
+    settings_missing_field = 503,
+    settings_wrong_type = 504,
+    settings_out_of_range = 505,
+
+    // 6xx: faults inside or between our processes.
+    internal = 600,
+    timeout = 601,
+    connection_failed = 602,
+    malformed_message = 603,
+    listen_failed = 604,
+};
+
+// One row of the table of result codes.
+struct result_code_info
+{
+    result_code code;
+    std::string_view name;
+    std::uint16_t httpStatus;
+    std::string_view meaning;
+};
+
+// A failure: what kind, and a sentence for a person.
+struct error
+{
+    result_code code = result_code::internal;
+    std::string message;
+};
+
+template<class T>
+using result = std::variant<T, error>;
+
+// A result of an operation that yields no value.
+using status = std::variant<std::monostate, error>;
+
+// Every result code in ascending order.
+[[nodiscard]] auto resultCodes() -> std::span<const result_code_info>;
+
+// The row of `code`; the row of `internal` for a number that is not in the table.
+[[nodiscard]] auto describe(result_code code) -> const result_code_info &;
+
+[[nodiscard]] inline auto number(result_code code) -> std::uint16_t
+{
+    return static_cast<std::uint16_t>(code);
+}
+
+template<class T>
+[[nodiscard]] auto failed(const std::variant<T, error> &value) -> const error *
+{
+    return std::get_if<error>(&value);
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/base/settings_reader.cpp
@@ -0,0 +1,176 @@
+#include "base/settings_reader.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+namespace mustardline {
+
+settings_reader::settings_reader(const nlohmann::json &object, std::string path)
+    : m_object(object), m_path(std::move(path))
+{
+    if (!m_object.is_object()) {
+        fail(result_code::settings_wrong_type,
+             fmt::format("{} must be an object, but is {}", m_path.empty() ? "the file" : m_path,
+                         m_object.dump()));
+        m_object = nlohmann::json::object();
+    }
+}
+
+auto settings_reader::integer(std::string_view name, const integer_field &rule) -> std::int64_t
+{
+    const auto *value = find(name, !rule.fallback.has_value());
+    if (value == nullptr)
+        return rule.fallback.value_or(0);
+    if (!value->is_number_integer()) {
+        wrongType(name, *value, "a whole number");
+        return rule.fallback.value_or(0);
+    }
+    const auto tooLarge = value->is_number_unsigned() && value->get<std::uint64_t>() > INT64_MAX;
+    const auto number = tooLarge ? INT64_MAX : value->get<std::int64_t>();
+    if (tooLarge || number < rule.lowest || number > rule.highest) {
+        fail(result_code::settings_out_of_range,
+             fmt::format("{} is {}, but must be from {} to {}", pathOf(name), value->dump(),
+                         rule.lowest, rule.highest));
+    }
+    return number;
+}
+
+auto settings_reader::text(std::string_view name, const text_field &rule) -> std::string
+{
+    const auto *value = find(name, !rule.fallback.has_value());
+    if (value == nullptr)
+        return rule.fallback.value_or("");
+    if (!value->is_string()) {
+        wrongType(name, *value, "a text");
+        return rule.fallback.value_or("");
+    }
+    auto text = value->get<std::string>();
+    if (!rule.allowed.empty() && std::ranges::find(rule.allowed, text) == rule.allowed.end()) {
+        fail(result_code::settings_out_of_range,
+             fmt::format("{} is {}, but must be one of: {}", pathOf(name), value->dump(),
+                         fmt::join(rule.allowed, ", ")));
+    }
+    return text;
+}
+
+auto settings_reader::boolean(std::string_view name, std::optional<bool> fallback) -> bool
+{
+    const auto *value = find(name, !fallback.has_value());
+    if (value == nullptr)
+        return fallback.value_or(false);
+    if (!value->is_boolean()) {
+        wrongType(name, *value, "true or false");
+        return fallback.value_or(false);
+    }
+    return value->get<bool>();
+}
+
+auto settings_reader::texts(std::string_view name) -> std::vector<std::string>
+{
+    const auto *value = find(name, false);
+    std::vector<std::string> items;
+    if (value == nullptr)
+        return items;
+    if (!value->is_array()) {
+        wrongType(name, *value, "a list of texts");
+        return items;
+    }
+    for (const auto &item : *value) {
+        if (item.is_string())
+            items.push_back(item.get<std::string>());
+        else
+            wrongType(name, *value, "a list of texts");
+    }
+    return items;
+}
+
+auto settings_reader::object(std::string_view name) -> settings_reader
+{
+    const auto *value = find(name, false);
+    return settings_reader(value == nullptr ? nlohmann::json::object() : *value, pathOf(name));
+}
+
+auto settings_reader::absorb(settings_reader &nested) -> void
+{
+    const auto outcome = nested.finish();
+    if (const auto *fault = failed(outcome))
+        fail(fault->code, fault->message);
+}
+
+auto settings_reader::finish() -> status
+{
+    for (const auto &item : m_object.items()) {
+        if (!m_read.contains(item.key())) {
+            fail(result_code::settings_unknown_field,
+                 fmt::format("{} is not a known field", pathOf(item.key())));
+        }
+    }
+    if (m_fault)
+        return *m_fault;
+    return std::monostate();
+}
+
+auto settings_reader::pathOf(std::string_view name) const -> std::string
+{
+    return m_path.empty() ? std::string(name) : fmt::format("{}.{}", m_path, name);
+}
+
+auto settings_reader::find(std::string_view name, bool required) -> const nlohmann::json *
+{
+    m_read.emplace(name);
+    const auto found = m_object.find(name);
+    if (found != m_object.end())
+        return &*found;
+    if (required) {
+        fail(result_code::settings_missing_field,
+             fmt::format("{} is required, but missing", pathOf(name)));
+    }
+    return nullptr;
+}
+
+auto settings_reader::fail(result_code code, std::string message) -> void
+{
+    if (!m_fault)
+        m_fault = error{.code = code, .message = std::move(message)};
+}
+
+auto settings_reader::wrongType(std::string_view name, const nlohmann::json &value,
+                                std::string_view expected) -> void
+{
+    fail(result_code::settings_wrong_type,
+         fmt::format("{} is {}, but must be {}", pathOf(name), value.dump(), expected));
+}
+
+auto readJsonFile(const std::string &fileName) -> result<nlohmann::json>
+{
+    std::ifstream file(fileName);
+    if (!file) {
+        return error{.code = result_code::settings_unreadable,
+                     .message = fmt::format("cannot read {}", fileName)};
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    try {
+        return nlohmann::json::parse(text.str());
+    } catch (const nlohmann::json::parse_error &fault) {
+        return error{.code = result_code::settings_malformed,
+                     .message = fmt::format("{}: {}", fileName, fault.what())};
+    }
+}
+
+auto readSecretFile(const std::string &fileName) -> result<std::string>
+{
+    std::ifstream file(fileName);
+    std::string line;
+    if (!file || !std::getline(file, line) || line.empty()) {
+        return error{.code = result_code::settings_unreadable,
+                     .message = fmt::format("cannot read a secret from {}", fileName)};
+    }
+    return line;
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/base/settings_reader.h
@@ -0,0 +1,84 @@
+#pragma once
+
+// Checked reading of JSON settings files.
+//
+// A reader is laid over one JSON object; each field is asked for by name, type and range, and
+// `finish` reports the first fault found, including fields that nobody asked for:
+//
+//     settings_reader reader(document);
+//     options.port = reader.integer("port", {.lowest = 0, .highest = 65535, .fallback = 0});
+//     options.name = reader.text("name");
+//     if (const auto *failure = failed(reader.finish()))
+//         return *failure;
+//
+// Every error names the path of the field, the value found and what is allowed. Reading goes on
+// after a fault with a harmless value, so the code that reads stays straight.
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "base/result.h"
+
+namespace mustardline {
+
+struct integer_field
+{
+    std::int64_t lowest = INT64_MIN;
+    std::int64_t highest = INT64_MAX;
+    // The value of an absent field; without one, the field is required.
+    std::optional<std::int64_t> fallback;
+};
+
+struct text_field
+{
+    // The allowed values; empty allows any text.
+    std::vector<std::string> allowed;
+    // The value of an absent field; without one, the field is required.
+    std::optional<std::string> fallback;
+};
+
+class settings_reader
+{
+public:
+    explicit settings_reader(const nlohmann::json &object, std::string path = "");
+
+    auto integer(std::string_view name, const integer_field &rule = {}) -> std::int64_t;
+    auto text(std::string_view name, const text_field &rule = {}) -> std::string;
+    auto boolean(std::string_view name, std::optional<bool> fallback = {}) -> bool;
+    auto texts(std::string_view name) -> std::vector<std::string>;
+
+    // The nested object of that name, or an empty object if it is absent.
+    auto object(std::string_view name) -> settings_reader;
+
+    // Takes over the first fault of a nested reader.
+    auto absorb(settings_reader &nested) -> void;
+
+    // Success, or the first fault in the order of reading.
+    [[nodiscard]] auto finish() -> status;
+
+private:
+    [[nodiscard]] auto pathOf(std::string_view name) const -> std::string;
+    auto find(std::string_view name, bool required) -> const nlohmann::json *;
+    auto fail(result_code code, std::string message) -> void;
+    auto wrongType(std::string_view name, const nlohmann::json &value, std::string_view expected)
+        -> void;
+
+    nlohmann::json m_object;
+    std::string m_path;
+    std::set<std::string, std::less<>> m_read;
+    std::optional<error> m_fault;
+};
+
+// Reads and parses a whole JSON file.
+[[nodiscard]] auto readJsonFile(const std::string &fileName) -> result<nlohmann::json>;
+
+// Reads a secret from the first line of a file, without its newline.
+[[nodiscard]] auto readSecretFile(const std::string &fileName) -> result<std::string>;
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/base/testing/docs_table.cpp
@@ -0,0 +1,52 @@
+#include "base/testing/docs_table.h"
+
+#include <fstream>
+
+namespace mustardline {
+
+namespace {
+
+auto trimmed(std::string_view text) -> std::string
+{
+    const auto first = text.find_first_not_of(" `");
+    if (first == std::string_view::npos)
+        return "";
+    const auto last = text.find_last_not_of(" `");
+    return std::string(text.substr(first, last - first + 1));
+}
+
+auto cellsOf(std::string_view line) -> std::vector<std::string>
+{
+    std::vector<std::string> cells;
+    auto rest = line.substr(1);
+    for (auto bar = rest.find('|'); bar != std::string_view::npos; bar = rest.find('|')) {
+        cells.push_back(trimmed(rest.substr(0, bar)));
+        rest = rest.substr(bar + 1);
+    }
+    return cells;
+}
+
+} // namespace
+
+auto readDocsTable(const std::string &fileName, std::string_view heading)
+    -> std::vector<std::vector<std::string>>
+{
+    std::ifstream file(fileName);
+    std::vector<std::vector<std::string>> rows;
+    std::string line;
+    auto inSection = heading.empty();
+    while (std::getline(file, line)) {
+        if (line == heading)
+            inSection = true;
+        else if (inSection && line.starts_with('|'))
+            rows.push_back(cellsOf(line));
+        else if (!rows.empty())
+            break;
+    }
+    constexpr std::size_t headerLines = 2;
+    rows.erase(rows.begin(),
+               rows.begin() + static_cast<std::ptrdiff_t>(std::min(headerLines, rows.size())));
+    return rows;
+}
+
+} // namespace mustardline
