Add the wire schema, the event loop, HTTP and control sockets

Cause: every process needs the same loop, HTTP server with limits, streaming client and control messages. Ruled out: pausing libevhtp requests while an answer is prepared (a caller that leaves is then not noticed). Seen on the way, each held by a test under ASan: libevhtp ends a connection before the request on it (use after free in the request hook), evhtp_free leaves open connections behind, and functions posted to a stopped loop were never freed.

--- /dev/null
+++ b/packages/net/control_socket.cpp
@@ -0,0 +1,137 @@
+#include "net/control_socket.h"
+
+#include <utility>
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <nng/nng.h>
+#include <nng/protocol/reqrep0/rep.h>
+#include <nng/protocol/reqrep0/req.h>
+
+namespace mustardline {
+
+namespace {
+
+// Covers a whole configuration snapshot at the size that is designed for.
+constexpr std::size_t maxMessageBytes = 64U << 20U;
+constexpr nng_duration reconnectLowest = 50;    // milliseconds
+constexpr nng_duration reconnectHighest = 1000; // milliseconds
+
+auto bodyOf(nng_msg *message) -> std::string_view
+{
+    return {static_cast<const char *>(nng_msg_body(message)), nng_msg_len(message)};
+}
+
+// Sends without blocking; the message is lost if the peer has gone, which its timeout covers.
+auto sendBytes(nng_socket socket, std::string_view data) -> bool
+{
+    nng_msg *message = nullptr;
+    if (nng_msg_alloc(&message, 0) != 0)
+        return false;
+    nng_msg_append(message, data.data(), data.size());
+    if (nng_sendmsg(socket, message, NNG_FLAG_NONBLOCK) == 0)
+        return true;
+    nng_msg_free(message);
+    return false;
+}
+
+} // namespace
+
+control_server::control_server(event_loop &loop) : m_loop(loop) {}
+
+control_server::~control_server()
+{
+    if (m_open)
+        nng_close(nng_socket{m_socket});
+}
+
+auto control_server::listen(const std::string &address, std::uint16_t port) -> result<std::uint16_t>
+{
+    const auto refuse = [&](int fault) {
+        return error{.code = result_code::listen_failed,
+                     .message = fmt::format("cannot listen on {}:{}: {}", address, port,
+                                            nng_strerror(fault))};
+    };
+    nng_socket socket{};
+    if (const auto fault = nng_rep0_open(&socket); fault != 0)
+        return refuse(fault);
+    m_socket = socket.id;
+    m_open = true;
+    nng_setopt_size(socket, NNG_OPT_RECVMAXSZ, maxMessageBytes);
+    nng_listener listener{};
+    const auto url = fmt::format("tcp://{}:{}", address, port);
+    if (const auto fault = nng_listen(socket, url.c_str(), &listener, 0); fault != 0)
+        return refuse(fault);
+    nng_sockaddr bound{};
+    nng_listener_getopt_sockaddr(listener, NNG_OPT_LOCADDR, &bound);
+    int descriptor = -1;
+    nng_getopt_int(socket, NNG_OPT_RECVFD, &descriptor);
+    m_readable = m_loop.whenReadable(descriptor, [this] { receiveAll(); });
+    return ntohs(bound.s_in.sa_port);
+}
+
+auto control_server::receiveAll() -> void
+{
+    nng_msg *message = nullptr;
+    while (nng_recvmsg(nng_socket{m_socket}, &message, NNG_FLAG_NONBLOCK) == 0) {
+        const auto reply = m_handler(bodyOf(message));
+        nng_msg_free(message);
+        sendBytes(nng_socket{m_socket}, reply);
+    }
+}
+
+control_client::control_client(event_loop &loop, socket_address peer,
+                               control_client_options options)
+    : m_loop(loop), m_options(options)
+{
+    nng_socket socket{};
+    if (nng_req0_open(&socket) != 0)
+        return;
+    m_socket = socket.id;
+    m_open = true;
+    nng_setopt_size(socket, NNG_OPT_RECVMAXSZ, maxMessageBytes);
+    nng_setopt_ms(socket, NNG_OPT_RECONNMINT, reconnectLowest);
+    nng_setopt_ms(socket, NNG_OPT_RECONNMAXT, reconnectHighest);
+    const auto url = fmt::format("tcp://{}:{}", peer.host, peer.port);
+    nng_dial(socket, url.c_str(), nullptr, NNG_FLAG_NONBLOCK);
+    int descriptor = -1;
+    nng_getopt_int(socket, NNG_OPT_RECVFD, &descriptor);
+    m_readable = m_loop.whenReadable(descriptor, [this] { receive(); });
+}
+
+control_client::~control_client()
+{
+    if (m_open)
+        nng_close(nng_socket{m_socket});
+}
+
+auto control_client::send(std::string_view request, reply_handler done) -> void
+{
+    if (m_done)
+        finish(error{.code = result_code::cancelled, .message = "replaced by a newer request"});
+    m_done = std::move(done);
+    m_timer = m_loop.after(m_options.timeout, [this] {
+        finish(error{.code = result_code::timeout, .message = "no reply in time"});
+    });
+    // Without a connection nothing is sent, and the timer reports it.
+    sendBytes(nng_socket{m_socket}, request);
+}
+
+auto control_client::receive() -> void
+{
+    nng_msg *message = nullptr;
+    while (nng_recvmsg(nng_socket{m_socket}, &message, NNG_FLAG_NONBLOCK) == 0) {
+        const auto reply = std::string(bodyOf(message));
+        nng_msg_free(message);
+        finish(reply);
+    }
+}
+
+auto control_client::finish(const result<std::string> &reply) -> void
+{
+    m_timer = {};
+    if (const auto done = std::exchange(m_done, nullptr))
+        done(reply);
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/net/event_loop.cpp
@@ -0,0 +1,119 @@
+#include "net/event_loop.h"
+
+#include <csignal>
+#include <utility>
+
+#include <event2/event.h>
+
+namespace mustardline {
+
+struct event_handle::state
+{
+    event *watched = nullptr;
+    std::function<auto()->void> callback;
+
+    state() = default;
+    state(const state &) = delete;
+    auto operator=(const state &) -> state & = delete;
+
+    ~state()
+    {
+        if (watched != nullptr)
+            event_free(watched);
+    }
+};
+
+namespace {
+
+constexpr std::int64_t microsecondsPerSecond = 1'000'000;
+
+auto toTimeval(duration delay) -> timeval
+{
+    const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(delay).count();
+    return {.tv_sec = microseconds / microsecondsPerSecond,
+            .tv_usec = microseconds % microsecondsPerSecond};
+}
+
+} // namespace
+
+event_loop::event_loop() : m_base(event_base_new())
+{
+    const auto dispatch = [](evutil_socket_t, short, void *argument) {
+        static_cast<event_loop *>(argument)->runPosted();
+    };
+    m_wakeUp = event_new(m_base, -1, 0, dispatch, this);
+    // A peer that has gone is reported by the write itself.
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+event_loop::~event_loop()
+{
+    // What was posted often releases something, so it runs even if the loop was stopped first.
+    while (!m_posted.empty())
+        runPosted();
+    m_signals.clear();
+    event_free(m_wakeUp);
+    event_base_free(m_base);
+}
+
+auto event_loop::run() -> void
+{
+    event_base_loop(m_base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+auto event_loop::stop() -> void
+{
+    event_base_loopbreak(m_base);
+}
+
+auto event_loop::after(duration delay, std::function<auto()->void> callback) -> event_handle
+{
+    return add(-1, EV_TIMEOUT, delay, std::move(callback));
+}
+
+auto event_loop::every(duration period, std::function<auto()->void> callback) -> event_handle
+{
+    return add(-1, EV_TIMEOUT | EV_PERSIST, period, std::move(callback));
+}
+
+auto event_loop::whenReadable(int descriptor, std::function<auto()->void> callback) -> event_handle
+{
+    return add(descriptor, EV_READ | EV_PERSIST, duration::zero(), std::move(callback));
+}
+
+auto event_loop::onSignal(int number, std::function<auto()->void> callback) -> void
+{
+    m_signals.push_back(add(number, EV_SIGNAL | EV_PERSIST, duration::zero(), std::move(callback)));
+}
+
+auto event_loop::post(std::function<auto()->void> callback) -> void
+{
+    m_posted.push_back(std::move(callback));
+    event_active(m_wakeUp, EV_TIMEOUT, 0);
+}
+
+auto event_loop::runPosted() -> void
+{
+    const auto batch = std::exchange(m_posted, {});
+    for (const auto &callback : batch)
+        callback();
+}
+
+auto event_loop::add(int descriptor, short flags, duration period,
+                     std::function<auto()->void> callback) -> event_handle
+{
+    event_handle handle;
+    handle.m_state = std::make_shared<event_handle::state>();
+    handle.m_state->callback = std::move(callback);
+    const auto dispatch = [](evutil_socket_t, short, void *argument) {
+        // The copy keeps the function alive if it destroys its own handle.
+        const auto running = static_cast<event_handle::state *>(argument)->callback;
+        running();
+    };
+    handle.m_state->watched = event_new(m_base, descriptor, flags, dispatch, handle.m_state.get());
+    const auto interval = toTimeval(period);
+    event_add(handle.m_state->watched, (flags & EV_TIMEOUT) != 0 ? &interval : nullptr);
+    return handle;
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/net/http_message.cpp
@@ -0,0 +1,45 @@
+#include "net/http_message.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace mustardline {
+
+namespace {
+
+auto lowerCase(char letter) -> char
+{
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+}
+
+} // namespace
+
+auto sameHeaderName(std::string_view left, std::string_view right) -> bool
+{
+    return std::ranges::equal(left, right, {}, lowerCase, lowerCase);
+}
+
+auto findHeader(std::span<const http_header> headers, std::string_view name) -> std::string_view
+{
+    for (const auto &item : headers) {
+        if (sameHeaderName(item.name, name))
+            return item.value;
+    }
+    return {};
+}
+
+auto parseAddress(std::string_view text) -> socket_address
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return {};
+    const auto digits = text.substr(colon + 1);
+    std::uint16_t port = 0;
+    const auto *end = digits.data() + digits.size();
+    const auto parsed = std::from_chars(digits.data(), end, port);
+    if (parsed.ec != std::errc() || parsed.ptr != end || port == 0)
+        return {};
+    return {.host = std::string(text.substr(0, colon)), .port = port};
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/net/testing/event_loop_test.cpp
@@ -0,0 +1,46 @@
+#include "net/event_loop.h"
+
+#include <csignal>
+
+#include <gtest/gtest.h>
+
+namespace mustardline {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST(EventLoopTest, runsTimersAndPostedFunctions)
+{
+    event_loop loop;
+    std::vector<int> order;
+    const auto ticking = loop.every(milliseconds(1), [&] {
+        order.push_back(2);
+        loop.stop();
+    });
+    loop.post([&] { order.push_back(1); });
+    loop.run();
+    EXPECT_EQ(order, (std::vector<int>{1, 2}));
+}
+
+TEST(EventLoopTest, aTimerMayDestroyItself)
+{
+    event_loop loop;
+    event_handle timer;
+    timer = loop.after(milliseconds(1), [&, text = std::string("still valid")] {
+        timer = {};
+        EXPECT_EQ(text, "still valid");
+        loop.stop();
+    });
+    loop.run();
+}
+
+TEST(EventLoopTest, handlesSignals)
+{
+    event_loop loop;
+    loop.onSignal(SIGUSR1, [&] { loop.stop(); });
+    loop.post([] { std::raise(SIGUSR1); });
+    loop.run();
+}
+
+} // namespace
+} // namespace mustardline
--- /dev/null
+++ b/packages/net/testing/http_test.cpp
@@ -0,0 +1,175 @@
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+#include <gtest/gtest.h>
+
+namespace mustardline {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A server and a client in one event loop.
+class HttpTest : public testing::Test
+{
+protected:
+    auto listen(http_server_options options, http_server::request_handler handler) -> void
+    {
+        m_server = std::make_unique<http_server>(m_loop, std::move(options));
+        m_server->onRequest(std::move(handler));
+        const auto port = m_server->listen();
+        ASSERT_EQ(failed(port), nullptr);
+        m_address = {.host = "127.0.0.1", .port = std::get<std::uint16_t>(port)};
+    }
+
+    auto fetch(http_request request) -> void
+    {
+        m_client.fetch(m_address, std::move(request),
+                       [this](const http_outcome &outcome, const http_answer &answer,
+                              const std::string &body) {
+                           m_outcome = outcome;
+                           m_answer = answer;
+                           m_body = body;
+                           m_loop.stop();
+                       });
+        m_loop.run();
+    }
+
+    auto whole() const -> bool { return std::holds_alternative<std::monostate>(m_outcome); }
+
+    event_loop m_loop;
+    http_client m_client{m_loop, {}};
+    std::unique_ptr<http_server> m_server;
+    socket_address m_address;
+    http_outcome m_outcome;
+    http_answer m_answer;
+    std::string m_body;
+};
+
+TEST_F(HttpTest, carriesRequestAndAnswerWhole)
+{
+    listen({}, [](const std::shared_ptr<http_exchange> &exchange) {
+        const auto headers = std::vector<http_header>{{.name = "x-out", .value = "1"}};
+        exchange->reply(201, headers,
+                        std::string(exchange->method()) + " " + std::string(exchange->path()) + " "
+                            + exchange->parameter("a") + " " + std::string(exchange->header("X-In"))
+                            + " " + std::string(exchange->body()));
+    });
+    for (int i = 0; i < 3; ++i) {
+        fetch({.method = "POST",
+               .path = "/p/q?b=1&a=x%20y",
+               .headers = {{.name = "x-in", .value = "in"}},
+               .body = "body"});
+        ASSERT_TRUE(whole());
+        EXPECT_EQ(m_answer.status, 201);
+        EXPECT_EQ(findHeader(m_answer.headers, "X-Out"), "1");
+        EXPECT_EQ(m_body, "POST /p/q x y in body");
+    }
+}
+
+TEST_F(HttpTest, streamsChunkByChunk)
+{
+    std::shared_ptr<http_exchange> kept;
+    listen({}, [&](std::shared_ptr<http_exchange> exchange) {
+        exchange->startStream(200, {});
+        exchange->sendChunk("one ");
+        kept = std::move(exchange);
+    });
+    // The second part is sent only once the first has arrived.
+    std::string seen;
+    m_client.start(m_address, {},
+                   {.onHeaders = [](const http_answer &) {},
+                    .onData =
+                        [&](std::string_view data) {
+                            seen += data;
+                            if (seen == "one ") {
+                                kept->sendChunk("two");
+                                kept->endStream();
+                            }
+                        },
+                    .onDone =
+                        [&](const http_outcome &outcome) {
+                            m_outcome = outcome;
+                            m_loop.stop();
+                        }});
+    m_loop.run();
+    EXPECT_TRUE(whole());
+    EXPECT_EQ(seen, "one two");
+}
+
+TEST_F(HttpTest, anAbortedStreamIsAFailure)
+{
+    listen({}, [](const std::shared_ptr<http_exchange> &exchange) {
+        exchange->startStream(200, {});
+        exchange->sendChunk("part");
+        exchange->abort();
+    });
+    fetch({});
+    ASSERT_FALSE(whole());
+    EXPECT_TRUE(std::get<http_failure>(m_outcome).sent);
+}
+
+TEST_F(HttpTest, refusesBodiesAndHeadersOverTheLimit)
+{
+    listen({.maxBodyBytes = 100, .maxHeaderBytes = 400},
+           [](const std::shared_ptr<http_exchange> &exchange) { exchange->reply(200, {}, ""); });
+    fetch({.method = "POST", .body = std::string(100, 'x')});
+    EXPECT_EQ(m_answer.status, 200);
+    fetch({.method = "POST", .body = std::string(101, 'x')});
+    EXPECT_EQ(m_answer.status, 413);
+    fetch({.headers = {{.name = "x-long", .value = std::string(500, 'x')}}});
+    EXPECT_EQ(m_answer.status, 431);
+}
+
+TEST_F(HttpTest, noticesACallerThatLeaves)
+{
+    auto gone = false;
+    http_call call;
+    listen({}, [&](const std::shared_ptr<http_exchange> &exchange) {
+        exchange->onGone([&, exchange] {
+            gone = true;
+            EXPECT_FALSE(exchange->isOpen());
+            exchange->reply(200, {}, "too late");
+            m_loop.stop();
+        });
+        call.cancel();
+    });
+    call = m_client.start(m_address, {}, {});
+    m_loop.run();
+    EXPECT_TRUE(gone);
+}
+
+TEST_F(HttpTest, tellsARefusedConnectionFromALostOne)
+{
+    m_address = {.host = "127.0.0.1", .port = 1};
+    fetch({});
+    ASSERT_FALSE(whole());
+    EXPECT_FALSE(std::get<http_failure>(m_outcome).sent);
+
+    listen({}, [](const std::shared_ptr<http_exchange> &exchange) { exchange->abort(); });
+    fetch({});
+    ASSERT_FALSE(whole());
+    EXPECT_TRUE(std::get<http_failure>(m_outcome).sent);
+}
+
+TEST_F(HttpTest, endsAnAnswerOverTheLimit)
+{
+    listen({}, [](const std::shared_ptr<http_exchange> &exchange) {
+        exchange->reply(200, {}, std::string(5000, 'x'));
+    });
+    fetch({.maxAnswerBytes = 100});
+    ASSERT_FALSE(whole());
+    EXPECT_EQ(std::get<http_failure>(m_outcome).reason.code, result_code::answer_too_large);
+}
+
+TEST_F(HttpTest, timesOutOnASilentPeer)
+{
+    std::shared_ptr<http_exchange> kept;
+    listen({}, [&](std::shared_ptr<http_exchange> exchange) { kept = std::move(exchange); });
+    fetch({.idleTimeout = milliseconds(50)});
+    ASSERT_FALSE(whole());
+    EXPECT_EQ(std::get<http_failure>(m_outcome).reason.code, result_code::timeout);
+}
+
+} // namespace
+} // namespace mustardline
