--- /dev/null
+++ b/packages/platform/configuration.h
@@ -0,0 +1,99 @@
+#pragma once
+
+// The configuration, folded from the log's configuration stream.
+//
+//     configuration config;
+//     config.apply(offset, record);              // records in offset order
+//     const auto *account = config.clientAccount("kartkalkan");
+//
+// The fold is deterministic: the same records give the same configuration everywhere. A change is
+// accepted if every entity it names still has the revision it was based on and the result is valid;
+// otherwise the whole change has no effect. Repeats of a record are dropped by its writer, boot and
+// sequence. Revisions only grow, so an accepted change never reverts.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/result.h"
+#include "configuration.pb.h"
+#include "log.pb.h"
+
+namespace mustardline {
+
+// What the fold decided about a change.
+struct change_decision
+{
+    std::uint64_t offset = 0;
+    // `ok`, `conflict` or `invalid_entity`.
+    result_code code = result_code::ok;
+    std::string message;
+};
+
+class configuration
+{
+public:
+    // Folds one record. Offsets at or below `offset()` are ignored.
+    auto apply(std::uint64_t offset, const v1::LogRecord &record) -> void;
+
+    // Replaces everything by a snapshot; one that is older than this configuration is ignored.
+    auto restore(const v1::ConfigurationSnapshot &snapshot) -> void;
+    [[nodiscard]] auto snapshot() const -> v1::ConfigurationSnapshot;
+
+    // The newest folded offset; 0 before the first.
+    [[nodiscard]] auto offset() const -> std::uint64_t { return m_offset; }
+
+    // What became of a change that was folded since this process started or its snapshot.
+    [[nodiscard]] auto decision(std::string_view changeId) const -> std::optional<change_decision>;
+
+    // Whether the change would be accepted now.
+    [[nodiscard]] auto check(const v1::ConfigurationChange &change) const -> status;
+
+    // Entities; null if absent. Pointers hold until the next `apply` or `restore`.
+    [[nodiscard]] auto dataCentre(std::string_view id) const -> const v1::DataCentre *;
+    [[nodiscard]] auto clientAccount(std::string_view id) const -> const v1::ClientAccount *;
+    [[nodiscard]] auto key(std::string_view id) const -> const v1::Key *;
+    [[nodiscard]] auto requestClass(std::string_view id) const -> const v1::RequestClass *;
+    [[nodiscard]] auto route(std::string_view id) const -> const v1::Route *;
+    [[nodiscard]] auto endpoint(std::string_view id) const -> const v1::Endpoint *;
+
+    // The route with the longest id that is a prefix of `path`.
+    [[nodiscard]] auto routeFor(std::string_view path) const -> const v1::Route *;
+
+    [[nodiscard]] auto find(v1::EntityKind kind, std::string_view id) const
+        -> const v1::RevisedEntity *;
+
+    // All entities of a kind in the order of their ids.
+    [[nodiscard]] auto entities(v1::EntityKind kind) const
+        -> std::vector<const v1::RevisedEntity *>;
+
+    // Called after each accepted change with every entity that it set or removed.
+    using change_observer = std::function<auto(v1::EntityKind, const std::string &id)->void>;
+    auto onChange(change_observer observer) -> void { m_observer = std::move(observer); }
+
+private:
+    using entity_table = std::map<std::string, v1::RevisedEntity, std::less<>>;
+
+    [[nodiscard]] auto table(v1::EntityKind kind) const -> const entity_table *;
+    [[nodiscard]] auto isRepeat(const v1::LogRecord &record) const -> bool;
+    auto applyChange(std::uint64_t offset, const v1::ConfigurationChange &change) -> void;
+
+    std::uint64_t m_offset = 0;
+    std::map<v1::EntityKind, entity_table> m_tables;
+    std::map<std::pair<std::string, std::uint64_t>, v1::WriterPosition> m_writers;
+    std::unordered_map<std::string, change_decision> m_decisions;
+    change_observer m_observer;
+};
+
+// The kind of an entity, or unspecified if it is empty.
+[[nodiscard]] auto kindOf(const v1::Entity &entity) -> v1::EntityKind;
+
+// The id of an entity; empty if it is empty.
+[[nodiscard]] auto idOf(const v1::Entity &entity) -> const std::string &;
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/platform/log_client.cpp
@@ -0,0 +1,157 @@
+#include "platform/log_client.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace mustardline {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusGone = 410;
+
+auto succeeded(const http_outcome &outcome, const http_answer &answer, int status) -> bool
+{
+    return std::holds_alternative<std::monostate>(outcome) && answer.status == status;
+}
+
+auto milliseconds(duration value) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+} // namespace
+
+log_client::log_client(event_loop &loop, http_client &http, log_client_options options)
+    : m_loop(loop),
+      m_http(http),
+      m_options(std::move(options)),
+      m_appendBackoff(m_options.shortestBackoff),
+      m_readBackoff(m_options.shortestBackoff)
+{}
+
+log_client::~log_client()
+{
+    m_appendCall.cancel();
+    m_readCall.cancel();
+}
+
+auto log_client::append(std::string record, append_handler done) -> void
+{
+    m_pending.push_back({.record = std::move(record),
+                         .done = std::move(done),
+                         .giveUpAt = m_clock.now() + m_options.appendPatience});
+    if (m_sent == 0)
+        sendAppends();
+}
+
+auto log_client::sendAppends() -> void
+{
+    m_appendTimer = {};
+    dropExpiredAppends();
+    if (m_pending.empty() || m_sent != 0)
+        return;
+    v1::AppendRequest request;
+    m_sent = std::min<std::size_t>(m_pending.size(), m_options.maxRecordsPerAppend);
+    for (std::size_t i = 0; i < m_sent; ++i)
+        request.add_records(m_pending[i].record);
+    m_appendCall
+        = m_http.fetch(m_options.address,
+                       {.method = "POST",
+                        .path = url("append"),
+                        .headers = {{.name = "content-type", .value = "application/proto"}},
+                        .body = request.SerializeAsString(),
+                        .idleTimeout = m_options.callTimeout},
+                       [this](const http_outcome &outcome, const http_answer &answer,
+                              const std::string &body) { appendAnswered(outcome, answer, body); });
+}
+
+auto log_client::appendAnswered(const http_outcome &outcome, const http_answer &answer,
+                                std::string_view body) -> void
+{
+    const auto sent = std::exchange(m_sent, 0);
+    v1::AppendResponse response;
+    m_reachable = succeeded(outcome, answer, statusOk)
+                  && response.ParseFromArray(body.data(), static_cast<int>(body.size()));
+    if (!m_reachable) {
+        m_appendTimer = m_loop.after(m_appendBackoff, [this] { sendAppends(); });
+        m_appendBackoff = std::min(m_appendBackoff * 2, m_options.longestBackoff);
+        return;
+    }
+    m_appendBackoff = m_options.shortestBackoff;
+    for (std::uint64_t i = 0; i < sent; ++i) {
+        const auto item = std::move(m_pending.front());
+        m_pending.pop_front();
+        item.done(response.first_offset() + i);
+    }
+    sendAppends();
+}
+
+auto log_client::dropExpiredAppends() -> void
+{
+    const auto now = m_clock.now();
+    while (!m_pending.empty() && m_pending.front().giveUpAt <= now) {
+        const auto item = std::move(m_pending.front());
+        m_pending.pop_front();
+        item.done(error{.code = result_code::log_unavailable,
+                        .message = "the log service did not take the record in time"});
+    }
+}
+
+auto log_client::follow(std::uint64_t from, log_follower follower) -> void
+{
+    m_readCall.cancel();
+    m_follower = std::move(follower);
+    m_next = from;
+    read();
+}
+
+auto log_client::read() -> void
+{
+    m_readTimer = {};
+    m_readCall = m_http.fetch(
+        m_options.address,
+        {.path = url("read")
+                 + fmt::format("?from={}&max={}&wait_ms={}", m_next, m_options.maxEntriesPerRead,
+                               milliseconds(m_options.readWait)),
+         .idleTimeout = m_options.readWait + m_options.callTimeout},
+        [this](const http_outcome &outcome, const http_answer &answer, const std::string &body) {
+            readAnswered(outcome, answer, body);
+        });
+}
+
+auto log_client::readAnswered(const http_outcome &outcome, const http_answer &answer,
+                              std::string_view body) -> void
+{
+    v1::ReadResponse response;
+    const auto parsed = std::holds_alternative<std::monostate>(outcome)
+                        && response.ParseFromArray(body.data(), static_cast<int>(body.size()));
+    m_reachable = parsed && (answer.status == statusOk || answer.status == statusGone);
+    if (!m_reachable) {
+        m_readTimer = m_loop.after(m_readBackoff, [this] { read(); });
+        m_readBackoff = std::min(m_readBackoff * 2, m_options.longestBackoff);
+        return;
+    }
+    m_readBackoff = m_options.shortestBackoff;
+    if (answer.status == statusGone) {
+        m_follower.onExpired(response.oldest_offset());
+        return;
+    }
+    if (!response.entries().empty()) {
+        const std::vector<v1::LogEntry> entries(response.entries().begin(),
+                                                response.entries().end());
+        m_next = entries.back().offset() + 1;
+        m_follower.onEntries(entries);
+    }
+    if (m_follower.onPosition)
+        m_follower.onPosition(response.next_offset());
+    m_readTimer = m_loop.after(duration::zero(), [this] { read(); });
+}
+
+auto log_client::url(std::string_view call) const -> std::string
+{
+    return fmt::format("/v1/log/{}/{}", m_options.stream, call);
+}
+
+} // namespace mustardline
