--- a/packages/base/settings_reader.cpp
+++ b/packages/base/settings_reader.cpp
@@ -22,6 +22,10 @@
 
 auto settings_reader::integer(std::string_view name, const integer_field &rule) -> std::int64_t
 {
+    m_fields.push_back({.path = pathOf(name),
+                        .type = "whole number",
+                        .allowed = fmt::format("{} to {}", rule.lowest, rule.highest),
+                        .fallback = rule.fallback ? std::to_string(*rule.fallback) : "required"});
     const auto *value = find(name, !rule.fallback.has_value());
     if (value == nullptr)
         return rule.fallback.value_or(0);
@@ -41,6 +45,10 @@
 
 auto settings_reader::text(std::string_view name, const text_field &rule) -> std::string
 {
+    m_fields.push_back({.path = pathOf(name),
+                        .type = "text",
+                        .allowed = fmt::format("{}", fmt::join(rule.allowed, ", ")),
+                        .fallback = rule.fallback.value_or("required")});
     const auto *value = find(name, !rule.fallback.has_value());
     if (value == nullptr)
         return rule.fallback.value_or("");
@@ -59,6 +67,9 @@
 
 auto settings_reader::boolean(std::string_view name, std::optional<bool> fallback) -> bool
 {
+    const auto shown = fallback.value_or(false) ? "true" : "false";
+    m_fields.push_back(
+        {.path = pathOf(name), .type = "true or false", .fallback = fallback ? shown : "required"});
     const auto *value = find(name, !fallback.has_value());
     if (value == nullptr)
         return fallback.value_or(false);
@@ -71,6 +82,7 @@
 
 auto settings_reader::texts(std::string_view name) -> std::vector<std::string>
 {
+    m_fields.push_back({.path = pathOf(name), .type = "list of texts", .fallback = "empty"});
     const auto *value = find(name, false);
     std::vector<std::string> items;
     if (value == nullptr)
@@ -96,6 +108,7 @@
 
 auto settings_reader::absorb(settings_reader &nested) -> void
 {
+    m_fields.insert(m_fields.end(), nested.m_fields.begin(), nested.m_fields.end());
     const auto outcome = nested.finish();
     if (const auto *fault = failed(outcome))
         fail(fault->code, fault->message);
--- a/packages/base/settings_reader.h
+++ b/packages/base/settings_reader.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +44,18 @@
     std::optional<std::string> fallback;
 };
 
+// What a settings file may hold at one path, for the reference pages.
+struct settings_field
+{
+    std::string path;
+    // "whole number", "text", "true or false" or "list of texts".
+    std::string type;
+    // The range or the allowed values; empty for any.
+    std::string allowed;
+    // The value of an absent field; "required" if there is none.
+    std::string fallback;
+};
+
 class settings_reader
 {
 public:
@@ -62,6 +75,9 @@
     // Success, or the first fault in the order of reading.
     [[nodiscard]] auto finish() -> status;
 
+    // Every field asked for so far, in the order of reading.
+    [[nodiscard]] auto fields() const -> std::span<const settings_field> { return m_fields; }
+
 private:
     [[nodiscard]] auto pathOf(std::string_view name) const -> std::string;
     auto find(std::string_view name, bool required) -> const nlohmann::json *;
@@ -73,6 +89,7 @@
     std::string m_path;
     std::set<std::string, std::less<>> m_read;
     std::optional<error> m_fault;
+    std::vector<settings_field> m_fields;
 };
 
 // Reads and parses a whole JSON file.
--- a/packages/base/testing/docs_table.cpp
+++ b/packages/base/testing/docs_table.cpp
@@ -49,4 +49,22 @@
     return rows;
 }
 
+auto eventRows(std::span<const log_event> events) -> std::vector<std::vector<std::string>>
+{
+    std::vector<std::vector<std::string>> rows;
+    for (const auto &event : events) {
+        rows.push_back({std::to_string(event.number), std::string(event.name),
+                        std::string(levelName(event.level)), std::string(event.meaning)});
+    }
+    return rows;
+}
+
+auto settingsRows(std::span<const settings_field> fields) -> std::vector<std::vector<std::string>>
+{
+    std::vector<std::vector<std::string>> rows;
+    for (const auto &item : fields)
+        rows.push_back({item.path, item.type, item.allowed, item.fallback});
+    return rows;
+}
+
 } // namespace mustardline
--- a/packages/base/testing/settings_reader_test.cpp
+++ b/packages/base/testing/settings_reader_test.cpp
@@ -67,6 +67,21 @@
     EXPECT_EQ(failed(outcome), nullptr);
 }
 
+TEST(SettingsReaderTest, describesWhatItWasAskedFor)
+{
+    settings_reader reader(nlohmann::json::object());
+    reader.integer("port", {.lowest = 1, .highest = 65535});
+    auto nested = reader.object("log");
+    nested.text("level", {.allowed = {"info", "debug"}, .fallback = "info"});
+    reader.absorb(nested);
+    ASSERT_EQ(reader.fields().size(), 2U);
+    EXPECT_EQ(reader.fields()[0].allowed, "1 to 65535");
+    EXPECT_EQ(reader.fields()[0].fallback, "required");
+    EXPECT_EQ(reader.fields()[1].path, "log.level");
+    EXPECT_EQ(reader.fields()[1].allowed, "info, debug");
+    EXPECT_EQ(reader.fields()[1].fallback, "info");
+}
+
 TEST(SettingsReaderTest, reportsAFileThatCannotBeRead)
 {
     const auto outcome = readJsonFile("/nonexistent/settings.json");
--- /dev/null
+++ b/packages/entry/agent_call.cpp
@@ -0,0 +1,221 @@
+#include "entry/agent_call.h"
+
+#include <charconv>
+#include <memory>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace mustardline {
+
+namespace {
+
+// An agent that is silent for longer than this past the deadline is given up.
+constexpr auto silenceMargin = std::chrono::seconds(5);
+constexpr auto askTimeout = std::chrono::seconds(1);
+
+auto toMilliseconds(duration value) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+template<class Number>
+auto readNumber(std::string_view text) -> std::optional<Number>
+{
+    Number number{};
+    const auto *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return number;
+}
+
+// Parses "running/queued/window".
+auto readLoad(std::string_view text) -> std::optional<endpoint_load>
+{
+    const auto first = text.find('/');
+    const auto second = text.find('/', first == std::string_view::npos ? first : first + 1);
+    if (second == std::string_view::npos)
+        return std::nullopt;
+    const auto running = readNumber<std::uint32_t>(text.substr(0, first));
+    const auto queued = readNumber<std::uint32_t>(text.substr(first + 1, second - first - 1));
+    const auto window = readNumber<std::uint32_t>(text.substr(second + 1));
+    if (!running || !queued || !window)
+        return std::nullopt;
+    return endpoint_load{.running = *running, .queued = *queued, .window = *window};
+}
+
+auto reportOf(const http_answer &answer) -> agent_report
+{
+    agent_report report{.boot = std::string(findHeader(answer.headers, "mustardline-boot"))};
+    const auto offset = readNumber<std::uint64_t>(findHeader(answer.headers, "mustardline-offset"));
+    report.configurationOffset = offset.value_or(0);
+    if (const auto load = readLoad(findHeader(answer.headers, "mustardline-load"))) {
+        report.hasLoad = true;
+        report.load = *load;
+    }
+    return report;
+}
+
+auto runHeaders(const agent_call_options &options, const caller_request &request)
+    -> std::vector<http_header>
+{
+    auto headers = request.headers;
+    const auto add = [&](std::string_view name, std::string value) {
+        headers.push_back({.name = std::string(name), .value = std::move(value)});
+    };
+    add("mustardline-request", options.requestId);
+    add("mustardline-attempt", std::to_string(options.attempt));
+    add("mustardline-account", request.clientAccount);
+    add("mustardline-key-id", request.keyId);
+    add("mustardline-class", request.requestClass);
+    add("mustardline-tier", std::to_string(request.tier));
+    add("mustardline-priority", std::to_string(request.priority));
+    add("mustardline-deadline-ms", std::to_string(toMilliseconds(options.deadline)));
+    add("mustardline-first-token-ms", std::to_string(toMilliseconds(request.firstTokenTarget)));
+    add("mustardline-idempotent", request.idempotent ? "1" : "0");
+    add("mustardline-route", request.route);
+    add("mustardline-method", request.method);
+    add("mustardline-path", request.path);
+    add("mustardline-endpoint", options.endpoint);
+    add("mustardline-offset", std::to_string(options.configurationOffset));
+    if (!request.idempotencyKey.empty())
+        add("idempotency-key", request.idempotencyKey);
+    return headers;
+}
+
+// Follows one call from its headers to its end.
+struct call_progress
+{
+    std::string requestId;
+    std::string attempt;
+    agent_call_callbacks callbacks;
+    bool started = false;
+    bool mismatched = false;
+    std::optional<result_code> refusal;
+
+    auto sawHeaders(const http_answer &answer) -> void
+    {
+        callbacks.onReport(reportOf(answer));
+        mismatched = findHeader(answer.headers, "mustardline-request") != requestId
+                     || findHeader(answer.headers, "mustardline-attempt") != attempt;
+        const auto code
+            = readNumber<std::uint16_t>(findHeader(answer.headers, "mustardline-result"));
+        if (mismatched || !code) {
+            mismatched = true;
+        } else if (*code != number(result_code::ok)) {
+            refusal = static_cast<result_code>(*code);
+        } else {
+            started = true;
+            callbacks.onStart(
+                {.status = answer.status,
+                 .contentType = std::string(findHeader(answer.headers, "content-type"))});
+        }
+    }
+
+    [[nodiscard]] auto end(const http_outcome &outcome) const -> agent_call_end
+    {
+        if (const auto *failure = std::get_if<http_failure>(&outcome))
+            return lost{.reason = failure->reason, .sent = failure->sent, .started = started};
+        if (mismatched) {
+            return lost{.reason = {.code = result_code::malformed_message,
+                                   .message = "the answer is for another request"}};
+        }
+        if (!refusal)
+            return answered();
+        if (isNotRun(*refusal))
+            return not_run{.code = *refusal};
+        return lost{.reason
+                    = {.code = *refusal, .message = std::string(describe(*refusal).meaning)}};
+    }
+
+    // Whether an agent's refusal says that the endpoint never started the request.
+    static auto isNotRun(result_code code) -> bool
+    {
+        switch (code) {
+        case result_code::outcome_unknown:
+        case result_code::answer_cut:
+        case result_code::endpoint_failed:
+        case result_code::deadline_exceeded:
+        case result_code::answer_too_large:
+        case result_code::cancelled:
+        case result_code::timeout:
+        case result_code::connection_failed:
+        case result_code::internal:
+            return false;
+        default:
+            return true;
+        }
+    }
+};
+
+auto readFate(std::string_view body) -> fate_answer
+{
+    const auto parsed = nlohmann::json::parse(body, nullptr, false);
+    if (!parsed.is_object())
+        return {};
+    fate_answer answer;
+    if (parsed.contains("boot") && parsed["boot"].is_string())
+        answer.boot = parsed["boot"].get<std::string>();
+    if (!parsed.contains("fate") || !parsed["fate"].is_string())
+        return answer;
+    const auto text = parsed["fate"].get<std::string>();
+    if (text == "not_run")
+        answer.fate = request_fate::not_run;
+    else if (text == "running")
+        answer.fate = request_fate::running;
+    else if (text == "done" || text == "failed")
+        answer.fate = request_fate::done;
+    return answer;
+}
+
+} // namespace
+
+auto startAgentCall(http_client &http, const agent_call_options &options,
+                    const caller_request &request, agent_call_callbacks callbacks) -> http_call
+{
+    auto progress = std::make_shared<call_progress>();
+    progress->requestId = options.requestId;
+    progress->attempt = std::to_string(options.attempt);
+    progress->callbacks = std::move(callbacks);
+    return http.start(
+        options.agent,
+        {.method = "POST",
+         .path = "/v1/run",
+         .headers = runHeaders(options, request),
+         .body = request.body,
+         .idleTimeout = options.deadline + silenceMargin},
+        {.onHeaders = [progress](const http_answer &answer) { progress->sawHeaders(answer); },
+         .onData =
+             [progress](std::string_view data) {
+                 if (progress->started)
+                     progress->callbacks.onData(data);
+             },
+         .onDone =
+             [progress](const http_outcome &outcome) {
+                 progress->callbacks.onEnd(progress->end(outcome));
+             }});
+}
+
+auto askFate(http_client &http, const socket_address &agent, std::string_view requestId,
+             std::function<auto(const fate_answer &)->void> done) -> void
+{
+    http.fetch(agent, {.path = fmt::format("/v1/fate/{}", requestId), .idleTimeout = askTimeout},
+               [done = std::move(done)](const http_outcome &outcome, const http_answer &,
+                                        const std::string &body) {
+                   const auto whole = std::holds_alternative<std::monostate>(outcome);
+                   done(whole ? readFate(body) : fate_answer());
+               });
+}
+
+auto askBoot(http_client &http, const socket_address &agent,
+             std::function<auto(const std::string &boot)->void> done) -> void
+{
+    http.fetch(agent, {.path = "/readyz", .idleTimeout = askTimeout},
+               [done = std::move(done)](const http_outcome &, const http_answer &answer,
+                                        const std::string &) {
+                   done(std::string(findHeader(answer.headers, "mustardline-boot")));
+               });
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/entry/command_line.cpp
@@ -0,0 +1,106 @@
+#include "entry/command_line.h"
+
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include "entry/entry_process.h"
+#include "entry/operator_commands.h"
+#include "entry/settings.h"
+
+namespace mustardline {
+
+namespace {
+
+constexpr std::string_view version = "0.1.0";
+
+constexpr std::string_view helpText
+    = R"(mustardline routes language-model traffic with service levels and priorities.
+
+Usage: mustardline COMMAND [OPTIONS]
+
+  serve --settings FILE          run an entry until SIGTERM
+  check-settings FILE            check a settings file and name its first fault
+  --version, --help
+
+Operators' commands; each takes --entry IP:PORT --token-file FILE and --json:
+{}
+"mustardline COMMAND --help" lists the options of a command.
+Exit status: 0 success, 1 refused, 2 bad command line or settings, 3 cannot listen,
+4 entry not reached, 5 outcome of a change not known yet.
+)";
+
+// Reads settings for a command; prints the fault and returns nothing if they are not usable.
+auto loadSettings(const std::string &fileName) -> std::optional<entry_settings>
+{
+    auto outcome = readEntrySettings(fileName);
+    if (const auto *fault = failed(outcome)) {
+        fmt::print(stderr, "{}: {} ({} {})\n", fileName, fault->message, number(fault->code),
+                   describe(fault->code).name);
+        return std::nullopt;
+    }
+    return std::move(std::get<entry_settings>(outcome));
+}
+
+auto serve(std::vector<std::string> &arguments) -> int
+{
+    TCLAP::CmdLine line("Runs an entry until SIGTERM.", ' ', std::string(version));
+    line.setExceptionHandling(false);
+    TCLAP::ValueArg<std::string> file("s", "settings", "Settings file (JSON).", true, "", "FILE",
+                                      line);
+    line.parse(arguments);
+    auto settings = loadSettings(file.getValue());
+    if (!settings)
+        return exitUsage;
+    return entry_process(std::move(*settings)).run();
+}
+
+auto checkSettings(std::vector<std::string> &arguments) -> int
+{
+    TCLAP::CmdLine line("Checks a settings file.", ' ', std::string(version));
+    line.setExceptionHandling(false);
+    TCLAP::UnlabeledValueArg<std::string> file("file", "Settings file (JSON).", true, "", "FILE",
+                                               line);
+    line.parse(arguments);
+    if (!loadSettings(file.getValue()))
+        return exitUsage;
+    fmt::print("{}: the settings are usable\n", file.getValue());
+    return exitSuccess;
+}
+
+auto dispatchCommand(std::vector<std::string> arguments) -> int
+{
+    const auto command = arguments[1];
+    if (command == "serve" || command == "check-settings") {
+        arguments.erase(arguments.begin() + 1);
+        return command == "serve" ? serve(arguments) : checkSettings(arguments);
+    }
+    return runOperatorCommand(std::move(arguments));
+}
+
+} // namespace
+
+auto runCommandLine(std::span<char *const> arguments) -> int
+{
+    std::vector<std::string> words(arguments.begin(), arguments.end());
+    if (words.size() < 2 || words[1] == "--help" || words[1] == "-h" || words[1] == "help") {
+        fmt::print(helpText, operatorCommandList());
+        return words.size() < 2 ? exitUsage : exitSuccess;
+    }
+    if (words[1] == "--version") {
+        fmt::print("mustardline {}\n", version);
+        return exitSuccess;
+    }
+    try {
+        return dispatchCommand(std::move(words));
+    } catch (const TCLAP::ExitException &ended) {
+        return ended.getExitStatus();
+    } catch (const TCLAP::ArgException &fault) {
+        fmt::print(stderr, "mustardline: {} {}\n", fault.error(), fault.argId());
+        return exitUsage;
+    }
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/entry/command_line.h
@@ -0,0 +1,26 @@
+#pragma once
+
+// The command line of `mustardline`.
+//
+//     mustardline serve --settings FILE
+//     mustardline check-settings FILE
+//     mustardline data-centre|class|account|key|route|endpoint|status|usage ... (operators)
+//
+// Exit status: 0 success; 1 the call was refused or requests were cut at shutdown; 2 the command
+// line or the settings are at fault; 3 a socket could not be opened; 4 the entry could not be
+// reached; 5 the outcome of a change is not known yet.
+
+#include <span>
+
+namespace mustardline {
+
+inline constexpr int exitSuccess = 0;
+inline constexpr int exitRefused = 1;
+inline constexpr int exitUsage = 2;
+inline constexpr int exitUnreachable = 4;
+inline constexpr int exitPending = 5;
+
+// Runs the program; `arguments` begins with its name. Returns the exit status.
+[[nodiscard]] auto runCommandLine(std::span<char *const> arguments) -> int;
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/entry/entry_process.cpp
@@ -0,0 +1,180 @@
+#include "entry/entry_process.h"
+
+#include <csignal>
+
+#include "base/hashing.h"
+#include "entry/events.h"
+
+namespace mustardline {
+
+namespace {
+
+constexpr auto tickPeriod = std::chrono::milliseconds(5);
+constexpr auto sweepPeriod = std::chrono::milliseconds(50);
+constexpr auto drainPoll = std::chrono::milliseconds(20);
+constexpr int exitCut = 1;
+constexpr int exitListenFailed = 3;
+
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+
+auto replyText(const std::shared_ptr<http_exchange> &exchange, int code, std::string_view text)
+    -> void
+{
+    const auto headers = std::vector<http_header>{{.name = "content-type", .value = "text/plain"}};
+    exchange->reply(code, headers, text);
+}
+
+} // namespace
+
+entry_process::entry_process(entry_settings settings)
+    : m_settings(std::move(settings)),
+      m_log({.format = m_settings.format,
+             .lowest = m_settings.lowestLevel,
+             .process = m_settings.name}),
+      m_http(m_loop, {}),
+      m_follower(m_loop, m_http, m_log, m_config, {.logAddress = m_settings.log}),
+      m_usageStream(m_loop, m_http, {.address = m_settings.log, .stream = "usage"}),
+      m_usage(m_log, m_usageStream, {.entryName = m_settings.name}),
+      m_router(m_loop, m_http, m_log, m_metrics, m_config,
+               {.dataCentre = m_settings.dataCentre,
+                .keySecret = m_settings.keySecret,
+                .entryCount = m_settings.entryCount,
+                .subsetSize = m_settings.subsetSize,
+                .maxQueued = m_settings.maxQueued,
+                .seed = randomBits(),
+                .maxBacklogBytes = m_settings.maxBacklogBytes}),
+      m_operators(m_loop, m_log, m_config, m_follower,
+                  {.entryName = m_settings.name,
+                   .keySecret = m_settings.keySecret,
+                   .tokens = m_settings.operatorTokens}),
+      m_callerServer(m_loop, m_settings.callerLimits),
+      m_operatorServer(
+          m_loop, {.address = m_settings.operators.address, .port = m_settings.operators.port}),
+      m_controlServer(m_loop)
+{
+    m_config.onChange([this](v1::EntityKind kind, const std::string &id) {
+        m_router.configurationChanged(kind, id);
+    });
+    m_follower.onFolded = [this] { m_operators.folded(); };
+    m_operators.onStatus = [this](v1::StatusResponse &response) { fillStatus(response); };
+    m_callerServer.onRequest(
+        [this](const std::shared_ptr<http_exchange> &exchange) { serveCaller(exchange); });
+    m_operatorServer.onRequest(
+        [this](const std::shared_ptr<http_exchange> &exchange) { m_operators.handle(exchange); });
+    m_controlServer.onMessage([this](std::string_view message) { return serveControl(message); });
+}
+
+auto entry_process::run() -> int
+{
+    const auto outcome = listen();
+    if (const auto *fault = failed(outcome)) {
+        m_log.write(entryFailed, field("code", number(fault->code)),
+                    field("reason", fault->message));
+        return exitListenFailed;
+    }
+    m_loop.onSignal(SIGTERM, [this] { drain(); });
+    m_loop.onSignal(SIGINT, [this] { drain(); });
+    m_tickTimer = m_loop.every(tickPeriod, [this] { tick(); });
+    m_sweepTimer = m_loop.every(sweepPeriod, [this] { m_router.sweep(); });
+    m_follower.start();
+    m_loop.run();
+    m_log.write(entryStopped, field("live", m_router.liveCount()));
+    return m_exitStatus;
+}
+
+auto entry_process::listen() -> status
+{
+    const auto callers = m_callerServer.listen();
+    if (const auto *fault = failed(callers))
+        return *fault;
+    const auto operators = m_operatorServer.listen();
+    if (const auto *fault = failed(operators))
+        return *fault;
+    const auto control
+        = m_controlServer.listen(m_settings.control.address, m_settings.control.port);
+    if (const auto *fault = failed(control))
+        return *fault;
+    m_log.write(entryListening, field("port", std::get<std::uint16_t>(callers)),
+                field("operator_port", std::get<std::uint16_t>(operators)),
+                field("control_port", std::get<std::uint16_t>(control)),
+                field("data_centre", m_settings.dataCentre));
+    return std::monostate();
+}
+
+auto entry_process::serveCaller(const std::shared_ptr<http_exchange> &exchange) -> void
+{
+    const auto path = exchange->path();
+    if (path == "/healthz")
+        replyText(exchange, statusOk, "ok\n");
+    else if (path == "/readyz")
+        replyText(exchange, isReady() ? statusOk : statusUnavailable,
+                  isReady() ? "ready\n" : "not ready\n");
+    else if (path == "/metrics")
+        replyText(exchange, statusOk, m_metrics.text());
+    else
+        m_router.handle(exchange);
+}
+
+auto entry_process::serveControl(std::string_view message) -> std::string
+{
+    v1::ControlRequest request;
+    v1::ControlReply reply;
+    reply.set_sender(m_settings.name);
+    reply.set_configuration_offset(m_config.offset());
+    if (!request.ParseFromArray(message.data(), static_cast<int>(message.size())))
+        return reply.SerializeAsString();
+    if (request.has_catch_up())
+        *reply.mutable_catch_up() = m_follower.answer(request.catch_up());
+    else if (request.has_usage_push())
+        *reply.mutable_usage_push()
+            = m_usage.push(request.sender(), request.sender_boot(), request.usage_push());
+    else if (request.has_load())
+        reply.mutable_load()->set_running(static_cast<std::uint32_t>(m_router.liveCount()));
+    return reply.SerializeAsString();
+}
+
+auto entry_process::tick() -> void
+{
+    m_router.tick();
+    if (!m_ready && isReady()) {
+        m_ready = true;
+        m_log.write(entryReady, field("offset", m_config.offset()));
+    }
+}
+
+auto entry_process::drain() -> void
+{
+    if (std::exchange(m_draining, true))
+        return;
+    m_log.write(entryDraining, field("live", m_router.liveCount()));
+    m_router.drain();
+    m_callerServer.stopListening();
+    const auto giveUpAt = system_runtime_clock().now() + m_settings.drainTimeout;
+    m_drainTimer = m_loop.every(drainPoll, [this, giveUpAt] {
+        if (system_runtime_clock().now() >= giveUpAt) {
+            m_exitStatus = exitCut;
+            m_loop.stop();
+        }
+        finishIfIdle();
+    });
+}
+
+auto entry_process::finishIfIdle() -> void
+{
+    if (m_router.liveCount() == 0 && !m_usage.isBusy())
+        m_loop.stop();
+}
+
+auto entry_process::fillStatus(v1::StatusResponse &response) -> void
+{
+    response.set_in_flight(m_router.liveCount() - m_router.queuedCount());
+    response.set_queued(m_router.queuedCount());
+}
+
+auto entry_process::isReady() const -> bool
+{
+    return !m_draining && m_follower.isCaughtUp();
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/entry/entry_process.h
@@ -0,0 +1,65 @@
+#pragma once
+
+// The entry as a whole: wires the parts to one event loop and carries them from start to stop.
+//
+//     entry_process process(settings);
+//     return process.run();
+
+#include <memory>
+
+#include "base/counters.h"
+#include "base/log.h"
+#include "entry/configuration_follower.h"
+#include "entry/operator_service.h"
+#include "entry/request_router.h"
+#include "entry/settings.h"
+#include "entry/usage_collector.h"
+#include "net/control_socket.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "platform/configuration.h"
+
+namespace mustardline {
+
+class entry_process
+{
+public:
+    explicit entry_process(entry_settings settings);
+
+    // Serves until SIGTERM or SIGINT and returns the exit status of the process.
+    auto run() -> int;
+
+private:
+    auto listen() -> status;
+    auto serveCaller(const std::shared_ptr<http_exchange> &exchange) -> void;
+    auto serveControl(std::string_view message) -> std::string;
+    auto tick() -> void;
+    auto drain() -> void;
+    auto finishIfIdle() -> void;
+    auto fillStatus(v1::StatusResponse &response) -> void;
+    [[nodiscard]] auto isReady() const -> bool;
+
+    entry_settings m_settings;
+    event_loop m_loop;
+    logger m_log;
+    counters m_metrics;
+    configuration m_config;
+    http_client m_http;
+    configuration_follower m_follower;
+    log_client m_usageStream;
+    usage_collector m_usage;
+    request_router m_router;
+    operator_service m_operators;
+    http_server m_callerServer;
+    http_server m_operatorServer;
+    control_server m_controlServer;
+    event_handle m_tickTimer;
+    event_handle m_sweepTimer;
+    event_handle m_drainTimer;
+    bool m_ready = false;
+    bool m_draining = false;
+    int m_exitStatus = 0;
+};
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/entry/events.h
@@ -0,0 +1,58 @@
+#pragma once
+
+// Log events of the entry, numbered from 2000. docs/EVENTS.md lists them.
+
+#include <array>
+
+#include "base/log.h"
+
+namespace mustardline {
+
+inline constexpr log_event entryListening{2000, "listening", log_level::info,
+                                          "The entry accepts connections."};
+inline constexpr log_event entryReady{2001, "ready", log_level::info,
+                                      "The entry has a configuration and serves callers."};
+inline constexpr log_event entryDraining{2002, "draining", log_level::info,
+                                         "The entry accepts nothing new and finishes what it has."};
+inline constexpr log_event entryStopped{2003, "stopped", log_level::info,
+                                        "The entry has finished everything and ends."};
+inline constexpr log_event entryFailed{2004, "start_failed", log_level::error,
+                                       "The entry cannot start."};
+
+inline constexpr log_event requestPlaced{2010, "request_placed", log_level::info,
+                                         "A request was sent to an endpoint's agent."};
+inline constexpr log_event requestRefused{2011, "request_refused", log_level::info,
+                                          "A request got its final answer without being run."};
+inline constexpr log_event requestFinished{2012, "request_finished", log_level::info,
+                                           "A request ended with an answer."};
+inline constexpr log_event requestNotRun{2013, "request_not_run", log_level::info,
+                                         "An agent did not run a request that was sent to it."};
+inline constexpr log_event requestLost{2014, "request_lost", log_level::warning,
+                                       "The connection to an agent ended before the whole answer."};
+inline constexpr log_event requestCancelled{2015, "request_cancelled", log_level::info,
+                                            "A request was stopped before its end."};
+inline constexpr log_event requestRejected{2016, "request_rejected", log_level::info,
+                                           "A request was at fault and not considered."};
+
+inline constexpr log_event entityChanged{2020, "entity_changed", log_level::info,
+                                         "A change of configuration is in force here."};
+inline constexpr log_event changeDecided{2021, "change_decided", log_level::info,
+                                         "An operator's change was accepted or rejected."};
+inline constexpr log_event configurationExpired{
+    2022, "configuration_expired", log_level::warning,
+    "The log no longer keeps the next record; a snapshot is needed."};
+inline constexpr log_event operatorRefused{2023, "operator_refused", log_level::warning,
+                                           "An operator's call carried no accepted token."};
+
+inline constexpr log_event usageAppended{2030, "usage_appended", log_level::debug,
+                                         "Metered usage of agents is durable in the log."};
+inline constexpr log_event usageDelayed{2031, "usage_delayed", log_level::warning,
+                                        "Metered usage could not be appended to the log."};
+
+inline constexpr auto entryEvents = std::to_array<log_event>(
+    {entryListening, entryReady, entryDraining, entryStopped, entryFailed, requestPlaced,
+     requestRefused, requestFinished, requestNotRun, requestLost, requestCancelled, requestRejected,
+     entityChanged, changeDecided, configurationExpired, operatorRefused, usageAppended,
+     usageDelayed});
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/entry/main.cpp
@@ -0,0 +1,11 @@
+// The program `mustardline`: the entry (`serve`) and the operators' command line.
+
+#include <span>
+
+#include "entry/command_line.h"
+
+auto main(int argumentCount, char **arguments) -> int
+{
+    return mustardline::runCommandLine(
+        std::span<char *const>(arguments, static_cast<std::size_t>(argumentCount)));
+}
--- /dev/null
+++ b/packages/entry/operator_commands.cpp
@@ -0,0 +1,531 @@
+#include "entry/operator_commands.h"
+
+#include <array>
+#include <functional>
+
+#include <fmt/format.h>
+#include <google/protobuf/util/json_util.h>
+#include <tclap/CmdLine.h>
+
+#include "base/hashing.h"
+#include "base/settings_reader.h"
+#include "entry/command_line.h"
+#include "entry/operator_client.h"
+#include "entry/text_table.h"
+#include "platform/configuration.h"
+
+namespace mustardline {
+
+namespace {
+
+using text_argument = TCLAP::ValueArg<std::string>;
+using number_argument = TCLAP::ValueArg<std::uint32_t>;
+
+// The options that every command has, and the client they lead to.
+struct command_context
+{
+    TCLAP::CmdLine line;
+    text_argument entry{"e", "entry", "Operators' address of any entry.", true, "", "IP:PORT"};
+    text_argument tokenFile{"t", "token-file", "File with the operator's token.", true, "", "FILE"};
+    TCLAP::SwitchArg json{"j", "json", "Print JSON instead of a table."};
+
+    explicit command_context(const std::string &description) : line(description, ' ', "0.1.0")
+    {
+        line.setExceptionHandling(false);
+        line.add(entry);
+        line.add(tokenFile);
+        line.add(json);
+    }
+
+    [[nodiscard]] auto client() -> result<operator_client>
+    {
+        const auto address = parseAddress(entry.getValue());
+        if (address.port == 0) {
+            return error{.code = result_code::settings_out_of_range,
+                         .message = "--entry must be IP:PORT"};
+        }
+        const auto token = readSecretFile(tokenFile.getValue());
+        if (const auto *fault = failed(token))
+            return *fault;
+        return operator_client({.entry = address, .token = std::get<std::string>(token)});
+    }
+};
+
+auto explain(const error &fault) -> int
+{
+    fmt::print(stderr, "mustardline: {} ({} {})\n",
+               fault.message.empty() ? std::string(describe(fault.code).meaning) : fault.message,
+               number(fault.code), describe(fault.code).name);
+    if (fault.code == result_code::connection_failed || fault.code == result_code::timeout)
+        return exitUnreachable;
+    const auto ownFault = number(fault.code) >= number(result_code::settings_unreadable)
+                          && number(fault.code) <= number(result_code::settings_out_of_range);
+    return ownFault ? exitUsage : exitRefused;
+}
+
+auto printJson(const google::protobuf::Message &message) -> void
+{
+    google::protobuf::util::JsonPrintOptions options;
+    options.preserve_proto_field_names = true;
+    options.always_print_primitive_fields = true;
+    std::string text;
+    (void)google::protobuf::util::MessageToJsonString(message, &text, options);
+    fmt::print("{}\n", text);
+}
+
+auto exitStatusOf(const v1::ApplyResponse &response) -> int
+{
+    switch (response.outcome()) {
+    case v1::CHANGE_OUTCOME_ACCEPTED:
+        return exitSuccess;
+    case v1::CHANGE_OUTCOME_PENDING:
+        return exitPending;
+    default:
+        return exitRefused;
+    }
+}
+
+auto report(command_context &context, const v1::ApplyResponse &response) -> int
+{
+    if (context.json.getValue()) {
+        printJson(response);
+    } else {
+        fmt::print("{}{}\n",
+                   printTable({{"change", "outcome", "revision"},
+                               {response.change_id(), v1::ChangeOutcome_Name(response.outcome()),
+                                std::to_string(response.revision())}}),
+                   response.message());
+    }
+    return exitStatusOf(response);
+}
+
+// The revision of an entity, or 0 if it does not exist; `current` gets its value.
+auto currentRevision(const operator_client &client, v1::EntityKind kind, const std::string &id,
+                     v1::Entity &current) -> result<std::uint64_t>
+{
+    v1::ListRequest request;
+    request.set_kind(kind);
+    const auto listed = client.call<v1::ListResponse>("List", request);
+    if (const auto *fault = failed(listed))
+        return *fault;
+    for (const auto &item : std::get<v1::ListResponse>(listed).entities()) {
+        if (idOf(item.entity()) == id) {
+            current = item.entity();
+            return item.revision();
+        }
+    }
+    return std::uint64_t{0};
+}
+
+auto applyChange(command_context &context, const operator_client &client, v1::EntityChange change)
+    -> int
+{
+    v1::ApplyRequest request;
+    request.mutable_change()->set_change_id(randomId());
+    *request.mutable_change()->add_entities() = std::move(change);
+    const auto outcome = client.call<v1::ApplyResponse>("Apply", request);
+    if (const auto *fault = failed(outcome))
+        return explain(*fault);
+    return report(context, std::get<v1::ApplyResponse>(outcome));
+}
+
+// Creates the entity, which must not exist yet.
+auto createEntity(command_context &context, const v1::Entity &entity) -> int
+{
+    const auto client = context.client();
+    if (const auto *fault = failed(client))
+        return explain(*fault);
+    v1::EntityChange change;
+    change.set_kind(kindOf(entity));
+    change.set_id(idOf(entity));
+    *change.mutable_entity() = entity;
+    return applyChange(context, std::get<operator_client>(client), std::move(change));
+}
+
+// Reads the entity, lets `edit` alter it and publishes it on the revision that was read.
+auto editEntity(command_context &context, v1::EntityKind kind, const std::string &id,
+                const std::function<auto(v1::Entity &)->void> &edit) -> int
+{
+    const auto client = context.client();
+    if (const auto *fault = failed(client))
+        return explain(*fault);
+    v1::Entity entity;
+    const auto revision = currentRevision(std::get<operator_client>(client), kind, id, entity);
+    if (const auto *fault = failed(revision))
+        return explain(*fault);
+    if (std::get<std::uint64_t>(revision) == 0) {
+        return explain({.code = result_code::no_such_entity,
+                        .message = fmt::format("\"{}\" does not exist", id)});
+    }
+    v1::EntityChange change;
+    change.set_kind(kind);
+    change.set_id(id);
+    change.set_base_revision(std::get<std::uint64_t>(revision));
+    if (edit) {
+        edit(entity);
+        *change.mutable_entity() = entity;
+    }
+    return applyChange(context, std::get<operator_client>(client), std::move(change));
+}
+
+// The one positional argument that most commands have.
+struct id_argument : TCLAP::UnlabeledValueArg<std::string>
+{
+    id_argument(command_context &context, const std::string &name)
+        : TCLAP::UnlabeledValueArg<std::string>(name, "Name of the " + name + ".", true, "", name,
+                                                context.line)
+    {}
+};
+
+auto splitList(const std::string &text) -> std::vector<std::string>
+{
+    std::vector<std::string> items;
+    auto rest = std::string_view(text);
+    while (!rest.empty()) {
+        const auto comma = std::min(rest.find(','), rest.size());
+        items.emplace_back(rest.substr(0, comma));
+        rest = rest.substr(std::min(comma + 1, rest.size()));
+    }
+    return items;
+}
+
+auto createDataCentre(std::vector<std::string> &words) -> int
+{
+    command_context context("Creates a data centre.");
+    id_argument id(context, "data-centre");
+    text_argument region("r", "region", "Region.", true, "", "NAME", context.line);
+    context.line.parse(words);
+    v1::Entity entity;
+    entity.mutable_data_centre()->set_id(id.getValue());
+    entity.mutable_data_centre()->set_region(region.getValue());
+    return createEntity(context, entity);
+}
+
+auto setDataCentreOut(std::vector<std::string> &words, bool out) -> int
+{
+    command_context context(out ? "Takes a data centre out: it receives no new work."
+                                : "Returns a data centre to service.");
+    id_argument id(context, "data-centre");
+    context.line.parse(words);
+    return editEntity(context, v1::ENTITY_KIND_DATA_CENTRE, id.getValue(),
+                      [out](v1::Entity &entity) { entity.mutable_data_centre()->set_out(out); });
+}
+
+auto createClass(std::vector<std::string> &words) -> int
+{
+    command_context context("Creates a request class.");
+    id_argument id(context, "class");
+    number_argument priority("p", "priority", "Order within a tier; smaller goes first.", false, 0,
+                             "N", context.line);
+    number_argument firstToken("f", "first-token-ms", "Target to the first token.", true, 0, "MS",
+                               context.line);
+    number_argument between("b", "between-tokens-ms", "Target between tokens.", false, 0, "MS",
+                            context.line);
+    number_argument deadline("d", "deadline-ms", "Longest time to the whole answer.", true, 0, "MS",
+                             context.line);
+    context.line.parse(words);
+    v1::Entity entity;
+    auto &requestClass = *entity.mutable_request_class();
+    requestClass.set_id(id.getValue());
+    requestClass.set_priority(priority.getValue());
+    requestClass.set_first_token_ms(firstToken.getValue());
+    requestClass.set_between_tokens_ms(between.getValue());
+    requestClass.set_deadline_ms(deadline.getValue());
+    return createEntity(context, entity);
+}
+
+auto createAccount(std::vector<std::string> &words) -> int
+{
+    command_context context("Creates a client account.");
+    id_argument id(context, "account");
+    number_argument tier("r", "tier", "Service tier, 1 (highest) to 6.", true, 0, "N",
+                         context.line);
+    text_argument classes("c", "classes", "Classes it may use, the default first.", true, "", "A,B",
+                          context.line);
+    number_argument rate("q", "requests-per-second", "Rate limit over the fleet; 0 for none.",
+                         false, 0, "N", context.line);
+    number_argument concurrent("n", "concurrent", "Requests in flight; 0 for no limit.", false, 0,
+                               "N", context.line);
+    context.line.parse(words);
+    v1::Entity entity;
+    auto &account = *entity.mutable_client_account();
+    account.set_id(id.getValue());
+    account.set_tier(tier.getValue());
+    for (const auto &item : splitList(classes.getValue()))
+        account.add_classes(item);
+    account.set_requests_per_second(rate.getValue());
+    account.set_concurrent_requests(concurrent.getValue());
+    return createEntity(context, entity);
+}
+
+auto createKey(std::vector<std::string> &words) -> int
+{
+    command_context context("Creates a key; its text is shown this once.");
+    id_argument account(context, "account");
+    context.line.parse(words);
+    const auto client = context.client();
+    if (const auto *fault = failed(client))
+        return explain(*fault);
+    v1::CreateKeyRequest request;
+    request.set_client_account(account.getValue());
+    request.set_change_id(randomId());
+    const auto outcome
+        = std::get<operator_client>(client).call<v1::CreateKeyResponse>("CreateKey", request);
+    if (const auto *fault = failed(outcome))
+        return explain(*fault);
+    const auto &response = std::get<v1::CreateKeyResponse>(outcome);
+    if (context.json.getValue())
+        printJson(response);
+    else
+        fmt::print("{}", printTable({{"key id", "key", "outcome"},
+                                     {response.key_id(), response.key(),
+                                      v1::ChangeOutcome_Name(response.change().outcome())}}));
+    return exitStatusOf(response.change());
+}
+
+auto withdrawKey(std::vector<std::string> &words) -> int
+{
+    command_context context("Withdraws a key, for ever.");
+    id_argument id(context, "key-id");
+    context.line.parse(words);
+    return editEntity(context, v1::ENTITY_KIND_KEY, id.getValue(),
+                      [](v1::Entity &entity) { entity.mutable_key()->set_withdrawn(true); });
+}
+
+auto createRoute(std::vector<std::string> &words) -> int
+{
+    command_context context("Creates a route from a path prefix to models or a service.");
+    id_argument prefix(context, "path-prefix");
+    text_argument service("s", "service", "Service; a model route without it.", false, "", "NAME",
+                          context.line);
+    TCLAP::SwitchArg open("o", "open", "Needs no key.", context.line);
+    text_argument openAccount("a", "open-account", "Account that open requests are counted on.",
+                              false, "", "ACCOUNT", context.line);
+    TCLAP::SwitchArg idempotent("i", "idempotent", "Requests may be run again.", context.line);
+    context.line.parse(words);
+    v1::Entity entity;
+    auto &route = *entity.mutable_route();
+    route.set_id(prefix.getValue());
+    route.set_kind(service.getValue().empty() ? v1::ROUTE_KIND_MODEL : v1::ROUTE_KIND_SERVICE);
+    route.set_service(service.getValue());
+    route.set_open(open.getValue());
+    route.set_open_client_account(openAccount.getValue());
+    route.set_idempotent(idempotent.getValue());
+    return createEntity(context, entity);
+}
+
+auto createEndpoint(std::vector<std::string> &words) -> int
+{
+    command_context context("Creates an endpoint behind its agent.");
+    id_argument id(context, "endpoint");
+    text_argument dataCentre("d", "data-centre", "Data centre.", true, "", "ID", context.line);
+    TCLAP::SwitchArg service("s", "service", "A plain service, not a model engine.", context.line);
+    text_argument serves("m", "serves", "Models, or the service.", true, "", "A,B", context.line);
+    text_argument agent("a", "agent", "Request address of its agent.", true, "", "IP:PORT",
+                        context.line);
+    text_argument control("c", "control", "Control address of its agent.", true, "", "IP:PORT",
+                          context.line);
+    number_argument most("n", "max-concurrency", "Most requests at once.", true, 0, "N",
+                         context.line);
+    TCLAP::SwitchArg fencing("f", "checks-fencing", "It refuses old fencing numbers itself.",
+                             context.line);
+    context.line.parse(words);
+    v1::Entity entity;
+    auto &endpoint = *entity.mutable_endpoint();
+    endpoint.set_id(id.getValue());
+    endpoint.set_data_centre(dataCentre.getValue());
+    endpoint.set_kind(service.getValue() ? v1::ENDPOINT_KIND_SERVICE : v1::ENDPOINT_KIND_MODEL);
+    for (const auto &item : splitList(serves.getValue()))
+        endpoint.add_serves(item);
+    endpoint.set_agent_address(agent.getValue());
+    endpoint.set_control_address(control.getValue());
+    endpoint.set_max_concurrency(most.getValue());
+    endpoint.set_checks_fencing(fencing.getValue());
+    return createEntity(context, entity);
+}
+
+auto setEndpointLeaving(std::vector<std::string> &words) -> int
+{
+    command_context context("Marks an endpoint as leaving: it receives no new work.");
+    id_argument id(context, "endpoint");
+    context.line.parse(words);
+    return editEntity(context, v1::ENTITY_KIND_ENDPOINT, id.getValue(),
+                      [](v1::Entity &entity) { entity.mutable_endpoint()->set_leaving(true); });
+}
+
+auto removeEntity(std::vector<std::string> &words, v1::EntityKind kind) -> int
+{
+    command_context context("Removes an entity.");
+    id_argument id(context, "id");
+    context.line.parse(words);
+    return editEntity(context, kind, id.getValue(), nullptr);
+}
+
+// A row of the list: the id, the revision and the whole entity in JSON.
+auto rowOf(const v1::RevisedEntity &item) -> std::vector<std::string>
+{
+    const auto &entity = item.entity();
+    std::string value;
+    const auto *field = entity.GetReflection()->GetOneofFieldDescriptor(
+        entity, entity.GetDescriptor()->oneof_decl(0));
+    if (field != nullptr) {
+        google::protobuf::util::JsonPrintOptions options;
+        options.preserve_proto_field_names = true;
+        (void)google::protobuf::util::MessageToJsonString(
+            entity.GetReflection()->GetMessage(entity, field), &value, options);
+    }
+    return {idOf(entity), std::to_string(item.revision()), value};
+}
+
+auto listEntities(std::vector<std::string> &words, v1::EntityKind kind) -> int
+{
+    command_context context("Lists the entities of a kind.");
+    context.line.parse(words);
+    const auto client = context.client();
+    if (const auto *fault = failed(client))
+        return explain(*fault);
+    v1::ListRequest request;
+    request.set_kind(kind);
+    const auto outcome = std::get<operator_client>(client).call<v1::ListResponse>("List", request);
+    if (const auto *fault = failed(outcome))
+        return explain(*fault);
+    const auto &response = std::get<v1::ListResponse>(outcome);
+    if (context.json.getValue()) {
+        printJson(response);
+        return exitSuccess;
+    }
+    std::vector<std::vector<std::string>> rows{{"id", "revision", "value"}};
+    for (const auto &item : response.entities())
+        rows.push_back(rowOf(item));
+    fmt::print("{}", printTable(rows));
+    return exitSuccess;
+}
+
+auto showStatus(std::vector<std::string> &words) -> int
+{
+    command_context context("Shows the state of an entry.");
+    context.line.parse(words);
+    const auto client = context.client();
+    if (const auto *fault = failed(client))
+        return explain(*fault);
+    const auto outcome
+        = std::get<operator_client>(client).call<v1::StatusResponse>("Status", v1::StatusRequest());
+    if (const auto *fault = failed(outcome))
+        return explain(*fault);
+    const auto &response = std::get<v1::StatusResponse>(outcome);
+    if (context.json.getValue()) {
+        printJson(response);
+        return exitSuccess;
+    }
+    fmt::print("{}", printTable({{"entry", "configuration", "in flight", "queued"},
+                                 {response.entry(), std::to_string(response.configuration_offset()),
+                                  std::to_string(response.in_flight()),
+                                  std::to_string(response.queued())}}));
+    return exitSuccess;
+}
+
+auto showUsage(std::vector<std::string> &words) -> int
+{
+    command_context context("Shows the usage windows of a client account.");
+    id_argument account(context, "account");
+    context.line.parse(words);
+    const auto client = context.client();
+    if (const auto *fault = failed(client))
+        return explain(*fault);
+    v1::UsageRequest request;
+    request.set_client_account(account.getValue());
+    const auto outcome
+        = std::get<operator_client>(client).call<v1::UsageResponse>("Usage", request);
+    if (const auto *fault = failed(outcome))
+        return explain(*fault);
+    const auto &response = std::get<v1::UsageResponse>(outcome);
+    if (context.json.getValue()) {
+        printJson(response);
+        return exitSuccess;
+    }
+    std::vector<std::vector<std::string>> rows{
+        {"window start", "requests", "prompt", "completion", "sealed", "reported"}};
+    for (const auto &window : response.windows()) {
+        rows.push_back({std::to_string(window.window_start_unix_ms()),
+                        std::to_string(window.requests()), std::to_string(window.prompt_tokens()),
+                        std::to_string(window.completion_tokens()), window.sealed() ? "yes" : "no",
+                        window.reported() ? "yes" : "no"});
+    }
+    fmt::print("{}", printTable(rows));
+    return exitSuccess;
+}
+
+using command_function = auto(*)(std::vector<std::string> &words) -> int;
+
+struct operator_command
+{
+    std::string_view noun;
+    // Empty for a command of one word.
+    std::string_view verb;
+    std::string_view description;
+    command_function run;
+};
+
+template<v1::EntityKind Kind>
+constexpr command_function listOf
+    = [](std::vector<std::string> &words) { return listEntities(words, Kind); };
+
+template<v1::EntityKind Kind>
+constexpr command_function removeOf
+    = [](std::vector<std::string> &words) { return removeEntity(words, Kind); };
+
+constexpr auto commands = std::to_array<operator_command>({
+    {"data-centre", "create", "create a data centre", createDataCentre},
+    {"data-centre", "out", "give it no new work",
+     [](std::vector<std::string> &words) { return setDataCentreOut(words, true); }},
+    {"data-centre", "in", "return it to service",
+     [](std::vector<std::string> &words) { return setDataCentreOut(words, false); }},
+    {"data-centre", "list", "list data centres", listOf<v1::ENTITY_KIND_DATA_CENTRE>},
+    {"class", "create", "create a request class", createClass},
+    {"class", "list", "list request classes", listOf<v1::ENTITY_KIND_REQUEST_CLASS>},
+    {"class", "remove", "remove a request class", removeOf<v1::ENTITY_KIND_REQUEST_CLASS>},
+    {"account", "create", "create a client account", createAccount},
+    {"account", "list", "list client accounts", listOf<v1::ENTITY_KIND_CLIENT_ACCOUNT>},
+    {"account", "remove", "remove a client account", removeOf<v1::ENTITY_KIND_CLIENT_ACCOUNT>},
+    {"key", "create", "create a key of an account", createKey},
+    {"key", "withdraw", "withdraw a key", withdrawKey},
+    {"key", "list", "list keys, without their texts", listOf<v1::ENTITY_KIND_KEY>},
+    {"route", "create", "create a route", createRoute},
+    {"route", "list", "list routes", listOf<v1::ENTITY_KIND_ROUTE>},
+    {"route", "remove", "remove a route", removeOf<v1::ENTITY_KIND_ROUTE>},
+    {"endpoint", "create", "create an endpoint", createEndpoint},
+    {"endpoint", "leave", "give it no new work", setEndpointLeaving},
+    {"endpoint", "list", "list endpoints", listOf<v1::ENTITY_KIND_ENDPOINT>},
+    {"endpoint", "remove", "remove an endpoint", removeOf<v1::ENTITY_KIND_ENDPOINT>},
+    {"status", "", "show the state of an entry", showStatus},
+    {"usage", "", "show the usage windows of an account", showUsage},
+});
+
+} // namespace
+
+auto runOperatorCommand(std::vector<std::string> arguments) -> int
+{
+    const auto noun = arguments[1];
+    const auto verb = arguments.size() > 2 ? arguments[2] : std::string();
+    for (const auto &command : commands) {
+        if (command.noun != noun || (!command.verb.empty() && command.verb != verb))
+            continue;
+        const auto wordCount = command.verb.empty() ? 1 : 2;
+        arguments.erase(arguments.begin() + 1, arguments.begin() + 1 + wordCount);
+        return command.run(arguments);
+    }
+    fmt::print(stderr, "mustardline: no command \"{} {}\"; see mustardline --help\n", noun, verb);
+    return exitUsage;
+}
+
+auto operatorCommandList() -> std::string
+{
+    std::string text;
+    for (const auto &command : commands) {
+        text += fmt::format("  {:<30} {}\n", fmt::format("{} {}", command.noun, command.verb),
+                            command.description);
+    }
+    return text;
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/entry/request_router.h
@@ -0,0 +1,135 @@
+#pragma once
+
+// Serves callers: admits their requests through the dispatcher, sends them to agents and carries
+// the answers back.
+//
+// The router owns the table of live requests. Each request gets exactly one final answer: the
+// endpoint's whole answer, or an error that says what became of it. All decisions are the
+// dispatcher's; the router carries out its actions and reports what happened.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/log.h"
+#include "entry/agent_call.h"
+#include "entry/caller_request.h"
+#include "net/http_error.h"
+#include "net/http_server.h"
+#include "platform/configuration.h"
+#include "policy/dispatcher.h"
+
+namespace mustardline {
+
+struct request_router_options
+{
+    std::string dataCentre;
+    std::string keySecret;
+    std::uint32_t entryCount = 1;
+    std::uint32_t subsetSize = 64;
+    std::uint32_t maxQueued = 1000;
+    std::uint64_t seed = 1;
+    // Bytes that a slow caller may leave unread before its endpoint is held back.
+    std::size_t maxBacklogBytes = 1U << 20U;
+};
+
+class request_router
+{
+public:
+    request_router(event_loop &loop, http_client &http, logger &log, counters &metrics,
+                   configuration &config, request_router_options options);
+
+    // Takes a caller's request; it is answered later.
+    auto handle(const std::shared_ptr<http_exchange> &exchange) -> void;
+
+    // An entity of the configuration changed.
+    auto configurationChanged(v1::EntityKind kind, const std::string &id) -> void;
+
+    // Refuses everything new; what is live goes on to its end.
+    auto drain() -> void { m_draining = true; }
+
+    // Placement and expiry of what waits; call each few milliseconds.
+    auto tick() -> void;
+
+    // Deadlines of what was placed, and back-pressure; call some times a second.
+    auto sweep() -> void;
+
+    [[nodiscard]] auto liveCount() const -> std::size_t { return m_requests.size(); }
+    [[nodiscard]] auto queuedCount() const -> std::size_t { return m_dispatcher.queuedCount(); }
+
+    // Called when an agent names a configuration newer than ours.
+    std::function<auto(std::uint64_t offset)->void> onNewerConfiguration;
+
+private:
+    struct live_request
+    {
+        std::uint64_t number = 0;
+        std::string id;
+        caller_request request;
+        std::shared_ptr<http_exchange> exchange;
+        time_point arrivedAt;
+        std::string endpoint;
+        std::uint32_t attempt = 0;
+        // Boot of the agent when the attempt was sent; empty if not known.
+        std::string bootAtSend;
+        http_call call;
+        bool held = false;
+        event_handle retryTimer;
+        bool firstTokenSeen = false;
+        std::uint32_t tokens = 0;
+        // The endpoint's answer so far, if it is not streamed to the caller.
+        answer_start start;
+        std::string collected;
+        bool streaming = false;
+        // Set once the entry stops the request; its next end is final with this code.
+        std::optional<result_code> stopping;
+    };
+
+    auto carryOut() -> void;
+    auto place(const place_action &action) -> void;
+    auto send(live_request &live, const socket_address &agent) -> void;
+    auto refuse(const refuse_action &action) -> void;
+    auto cancel(const cancel_action &action) -> void;
+
+    auto started(std::uint64_t number, const answer_start &start) -> void;
+    auto received(std::uint64_t number, std::string_view data) -> void;
+    auto ended(std::uint64_t number, const agent_call_end &end) -> void;
+    auto endedWhole(live_request &live) -> void;
+    auto endedLost(live_request &live, const lost &loss) -> void;
+    auto resolveFate(std::uint64_t number) -> void;
+    auto retry(live_request &live, result_code code) -> void;
+
+    auto callerGone(std::uint64_t number) -> void;
+    auto holdBack(live_request &live) -> void;
+    auto expire(live_request &live) -> void;
+    auto stop(live_request &live, result_code code) -> void;
+    auto fail(live_request &live, const http_error &fault) -> void;
+    auto forget(std::uint64_t number) -> void;
+    auto find(std::uint64_t number) -> live_request *;
+    auto reject(const std::shared_ptr<http_exchange> &exchange, const http_error &fault) -> void;
+    auto setEndpoint(const v1::Endpoint &endpoint) -> void;
+    auto stopKey(const std::string &keyId) -> void;
+    auto countResult(std::uint32_t tier, result_code code) -> void;
+
+    event_loop &m_loop;
+    http_client &m_http;
+    logger &m_log;
+    counters &m_metrics;
+    configuration &m_config;
+    request_router_options m_options;
+    system_runtime_clock m_clock;
+    dispatcher m_dispatcher;
+    std::vector<dispatch_action> m_actions;
+    std::unordered_map<std::uint64_t, live_request> m_requests;
+    std::map<std::string, std::string, std::less<>> m_boots;
+    std::uint64_t m_lastNumber = 0;
+    bool m_draining = false;
+    bool m_carryingOut = false;
+};
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/entry/settings.h
@@ -0,0 +1,71 @@
+#pragma once
+
+// Settings of the entry, read from a JSON file.
+//
+//     const auto outcome = readEntrySettings(fileName);
+//     if (const auto *fault = failed(outcome))
+//         explain(*fault);
+//
+// docs/settings-entry.md lists the fields; a test holds that list equal to `entrySettingsFields`.
+
+#include <string>
+#include <vector>
+
+#include "base/log.h"
+#include "base/result.h"
+#include "base/settings_reader.h"
+#include "net/http_message.h"
+#include "net/http_server.h"
+
+namespace mustardline {
+
+struct listen_settings
+{
+    std::string address = "127.0.0.1";
+    // 0 lets the kernel choose.
+    std::uint16_t port = 0;
+};
+
+struct operator_token
+{
+    std::string name;
+    std::string token;
+};
+
+struct entry_settings
+{
+    // Unique among the entries; names the writer of log records.
+    std::string name;
+    std::string dataCentre;
+    // Where callers, operators and control messages arrive.
+    listen_settings callers;
+    listen_settings operators;
+    listen_settings control;
+    // The platform's interfaces.
+    socket_address log;
+    socket_address orders;
+    socket_address usage;
+    socket_address vms;
+    // Control addresses of other entries, asked when the log is out.
+    std::vector<socket_address> peers;
+    // Secret under which callers' keys are hashed.
+    std::string keySecret;
+    std::vector<operator_token> operatorTokens;
+    http_server_options callerLimits;
+    std::uint32_t maxQueued = 1000;
+    std::uint32_t subsetSize = 64;
+    std::uint32_t entryCount = 1;
+    // Bytes of an answer that a slow caller may leave unread before its endpoint is held back.
+    std::size_t maxBacklogBytes = 1U << 20U;
+    duration drainTimeout = std::chrono::seconds(600);
+    duration usageWindow = std::chrono::seconds(60);
+    log_format format = log_format::key_value;
+    log_level lowestLevel = log_level::info;
+};
+
+// Every field that a settings file may have.
+[[nodiscard]] auto entrySettingsFields() -> std::vector<settings_field>;
+
+[[nodiscard]] auto readEntrySettings(const std::string &fileName) -> result<entry_settings>;
+
+} // namespace mustardline
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -279,8 +279,16 @@
     evhttp_connection_set_timeout_tv(call->connection, &idle);
     http_call handle;
     handle.m_state = call;
-    evhttp_make_request(call->connection, call->request, commandOf(request.method),
-                        request.path.c_str());
+    if (evhttp_make_request(call->connection, call->request, commandOf(request.method),
+                            request.path.c_str())
+        != 0) {
+        // The socket could not even be opened; evhttp leaves the request to us and calls nothing.
+        m_loop.post([call] {
+            if (call->request != nullptr)
+                evhttp_request_free(call->request);
+            call->fail(result_code::connection_failed, "no connection could be made", false);
+        });
+    }
     return handle;
 }
 
--- /dev/null
+++ b/packages/net/http_error.cpp
@@ -0,0 +1,43 @@
+#include "net/http_error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace mustardline {
+
+namespace {
+
+auto roundedUp(duration value, duration unit) -> std::int64_t
+{
+    return (value.count() + unit.count() - 1) / unit.count();
+}
+
+} // namespace
+
+auto errorBody(const http_error &fault) -> std::string
+{
+    const auto &info = describe(fault.code);
+    nlohmann::json body;
+    body["error"]
+        = {{"code", number(fault.code)},
+           {"name", info.name},
+           {"message", fault.message.empty() ? std::string(info.meaning) : fault.message}};
+    if (fault.retryAfter > duration::zero()) {
+        body["error"]["retry_after_ms"] = roundedUp(fault.retryAfter, std::chrono::milliseconds(1));
+    }
+    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+auto errorHeaders(const http_error &fault) -> std::vector<http_header>
+{
+    std::vector<http_header> headers{
+        {.name = "content-type", .value = "application/json"},
+        {.name = "mustardline-result", .value = std::to_string(number(fault.code))}};
+    if (fault.retryAfter > duration::zero()) {
+        headers.push_back(
+            {.name = "retry-after",
+             .value = std::to_string(roundedUp(fault.retryAfter, std::chrono::seconds(1)))});
+    }
+    return headers;
+}
+
+} // namespace mustardline
--- a/packages/net/http_message.cpp
+++ b/packages/net/http_message.cpp
@@ -12,6 +12,17 @@
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
 }
 
+auto hexadecimalValue(char digit) -> int
+{
+    if (digit >= '0' && digit <= '9')
+        return digit - '0';
+    if (digit >= 'a' && digit <= 'f')
+        return digit - 'a' + 10;
+    if (digit >= 'A' && digit <= 'F')
+        return digit - 'A' + 10;
+    return -1;
+}
+
 } // namespace
 
 auto sameHeaderName(std::string_view left, std::string_view right) -> bool
@@ -42,4 +53,23 @@
     return {.host = std::string(text.substr(0, colon)), .port = port};
 }
 
+auto percentDecoded(std::string_view text) -> std::string
+{
+    constexpr int base = 16;
+    std::string out;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const auto isEscape = text[i] == '%' && i + 2 < text.size()
+                              && hexadecimalValue(text[i + 1]) >= 0
+                              && hexadecimalValue(text[i + 2]) >= 0;
+        if (isEscape) {
+            out.push_back(static_cast<char>(hexadecimalValue(text[i + 1]) * base
+                                            + hexadecimalValue(text[i + 2])));
+            i += 2;
+        } else {
+            out.push_back(text[i] == '+' ? ' ' : text[i]);
+        }
+    }
+    return out;
+}
+
 } // namespace mustardline
--- a/packages/net/http_message.h
+++ b/packages/net/http_message.h
@@ -34,4 +34,7 @@
 // Parses IP:PORT; a port of 0 and an empty host are what a malformed text gives.
 [[nodiscard]] auto parseAddress(std::string_view text) -> socket_address;
 
+// Undoes percent escapes and plus signs of a query or form text.
+[[nodiscard]] auto percentDecoded(std::string_view text) -> std::string;
+
 } // namespace mustardline
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -39,36 +39,6 @@
     return text;
 }
 
-auto hexadecimalValue(char digit) -> int
-{
-    if (digit >= '0' && digit <= '9')
-        return digit - '0';
-    if (digit >= 'a' && digit <= 'f')
-        return digit - 'a' + 10;
-    if (digit >= 'A' && digit <= 'F')
-        return digit - 'A' + 10;
-    return -1;
-}
-
-auto unescape(std::string_view text) -> std::string
-{
-    constexpr int base = 16;
-    std::string out;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const auto isEscape = text[i] == '%' && i + 2 < text.size()
-                              && hexadecimalValue(text[i + 1]) >= 0
-                              && hexadecimalValue(text[i + 2]) >= 0;
-        if (isEscape) {
-            out.push_back(static_cast<char>(hexadecimalValue(text[i + 1]) * base
-                                            + hexadecimalValue(text[i + 2])));
-            i += 2;
-        } else {
-            out.push_back(text[i] == '+' ? ' ' : text[i]);
-        }
-    }
-    return out;
-}
-
 } // namespace
 
 http_exchange::http_exchange(event_loop &loop, evhtp_request *request)
@@ -96,7 +66,7 @@
         const auto item = rest.substr(0, end);
         const auto equals = std::min(item.find('='), item.size());
         if (item.substr(0, equals) == name)
-            return unescape(item.substr(std::min(equals + 1, item.size())));
+            return percentDecoded(item.substr(std::min(equals + 1, item.size())));
         rest = rest.substr(std::min(end + 1, rest.size()));
     }
     return "";
