Add the stand-in platform

The tests and the demo need the platform's interfaces in a process of their own. `standin-platform` holds the log streams, endpoint orders, usage reports, VM list and weight limits in memory as docs/PLATFORM.md describes them. One `fault_gate` per interface puts outages, lost answers and delays between effect and answer, so that every interface fails in the same way. The port is in its `listening` line.

Ruled out: a stream for any name that a caller makes up, since a mistyped name would then read as an empty stream.

--- /dev/null
+++ b/packages/standin/events.h
@@ -0,0 +1,27 @@
+#pragma once
+
+// Log events of the stand-ins, 9000 and up; docs/EVENTS.md lists them.
+
+#include <array>
+
+#include "base/log.h"
+
+namespace mustardline::standin {
+
+inline constexpr log_event listening{9000, "listening", log_level::info,
+                                     "The stand-in accepts connections on `port`."};
+inline constexpr log_event listenFailed{9001, "listen_failed", log_level::error,
+                                        "The stand-in could not open its socket and ends."};
+inline constexpr log_event stopped{9002, "stopped", log_level::info,
+                                   "A signal ended the stand-in."};
+inline constexpr log_event controlled{9003, "controlled", log_level::info,
+                                      "A control call changed what the stand-in does."};
+inline constexpr log_event executed{9010, "executed", log_level::info,
+                                    "The plain service ran a request."};
+inline constexpr log_event diedOnPurpose{9011, "died_on_purpose", log_level::warning,
+                                         "The stand-in ends itself as its controls ask."};
+
+inline constexpr std::array events{listening,  listenFailed, stopped,
+                                   controlled, executed,     diedOnPurpose};
+
+} // namespace mustardline::standin
--- /dev/null
+++ b/packages/standin/platform_log.h
@@ -0,0 +1,60 @@
+#pragma once
+
+// The log service of the stand-in platform over HTTP: appends, reads and long polls on the streams
+// `configuration`, `leases`, `usage` and `claims`, held in memory.
+//
+//     platform_log log(loop, gate);
+//     log.addRoutes(routes);
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "standin/fault_gate.h"
+#include "standin/log_stream.h"
+
+namespace mustardline::standin {
+
+class platform_log
+{
+public:
+    platform_log(event_loop &loop, fault_gate &gate) : m_gate(gate), m_timers(loop) {}
+
+    auto addRoutes(route_table &routes) -> void;
+
+    // Null if there is no stream of that name.
+    [[nodiscard]] auto find(const std::string &stream) -> log_stream *;
+
+    // Answers every long poll now, so that an outage that has begun is felt by them too.
+    auto endWaits() -> void;
+
+private:
+    // A read that waits for its first entry.
+    struct waiting_read
+    {
+        exchange_ptr exchange;
+        std::uint64_t from = 0;
+        std::size_t max = 0;
+    };
+
+    struct served_stream
+    {
+        log_stream records;
+        std::map<std::uint64_t, waiting_read> waiting;
+    };
+
+    auto append(served_stream &stream, const exchange_ptr &exchange) -> void;
+    auto read(served_stream &stream, const exchange_ptr &exchange) -> void;
+    auto wait(served_stream &stream, waiting_read read, std::uint64_t waitMs) -> void;
+    auto answerRead(const log_stream &records, const waiting_read &read) -> void;
+    auto wakeReaders(served_stream &stream) -> void;
+
+    fault_gate &m_gate;
+    timer_set m_timers;
+    std::map<std::string, served_stream> m_streams;
+    std::uint64_t m_nextWait = 0;
+};
+
+} // namespace mustardline::standin
