--- /dev/null
+++ b/packages/standin/prefix_cache.h
@@ -0,0 +1,68 @@
+#pragma once
+
+// The stand-in engine's cache of prompt prefixes and the events that it publishes about it, which
+// arrive late and with gaps.
+//
+//     prefix_cache cache({.capacity = 64});
+//     const auto warm = cache.use(prefix, clock.now());
+//     const auto events = cache.eventsAfter(0, clock.now());
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace mustardline::standin {
+
+struct prefix_cache_options
+{
+    // Prefixes that are kept; the least recently used goes first.
+    std::size_t capacity = 64;
+    // Time until an event is published.
+    duration eventLag = std::chrono::milliseconds(500);
+    // Each event whose sequence is a multiple of this is never published; 0 publishes all.
+    std::uint64_t dropEach = 8;
+    // Newest events that are kept.
+    std::size_t maxEvents = 4096;
+};
+
+struct cache_event
+{
+    std::uint64_t sequence = 0;
+    bool stored = false;
+    std::string prefixHash;
+    time_point at;
+};
+
+// The hash that names a prefix: 16 hexadecimal digits of `fastHash`.
+[[nodiscard]] auto prefixHash(std::string_view prefix) -> std::string;
+
+class prefix_cache
+{
+public:
+    explicit prefix_cache(prefix_cache_options options) : m_options(options) {}
+
+    // Whether the prefix was cached; it is from now on.
+    auto use(std::string_view prefix, time_point now) -> bool;
+
+    // Forgets everything, as an engine does that turns cold.
+    auto clear(time_point now) -> void;
+
+    [[nodiscard]] auto eventsAfter(std::uint64_t sequence, time_point now) const
+        -> std::vector<cache_event>;
+
+private:
+    auto record(bool stored, const std::string &hash, time_point now) -> void;
+
+    prefix_cache_options m_options;
+    // Most recently used first.
+    std::list<std::string> m_hashes;
+    std::deque<cache_event> m_events;
+    std::uint64_t m_sequence = 0;
+};
+
+} // namespace mustardline::standin
