--- a/packages/base/result.h
+++ b/packages/base/result.h
@@ -37,6 +37,7 @@
     concurrency_limited = 109,
     key_withdrawn = 110,
     idempotency_conflict = 111,
+    idempotency_in_progress = 112,
 
     // 2xx: there is no capacity for the request now.
     overloaded = 200,
--- a/packages/entry/events.h
+++ b/packages/entry/events.h
@@ -34,6 +34,16 @@
 inline constexpr log_event requestRejected{2016, "request_rejected", log_level::info,
                                            "A request was at fault and not considered."};
 
+inline constexpr log_event claimDecided{
+    2017, "claim_decided", log_level::info,
+    "The log decided whether an attempt may run under its idempotency key."};
+inline constexpr log_event claimGivenUp{
+    2018, "claim_given_up", log_level::warning,
+    "The log did not decide a claim in time; the request is refused."};
+inline constexpr log_event ownerResolved{
+    2019, "owner_resolved", log_level::info,
+    "The agents told what became of a request whose entry was lost."};
+
 inline constexpr log_event entityChanged{2020, "entity_changed", log_level::info,
                                          "A change of configuration is in force here."};
 inline constexpr log_event changeDecided{2021, "change_decided", log_level::info,
--- /dev/null
+++ b/packages/entry/live_request.cpp
@@ -0,0 +1,52 @@
+#include "entry/live_request.h"
+
+#include <fmt/format.h>
+
+namespace mustardline {
+
+auto startStream(live_request &live) -> void
+{
+    live.streaming = true;
+    const auto headers
+        = std::vector<http_header>{{.name = "content-type", .value = live.start.contentType},
+                                   {.name = "cache-control", .value = "no-store"},
+                                   {.name = "mustardline-request", .value = live.id}};
+    live.exchange->startStream(live.start.status, headers);
+}
+
+auto replyWhole(live_request &live) -> void
+{
+    if (live.streaming) {
+        live.exchange->endStream();
+        return;
+    }
+    const auto headers
+        = std::vector<http_header>{{.name = "content-type", .value = live.start.contentType},
+                                   {.name = "mustardline-request", .value = live.id},
+                                   {.name = "mustardline-result", .value = "0"}};
+    live.exchange->reply(live.start.status, headers, live.collected);
+}
+
+auto replyRepeated(live_request &live, int status, std::string_view body) -> void
+{
+    const auto headers
+        = std::vector<http_header>{{.name = "content-type", .value = "application/json"},
+                                   {.name = "mustardline-request", .value = live.id},
+                                   {.name = "mustardline-repeated", .value = "1"},
+                                   {.name = "mustardline-result", .value = "0"}};
+    live.exchange->reply(status, headers, body);
+}
+
+auto replyError(live_request &live, const http_error &fault) -> void
+{
+    if (live.streaming) {
+        live.exchange->sendChunk(fmt::format("event: error\ndata: {}\n\n", errorBody(fault)));
+        live.exchange->endStream();
+        return;
+    }
+    auto headers = errorHeaders(fault);
+    headers.push_back({.name = "mustardline-request", .value = live.id});
+    live.exchange->reply(describe(fault.code).httpStatus, headers, errorBody(fault));
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/entry/live_request.h
@@ -0,0 +1,66 @@
+#pragma once
+
+// One request that a caller waits for, from its arrival to its final answer.
+//
+// The functions here give the caller its answer; each live request gets exactly one. An answer that
+// has begun to stream can only end properly or with an explicit error event, so that a cut answer
+// never looks whole.
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/clock.h"
+#include "entry/agent_call.h"
+#include "entry/caller_request.h"
+#include "net/http_error.h"
+#include "net/http_server.h"
+
+namespace mustardline {
+
+struct live_request
+{
+    // Unique within the process.
+    std::uint64_t number = 0;
+    // Unique everywhere; the same for all attempts.
+    std::string id;
+    caller_request request;
+    std::shared_ptr<http_exchange> exchange;
+    time_point arrivedAt;
+
+    std::string endpoint;
+    std::uint32_t attempt = 0;
+    // Boot of the agent when the attempt was sent; empty if not known.
+    std::string bootAtSend;
+    http_call call;
+    event_handle retryTimer;
+    // The attempt was sent and not proved not run since.
+    bool mayHaveRun = false;
+
+    // The endpoint's answer so far, if it is not streamed to the caller.
+    answer_start start;
+    std::string collected;
+    bool streaming = false;
+    // The endpoint is held back, because the caller reads slowly.
+    bool held = false;
+    bool firstTokenSeen = false;
+    std::uint32_t tokens = 0;
+
+    // The request owns its idempotency key in the log.
+    bool claimed = false;
+};
+
+// Begins to stream the endpoint's answer.
+auto startStream(live_request &live) -> void;
+
+// Ends with the endpoint's whole answer.
+auto replyWhole(live_request &live) -> void;
+
+// Ends with the answer that an earlier attempt got.
+auto replyRepeated(live_request &live, int status, std::string_view body) -> void;
+
+// Ends with an error.
+auto replyError(live_request &live, const http_error &fault) -> void;
+
+} // namespace mustardline
--- a/packages/entry/request_router.cpp
+++ b/packages/entry/request_router.cpp
@@ -208,9 +208,7 @@
         if (waiting == nullptr)
             return;
         waiting->bootAtSend = boot;
-        if (waiting->stopping)
-            fail(*waiting, {.code = *waiting->stopping});
-        else if (boot.empty())
+        if (boot.empty())
             retry(*waiting, result_code::connection_failed);
         else
             send(*waiting, agent);
@@ -222,6 +220,7 @@
     const auto number = live.number;
     const auto passed = m_clock.now() - live.arrivedAt;
     live.firstTokenSeen = false;
+    live.mayHaveRun = true;
     live.collected.clear();
     live.call = startAgentCall(
         m_http,
@@ -272,14 +271,8 @@
     if (live == nullptr)
         return;
     live->start = start;
-    live->streaming = start.contentType.starts_with(eventStream);
-    if (!live->streaming)
-        return;
-    const auto headers
-        = std::vector<http_header>{{.name = "content-type", .value = start.contentType},
-                                   {.name = "cache-control", .value = "no-store"},
-                                   {.name = "mustardline-request", .value = live->id}};
-    live->exchange->startStream(start.status, headers);
+    if (start.contentType.starts_with(eventStream))
+        startStream(*live);
 }
 
 auto request_router::received(std::uint64_t number, std::string_view data) -> void
@@ -325,15 +318,7 @@
                 field("tokens", live.tokens),
                 field("total_ms", milliseconds(now - live.arrivedAt)));
     countResult(live.request.tier, result_code::ok);
-    if (live.streaming) {
-        live.exchange->endStream();
-    } else {
-        const auto headers
-            = std::vector<http_header>{{.name = "content-type", .value = live.start.contentType},
-                                       {.name = "mustardline-request", .value = live.id},
-                                       {.name = "mustardline-result", .value = "0"}};
-        live.exchange->reply(live.start.status, headers, live.collected);
-    }
+    replyWhole(live);
     forget(live.number);
 }
 
@@ -345,10 +330,7 @@
                 field("reason", loss.reason.message));
     const auto now = m_clock.now();
     m_dispatcher.reportFailure(live.endpoint, now);
-    if (live.stopping) {
-        m_dispatcher.finished(live.number, *live.stopping, live.tokens, now);
-        fail(live, {.code = *live.stopping});
-    } else if (!loss.sent) {
+    if (!loss.sent) {
         retry(live, result_code::connection_failed);
     } else if (live.streaming) {
         m_dispatcher.finished(live.number, result_code::answer_cut, live.tokens, now);
@@ -398,11 +380,7 @@
 {
     m_log.write(requestNotRun, field("request", live.id), field("attempt", live.attempt),
                 field("endpoint", live.endpoint), field("code", number(code)));
-    if (live.stopping) {
-        m_dispatcher.finished(live.number, *live.stopping, 0, m_clock.now());
-        fail(live, {.code = *live.stopping});
-        return;
-    }
+    live.mayHaveRun = false;
     m_dispatcher.notRun(live.number, code, m_clock.now(), m_actions);
     carryOut();
 }
@@ -430,14 +408,7 @@
 auto request_router::fail(live_request &live, const http_error &fault) -> void
 {
     countResult(live.request.tier, fault.code);
-    if (live.streaming) {
-        live.exchange->sendChunk(fmt::format("event: error\ndata: {}\n\n", errorBody(fault)));
-        live.exchange->endStream();
-    } else {
-        auto headers = errorHeaders(fault);
-        headers.push_back({.name = "mustardline-request", .value = live.id});
-        live.exchange->reply(describe(fault.code).httpStatus, headers, errorBody(fault));
-    }
+    replyError(live, fault);
     forget(live.number);
 }
 
--- a/packages/entry/request_router.h
+++ b/packages/entry/request_router.h
@@ -19,6 +19,7 @@
 #include "base/log.h"
 #include "entry/agent_call.h"
 #include "entry/caller_request.h"
+#include "entry/live_request.h"
 #include "net/http_error.h"
 #include "net/http_server.h"
 #include "platform/configuration.h"
@@ -66,30 +67,6 @@
     std::function<auto(std::uint64_t offset)->void> onNewerConfiguration;
 
 private:
-    struct live_request
-    {
-        std::uint64_t number = 0;
-        std::string id;
-        caller_request request;
-        std::shared_ptr<http_exchange> exchange;
-        time_point arrivedAt;
-        std::string endpoint;
-        std::uint32_t attempt = 0;
-        // Boot of the agent when the attempt was sent; empty if not known.
-        std::string bootAtSend;
-        http_call call;
-        bool held = false;
-        event_handle retryTimer;
-        bool firstTokenSeen = false;
-        std::uint32_t tokens = 0;
-        // The endpoint's answer so far, if it is not streamed to the caller.
-        answer_start start;
-        std::string collected;
-        bool streaming = false;
-        // Set once the entry stops the request; its next end is final with this code.
-        std::optional<result_code> stopping;
-    };
-
     auto carryOut() -> void;
     auto place(const place_action &action) -> void;
     auto send(live_request &live, const socket_address &agent) -> void;
