Add a first decision core behind the dispatcher and the endpoint scheduler

Cause: the entry and the agent need the contract to do something so that a request can pass. Done: queues by tier, class and account with fair order, rendezvous subset with a few probes, load and failure table, window with slow start at the agent, retry of what was not run.

--- /dev/null
+++ b/packages/policy/concurrency_window.cpp
@@ -0,0 +1,100 @@
+#include "policy/concurrency_window.h"
+
+#include <algorithm>
+
+#include "policy/durations.h"
+
+namespace mustardline {
+
+namespace {
+
+constexpr double congestedRatio = 2.0; // of the baseline
+constexpr double collapsedRatio = 4.0; // of the baseline
+constexpr double baselineRise = 1.01;  // per sample
+constexpr double typicalWeight = 0.2;  // of a new sample
+constexpr double congestedShrink = 0.8;
+constexpr double failedShrink = 0.5;
+constexpr double growFillRatio = 0.5; // of the window that must have been in use
+// Below this a first token is never taken as late; timers and scheduling dominate.
+constexpr duration noticeable = std::chrono::milliseconds(5);
+constexpr duration shortestShrinkGap = std::chrono::milliseconds(50);
+
+} // namespace
+
+concurrency_window::concurrency_window(concurrency_window_options options)
+    : m_options(options), m_size(std::clamp(options.initial, 1U, std::max(1U, options.highest)))
+{}
+
+auto concurrency_window::succeeded(duration latency, duration target, std::uint32_t running,
+                                   time_point now) -> void
+{
+    const bool late = congested(latency, target);
+    const bool fallen = collapsed(latency, target);
+    m_baseline
+        = m_baseline.count() == 0 ? latency : std::min(latency, scaled(m_baseline, baselineRise));
+    m_typical = m_typical.count() == 0
+                    ? latency
+                    : scaled(m_typical, 1 - typicalWeight) + scaled(latency, typicalWeight);
+    if (fallen)
+        shrink(0, now);
+    else if (late)
+        shrink(congestedShrink, now);
+    else if (static_cast<double>(running) >= m_size * growFillRatio)
+        grow();
+}
+
+auto concurrency_window::outstanding(duration waited, duration target, time_point now) -> void
+{
+    if (collapsed(waited, target))
+        shrink(0, now);
+}
+
+auto concurrency_window::failed(time_point now) -> void
+{
+    shrink(failedShrink, now);
+}
+
+auto concurrency_window::size() const -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(m_size);
+}
+
+auto concurrency_window::typicalLatency() const -> duration
+{
+    return m_typical;
+}
+
+auto concurrency_window::congested(duration latency, duration target) const -> bool
+{
+    if (latency <= noticeable)
+        return false;
+    if (target.count() > 0 && latency > target)
+        return true;
+    return m_baseline.count() > 0 && latency > scaled(m_baseline, congestedRatio);
+}
+
+// True if the endpoint must have turned cold: far over what it does when warm and over the target.
+auto concurrency_window::collapsed(duration latency, duration target) const -> bool
+{
+    if (latency <= noticeable || m_baseline.count() == 0)
+        return target.count() > 0 && latency > target;
+    return latency > scaled(m_baseline, collapsedRatio)
+           && (target.count() == 0 || latency > target / 2);
+}
+
+auto concurrency_window::grow() -> void
+{
+    m_size += m_slowStart ? 1.0 : 1.0 / m_size;
+    m_size = std::min(m_size, static_cast<double>(std::max(1U, m_options.highest)));
+}
+
+auto concurrency_window::shrink(double factor, time_point now) -> void
+{
+    if (now < m_nextShrink && factor > 0)
+        return;
+    m_slowStart = factor == 0;
+    m_size = std::max(1.0, m_size * factor);
+    m_nextShrink = now + std::max(shortestShrinkGap, m_typical);
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/policy/dispatcher.cpp
@@ -0,0 +1,211 @@
+#include "policy/dispatcher.h"
+
+#include <algorithm>
+
+#include "policy/dispatcher_state.h"
+#include "policy/durations.h"
+
+namespace mustardline {
+
+namespace {
+
+constexpr double firstTokenWeight = 0.1;
+constexpr double tokenWeight = 0.1;
+
+// Moves a mean towards a sample; a mean of 0 takes the sample over.
+auto follow(double &mean, double sample, double weight) -> void
+{
+    mean = mean == 0 ? sample : mean + (sample - mean) * weight;
+}
+
+// The endpoint itself is at fault, or may be.
+auto isEndpointFailure(result_code code) -> bool
+{
+    switch (code) {
+    case result_code::endpoint_failed:
+    case result_code::answer_cut:
+    case result_code::connection_failed:
+    case result_code::timeout:
+    case result_code::outcome_unknown:
+    case result_code::malformed_message:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+dispatcher::dispatcher(dispatcher_options options)
+    : m_state(std::make_unique<state>(std::move(options)))
+{}
+
+dispatcher::~dispatcher() = default;
+dispatcher::dispatcher(dispatcher &&) noexcept = default;
+auto dispatcher::operator=(dispatcher &&) noexcept -> dispatcher & = default;
+
+auto dispatcher::setEndpoint(const endpoint_info &info, time_point) -> void
+{
+    std::vector<std::uint32_t> serves;
+    for (const auto &name : info.serves)
+        serves.push_back(m_state->targetOf(name));
+    std::vector<std::uint32_t> before;
+    if (const auto known = m_state->endpoints.find(info.id); known != noIndex)
+        before = m_state->endpoints.at(known).serves;
+    const auto index = m_state->endpoints.set(info, std::move(serves));
+    m_state->updateSubsets(index, before);
+}
+
+auto dispatcher::removeEndpoint(std::string_view id) -> void
+{
+    const auto index = m_state->endpoints.find(id);
+    if (index == noIndex)
+        return;
+    m_state->endpoints.remove(index);
+    m_state->updateSubsets(index, m_state->endpoints.at(index).serves);
+}
+
+auto dispatcher::setEntryCount(std::uint32_t count) -> void
+{
+    m_state->limits.setEntryCount(count);
+}
+
+auto dispatcher::reportLoad(std::string_view endpoint, const endpoint_load &load, time_point now)
+    -> void
+{
+    const auto index = m_state->endpoints.find(endpoint);
+    if (index == noIndex)
+        return;
+    m_state->endpoints.reportLoad(index, load, now);
+    for (const auto target : m_state->endpoints.at(index).serves)
+        m_state->targets[target].isFull = false;
+}
+
+auto dispatcher::reportFailure(std::string_view endpoint, time_point now) -> void
+{
+    if (const auto index = m_state->endpoints.find(endpoint); index != noIndex)
+        m_state->endpoints.failed(index, now);
+}
+
+auto dispatcher::arrive(const request_arrival &arrival, time_point now,
+                        std::vector<dispatch_action> &actions) -> void
+{
+    m_state->latest = now;
+    const auto slot = m_state->newRow(arrival, now);
+    m_state->admit(slot, arrival, now, actions);
+}
+
+auto dispatcher::firstToken(std::uint64_t request, time_point now) -> void
+{
+    const auto slot = m_state->requests.find(request);
+    if (slot == noIndex)
+        return;
+    auto &row = m_state->requests.at(slot);
+    if (row.state != request_state::placed || row.hasFirstToken)
+        return;
+    row.hasFirstToken = true;
+    row.firstTokenAt = now;
+    const auto latency = now - row.placedAt;
+    m_state->endpoints.firstToken(row.endpoint, latency, now);
+    m_state->prefixes.stored(row.prefixHash, row.endpoint);
+    follow(m_state->targets[row.target].firstTokenSeconds, toSeconds(latency), firstTokenWeight);
+}
+
+auto dispatcher::progressed(std::uint64_t request, std::uint32_t tokens) -> void
+{
+    if (const auto slot = m_state->requests.find(request); slot != noIndex)
+        m_state->requests.at(slot).generatedTokens += tokens;
+}
+
+auto dispatcher::finished(std::uint64_t request, result_code code, std::uint32_t completionTokens,
+                          time_point now) -> void
+{
+    const auto slot = m_state->requests.find(request);
+    if (slot == noIndex)
+        return;
+    const auto &row = m_state->requests.at(slot);
+    if (row.state != request_state::placed) {
+        m_state->forget(slot);
+        return;
+    }
+    auto &target = m_state->targets[row.target];
+    if (code == result_code::ok) {
+        m_state->endpoints.answered(row.endpoint);
+        m_state->sizes.learn(row.requestClass, row.account, completionTokens);
+        target.drain.served(now - row.placedAt);
+        if (row.hasFirstToken && completionTokens > 1)
+            follow(target.tokenSeconds,
+                   toSeconds(now - row.firstTokenAt) / static_cast<double>(completionTokens - 1),
+                   tokenWeight);
+    } else if (isEndpointFailure(code)) {
+        m_state->endpoints.failed(row.endpoint, now);
+    }
+    m_state->release(slot, std::max(completionTokens, row.generatedTokens));
+    m_state->forget(slot);
+}
+
+auto dispatcher::notRun(std::uint64_t request, result_code code, time_point now,
+                        std::vector<dispatch_action> &actions) -> void
+{
+    const auto slot = m_state->requests.find(request);
+    if (slot == noIndex || m_state->requests.at(slot).state != request_state::placed)
+        return;
+    const auto endpoint = m_state->requests.at(slot).endpoint;
+    if (isEndpointFailure(code))
+        m_state->endpoints.failed(endpoint, now);
+    else if (code == result_code::not_run)
+        m_state->endpoints.busy(endpoint, now);
+    m_state->release(slot, m_state->requests.at(slot).generatedTokens);
+    m_state->retry(slot, code, now, actions);
+}
+
+auto dispatcher::callerGone(std::uint64_t request) -> void
+{
+    const auto slot = m_state->requests.find(request);
+    if (slot == noIndex)
+        return;
+    auto &row = m_state->requests.at(slot);
+    if (row.state == request_state::placed)
+        m_state->release(slot, row.generatedTokens);
+    else if (row.state == request_state::waiting)
+        m_state->targets[row.target].queue.remove(m_state->requests, slot);
+    m_state->forget(slot);
+}
+
+auto dispatcher::refuseQueued(std::string_view clientAccount, result_code code,
+                              std::vector<dispatch_action> &actions) -> void
+{
+    const auto account = m_state->accounts.find(clientAccount);
+    for (const auto slot : m_state->requests.slots()) {
+        const auto &row = m_state->requests.at(slot);
+        if (row.account == account && row.state != request_state::placed)
+            m_state->refuse(slot, code, "account_withdrawn", m_state->latest, actions);
+    }
+}
+
+auto dispatcher::tick(time_point now, std::vector<dispatch_action> &actions) -> void
+{
+    m_state->latest = now;
+    m_state->releaseDelayed(now, actions);
+    for (auto &target : m_state->targets) {
+        if (target.queue.size() == 0)
+            continue;
+        m_state->expireWaiting(target, now, actions);
+        target.isFull = false;
+        m_state->placeWaiting(target, now, actions);
+        m_state->shedHopeless(target, now, actions);
+    }
+    m_state->cancelOverdue(now, actions);
+}
+
+auto dispatcher::queuedCount() const -> std::size_t
+{
+    return m_state->requests.size() - m_state->placedCount;
+}
+
+auto dispatcher::inFlightCount() const -> std::size_t
+{
+    return m_state->placedCount;
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/policy/dispatcher_state.cpp
@@ -0,0 +1,375 @@
+#include "policy/dispatcher_state.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "policy/durations.h"
+
+namespace mustardline {
+
+namespace {
+
+constexpr std::uint32_t mostAttempts = 8;
+// The part of the answers of a class that must be no longer than the estimate.
+constexpr double sizeQuantile = 0.9;
+constexpr std::uint32_t unknownTokens = 100;
+constexpr duration noEndpointRetry = std::chrono::seconds(2);
+constexpr duration sweepInterval = std::chrono::milliseconds(250);
+// A waiting request is urgent after this part of its first-token target.
+constexpr int urgentPart = 4;
+// Waiting requests are shed when their wait is this much over what would have been admitted.
+constexpr double hopelessFactor = 1.5;
+
+} // namespace
+
+dispatcher::state::state(dispatcher_options value)
+    : options(std::move(value)), random(options.seed), endpoints(options.seed)
+{
+    limits.setEntryCount(options.entryCount);
+}
+
+auto dispatcher::state::targetOf(std::string_view name) -> std::uint32_t
+{
+    const auto number = targetNames.intern(name);
+    if (number == targets.size()) {
+        targets.push_back({.queue = target_queue({.maxQueued = options.maxQueued}),
+                           .subset = endpoint_subset({.size = options.subsetSize,
+                                                      .dataCentre = options.dataCentre,
+                                                      .seed = options.seed})});
+    }
+    return number;
+}
+
+// Keeps the subsets of all targets that the endpoint served before or serves now.
+auto dispatcher::state::updateSubsets(std::uint32_t index, std::span<const std::uint32_t> before)
+    -> void
+{
+    const auto &row = endpoints.at(index);
+    for (const auto target : before) {
+        const bool serves = std::ranges::find(row.serves, target) != row.serves.end();
+        if (targets[target].subset.contains(index) && !(row.available && serves))
+            targets[target].subset.rebuild(endpoints, target);
+    }
+    if (!row.available)
+        return;
+    for (const auto target : row.serves) {
+        targets[target].subset.add(endpoints, index);
+        targets[target].isFull = false;
+    }
+}
+
+auto dispatcher::state::newRow(const request_arrival &arrival, time_point now) -> std::uint32_t
+{
+    const auto slot = requests.add(arrival.request);
+    auto &row = requests.at(slot);
+    row.account = accounts.intern(arrival.clientAccount);
+    row.requestClass = classes.intern(arrival.requestClass);
+    row.tier = std::clamp(arrival.tier, 1U, lowestTier);
+    row.priority = arrival.priority;
+    row.arrivedAt = now;
+    row.dueAt = arrival.deadline.count() > 0 ? now + arrival.deadline
+                                             : time_point{.nanoseconds = INT64_MAX};
+    row.firstTokenTarget = arrival.firstTokenTarget;
+    row.betweenTokensTarget = arrival.betweenTokensTarget;
+    row.prefixHash = arrival.prefixHash;
+    row.promptTokens = arrival.promptTokens;
+    row.idempotent = arrival.idempotent;
+    row.state = request_state::delayed;
+    if (row.account >= accountBudgets.size())
+        accountBudgets.resize(row.account + 1);
+    accountBudgets[row.account].requested();
+    return slot;
+}
+
+auto dispatcher::state::admit(std::uint32_t slot, const request_arrival &arrival, time_point now,
+                              dispatch_actions &actions) -> void
+{
+    auto &row = requests.at(slot);
+    const auto verdict = limits.admit(row.account,
+                                      {.requestsPerSecond = arrival.requestsPerSecond,
+                                       .concurrentRequests = arrival.concurrentRequests},
+                                      now);
+    if (verdict.code != result_code::ok) {
+        actions.emplace_back(refuse_action{.request = row.request,
+                                           .code = verdict.code,
+                                           .retryAfter = verdict.retryAfter,
+                                           .reason = "account_limit"});
+        requests.remove(slot);
+        return;
+    }
+    row.target = targetOf(arrival.target);
+    auto &target = targets[row.target];
+    row.queue = target.queue.queueOf(row.requestClass, row.tier, row.priority);
+    if (target.arrivals.size() < target.queue.queueCount())
+        target.arrivals.resize(target.queue.queueCount());
+    target.arrivals[row.queue].count(now);
+    if (target.subset.empty())
+        refuse(slot, result_code::no_endpoint, "no_endpoint", now, actions);
+    else
+        enqueue(slot, now, actions);
+}
+
+// Queues a new request, places what can be placed, and refuses the request if it would wait in
+// vain.
+auto dispatcher::state::enqueue(std::uint32_t slot, time_point now, dispatch_actions &actions)
+    -> void
+{
+    const auto number = requests.at(slot).target;
+    auto &target = targets[number];
+    const auto shed = target.queue.makeRoom(requests, slot);
+    if (shed == slot) {
+        refuse(slot, result_code::queue_full, "queue_full", now, actions);
+        return;
+    }
+    if (shed != noIndex)
+        refuse(shed, result_code::overloaded, "shed_for_earlier", now, actions);
+
+    const auto queue = requests.at(slot).queue;
+    const auto ahead = target.queue.ahead(queue, requests.at(slot).account);
+    requests.at(slot).state = request_state::waiting;
+    target.queue.push(requests, slot, now);
+    placeWaiting(target, now, actions);
+    const auto &row = requests.at(slot);
+    if (row.state != request_state::waiting || target.queue.hasLowerTier(row.tier))
+        return;
+    const auto verdict = lateness(row, predictedWait(target, queue, ahead, now), now);
+    if (verdict != result_code::ok)
+        refuse(slot, verdict, "predicted_wait", now, actions);
+}
+
+// Time until a request of the class with `ahead` others before it is placed.
+auto dispatcher::state::predictedWait(const target_row &target, std::uint32_t queue,
+                                      std::uint32_t ahead, time_point now) const -> duration
+{
+    const auto &own = target.queue.queue(queue).options();
+    double earlier = 0;
+    for (std::uint32_t other = 0; other < target.queue.queueCount(); ++other) {
+        const auto &options = target.queue.queue(other).options();
+        if (std::pair(options.tier, options.priority) < std::pair(own.tier, own.priority))
+            earlier += target.arrivals[other].perSecond(now);
+    }
+    return target.drain.waitFor(ahead, target.inFlight, earlier);
+}
+
+// `ok` if a request that waits for `wait` more can still be in time for its targets.
+auto dispatcher::state::lateness(const request_row &row, duration wait, time_point now) const
+    -> result_code
+{
+    const auto &target = targets[row.target];
+    const auto placedAt = now + wait;
+    const auto firstToken = fromSeconds(target.firstTokenSeconds);
+    if (row.firstTokenTarget.count() > 0
+        && placedAt + firstToken > row.arrivedAt + row.firstTokenTarget)
+        return result_code::overloaded;
+    const auto tokens = sizes.quantile(row.requestClass, row.account, sizeQuantile);
+    if (placedAt + firstToken + fromSeconds(tokens * target.tokenSeconds) > row.dueAt)
+        return result_code::deadline_unmeetable;
+    return result_code::ok;
+}
+
+auto dispatcher::state::refuse(std::uint32_t slot, result_code code, std::string_view reason,
+                               time_point now, dispatch_actions &actions) -> void
+{
+    const auto &row = requests.at(slot);
+    auto &target = targets[row.target];
+    if (row.state == request_state::waiting)
+        target.queue.remove(requests, slot);
+    auto wait = noEndpointRetry;
+    if (!target.subset.empty())
+        wait = predictedWait(target, row.queue, target.queue.ahead(row.queue, row.account), now);
+    actions.emplace_back(
+        refuse_action{.request = row.request,
+                      .code = code,
+                      .retryAfter = target.drain.retryAfter(wait, target.inFlight, random, now),
+                      .reason = reason});
+    forget(slot);
+}
+
+auto dispatcher::state::placeWaiting(target_row &target, time_point now, dispatch_actions &actions)
+    -> void
+{
+    for (;;) {
+        const auto slot = target.queue.next(requests, now);
+        if (slot == noIndex)
+            return;
+        const auto choice = chooseFor(target, slot, now);
+        if (choice.endpoint == noIndex)
+            return;
+        place(target, slot, choice, now, actions);
+    }
+}
+
+auto dispatcher::state::chooseFor(target_row &target, std::uint32_t slot, time_point now)
+    -> placement_choice
+{
+    const auto &row = requests.at(slot);
+    const placement_wish wish{.tier = row.tier,
+                              .warm = prefixes.find(row.prefixHash),
+                              .avoid = row.attempt > 0 ? row.endpoint : noIndex};
+    placement_choice choice;
+    if (!target.isFull) {
+        choice = target.subset.choose(endpoints, wish, random, now);
+        if (choice.endpoint == noIndex && wish.avoid != noIndex)
+            choice = target.subset.choose(endpoints, {.tier = row.tier}, random, now);
+        target.isFull = choice.endpoint == noIndex;
+    }
+    if (choice.endpoint == noIndex && isUrgent(row, now))
+        choice = target.subset.chooseOver(endpoints, wish, random, now);
+    return choice;
+}
+
+// True if a request has waited so long that lower tiers should make way at an endpoint.
+auto dispatcher::state::isUrgent(const request_row &row, time_point now) const -> bool
+{
+    const auto bound
+        = row.firstTokenTarget.count() > 0 ? row.firstTokenTarget : row.dueAt - row.arrivedAt;
+    return now - row.arrivedAt >= bound / urgentPart;
+}
+
+auto dispatcher::state::place(target_row &target, std::uint32_t slot,
+                              const placement_choice &choice, time_point now,
+                              dispatch_actions &actions) -> void
+{
+    auto &row = requests.at(slot);
+    const auto expected = sizes.mean(row.requestClass, row.account);
+    row.chargedTokens = expected == 0 ? unknownTokens : expected;
+    target.queue.start(requests, slot, row.chargedTokens, now);
+    row.state = request_state::placed;
+    row.placedAt = now;
+    row.endpoint = choice.endpoint;
+    row.hasFirstToken = false;
+    row.cancelling = false;
+    ++row.attempt;
+    ++target.inFlight;
+    ++placedCount;
+    actions.emplace_back(place_action{.request = row.request,
+                                      .endpoint = endpoints.at(choice.endpoint).id,
+                                      .attempt = row.attempt,
+                                      .reason = choice.reason,
+                                      .considered = describeConsidered(choice, now)});
+    endpoints.placed(choice.endpoint, row.tier, now);
+}
+
+auto dispatcher::state::describeConsidered(const placement_choice &choice, time_point now) const
+    -> std::string
+{
+    std::string text;
+    for (std::uint32_t at = 0; at < choice.consideredCount; ++at) {
+        const auto index = choice.considered[at];
+        fmt::format_to(std::back_inserter(text), "{}{}:{}/{}", at == 0 ? "" : ",",
+                       endpoints.at(index).id, endpoints.load(index, now), endpoints.window(index));
+    }
+    return text;
+}
+
+// Takes a placed request out of its endpoint's and its account's counts.
+auto dispatcher::state::release(std::uint32_t slot, std::uint32_t usedTokens) -> void
+{
+    const auto &row = requests.at(slot);
+    auto &target = targets[row.target];
+    endpoints.released(row.endpoint, row.tier, row.hasFirstToken);
+    target.queue.finish(row, usedTokens);
+    target.isFull = false;
+    --target.inFlight;
+    --placedCount;
+}
+
+auto dispatcher::state::forget(std::uint32_t slot) -> void
+{
+    limits.ended(requests.at(slot).account);
+    if (requests.at(slot).state == request_state::delayed)
+        std::erase(delayed, slot);
+    requests.remove(slot);
+}
+
+// Places a request again that was proved not run, or refuses it.
+auto dispatcher::state::retry(std::uint32_t slot, result_code code, time_point now,
+                              dispatch_actions &actions) -> void
+{
+    auto &row = requests.at(slot);
+    row.state = request_state::delayed;
+    row.generatedTokens = 0;
+    if (now >= row.dueAt) {
+        refuse(slot, result_code::deadline_unmeetable, "expired", now, actions);
+        return;
+    }
+    if (row.attempt >= mostAttempts) {
+        refuse(slot, result_code::not_run, "attempts_spent", now, actions);
+        return;
+    }
+    // An endpoint without room or a preemption is no failure: nothing was tried in vain.
+    const bool isFailure = code != result_code::not_run && code != result_code::preempted;
+    if (isFailure && !accountBudgets[row.account].take()) {
+        refuse(slot, result_code::retry_budget_exhausted, "retry_budget", now, actions);
+        return;
+    }
+    row.retryAt = isFailure || row.attempt > 1 ? now + retryBackoff(row.attempt, random) : now;
+    delayed.push_back(slot);
+    releaseDelayed(now, actions);
+}
+
+auto dispatcher::state::releaseDelayed(time_point now, dispatch_actions &actions) -> void
+{
+    if (delayed.empty())
+        return;
+    const auto due = std::ranges::partition(
+        delayed, [&](std::uint32_t slot) { return requests.at(slot).retryAt > now; });
+    const std::vector<std::uint32_t> ready(due.begin(), due.end());
+    delayed.erase(due.begin(), due.end());
+    for (const auto slot : ready) {
+        auto &row = requests.at(slot);
+        row.state = request_state::waiting;
+        targets[row.target].queue.pushFront(requests, slot, now);
+    }
+    for (const auto slot : ready) {
+        if (requests.at(slot).state == request_state::waiting)
+            placeWaiting(targets[requests.at(slot).target], now, actions);
+    }
+}
+
+auto dispatcher::state::expireWaiting(target_row &target, time_point now, dispatch_actions &actions)
+    -> void
+{
+    for (std::uint32_t number = 0; number < target.queue.queueCount(); ++number) {
+        const auto &queue = target.queue.queue(number);
+        while (!queue.empty() && requests.at(queue.oldest()).dueAt <= now)
+            refuse(queue.oldest(), result_code::deadline_unmeetable, "expired", now, actions);
+    }
+}
+
+// Sheds from the lowest class upward what would be served too late, so that a backlog left by a
+// loss of capacity does not make everything behind it late as well.
+auto dispatcher::state::shedHopeless(target_row &target, time_point now, dispatch_actions &actions)
+    -> void
+{
+    while (const auto *lowest = target.queue.lowest()) {
+        const auto slot = lowest->newestOfLongest();
+        const auto &row = requests.at(slot);
+        const auto wait = predictedWait(target, row.queue, target.queue.size() - 1, now);
+        const auto allowed = scaled(wait, 1 / hopelessFactor);
+        const auto verdict = lateness(row, allowed, now);
+        if (verdict == result_code::ok)
+            return;
+        refuse(slot, verdict, "backlog", now, actions);
+    }
+}
+
+// Stops answers that can no longer be in time; what may not be repeated is left to end.
+auto dispatcher::state::cancelOverdue(time_point now, dispatch_actions &actions) -> void
+{
+    if (now < nextSweep)
+        return;
+    nextSweep = now + sweepInterval;
+    for (const auto slot : requests.slots()) {
+        auto &row = requests.at(slot);
+        if (row.state != request_state::placed || row.cancelling || !row.idempotent
+            || row.dueAt > now)
+            continue;
+        row.cancelling = true;
+        actions.emplace_back(cancel_action{
+            .request = row.request, .code = result_code::deadline_exceeded, .reason = "deadline"});
+    }
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/policy/dispatcher_state.h
@@ -0,0 +1,105 @@
+#pragma once
+
+// The tables behind `dispatcher` and the systems that run over them.
+//
+// A request row is in exactly one place: in its class's queue (waiting), in the list of delayed
+// retries (delayed) or counted at an endpoint (placed). Systems that change the place of a row are
+// the only ones that touch the counters that go with it.
+
+#include <span>
+#include <string>
+#include <vector>
+
+#include "policy/account_limits.h"
+#include "policy/dispatcher.h"
+#include "policy/drain_estimate.h"
+#include "policy/endpoint_table.h"
+#include "policy/placement.h"
+#include "policy/prefix_index.h"
+#include "policy/request_table.h"
+#include "policy/retry_budget.h"
+#include "policy/size_estimator.h"
+#include "policy/target_queue.h"
+
+namespace mustardline {
+
+using dispatch_actions = std::vector<dispatch_action>;
+
+struct dispatcher::state
+{
+    explicit state(dispatcher_options value);
+
+    // What belongs to one model or service.
+    struct target_row
+    {
+        target_queue queue;
+        endpoint_subset subset;
+        drain_estimate drain;
+        // Arrivals of each class, by the number of its queue.
+        std::vector<rate_meter> arrivals;
+        std::uint32_t inFlight = 0;
+        // Mean time to the first token and between tokens; 0 if unknown.
+        double firstTokenSeconds = 0;
+        double tokenSeconds = 0;
+        // No endpoint had room at the last try and nothing has happened since.
+        bool isFull = false;
+    };
+
+    // Entities.
+    auto targetOf(std::string_view name) -> std::uint32_t;
+    auto updateSubsets(std::uint32_t index, std::span<const std::uint32_t> before) -> void;
+    auto newRow(const request_arrival &arrival, time_point now) -> std::uint32_t;
+
+    // Admission.
+    auto admit(std::uint32_t slot, const request_arrival &arrival, time_point now,
+               dispatch_actions &actions) -> void;
+    auto enqueue(std::uint32_t slot, time_point now, dispatch_actions &actions) -> void;
+    [[nodiscard]] auto predictedWait(const target_row &target, std::uint32_t queue,
+                                     std::uint32_t ahead, time_point now) const -> duration;
+    [[nodiscard]] auto lateness(const request_row &row, duration wait, time_point now) const
+        -> result_code;
+    auto refuse(std::uint32_t slot, result_code code, std::string_view reason, time_point now,
+                dispatch_actions &actions) -> void;
+
+    // Placement.
+    auto placeWaiting(target_row &target, time_point now, dispatch_actions &actions) -> void;
+    [[nodiscard]] auto chooseFor(target_row &target, std::uint32_t slot, time_point now)
+        -> placement_choice;
+    [[nodiscard]] auto isUrgent(const request_row &row, time_point now) const -> bool;
+    auto place(target_row &target, std::uint32_t slot, const placement_choice &choice,
+               time_point now, dispatch_actions &actions) -> void;
+    [[nodiscard]] auto describeConsidered(const placement_choice &choice, time_point now) const
+        -> std::string;
+
+    // The end of a try or of a request.
+    auto release(std::uint32_t slot, std::uint32_t usedTokens) -> void;
+    auto forget(std::uint32_t slot) -> void;
+    auto retry(std::uint32_t slot, result_code code, time_point now, dispatch_actions &actions)
+        -> void;
+
+    // Periodic systems.
+    auto releaseDelayed(time_point now, dispatch_actions &actions) -> void;
+    auto expireWaiting(target_row &target, time_point now, dispatch_actions &actions) -> void;
+    auto shedHopeless(target_row &target, time_point now, dispatch_actions &actions) -> void;
+    auto cancelOverdue(time_point now, dispatch_actions &actions) -> void;
+
+    dispatcher_options options;
+    random_source random;
+    name_table accounts;
+    name_table classes;
+    name_table targetNames;
+    request_table requests;
+    endpoint_table endpoints;
+    account_limits limits;
+    size_estimator sizes;
+    prefix_index prefixes;
+    std::vector<retry_budget> accountBudgets;
+    std::vector<target_row> targets;
+    std::vector<std::uint32_t> delayed;
+    std::size_t placedCount = 0;
+    time_point nextSweep{};
+    // Time of the last call that named one.
+    time_point latest{};
+};
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/policy/endpoint_table.cpp
@@ -0,0 +1,176 @@
+#include "policy/endpoint_table.h"
+
+#include <algorithm>
+
+#include "policy/durations.h"
+
+namespace mustardline {
+
+namespace {
+
+// The window of an endpoint that has not reported yet.
+constexpr std::uint32_t unknownWindow = 2;
+constexpr double firstTokenWeight = 0.2; // of a new sample
+constexpr duration shortestEjection = std::chrono::milliseconds(500);
+constexpr std::uint32_t longestEjectionDoublings = 6;
+constexpr duration busyPause = std::chrono::milliseconds(20);
+// A report is believed whole for this long, half for as long again, then not at all.
+constexpr duration reportFreshness = std::chrono::seconds(1);
+// Owing first tokens for longer than this many times the mean, and this long, is a stall.
+constexpr double stallRatio = 8;
+constexpr duration shortestStall = std::chrono::seconds(1);
+
+} // namespace
+
+auto endpoint_table::freeRow() -> std::uint32_t
+{
+    const auto unused = std::ranges::find_if(
+        m_removed, [this](std::uint32_t index) { return m_rows[index].own == 0; });
+    if (unused != m_removed.end()) {
+        const auto index = *unused;
+        m_removed.erase(unused);
+        m_rows[index] = {};
+        return index;
+    }
+    m_rows.emplace_back();
+    return static_cast<std::uint32_t>(m_rows.size() - 1);
+}
+
+auto endpoint_table::set(const endpoint_info &info, std::vector<std::uint32_t> serves)
+    -> std::uint32_t
+{
+    auto index = find(info.id);
+    if (index == noIndex) {
+        index = freeRow();
+        m_indexes.emplace(info.id, index);
+    }
+    auto &row = m_rows[index];
+    row.id = info.id;
+    row.dataCentre = info.dataCentre;
+    row.serves = std::move(serves);
+    row.maxConcurrency = info.maxConcurrency;
+    row.present = true;
+    row.available = info.available;
+    return index;
+}
+
+auto endpoint_table::remove(std::uint32_t index) -> void
+{
+    m_indexes.erase(m_rows[index].id);
+    m_rows[index].present = false;
+    m_rows[index].available = false;
+    m_removed.push_back(index);
+}
+
+auto endpoint_table::find(std::string_view id) const -> std::uint32_t
+{
+    const auto known = m_indexes.find(std::string(id));
+    return known == m_indexes.end() ? noIndex : known->second;
+}
+
+auto endpoint_table::reportLoad(std::uint32_t index, const endpoint_load &load, time_point now)
+    -> void
+{
+    auto &row = m_rows[index];
+    const auto total = load.running + load.queued;
+    row.others = total > row.own ? total - row.own : 0;
+    row.window = load.window;
+    row.reportedAt = now;
+    if (total < load.window)
+        row.busyUntil = {};
+}
+
+auto endpoint_table::failed(std::uint32_t index, time_point now) -> void
+{
+    auto &row = m_rows[index];
+    // Failures that were under way when it was ejected count once.
+    if (now < row.ejectedUntil)
+        return;
+    const auto pause = doubled(shortestEjection, row.failures, longestEjectionDoublings);
+    row.ejectedUntil = now + scaled(pause, 0.75 + m_random.uniform() / 2);
+    ++row.failures;
+}
+
+auto endpoint_table::busy(std::uint32_t index, time_point now) -> void
+{
+    m_rows[index].busyUntil = now + busyPause;
+}
+
+auto endpoint_table::answered(std::uint32_t index) -> void
+{
+    m_rows[index].failures = 0;
+}
+
+auto endpoint_table::placed(std::uint32_t index, std::uint32_t tier, time_point now) -> void
+{
+    auto &row = m_rows[index];
+    ++row.own;
+    ++row.ownByTier[tier];
+    if (row.owing == 0)
+        row.owingSince = now;
+    ++row.owing;
+}
+
+auto endpoint_table::firstToken(std::uint32_t index, duration latency, time_point now) -> void
+{
+    auto &row = m_rows[index];
+    const auto sample = static_cast<double>(latency.count());
+    row.firstTokenMean
+        = row.firstTokenMean == 0
+              ? sample
+              : row.firstTokenMean + (sample - row.firstTokenMean) * firstTokenWeight;
+    row.owing -= std::min(row.owing, 1U);
+    row.owingSince = now;
+    answered(index);
+}
+
+auto endpoint_table::released(std::uint32_t index, std::uint32_t tier, bool hadFirstToken) -> void
+{
+    auto &row = m_rows[index];
+    --row.own;
+    --row.ownByTier[tier];
+    if (!hadFirstToken)
+        row.owing -= std::min(row.owing, 1U);
+}
+
+auto endpoint_table::isUsable(std::uint32_t index, time_point now) const -> bool
+{
+    const auto &row = m_rows[index];
+    if (!row.available || now < row.ejectedUntil || now < row.busyUntil)
+        return false;
+    // After a failure one request at a time, until one is answered.
+    if (row.failures > 0 && row.own > 0)
+        return false;
+    if (row.owing == 0)
+        return true;
+    const auto stalled = fromSeconds(row.firstTokenMean * stallRatio / 1e9);
+    return now - row.owingSince < std::max(stalled, shortestStall);
+}
+
+auto endpoint_table::load(std::uint32_t index, time_point now) const -> std::uint32_t
+{
+    const auto &row = m_rows[index];
+    const auto age = now - row.reportedAt;
+    if (age < reportFreshness)
+        return row.own + row.others;
+    if (age < reportFreshness * 2)
+        return row.own + row.others / 2;
+    return row.own;
+}
+
+auto endpoint_table::window(std::uint32_t index) const -> std::uint32_t
+{
+    const auto &row = m_rows[index];
+    return std::min(row.window == 0 ? unknownWindow : row.window, row.maxConcurrency);
+}
+
+auto endpoint_table::ownBelow(std::uint32_t index, std::uint32_t tier) const -> std::uint32_t
+{
+    const auto &counts = m_rows[index].ownByTier;
+    std::uint32_t sum = 0;
+    for (auto lower = tier + 1; lower < counts.size(); ++lower)
+        sum += counts[lower];
+    return sum;
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/policy/endpoint_table.h
@@ -0,0 +1,110 @@
+#pragma once
+
+// What one entry knows of each endpoint: its own requests there exactly, those of other entries by
+// the agent's last report, and how well it has answered lately.
+//
+// An endpoint that fails is left at once and tried again with one request after a pause that
+// doubles. One that owes first tokens for long is taken as stalled until one comes. Reports of load
+// lose their weight with age, so that a stale one neither attracts nor repels for ever.
+//
+//     endpoint_table endpoints(seed);
+//     const auto index = endpoints.set(info);
+//     endpoints.placed(index, tier, now);
+//     endpoints.firstToken(index, latency, now);
+//     endpoints.released(index, tier, hadFirstToken);
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "policy/dispatcher.h"
+#include "policy/name_table.h"
+#include "policy/random.h"
+
+namespace mustardline {
+
+inline constexpr std::uint32_t lowestTier = 6;
+
+struct endpoint_row
+{
+    std::string id;
+    std::string dataCentre;
+    // Numbers of the models or the service that it serves.
+    std::vector<std::uint32_t> serves;
+    std::uint32_t maxConcurrency = 1;
+    bool present = false;
+    bool available = false;
+
+    // Requests of this entry there, in all and by tier.
+    std::uint32_t own = 0;
+    std::array<std::uint32_t, lowestTier + 1> ownByTier{};
+    // Requests of other entries there, at the time of the report.
+    std::uint32_t others = 0;
+    std::uint32_t window = 0;
+    time_point reportedAt{};
+
+    // Mean time to the first token in nanoseconds; 0 before the first.
+    double firstTokenMean = 0;
+    // Requests of this entry that owe their first token, and since when none has come.
+    std::uint32_t owing = 0;
+    time_point owingSince{};
+
+    std::uint32_t failures = 0;
+    time_point ejectedUntil{};
+    // It refused a request for want of room; it is left alone until then.
+    time_point busyUntil{};
+};
+
+class endpoint_table
+{
+public:
+    explicit endpoint_table(std::uint64_t seed) : m_random(seed) {}
+
+    // Adds or changes an endpoint and returns its index.
+    auto set(const endpoint_info &info, std::vector<std::uint32_t> serves) -> std::uint32_t;
+    auto remove(std::uint32_t index) -> void;
+    [[nodiscard]] auto find(std::string_view id) const -> std::uint32_t;
+
+    auto reportLoad(std::uint32_t index, const endpoint_load &load, time_point now) -> void;
+    auto failed(std::uint32_t index, time_point now) -> void;
+    auto busy(std::uint32_t index, time_point now) -> void;
+    auto answered(std::uint32_t index) -> void;
+
+    auto placed(std::uint32_t index, std::uint32_t tier, time_point now) -> void;
+    auto firstToken(std::uint32_t index, duration latency, time_point now) -> void;
+    auto released(std::uint32_t index, std::uint32_t tier, bool hadFirstToken) -> void;
+
+    // May be sent a request at all, whether or not it has room.
+    [[nodiscard]] auto isUsable(std::uint32_t index, time_point now) const -> bool;
+    // Requests there, as far as is known.
+    [[nodiscard]] auto load(std::uint32_t index, time_point now) const -> std::uint32_t;
+    [[nodiscard]] auto window(std::uint32_t index) const -> std::uint32_t;
+    [[nodiscard]] auto hasRoom(std::uint32_t index, time_point now) const -> bool
+    {
+        return load(index, now) < window(index);
+    }
+    // Requests of this entry there of a lower tier than `tier`.
+    [[nodiscard]] auto ownBelow(std::uint32_t index, std::uint32_t tier) const -> std::uint32_t;
+
+    [[nodiscard]] auto at(std::uint32_t index) const -> const endpoint_row &
+    {
+        return m_rows[index];
+    }
+    [[nodiscard]] auto size() const -> std::uint32_t
+    {
+        return static_cast<std::uint32_t>(m_rows.size());
+    }
+
+private:
+    auto freeRow() -> std::uint32_t;
+
+    std::vector<endpoint_row> m_rows;
+    std::vector<std::uint32_t> m_removed;
+    std::unordered_map<std::string, std::uint32_t> m_indexes;
+    random_source m_random;
+};
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/policy/placement.cpp
@@ -0,0 +1,151 @@
+#include "policy/placement.h"
+
+#include <algorithm>
+
+#include "base/hashing.h"
+
+namespace mustardline {
+
+namespace {
+
+// Members probed for one choice; a smaller subset is weighed whole.
+constexpr std::uint32_t probes = 4;
+constexpr std::uint32_t weighedWhole = 16;
+// Part of the subset that is kept for other data centres.
+constexpr std::uint32_t otherPart = 4;
+// A warm prefix counts as this much less load.
+constexpr double warmFactor = 0.6;
+
+// Load for its window after one more request, times the first-token time; less is better.
+auto weigh(const endpoint_table &endpoints, std::uint32_t index, const placement_wish &wish,
+           time_point now) -> double
+{
+    const auto load = static_cast<double>(endpoints.load(index, now) + 1);
+    const auto filled = load / endpoints.window(index);
+    const auto latency = endpoints.at(index).firstTokenMean;
+    return filled * (latency == 0 ? 1 : latency) * (index == wish.warm ? warmFactor : 1);
+}
+
+auto fits(const endpoint_table &endpoints, std::uint32_t index, time_point now) -> bool
+{
+    return endpoints.hasRoom(index, now) && endpoints.isUsable(index, now);
+}
+
+} // namespace
+
+auto endpoint_subset::contains(std::uint32_t index) const -> bool
+{
+    return std::ranges::find(m_own, index, &member::index) != m_own.end()
+           || std::ranges::find(m_others, index, &member::index) != m_others.end();
+}
+
+auto endpoint_subset::trim() -> void
+{
+    const auto ownLimit = m_options.size - m_options.size / otherPart;
+    if (m_own.size() > ownLimit)
+        m_own.resize(ownLimit);
+    const auto othersLimit = m_options.size - m_own.size();
+    if (m_others.size() > othersLimit)
+        m_others.resize(othersLimit);
+}
+
+auto endpoint_subset::add(const endpoint_table &endpoints, std::uint32_t index) -> void
+{
+    if (contains(index))
+        return;
+    const auto &row = endpoints.at(index);
+    auto &members = row.dataCentre == m_options.dataCentre ? m_own : m_others;
+    const member added{.score = fastHash(row.id, m_options.seed), .index = index};
+    const auto place
+        = std::ranges::upper_bound(members, added.score, std::greater<>{}, &member::score);
+    members.insert(place, added);
+    trim();
+}
+
+auto endpoint_subset::rebuild(const endpoint_table &endpoints, std::uint32_t target) -> void
+{
+    m_own.clear();
+    m_others.clear();
+    for (std::uint32_t index = 0; index < endpoints.size(); ++index) {
+        const auto &row = endpoints.at(index);
+        if (row.available && std::ranges::find(row.serves, target) != row.serves.end())
+            add(endpoints, index);
+    }
+}
+
+auto endpoint_subset::chooseAmong(std::span<const member> members, const endpoint_table &endpoints,
+                                  const placement_wish &wish, random_source &random, time_point now,
+                                  placement_choice &choice) const -> bool
+{
+    const auto count = static_cast<std::uint32_t>(members.size());
+    if (count == 0)
+        return false;
+    const auto drawn = count <= weighedWhole ? count : probes;
+    const auto start = random.below(count);
+    double least = 0;
+    for (std::uint32_t probe = 0; probe < drawn; ++probe) {
+        const auto at = count <= weighedWhole ? (start + probe) % count : random.below(count);
+        const auto index = members[at].index;
+        choice.consider(index);
+        if (index == wish.avoid || !fits(endpoints, index, now))
+            continue;
+        const auto weight = weigh(endpoints, index, wish, now);
+        if (choice.endpoint == noIndex || weight < least) {
+            choice.endpoint = index;
+            least = weight;
+        }
+    }
+    // None of the few had room: take any that has.
+    for (std::uint32_t step = 0; choice.endpoint == noIndex && step < count; ++step) {
+        const auto index = members[(start + step) % count].index;
+        if (fits(endpoints, index, now))
+            choice.endpoint = index;
+    }
+    return choice.endpoint != noIndex;
+}
+
+auto endpoint_subset::choose(const endpoint_table &endpoints, const placement_wish &wish,
+                             random_source &random, time_point now) const -> placement_choice
+{
+    placement_choice choice;
+    if (wish.warm != noIndex && wish.warm != wish.avoid && contains(wish.warm)
+        && fits(endpoints, wish.warm, now)
+        && endpoints.load(wish.warm, now) * 2 < endpoints.window(wish.warm)) {
+        choice.consider(wish.warm);
+        choice.endpoint = wish.warm;
+        choice.reason = "warm_prefix";
+        return choice;
+    }
+    if (chooseAmong(m_own, endpoints, wish, random, now, choice))
+        choice.reason = "own_data_centre";
+    else if (chooseAmong(m_others, endpoints, wish, random, now, choice))
+        choice.reason = "other_data_centre";
+    return choice;
+}
+
+auto endpoint_subset::chooseOver(const endpoint_table &endpoints, const placement_wish &wish,
+                                 random_source &random, time_point now) const -> placement_choice
+{
+    placement_choice choice;
+    for (const auto *members : {&m_own, &m_others}) {
+        const auto count = static_cast<std::uint32_t>(members->size());
+        const auto start = count == 0 ? 0 : random.below(count);
+        for (std::uint32_t step = 0; step < count; ++step) {
+            const auto index = (*members)[(start + step) % count].index;
+            if (index == wish.avoid || !endpoints.isUsable(index, now))
+                continue;
+            const auto load = endpoints.load(index, now);
+            const auto window = endpoints.window(index);
+            const auto over = load > window ? load - window : 0;
+            if (endpoints.ownBelow(index, wish.tier) <= over)
+                continue;
+            choice.consider(index);
+            choice.endpoint = index;
+            choice.reason = "over_window";
+            return choice;
+        }
+    }
+    return choice;
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/policy/random.h
@@ -0,0 +1,36 @@
+#pragma once
+
+// A small seeded generator for choices and jitter (SplitMix64); not for secrets.
+
+#include <cstdint>
+
+namespace mustardline {
+
+class random_source
+{
+public:
+    explicit random_source(std::uint64_t seed) : m_state(seed) {}
+
+    auto next() -> std::uint64_t
+    {
+        m_state += 0x9e3779b97f4a7c15ULL;
+        auto mixed = m_state;
+        mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9ULL;
+        mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebULL;
+        return mixed ^ (mixed >> 31);
+    }
+
+    // Uniform in [0, bound); bound must not be 0.
+    auto below(std::uint32_t bound) -> std::uint32_t
+    {
+        return static_cast<std::uint32_t>(((next() >> 32) * bound) >> 32);
+    }
+
+    // Uniform in [0, 1).
+    auto uniform() -> double { return static_cast<double>(next() >> 11) * 0x1.0p-53; }
+
+private:
+    std::uint64_t m_state;
+};
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/policy/testing/dispatcher_test.cpp
@@ -0,0 +1,109 @@
+#include "policy/dispatcher.h"
+
+#include <gtest/gtest.h>
+
+namespace mustardline {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class DispatcherTest : public testing::Test
+{
+protected:
+    auto addEndpoint(std::string id, std::uint32_t window) -> void
+    {
+        m_core.setEndpoint(
+            {.id = id, .dataCentre = "tuzla", .serves = {"model"}, .maxConcurrency = window},
+            m_clock.now());
+        m_core.reportLoad(id, {.window = window}, m_clock.now());
+    }
+
+    auto arrive(std::uint64_t request, std::uint32_t tier = 3, duration deadline = 10s) -> void
+    {
+        m_actions.clear();
+        m_core.arrive({.request = request,
+                       .clientAccount = "large",
+                       .requestClass = "quick",
+                       .target = "model",
+                       .tier = tier,
+                       .deadline = deadline},
+                      m_clock.now(), m_actions);
+    }
+
+    auto tick() -> void
+    {
+        m_actions.clear();
+        m_core.tick(m_clock.now(), m_actions);
+    }
+
+    template<class Action>
+    auto only() -> const Action *
+    {
+        return m_actions.size() == 1 ? std::get_if<Action>(&m_actions.front()) : nullptr;
+    }
+
+    manual_clock m_clock;
+    dispatcher m_core{{.dataCentre = "tuzla"}};
+    std::vector<dispatch_action> m_actions;
+};
+
+TEST_F(DispatcherTest, placesWhatArrives)
+{
+    addEndpoint("a", 1);
+    arrive(1);
+    ASSERT_NE(only<place_action>(), nullptr);
+    EXPECT_EQ(only<place_action>()->endpoint, "a");
+    EXPECT_EQ(m_core.inFlightCount(), 1U);
+}
+
+TEST_F(DispatcherTest, refusesAtOnceWithoutAnEndpoint)
+{
+    arrive(1);
+    ASSERT_NE(only<refuse_action>(), nullptr);
+    EXPECT_EQ(only<refuse_action>()->code, result_code::no_endpoint);
+    EXPECT_GT(only<refuse_action>()->retryAfter, 0s);
+}
+
+TEST_F(DispatcherTest, queuesUntilAPlaceIsFree)
+{
+    addEndpoint("a", 1);
+    arrive(1);
+    arrive(2);
+    EXPECT_TRUE(m_actions.empty());
+    EXPECT_EQ(m_core.queuedCount(), 1U);
+    m_core.finished(1, result_code::ok, 10, m_clock.now());
+    tick();
+    ASSERT_NE(only<place_action>(), nullptr);
+    EXPECT_EQ(only<place_action>()->request, 2U);
+}
+
+TEST_F(DispatcherTest, triesAnotherEndpointAfterNotRun)
+{
+    addEndpoint("a", 1);
+    addEndpoint("b", 1);
+    arrive(1);
+    ASSERT_NE(only<place_action>(), nullptr);
+    const auto first = only<place_action>()->endpoint;
+    m_actions.clear();
+    m_core.notRun(1, result_code::not_run, m_clock.now(), m_actions);
+    ASSERT_NE(only<place_action>(), nullptr);
+    EXPECT_NE(only<place_action>()->endpoint, first);
+    EXPECT_EQ(only<place_action>()->attempt, 2U);
+}
+
+TEST_F(DispatcherTest, refusesWhatWaitsPastItsDeadline)
+{
+    addEndpoint("a", 1);
+    arrive(1);
+    arrive(2, 3, 2s);
+    m_clock.advance(2s);
+    tick();
+    ASSERT_NE(only<refuse_action>(), nullptr);
+    EXPECT_EQ(only<refuse_action>()->request, 2U);
+    EXPECT_EQ(only<refuse_action>()->code, result_code::deadline_unmeetable);
+}
+
+} // namespace
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/policy/testing/endpoint_scheduler_test.cpp
@@ -0,0 +1,61 @@
+#include "policy/endpoint_scheduler.h"
+
+#include <gtest/gtest.h>
+
+namespace mustardline {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST(EndpointSchedulerTest, startsWithinTheWindowAndQueuesByTier)
+{
+    manual_clock clock;
+    endpoint_scheduler core({.maxConcurrency = 8, .initialWindow = 1});
+    std::vector<schedule_action> actions;
+    core.arrive({.request = 1, .tier = 3}, clock.now(), actions);
+    core.arrive({.request = 2, .tier = 5}, clock.now(), actions);
+    core.arrive({.request = 3, .tier = 4}, clock.now(), actions);
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(std::get<start_action>(actions[0]).request, 1U);
+    EXPECT_EQ(core.queuedCount(), 2U);
+    actions.clear();
+    core.finished(1, false, clock.now(), actions);
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(std::get<start_action>(actions[0]).request, 3U);
+}
+
+TEST(EndpointSchedulerTest, refusesWhatWaitsTooLong)
+{
+    manual_clock clock;
+    endpoint_scheduler core({.maxConcurrency = 1});
+    std::vector<schedule_action> actions;
+    core.arrive({.request = 1}, clock.now(), actions);
+    core.arrive({.request = 2}, clock.now(), actions);
+    actions.clear();
+    clock.advance(500ms);
+    core.tick(clock.now(), actions);
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(std::get<reject_action>(actions[0]).request, 2U);
+}
+
+TEST(EndpointSchedulerTest, preemptsOnlyALowerTier)
+{
+    manual_clock clock;
+    endpoint_scheduler core({.maxConcurrency = 1});
+    std::vector<schedule_action> actions;
+    core.arrive({.request = 1, .tier = 4, .preemptible = true}, clock.now(), actions);
+    core.arrive({.request = 2, .tier = 4}, clock.now(), actions);
+    ASSERT_EQ(actions.size(), 1U);
+    core.arrive({.request = 3, .tier = 2}, clock.now(), actions);
+    ASSERT_EQ(actions.size(), 2U);
+    EXPECT_EQ(std::get<preempt_action>(actions[1]).request, 1U);
+    EXPECT_EQ(std::get<preempt_action>(actions[1]).inFavourOf, 3U);
+    core.finished(1, true, clock.now(), actions);
+    ASSERT_EQ(actions.size(), 3U);
+    EXPECT_EQ(std::get<start_action>(actions[2]).request, 3U);
+}
+
+} // namespace
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/policy/token_bucket.h
@@ -0,0 +1,71 @@
+#pragma once
+
+// A token bucket over the injected clock.
+//
+//     token_bucket bucket;
+//     bucket.configure({.perSecond = 5, .burst = 5}, now);
+//     if (!bucket.take(now))
+//         return refuse(bucket.timeToNext(now));
+
+#include <algorithm>
+
+#include "base/clock.h"
+#include "policy/durations.h"
+
+namespace mustardline {
+
+struct token_bucket_options
+{
+    double perSecond = 0;
+    double burst = 1;
+};
+
+class token_bucket
+{
+public:
+    // Starts full; a changed rate keeps what is in the bucket.
+    auto configure(token_bucket_options options, time_point now) -> void
+    {
+        if (options.perSecond == m_options.perSecond && options.burst == m_options.burst)
+            return;
+        const bool isNew = m_options.perSecond == 0;
+        refill(now);
+        m_options = options;
+        m_tokens = isNew ? options.burst : std::min(m_tokens, options.burst);
+        m_refilledAt = now;
+    }
+
+    auto take(time_point now) -> bool
+    {
+        refill(now);
+        if (m_tokens < 1)
+            return false;
+        m_tokens -= 1;
+        return true;
+    }
+
+    // Gives back a token that was taken for nothing.
+    auto giveBack() -> void { m_tokens = std::min(m_options.burst, m_tokens + 1); }
+
+    // Time until one token is there.
+    [[nodiscard]] auto timeToNext() const -> duration
+    {
+        if (m_tokens >= 1 || m_options.perSecond <= 0)
+            return {};
+        return fromSeconds((1 - m_tokens) / m_options.perSecond);
+    }
+
+private:
+    auto refill(time_point now) -> void
+    {
+        const auto seconds = toSeconds(now - m_refilledAt);
+        m_tokens = std::min(m_options.burst, m_tokens + seconds * m_options.perSecond);
+        m_refilledAt = now;
+    }
+
+    token_bucket_options m_options{.perSecond = 0, .burst = 0};
+    double m_tokens = 0;
+    time_point m_refilledAt{};
+};
+
+} // namespace mustardline
