Keep a form-encoded body out of the exchange's query

Cause: libevhtp takes the body of a POST or PUT with content-type application/x-www-form-urlencoded and no query as the query, and `http_exchange::query()` read it after the body had come. A route that passes the query on would have passed the caller's body in the path, and a key field of the body with it.

Ruled out: comparing query and body, since a caller may send the same text in both. The query is now taken when the headers have ended, before libevhtp replaces it.

Before: HttpTest.aFormBodyIsNoQuery saw "a=1|a=1" in place of "|a=1".

--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -71,13 +71,14 @@
 
 } // namespace
 
-http_exchange::http_exchange(event_loop &loop, evhtp_request *request)
-    : m_loop(loop), m_request(request), m_method(methodName(evhtp_request_get_method(request)))
+http_exchange::http_exchange(event_loop &loop, evhtp_request *request, std::string query)
+    : m_loop(loop),
+      m_request(request),
+      m_method(methodName(evhtp_request_get_method(request))),
+      m_query(std::move(query))
 {
     if (request->uri->path->full != nullptr)
         m_path = request->uri->path->full;
-    if (request->uri->query_raw != nullptr)
-        m_query = reinterpret_cast<const char *>(request->uri->query_raw);
     const auto collect = [](evhtp_kv_t *item, void *argument) {
         static_cast<std::vector<http_header> *>(argument)->push_back(
             {.name = std::string(item->key, item->klen),
@@ -190,6 +191,8 @@
     http_server *server = nullptr;
     std::size_t headerBytes = 0;
     std::size_t bodyBytes = 0;
+    // The raw query, kept here because libevhtp later replaces it by the body of a form.
+    std::string query;
     std::shared_ptr<http_exchange> exchange;
 };
 
@@ -205,6 +208,7 @@
         auto *state = new connection_state{.server = server};
         setHook(connection, evhtp_hook_on_headers_start, headersStart, state);
         setHook(connection, evhtp_hook_on_header, header, state);
+        setHook(connection, evhtp_hook_on_headers, headersEnded, state);
         setHook(connection, evhtp_hook_on_read, read, state);
         setHook(connection, evhtp_hook_on_request_fini, requestEnded, state);
         setHook(connection, evhtp_hook_on_connection_fini, connectionEnded, state);
@@ -240,6 +244,15 @@
         return state->headerBytes > limit ? EVHTP_RES_ERROR : EVHTP_RES_OK;
     }
 
+    static auto headersEnded(evhtp_request_t *request, evhtp_headers_t *, void *argument)
+        -> evhtp_res
+    {
+        auto *state = static_cast<connection_state *>(argument);
+        const auto *query = reinterpret_cast<const char *>(request->uri->query_raw);
+        state->query = query != nullptr ? query : "";
+        return EVHTP_RES_OK;
+    }
+
     static auto read(evhtp_request_t *, evbuffer *buffer, void *argument) -> evhtp_res
     {
         auto *state = static_cast<connection_state *>(argument);
@@ -327,7 +340,7 @@
 
 auto http_server::dispatch(evhtp_request *request, connection_state &state) -> void
 {
-    auto exchange = std::make_shared<http_exchange>(m_loop, request);
+    auto exchange = std::make_shared<http_exchange>(m_loop, request, std::move(state.query));
     state.exchange = exchange;
     // A caller that waits for its answer sends nothing; that is no reason to disconnect it.
     bufferevent_set_timeouts(evhtp_request_get_bev(request), nullptr, nullptr);
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -50,7 +50,8 @@
 class http_exchange : public std::enable_shared_from_this<http_exchange>
 {
 public:
-    http_exchange(event_loop &loop, evhtp_request *request);
+    // `query` is the raw query of the request, without its question mark.
+    http_exchange(event_loop &loop, evhtp_request *request, std::string query);
 
     [[nodiscard]] auto method() const -> std::string_view { return m_method; }
     // The path without the query.
--- a/packages/net/testing/http_test.cpp
+++ b/packages/net/testing/http_test.cpp
@@ -67,6 +67,21 @@
     }
 }
 
+TEST_F(HttpTest, aFormBodyIsNoQuery)
+{
+    listen({}, [](const std::shared_ptr<http_exchange> &exchange) {
+        exchange->reply(200, {},
+                        std::string(exchange->query()) + "|" + std::string(exchange->body()));
+    });
+    for (const auto *query : {"", "a=1"}) {
+        fetch({.method = "POST",
+               .path = std::string("/p") + (*query == 0 ? "" : "?") + query,
+               .headers = {{.name = "content-type", .value = "application/x-www-form-urlencoded"}},
+               .body = "a=1"});
+        EXPECT_EQ(m_body, std::string(query) + "|a=1");
+    }
+}
+
 TEST_F(HttpTest, streamsChunkByChunk)
 {
     std::shared_ptr<http_exchange> kept;
