--- a/packages/base/result.cpp
+++ b/packages/base/result.cpp
@@ -25,6 +25,8 @@
     {key_withdrawn, "key_withdrawn", 401, "The key was withdrawn."},
     {idempotency_conflict, "idempotency_conflict", 409,
      "The idempotency key was used before with a different request."},
+    {idempotency_in_progress, "idempotency_in_progress", 409,
+     "An earlier attempt with this idempotency key has not finished."},
     {overloaded, "overloaded", 503, "The request was shed to serve higher tiers."},
     {queue_full, "queue_full", 503, "The queue of the request's class is full."},
     {deadline_unmeetable, "deadline_unmeetable", 503,
--- a/packages/entry/events.h
+++ b/packages/entry/events.h
@@ -60,9 +60,10 @@
                                         "Metered usage could not be appended to the log."};
 
 inline constexpr auto entryEvents = std::to_array<log_event>(
-    {entryListening, entryReady, entryDraining, entryStopped, entryFailed, requestPlaced,
-     requestRefused, requestFinished, requestNotRun, requestLost, requestCancelled, requestRejected,
-     entityChanged, changeDecided, configurationExpired, operatorRefused, usageAppended,
+    {entryListening,   entryReady,      entryDraining,        entryStopped,    entryFailed,
+     requestPlaced,    requestRefused,  requestFinished,      requestNotRun,   requestLost,
+     requestCancelled, requestRejected, claimDecided,         claimGivenUp,    ownerResolved,
+     entityChanged,    changeDecided,   configurationExpired, operatorRefused, usageAppended,
      usageDelayed});
 
 } // namespace mustardline
