Add the agent: the only way into an endpoint

Cause: entries need a process beside each endpoint that bounds what all of them put on it. The binary reads its settings, catches up on the configuration from entries, checks each run against it, schedules it through endpoint_scheduler, forwards it with a list of allowed headers and body members, streams the answer back, remembers fates and tombstones, meters usage and stops on SIGTERM only when everything has ended. Pure parts (run_table, admission_check, sse_scanner, usage_meter, endpoint_request, fencing_gate) do no I/O. Ruled out: forgetting ended runs early when the table is full, since a request could run twice; a full table turns new ids away instead.

--- /dev/null
+++ b/packages/agent/agent_process.h
@@ -0,0 +1,81 @@
+#pragma once
+
+// The agent as a process: its sockets, its signals and the order of its start and stop.
+//
+//     agent_process agent(settings);
+//     return agent.run();     // until SIGTERM; the exit status of docs/settings-agent.md
+//
+// On SIGTERM or SIGINT it reports itself as not ready, refuses new runs as not run, lets everything
+// end that it has taken, makes its usage durable and stops.
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "agent/agent_settings.h"
+#include "agent/control_link.h"
+#include "agent/fencing_gate.h"
+#include "agent/run_service.h"
+#include "agent/usage_meter.h"
+#include "base/counters.h"
+#include "base/log.h"
+#include "net/control_socket.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "platform/configuration.h"
+
+namespace mustardline {
+
+// Exit statuses of the binary.
+enum class agent_exit : std::uint8_t {
+    ok = 0,
+    bad_command_line = 2,
+    bad_settings = 3,
+    cannot_listen = 4,
+    usage_not_flushed = 5,
+};
+
+class agent_process
+{
+public:
+    explicit agent_process(const agent_settings &settings, log_options log = {});
+
+    // Opens the sockets, serves until a stop is asked for and has been carried out.
+    [[nodiscard]] auto run() -> agent_exit;
+
+    // Begins the stop.
+    auto drain() -> void;
+
+private:
+    auto listen() -> status;
+    auto handle(const std::shared_ptr<http_exchange> &exchange) -> void;
+    auto replyReady(http_exchange &exchange) -> void;
+    auto takeOrder(const std::shared_ptr<http_exchange> &exchange) -> void;
+    auto passOrder(const std::shared_ptr<http_exchange> &exchange) -> void;
+    auto loadReply() const -> v1::LoadReply;
+    auto watchUsageBound() -> void;
+    auto stopWhenDone() -> void;
+
+    agent_settings m_settings;
+    system_runtime_clock m_clock;
+    std::uint64_t m_boot;
+    logger m_log;
+    counters m_metrics;
+    event_loop m_loop;
+    configuration m_config;
+    usage_meter m_usage;
+    http_client m_http;
+    run_service m_runs;
+    control_link m_link;
+    fencing_gate m_orders;
+    http_server m_server;
+    control_server m_control;
+    event_handle m_watch;
+    time_point m_idleSince{};
+    bool m_usageAlarm = false;
+    bool m_idleSeen = false;
+    agent_exit m_exit = agent_exit::ok;
+};
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/agent/control_link.cpp
@@ -0,0 +1,179 @@
+#include "agent/control_link.h"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "agent/events.h"
+
+namespace mustardline {
+
+peer_channel::peer_channel(event_loop &loop, std::vector<socket_address> peers, duration timeout)
+    : m_loop(loop), m_peers(std::move(peers)), m_timeout(timeout)
+{}
+
+auto peer_channel::send(const v1::ControlRequest &request, reply_handler done) -> void
+{
+    if (!m_client) {
+        m_client = std::make_unique<control_client>(m_loop, m_peers[m_current],
+                                                    control_client_options{.timeout = m_timeout});
+    }
+    m_busy = true;
+    m_client->send(request.SerializeAsString(),
+                   [this, done = std::move(done)](const result<std::string> &bytes) {
+                       m_busy = false;
+                       if (const auto *fault = failed(bytes)) {
+                           done(*fault);
+                           return;
+                       }
+                       v1::ControlReply reply;
+                       if (reply.ParseFromString(std::get<std::string>(bytes)))
+                           done(reply);
+                       else
+                           done(error{.code = result_code::malformed_message,
+                                      .message = "the reply could not be decoded"});
+                   });
+}
+
+auto peer_channel::moveOn() -> void
+{
+    if (m_peers.size() < 2)
+        return;
+    m_current = (m_current + 1) % m_peers.size();
+    // The client may be calling us back.
+    m_loop.post([old = std::shared_ptr<control_client>(std::move(m_client))] {});
+}
+
+auto peer_channel::peerName() const -> std::string
+{
+    return fmt::format("{}:{}", m_peers[m_current].host, m_peers[m_current].port);
+}
+
+control_link::control_link(event_loop &loop, configuration &config, usage_meter &usage, logger &log,
+                           control_link_options options)
+    : m_loop(loop),
+      m_config(config),
+      m_usage(usage),
+      m_log(log),
+      m_options(std::move(options)),
+      m_catchUpPeer(loop, m_options.entries, m_options.timeout),
+      m_usagePeer(loop, m_options.entries, m_options.timeout)
+{}
+
+auto control_link::start() -> void
+{
+    catchUp();
+    m_timer = m_loop.every(m_options.period, [this] {
+        catchUp();
+        pushUsage();
+    });
+}
+
+auto control_link::catchUp() -> void
+{
+    if (m_catchUpPeer.isBusy() || !m_catchUpPeer.hasPeers())
+        return;
+    auto request = makeRequest();
+    request.mutable_catch_up()->set_after_offset(m_config.offset());
+    m_catchUpPeer.send(request, [this](const result<v1::ControlReply> &reply) { caughtUp(reply); });
+}
+
+auto control_link::pushUsage() -> void
+{
+    if (m_usage.isEmpty() || m_usagePeer.isBusy() || !m_usagePeer.hasPeers())
+        return;
+    auto request = makeRequest();
+    *request.mutable_usage_push() = m_usage.batch();
+    m_usagePeer.send(request,
+                     [this](const result<v1::ControlReply> &reply) { usageAnswered(reply); });
+}
+
+auto control_link::makeRequest() const -> v1::ControlRequest
+{
+    v1::ControlRequest request;
+    request.set_sender(m_options.sender);
+    request.set_sender_boot(m_options.boot);
+    request.set_configuration_offset(m_config.offset());
+    return request;
+}
+
+auto control_link::caughtUp(const result<v1::ControlReply> &reply) -> void
+{
+    const auto *fault = failed(reply);
+    if (fault != nullptr || !std::get<v1::ControlReply>(reply).has_catch_up()) {
+        m_log.write(
+            event::configurationPeerFailed, field("peer", m_catchUpPeer.peerName()),
+            field("reason", fault != nullptr ? fault->message : "no catch-up in the reply"));
+        m_catchUpPeer.moveOn();
+        return;
+    }
+    const auto &answered = std::get<v1::ControlReply>(reply);
+    const auto before = m_config.offset();
+    fold(answered.catch_up());
+    if (m_config.offset() == before)
+        return;
+    if (before == 0)
+        m_log.write(event::configurationLoaded, field("offset", m_config.offset()));
+    if (answered.catch_up().more())
+        catchUp();
+    if (m_onConfiguration)
+        m_onConfiguration();
+}
+
+auto control_link::fold(const v1::CatchUpReply &reply) -> void
+{
+    if (reply.has_snapshot())
+        m_config.restore(reply.snapshot());
+    for (const auto &entry : reply.records()) {
+        if (entry.offset() <= m_config.offset())
+            continue;
+        v1::LogRecord record;
+        const auto follows = entry.offset() == m_config.offset() + 1;
+        // Beyond a gap, or a record that does not decode, nothing can be folded.
+        if (!follows || !record.ParseFromString(entry.record()))
+            return;
+        m_config.apply(entry.offset(), record);
+    }
+}
+
+auto control_link::usageAnswered(const result<v1::ControlReply> &reply) -> void
+{
+    const auto *fault = failed(reply);
+    if (fault != nullptr || !std::get<v1::ControlReply>(reply).has_usage_push()) {
+        m_log.write(event::usagePeerFailed, field("peer", m_usagePeer.peerName()),
+                    field("reason", fault != nullptr ? fault->message : "no usage in the reply"));
+        m_usagePeer.moveOn();
+        return;
+    }
+    const auto sequence = std::get<v1::ControlReply>(reply).usage_push().durable_through_sequence();
+    const auto before = m_usage.size();
+    m_usage.durableThrough(sequence);
+    m_log.write(event::usagePushed, field("durable_through", sequence),
+                field("kept", m_usage.size()));
+    // Go on at once while it makes progress.
+    if (m_usage.size() < before)
+        pushUsage();
+}
+
+auto control_link::answer(std::string_view message, const v1::LoadReply &load) -> std::string
+{
+    v1::ControlRequest request;
+    v1::ControlReply reply;
+    reply.set_sender(m_options.sender);
+    reply.set_configuration_offset(m_config.offset());
+    if (!request.ParseFromArray(message.data(), static_cast<int>(message.size())))
+        return reply.SerializeAsString();
+    if (request.configuration_offset() > m_config.offset())
+        catchUp();
+    if (request.has_load())
+        *reply.mutable_load() = load;
+    if (request.has_catch_up()) {
+        auto *answered = reply.mutable_catch_up();
+        // An agent keeps no records, so whoever is behind gets everything.
+        if (request.catch_up().after_offset() < m_config.offset())
+            *answered->mutable_snapshot() = m_config.snapshot();
+    }
+    return reply.SerializeAsString();
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/agent/control_link.h
@@ -0,0 +1,105 @@
+#pragma once
+
+// The agent's control messages with entries: asks for newer configuration, pushes usage, and
+// answers probes.
+//
+//     control_link link(loop, config, usage, log, {.entries = settings.entries, ...});
+//     link.onConfiguration([&] { runs.configurationChanged(); });
+//     link.start();
+//     link.catchUp();                  // at once, when somebody knows a newer configuration
+//
+// One entry is asked at a time; one that does not answer is left for the next in the list. The
+// configuration and the usage have a peer each, so that a slow append does not hold up the other.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "agent/usage_meter.h"
+#include "base/log.h"
+#include "base/result.h"
+#include "control.pb.h"
+#include "net/control_socket.h"
+#include "net/event_loop.h"
+#include "platform/configuration.h"
+
+namespace mustardline {
+
+struct control_link_options
+{
+    // Control addresses of the entries known from the settings.
+    std::vector<socket_address> entries;
+    // Endpoint id and boot of this agent.
+    std::string sender;
+    std::uint64_t boot = 0;
+    duration period = std::chrono::seconds(1);
+    duration timeout = std::chrono::seconds(2);
+};
+
+// One request at a time to one of several peers; a peer that fails is left for the next.
+class peer_channel
+{
+public:
+    using reply_handler = std::function<auto(const result<v1::ControlReply> &)->void>;
+
+    peer_channel(event_loop &loop, std::vector<socket_address> peers, duration timeout);
+
+    [[nodiscard]] auto isBusy() const -> bool { return m_busy; }
+    [[nodiscard]] auto hasPeers() const -> bool { return !m_peers.empty(); }
+    auto send(const v1::ControlRequest &request, reply_handler done) -> void;
+
+    // Talks to the next peer from the next request on.
+    auto moveOn() -> void;
+
+    // The peer that the last request went to.
+    [[nodiscard]] auto peerName() const -> std::string;
+
+private:
+    event_loop &m_loop;
+    std::vector<socket_address> m_peers;
+    duration m_timeout;
+    std::size_t m_current = 0;
+    bool m_busy = false;
+    std::unique_ptr<control_client> m_client;
+};
+
+class control_link
+{
+public:
+    control_link(event_loop &loop, configuration &config, usage_meter &usage, logger &log,
+                 control_link_options options);
+
+    auto start() -> void;
+    auto catchUp() -> void;
+    auto pushUsage() -> void;
+
+    // Called after the configuration has moved on.
+    auto onConfiguration(std::function<auto()->void> callback) -> void
+    {
+        m_onConfiguration = std::move(callback);
+    }
+
+    // Answers one control message of an entry or another agent.
+    [[nodiscard]] auto answer(std::string_view message, const v1::LoadReply &load) -> std::string;
+
+private:
+    [[nodiscard]] auto makeRequest() const -> v1::ControlRequest;
+    auto caughtUp(const result<v1::ControlReply> &reply) -> void;
+    auto fold(const v1::CatchUpReply &reply) -> void;
+    auto usageAnswered(const result<v1::ControlReply> &reply) -> void;
+
+    event_loop &m_loop;
+    configuration &m_config;
+    usage_meter &m_usage;
+    logger &m_log;
+    control_link_options m_options;
+    peer_channel m_catchUpPeer;
+    peer_channel m_usagePeer;
+    std::function<auto()->void> m_onConfiguration;
+    event_handle m_timer;
+};
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/agent/run_request.h
@@ -0,0 +1,75 @@
+#pragma once
+
+// One attempt of a request as an entry sends it, decoded from the headers of `POST /v1/run`
+// (docs/PROTOCOL.md).
+//
+//     const auto request = parseRunRequest(exchange->headers());
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "base/clock.h"
+#include "base/result.h"
+#include "net/http_message.h"
+
+namespace mustardline {
+
+// Id of a request, the same for all its attempts: 32 hexadecimal digits in text form.
+struct request_id
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    auto operator<=>(const request_id &) const = default;
+};
+
+[[nodiscard]] auto parseRequestId(std::string_view text) -> std::optional<request_id>;
+[[nodiscard]] auto toText(const request_id &id) -> std::string;
+
+struct run_request
+{
+    request_id id;
+    // Counts from 1.
+    std::uint32_t attempt = 1;
+    std::string clientAccount;
+    // Public id of the caller's key; empty on an open route.
+    std::string keyId;
+    std::string requestClass;
+    // 1 is the highest tier, 6 the lowest.
+    std::uint32_t tier = 6;
+    std::uint32_t priority = 0;
+    // Time left until the whole answer is due.
+    duration deadline{};
+    duration firstTokenTarget{};
+    bool idempotent = false;
+    std::string route;
+    std::string method;
+    // Path and query at the endpoint.
+    std::string path;
+    std::string endpoint;
+    // The entry's configuration offset.
+    std::uint64_t offset = 0;
+    std::string idempotencyKey;
+    std::string contentType;
+    std::string accept;
+};
+
+// Answers `bad_request` for a header that is missing or out of its range.
+[[nodiscard]] auto parseRunRequest(std::span<const http_header> headers) -> result<run_request>;
+
+} // namespace mustardline
+
+template<>
+struct std::hash<mustardline::request_id>
+{
+    auto operator()(const mustardline::request_id &id) const noexcept -> std::size_t
+    {
+        // The digits are random already.
+        return static_cast<std::size_t>(id.high ^ id.low);
+    }
+};
--- /dev/null
+++ b/packages/agent/run_service.cpp
@@ -0,0 +1,616 @@
+#include "agent/run_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "agent/endpoint_request.h"
+#include "agent/events.h"
+#include "agent/live_run.h"
+#include "base/hashing.h"
+
+namespace mustardline {
+
+namespace {
+
+constexpr auto tickPeriod = std::chrono::milliseconds(20);
+constexpr auto backlogPollPeriod = std::chrono::milliseconds(5);
+constexpr std::size_t bytesPerToken = 4;
+
+auto milliseconds(duration value) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+auto hashOf(const run_request &request, std::string_view body) -> std::uint64_t
+{
+    const auto head = fastHash(request.method + ' ' + request.path);
+    return fastHash(body, head);
+}
+
+auto jsonError(result_code code, std::string_view message) -> std::string
+{
+    const nlohmann::json body = {
+        {"error", {{"code", number(code)}, {"name", describe(code).name}, {"message", message}}}};
+    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+struct run_service::run_counters
+{
+    explicit run_counters(counters &metrics)
+        : admitted(metrics.add({.name = "mustardline_agent_runs_admitted_total",
+                                .help = "Runs that passed the checks."})),
+          refused(metrics.add({.name = "mustardline_agent_runs_refused_total",
+                               .help = "Runs refused before they reached the endpoint."})),
+          done(metrics.add({.name = "mustardline_agent_runs_done_total",
+                            .help = "Runs whose whole answer arrived."})),
+          failed(metrics.add({.name = "mustardline_agent_runs_failed_total",
+                              .help = "Runs whose whole answer did not arrive."})),
+          repeated(metrics.add({.name = "mustardline_agent_runs_repeated_total",
+                                .help = "Runs answered from a kept outcome."})),
+          preempted(metrics.add({.name = "mustardline_agent_runs_preempted_total",
+                                 .help = "Runs stopped in favour of a higher tier."})),
+          running(metrics.add({.name = "mustardline_agent_running",
+                               .help = "Runs at the endpoint.",
+                               .kind = counter_kind::gauge})),
+          queued(metrics.add({.name = "mustardline_agent_queued",
+                              .help = "Runs that wait.",
+                              .kind = counter_kind::gauge})),
+          window(metrics.add({.name = "mustardline_agent_window",
+                              .help = "Runs that the endpoint may have at once.",
+                              .kind = counter_kind::gauge})),
+          kept(metrics.add({.name = "mustardline_agent_kept_runs",
+                            .help = "Runs remembered.",
+                            .kind = counter_kind::gauge})),
+          usageDeltas(metrics.add({.name = "mustardline_agent_usage_deltas",
+                                   .help = "Usage deltas that are not known to be durable.",
+                                   .kind = counter_kind::gauge}))
+    {}
+
+    counter &admitted;
+    counter &refused;
+    counter &done;
+    counter &failed;
+    counter &repeated;
+    counter &preempted;
+    counter &running;
+    counter &queued;
+    counter &window;
+    counter &kept;
+    counter &usageDeltas;
+};
+
+run_service::run_service(event_loop &loop, http_client &http, const configuration &config,
+                         usage_meter &usage, logger &log, counters &metrics,
+                         run_service_options options)
+    : m_loop(loop),
+      m_http(http),
+      m_config(config),
+      m_usage(usage),
+      m_log(log),
+      m_options(std::move(options)),
+      m_counters(std::make_unique<run_counters>(metrics)),
+      m_table({.maxKept = m_options.limits.maxKeptRuns,
+               .retention = m_options.limits.runRetention,
+               .maxOutcomeBytes = m_options.limits.maxOutcomeBytes,
+               .maxOutcomeBytesTotal = m_options.limits.maxOutcomeBytesTotal}),
+      m_ticker(loop.every(tickPeriod, [this] { tick(); }))
+{}
+
+run_service::~run_service()
+{
+    for (const auto &[number, live] : m_live)
+        live->call.cancel();
+}
+
+auto run_service::run(std::shared_ptr<http_exchange> exchange) -> void
+{
+    auto parsed = parseRunRequest(exchange->headers());
+    if (const auto *fault = failed(parsed)) {
+        const auto headers = resultHeaders({}, fault->code);
+        exchange->reply(describe(fault->code).httpStatus, headers,
+                        jsonError(fault->code, fault->message));
+        return;
+    }
+    auto request = std::get<run_request>(std::move(parsed));
+    if (request.offset > m_config.offset() && m_onNewerConfiguration)
+        m_onNewerConfiguration();
+    const auto now = m_clock.now();
+    const auto verdict = m_table.begin(request, hashOf(request, exchange->body()), now);
+    if (!std::holds_alternative<fresh_run>(verdict)) {
+        answerVerdict(*exchange, request, verdict);
+        return;
+    }
+    const auto number = ++m_lastNumber;
+    auto &live = *(m_live[number] = std::make_unique<live_run>());
+    live.number = number;
+    live.request = std::move(request);
+    live.exchange = std::move(exchange);
+    live.arrivedAt = now;
+    live.exchange->onGone([this, number] { entryLeft(number); });
+    admit(live);
+}
+
+auto run_service::admit(live_run &live) -> void
+{
+    if (m_draining) {
+        refuse(live, {.code = result_code::draining, .message = "the agent is stopping"}, {});
+        return;
+    }
+    const auto verdict = checkAdmission(m_config, m_options.identity, live.request);
+    if (const auto *refusal = failed(verdict)) {
+        const auto waited = m_clock.now() - live.arrivedAt;
+        const auto mayChange = live.request.offset > m_config.offset()
+                               && waited < m_options.limits.configurationWait;
+        live.phase = run_phase::awaiting_configuration;
+        if (!mayChange)
+            refuse(live, *refusal, {});
+        return;
+    }
+    const auto *endpoint = m_config.endpoint(m_options.identity.endpoint);
+    const std::vector<std::string> served(endpoint->serves().begin(), endpoint->serves().end());
+    auto forwarded
+        = makeEndpointRequest(m_options.identity.kind, live.request, live.exchange->body(), served);
+    if (const auto *fault = failed(forwarded)) {
+        refuse(live, *fault, {});
+        return;
+    }
+    live.forwarded = std::get<http_request>(std::move(forwarded));
+    live.forwarded.idleTimeout = m_options.limits.endpointSilence;
+    live.forwarded.maxAnswerBytes = m_options.limits.maxAnswerBytes;
+    schedule(live);
+}
+
+auto run_service::schedule(live_run &live) -> void
+{
+    renewScheduler();
+    live.phase = run_phase::queued;
+    const auto number = live.number;
+    const auto waited = m_clock.now() - live.arrivedAt;
+    m_counters->admitted.increment();
+    logRun(event::runAdmitted, live.request, "checks passed",
+           field("class", live.request.requestClass), field("attempt", live.request.attempt));
+    m_scheduler->arrive(
+        {.request = number,
+         .tier = live.request.tier,
+         .priority = live.request.priority,
+         .preemptible = live.request.idempotent,
+         .promptTokens = static_cast<std::uint32_t>(live.forwarded.body.size() / bytesPerToken),
+         .firstTokenTarget = live.request.firstTokenTarget,
+         .deadline = live.request.deadline - waited},
+        m_clock.now(), m_actions);
+    carryOut();
+    if (const auto *waiting = find(number);
+        waiting != nullptr && waiting->phase == run_phase::queued)
+        logRun(event::runQueued, waiting->request, "the window is full");
+}
+
+// Carries out what the scheduler decided; each step may make it decide more.
+auto run_service::carryOut() -> void
+{
+    if (std::exchange(m_carryingOut, true))
+        return;
+    for (std::size_t i = 0; i < m_actions.size(); ++i) {
+        const auto action = m_actions[i];
+        if (const auto *started = std::get_if<start_action>(&action)) {
+            if (auto *live = find(started->request))
+                start(*live);
+        } else if (const auto *rejected = std::get_if<reject_action>(&action)) {
+            if (auto *live = find(rejected->request)) {
+                refuse(*live,
+                       {.code = rejected->code, .message = "no place at the endpoint in time"},
+                       rejected->retryAfter);
+            }
+        } else if (const auto *preempted = std::get_if<preempt_action>(&action)) {
+            if (auto *live = find(preempted->request)) {
+                const auto *winner = find(preempted->inFavourOf);
+                stop(*live, result_code::preempted,
+                     winner == nullptr ? "" : "in favour of " + toText(winner->request.id));
+            }
+        }
+    }
+    m_actions.clear();
+    m_carryingOut = false;
+}
+
+auto run_service::start(live_run &live) -> void
+{
+    live.phase = run_phase::running;
+    live.startedAt = m_clock.now();
+    m_table.started(live.request.id);
+    logRun(event::runStarted, live.request, "placed",
+           field("waited_ms", milliseconds(live.startedAt - live.arrivedAt)));
+    const auto number = live.number;
+    const auto onLive = [this, number](auto step) {
+        if (auto *current = find(number))
+            step(*current);
+    };
+    live.call
+        = m_http.start(m_options.endpointAddress, std::move(live.forwarded),
+                       {.onHeaders =
+                            [this, onLive](const http_answer &answer) {
+                                onLive([&](live_run &current) { sawHeaders(current, answer); });
+                            },
+                        .onData =
+                            [this, onLive](std::string_view data) {
+                                onLive([&](live_run &current) { sawData(current, data); });
+                            },
+                        .onDone =
+                            [this, onLive](const http_outcome &outcome) {
+                                onLive([&](live_run &current) { sawEnd(current, outcome); });
+                            }});
+}
+
+auto run_service::sawHeaders(live_run &live, const http_answer &answer) -> void
+{
+    live.answer.begin(answer, m_options.identity.kind);
+}
+
+auto run_service::sawData(live_run &live, std::string_view data) -> void
+{
+    if (!std::exchange(live.outputBegun, true)) {
+        m_scheduler->firstToken(live.number, m_clock.now());
+        auto headers = resultHeaders(live.request, result_code::ok);
+        std::ranges::copy(live.answer.headers(), std::back_inserter(headers));
+        live.exchange->startStream(live.answer.status(), headers);
+    }
+    live.answer.feed(data, live.request.idempotent ? 0 : m_options.limits.maxOutcomeBytes);
+    live.exchange->sendChunk(data);
+    if (live.exchange->backlogBytes() > m_options.limits.maxBacklogBytes)
+        holdBack(live);
+}
+
+// Stops reading from the endpoint until the entry has taken most of what was sent.
+auto run_service::holdBack(live_run &live) -> void
+{
+    live.call.pause();
+    const auto number = live.number;
+    live.backlogTimer = m_loop.every(backlogPollPeriod, [this, number] {
+        auto *current = find(number);
+        if (current == nullptr)
+            return;
+        if (current->exchange->backlogBytes() > m_options.limits.maxBacklogBytes / 2)
+            return;
+        current->backlogTimer = {};
+        current->call.resume();
+    });
+}
+
+auto run_service::sawEnd(live_run &live, const http_outcome &outcome) -> void
+{
+    live.call = {};
+    const auto *failure = std::get_if<http_failure>(&outcome);
+    if (failure == nullptr || live.answer.isEndedStream()) {
+        const auto isWhole = live.answer.isWhole();
+        end(live, {.code = isWhole ? result_code::ok : result_code::answer_cut,
+                   .fate = isWhole ? run_fate::done : run_fate::failed,
+                   .reason = isWhole ? "whole answer" : "the answer has no proper end"});
+    } else if (!failure->sent) {
+        // No connection was made, so the endpoint has not seen the request.
+        end(live, {.code = result_code::not_run,
+                   .fate = run_fate::not_run,
+                   .reason = failure->reason.message});
+    } else {
+        const auto tooLarge = failure->reason.code == result_code::answer_too_large;
+        end(live, {.code = tooLarge ? result_code::answer_too_large : result_code::endpoint_failed,
+                   .fate = run_fate::failed,
+                   .reason = failure->reason.message});
+    }
+    carryOut();
+}
+
+auto run_service::entryLeft(std::uint64_t number) -> void
+{
+    auto *live = find(number);
+    if (live == nullptr)
+        return;
+    const auto mustGoOn = live->phase == run_phase::running && !live->request.idempotent;
+    if (mustGoOn)
+        return;
+    stop(*live, result_code::cancelled, "the entry closed the connection");
+    carryOut();
+}
+
+// Ends a run early. One that waits has not run; one that runs is cut off from the endpoint.
+auto run_service::stop(live_run &live, result_code code, std::string_view reason) -> void
+{
+    live.call.cancel();
+    const auto fate = live.phase == run_phase::running ? run_fate::failed : run_fate::not_run;
+    end(live, {.code = code, .fate = fate, .reason = std::string(reason)});
+}
+
+auto run_service::refuse(live_run &live, const error &why, duration retryAfter) -> void
+{
+    end(live, {.code = why.code,
+               .fate = run_fate::not_run,
+               .reason = why.message,
+               .retryAfter = retryAfter});
+}
+
+// The one way out of `m_live`.
+auto run_service::end(live_run &live, const run_ending &ending) -> void
+{
+    const auto keep = std::move(m_live[live.number]);
+    m_live.erase(live.number);
+    const auto now = m_clock.now();
+    m_table.finished(live.request.id,
+                     {.fate = ending.fate,
+                      .httpStatus = live.answer.status(),
+                      .contentType = live.answer.contentType(),
+                      .body = live.answer.takeBody(),
+                      .bodyKept = live.answer.isBodyKept()},
+                     now);
+    meter(live, ending);
+    if (m_scheduler && live.phase == run_phase::running && ending.code != result_code::cancelled) {
+        const auto endpointFailed = ending.fate != run_fate::done || live.answer.isServerFault();
+        m_scheduler->finished(live.number, endpointFailed, now, m_actions);
+    } else if (m_scheduler) {
+        m_scheduler->cancelled(live.number, now, m_actions);
+    }
+    logEnd(live, ending);
+    answerEnd(live, ending);
+    m_unread.push_back(live.exchange);
+}
+
+auto run_service::answerEnd(live_run &live, const run_ending &ending) -> void
+{
+    auto &exchange = *live.exchange;
+    exchange.onGone(nullptr);
+    if (ending.code == result_code::ok && !live.outputBegun) {
+        auto headers = resultHeaders(live.request, result_code::ok);
+        std::ranges::copy(live.answer.headers(), std::back_inserter(headers));
+        exchange.reply(live.answer.status(), headers, "");
+    } else if (ending.code == result_code::ok) {
+        exchange.endStream();
+    } else if (live.outputBegun) {
+        exchange.abort();
+    } else {
+        // After a start, only an idempotent request may be said to have failed for certain.
+        const auto isOpen = ending.fate == run_fate::failed && !live.request.idempotent;
+        const auto code = isOpen ? result_code::outcome_unknown : ending.code;
+        auto headers = resultHeaders(live.request, code);
+        headers.push_back({.name = "mustardline-retry-after-ms",
+                           .value = std::to_string(milliseconds(ending.retryAfter))});
+        exchange.reply(describe(code).httpStatus, headers, jsonError(code, ending.reason));
+    }
+}
+
+auto run_service::meter(const live_run &live, const run_ending &ending) -> void
+{
+    // A server's fault without output is nobody's usage; neither is a run that was never sent.
+    const auto counts = ending.fate != run_fate::not_run
+                        && (live.outputBegun || ending.fate == run_fate::done)
+                        && !live.answer.isServerFault();
+    if (!counts)
+        return;
+    const auto used = live.answer.metered();
+    m_usage.record({.clientAccount = live.request.clientAccount,
+                    .requestClass = live.request.requestClass,
+                    .finishedAt = m_clock.unixNow(),
+                    .promptTokens = used.promptTokens,
+                    .completionTokens = used.completionTokens});
+}
+
+auto run_service::logEnd(const live_run &live, const run_ending &ending) -> void
+{
+    const auto code = field("code", number(ending.code));
+    if (ending.code == result_code::preempted) {
+        m_counters->preempted.increment();
+        logRun(event::runPreempted, live.request, ending.reason, code);
+    } else if (ending.code == result_code::cancelled) {
+        logRun(event::runCancelled, live.request, ending.reason, code,
+               field("fate", fateName(ending.fate)));
+    } else if (ending.fate == run_fate::not_run) {
+        m_counters->refused.increment();
+        logRun(event::runRefused, live.request, ending.reason, code);
+    } else {
+        const auto used = live.answer.metered();
+        (ending.fate == run_fate::done ? m_counters->done : m_counters->failed).increment();
+        logRun(event::runFinished, live.request, ending.reason, code,
+               field("fate", fateName(ending.fate)), field("status", live.answer.status()),
+               field("prompt_tokens", used.promptTokens),
+               field("completion_tokens", used.completionTokens),
+               field("ran_ms", milliseconds(m_clock.now() - live.startedAt)));
+    }
+}
+
+auto run_service::answerVerdict(http_exchange &exchange, const run_request &request,
+                                const run_verdict &verdict) -> void
+{
+    if (const auto *repeated = std::get_if<repeated_run>(&verdict)) {
+        m_counters->repeated.increment();
+        logRun(event::runRepeated, request, "the outcome is kept");
+        auto headers = resultHeaders(request, result_code::ok);
+        headers.push_back({.name = "content-type", .value = repeated->outcome->contentType});
+        exchange.reply(repeated->outcome->httpStatus, headers, repeated->outcome->body);
+        return;
+    }
+    const auto code = std::get<refused_run>(verdict).code;
+    if (code == result_code::overloaded)
+        m_log.write(event::runTableFull, field("kept", m_table.size()));
+    m_counters->refused.increment();
+    logRun(event::runRefused, request, "decided by an earlier run of this id or key",
+           field("code", number(code)));
+    exchange.reply(describe(code).httpStatus, resultHeaders(request, code),
+                   jsonError(code, describe(code).meaning));
+}
+
+auto run_service::tellFate(http_exchange &exchange, std::string_view id) -> void
+{
+    const auto parsed = parseRequestId(id);
+    if (!parsed) {
+        exchange.reply(describe(result_code::bad_request).httpStatus, ownHeaders(),
+                       jsonError(result_code::bad_request, "not a request id"));
+        return;
+    }
+    replyFate(exchange, *parsed);
+}
+
+auto run_service::cancel(http_exchange &exchange, std::string_view id) -> void
+{
+    const auto parsed = parseRequestId(id);
+    if (parsed) {
+        auto *live = find(*parsed);
+        const auto mayStop
+            = live != nullptr && (live->phase != run_phase::running || live->request.idempotent);
+        if (mayStop)
+            stop(*live, result_code::cancelled, "asked to cancel");
+        carryOut();
+    }
+    tellFate(exchange, id);
+}
+
+auto run_service::replyFate(http_exchange &exchange, const request_id &id) -> void
+{
+    const auto told = m_table.fate(id, m_clock.now());
+    if (told.unknown) {
+        m_log.write(event::runTableFull, field("kept", m_table.size()));
+        exchange.reply(describe(result_code::overloaded).httpStatus, ownHeaders(),
+                       jsonError(result_code::overloaded, "no further id can be remembered"));
+        return;
+    }
+    const nlohmann::json body = {{"request", toText(id)},
+                                 {"fate", fateName(told.fate)},
+                                 {"boot", std::to_string(m_options.boot)},
+                                 {"http_status", told.httpStatus}};
+    auto headers = ownHeaders();
+    headers.push_back({.name = "content-type", .value = "application/json"});
+    exchange.reply(describe(result_code::ok).httpStatus, headers, body.dump());
+}
+
+auto run_service::configurationChanged() -> void
+{
+    renewScheduler();
+    std::vector<std::uint64_t> numbers;
+    for (const auto &[number, live] : m_live)
+        numbers.push_back(number);
+    for (const auto number : numbers) {
+        auto *live = find(number);
+        if (live == nullptr)
+            continue;
+        if (live->phase == run_phase::awaiting_configuration) {
+            admit(*live);
+        } else if (live->phase == run_phase::queued) {
+            const auto verdict = checkAdmission(m_config, m_options.identity, live->request);
+            if (const auto *refusal = failed(verdict))
+                refuse(*live, *refusal, {});
+        } else if (live->request.idempotent) {
+            const auto verdict = checkKey(m_config, live->request);
+            if (const auto *refusal = failed(verdict))
+                stop(*live, result_code::cancelled, refusal->message);
+        }
+    }
+    carryOut();
+}
+
+auto run_service::tick() -> void
+{
+    const auto now = m_clock.now();
+    m_table.expire(now);
+    if (m_scheduler)
+        m_scheduler->tick(now, m_actions);
+    carryOut();
+    std::vector<std::uint64_t> numbers;
+    for (const auto &[number, live] : m_live)
+        numbers.push_back(number);
+    for (const auto number : numbers) {
+        auto *live = find(number);
+        if (live == nullptr)
+            continue;
+        const auto overdue = now - live->arrivedAt >= live->request.deadline;
+        if (live->phase == run_phase::awaiting_configuration) {
+            if (now - live->arrivedAt >= m_options.limits.configurationWait)
+                admit(*live);
+        } else if (overdue && live->phase == run_phase::running && live->request.idempotent) {
+            stop(*live, result_code::deadline_exceeded, "past the deadline");
+        }
+    }
+    carryOut();
+    std::erase_if(m_unread, [](const auto &exchange) { return exchange->backlogBytes() == 0; });
+    const auto current = load();
+    m_counters->running.set(current.running);
+    m_counters->queued.set(current.queued);
+    m_counters->window.set(current.window);
+    m_counters->kept.set(static_cast<std::int64_t>(m_table.size()));
+    m_counters->usageDeltas.set(static_cast<std::int64_t>(m_usage.size()));
+}
+
+// The scheduler is made for the endpoint's configured concurrency, and made anew for another one
+// while nothing runs.
+auto run_service::renewScheduler() -> void
+{
+    const auto *endpoint = m_config.endpoint(m_options.identity.endpoint);
+    if (endpoint == nullptr)
+        return;
+    const auto wanted = std::max<std::uint32_t>(endpoint->max_concurrency(), 1);
+    const auto isBusy
+        = m_scheduler && (m_scheduler->runningCount() > 0 || m_scheduler->queuedCount() > 0);
+    if (wanted == m_maxConcurrency || isBusy)
+        return;
+    m_maxConcurrency = wanted;
+    m_scheduler.emplace(endpoint_scheduler_options{.maxConcurrency = wanted,
+                                                   .initialWindow = m_options.limits.initialWindow,
+                                                   .maxQueued = m_options.limits.maxQueued,
+                                                   .maxWait = m_options.limits.maxQueueWait,
+                                                   .timesWholeAnswer = m_options.identity.kind
+                                                                       == endpoint_kind::service});
+}
+
+auto run_service::load() const -> agent_load
+{
+    if (!m_scheduler)
+        return {.window = m_options.limits.initialWindow};
+    return {.running = m_scheduler->runningCount(),
+            .queued = m_scheduler->queuedCount(),
+            .window = m_scheduler->window(),
+            .firstToken = m_scheduler->firstTokenLatency()};
+}
+
+auto run_service::ownHeaders() const -> std::vector<http_header>
+{
+    const auto current = load();
+    return {{.name = "mustardline-boot", .value = std::to_string(m_options.boot)},
+            {.name = "mustardline-offset", .value = std::to_string(m_config.offset())},
+            {.name = "mustardline-load",
+             .value = fmt::format("{}/{}/{}", current.running, current.queued, current.window)}};
+}
+
+auto run_service::resultHeaders(const run_request &request, result_code code) const
+    -> std::vector<http_header>
+{
+    auto headers = ownHeaders();
+    headers.push_back({.name = "mustardline-request", .value = toText(request.id)});
+    headers.push_back({.name = "mustardline-attempt", .value = std::to_string(request.attempt)});
+    headers.push_back({.name = "mustardline-result", .value = std::to_string(number(code))});
+    return headers;
+}
+
+template<class... Fields>
+auto run_service::logRun(const log_event &event, const run_request &request,
+                         std::string_view reason, const Fields &...fields) -> void
+{
+    const auto current = load();
+    m_log.write(event, field("request", toText(request.id)),
+                field("account", request.clientAccount), field("tier", request.tier),
+                field("reason", reason), fields..., field("window", current.window),
+                field("running", current.running), field("queued", current.queued));
+}
+
+auto run_service::find(std::uint64_t number) -> live_run *
+{
+    const auto found = m_live.find(number);
+    return found == m_live.end() ? nullptr : found->second.get();
+}
+
+auto run_service::find(const request_id &id) -> live_run *
+{
+    const auto found = std::ranges::find_if(
+        m_live, [&](const auto &item) { return item.second->request.id == id; });
+    return found == m_live.end() ? nullptr : found->second.get();
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/agent/sse_scanner.cpp
@@ -0,0 +1,155 @@
+#include "agent/sse_scanner.h"
+
+#include <nlohmann/json.hpp>
+
+namespace mustardline {
+
+namespace {
+
+constexpr std::size_t maxLineBytes = 1U << 20U;
+constexpr std::size_t maxAnswerBytes = 1U << 20U;
+constexpr std::size_t keptTailBytes = 64U << 10U;
+constexpr std::string_view dataField = "data:";
+constexpr std::string_view endOfStream = "[DONE]";
+constexpr std::string_view usageName = R"("usage")";
+constexpr std::string_view contentName = R"("content")";
+
+auto skipSpaces(std::string_view text) -> std::string_view
+{
+    const auto first = text.find_first_not_of(" \t\r\n");
+    return first == std::string_view::npos ? std::string_view() : text.substr(first);
+}
+
+// Whether a JSON text holds the member `content` with a text that is not empty. Quotes inside JSON
+// texts are escaped, so the name with its quotes cannot stand inside one.
+auto hasContent(std::string_view json) -> bool
+{
+    for (auto at = json.find(contentName); at != std::string_view::npos;
+         at = json.find(contentName, at + 1)) {
+        auto rest = skipSpaces(json.substr(at + contentName.size()));
+        if (!rest.starts_with(':'))
+            continue;
+        rest = skipSpaces(rest.substr(1));
+        if (rest.starts_with('"') && !rest.starts_with(R"("")"))
+            return true;
+    }
+    return false;
+}
+
+auto countOf(const nlohmann::json &usage, const char *name) -> std::uint64_t
+{
+    const auto found = usage.find(name);
+    return found != usage.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+}
+
+auto usageOf(const nlohmann::json &usage) -> std::optional<token_usage>
+{
+    if (!usage.is_object())
+        return std::nullopt;
+    return token_usage{.promptTokens = countOf(usage, "prompt_tokens"),
+                       .completionTokens = countOf(usage, "completion_tokens")};
+}
+
+// The `usage` member of a JSON document.
+auto usageOfDocument(std::string_view json) -> std::optional<token_usage>
+{
+    const auto document = nlohmann::json::parse(json, nullptr, false);
+    if (!document.is_object())
+        return std::nullopt;
+    const auto found = document.find("usage");
+    return found == document.end() ? std::nullopt : usageOf(*found);
+}
+
+// The end of the JSON object that `text` starts with, counted by its braces; usage holds no texts.
+auto objectAt(std::string_view text) -> std::string_view
+{
+    std::size_t depth = 0;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '{')
+            ++depth;
+        if (text[i] == '}' && --depth == 0)
+            return text.substr(0, i + 1);
+    }
+    return {};
+}
+
+// The last `usage` member of a document whose start is missing.
+auto usageOfTail(std::string_view tail) -> std::optional<token_usage>
+{
+    const auto at = tail.rfind(usageName);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    auto rest = skipSpaces(tail.substr(at + usageName.size()));
+    if (!rest.starts_with(':'))
+        return std::nullopt;
+    rest = skipSpaces(rest.substr(1));
+    if (!rest.starts_with('{'))
+        return std::nullopt;
+    return usageOf(nlohmann::json::parse(objectAt(rest), nullptr, false));
+}
+
+} // namespace
+
+auto sse_scanner::feed(std::string_view data) -> void
+{
+    while (!data.empty()) {
+        const auto end = data.find_first_of("\r\n");
+        const auto part = data.substr(0, end);
+        const auto ends = end != std::string_view::npos;
+        if (m_line.empty() && !m_lineTooLong && ends) {
+            takeLine(part);
+        } else {
+            m_lineTooLong = m_lineTooLong || m_line.size() + part.size() > maxLineBytes;
+            if (m_lineTooLong)
+                m_line.clear();
+            else
+                m_line += part;
+            if (ends) {
+                takeLine(m_line);
+                m_line.clear();
+                m_lineTooLong = false;
+            }
+        }
+        if (!ends)
+            return;
+        data = data.substr(end + 1);
+    }
+}
+
+auto sse_scanner::takeLine(std::string_view line) -> void
+{
+    if (!line.starts_with(dataField) || m_ended)
+        return;
+    const auto value = skipSpaces(line.substr(dataField.size()));
+    if (value == endOfStream) {
+        m_ended = true;
+        return;
+    }
+    if (hasContent(value))
+        ++m_contentEvents;
+    if (value.find(usageName) == std::string_view::npos)
+        return;
+    if (const auto usage = usageOfDocument(value))
+        m_usage = usage;
+}
+
+auto sse_scanner::metered() const -> token_usage
+{
+    return m_usage.value_or(token_usage{.completionTokens = m_contentEvents});
+}
+
+auto answer_scanner::feed(std::string_view data) -> void
+{
+    m_kept += data;
+    if (m_kept.size() <= maxAnswerBytes)
+        return;
+    m_startDropped = true;
+    m_kept.erase(0, m_kept.size() - keptTailBytes);
+}
+
+auto answer_scanner::usage() const -> std::optional<token_usage>
+{
+    return m_startDropped ? usageOfTail(m_kept) : usageOfDocument(m_kept);
+}
+
+} // namespace mustardline
