--- a/packages/base/settings_reader.h
+++ b/packages/base/settings_reader.h
@@ -45,7 +45,7 @@
 };
 
 // What a settings file may hold at one path, for the reference pages.
-struct settings_field
+struct settings_description
 {
     std::string path;
     // "whole number", "text", "true or false" or "list of texts".
@@ -76,7 +76,7 @@
     [[nodiscard]] auto finish() -> status;
 
     // Every field asked for so far, in the order of reading.
-    [[nodiscard]] auto fields() const -> std::span<const settings_field> { return m_fields; }
+    [[nodiscard]] auto fields() const -> std::span<const settings_description> { return m_fields; }
 
 private:
     [[nodiscard]] auto pathOf(std::string_view name) const -> std::string;
@@ -89,7 +89,7 @@
     std::string m_path;
     std::set<std::string, std::less<>> m_read;
     std::optional<error> m_fault;
-    std::vector<settings_field> m_fields;
+    std::vector<settings_description> m_fields;
 };
 
 // Reads and parses a whole JSON file.
--- a/packages/entry/settings.h
+++ b/packages/entry/settings.h
@@ -64,7 +64,7 @@
 };
 
 // Every field that a settings file may have.
-[[nodiscard]] auto entrySettingsFields() -> std::vector<settings_field>;
+[[nodiscard]] auto entrySettingsFields() -> std::vector<settings_description>;
 
 [[nodiscard]] auto readEntrySettings(const std::string &fileName) -> result<entry_settings>;
 
