Add claims of idempotency keys to the entry

Cause: a repeated order through another entry must not run twice. The claim is read back from the log before the request may be placed; a lost owner is settled with the agents.

--- /dev/null
+++ b/packages/entry/claim_flow.h
@@ -0,0 +1,93 @@
+#pragma once
+
+// Runs a request that carries an idempotency key at most once, whichever entry its repeats come
+// through.
+//
+// Before such a request may be placed, the log decides whether its attempt owns the key. A repeat
+// of a finished request gets the recorded answer. A repeat of one that still runs is told to come
+// back. If the owner's deadline has passed and no outcome is recorded, its entry was lost: the
+// agents are asked, and the repeat fetches the kept answer, or runs if every agent proves that the
+// owner's request was not run.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "base/log.h"
+#include "entry/claim_keeper.h"
+#include "entry/live_request.h"
+#include "entry/owner_resolver.h"
+#include "platform/configuration.h"
+
+namespace mustardline {
+
+struct claim_flow_callbacks
+{
+    // The request may be placed.
+    std::function<auto(std::uint64_t number)->void> onRun;
+    // The request ends with the answer of an earlier attempt.
+    std::function<auto(std::uint64_t number, const claim_outcome &)->void> onRepeat;
+    // The answer of an earlier attempt is to be fetched from its agent under the owner's id.
+    std::function<auto(std::uint64_t number, const owner_found &, const std::string &ownerId)->void>
+        onFetch;
+    std::function<auto(std::uint64_t number, const http_error &)->void> onFail;
+};
+
+struct claim_flow_options
+{
+    std::string keySecret;
+};
+
+class claim_flow
+{
+public:
+    claim_flow(http_client &http, logger &log, claim_keeper &claims, const configuration &config,
+               claim_flow_options options, claim_flow_callbacks callbacks);
+
+    // Whether the request must own its key before it runs.
+    [[nodiscard]] static auto needsClaim(const caller_request &request) -> bool
+    {
+        return !request.idempotent && !request.idempotencyKey.empty();
+    }
+
+    // Claims the key; exactly one callback follows.
+    auto begin(const live_request &live) -> void;
+
+    // The request that owns its key ended with the endpoint's answer.
+    auto finished(const live_request &live) -> void;
+
+    // The request that owns its key was proved not run.
+    auto notRun(const live_request &live) -> void { m_claims.giveBack(live.id); }
+
+    // An agent answered; its boot is remembered with the time when it was first seen.
+    auto noteBoot(const std::string &endpoint, const std::string &boot) -> void;
+
+    // The boot of an endpoint's agent; empty if it never answered.
+    [[nodiscard]] auto bootOf(std::string_view endpoint) const -> std::string;
+
+private:
+    struct known_boot
+    {
+        std::string boot;
+        time_point seenAt;
+    };
+
+    auto decided(std::uint64_t number, const caller_request &request, const claim_answer &answer)
+        -> void;
+    auto resolve(std::uint64_t number, const caller_request &request, const claim_answer &answer)
+        -> void;
+    [[nodiscard]] auto candidates(const std::string &service, duration claimAge) const
+        -> std::vector<owner_candidate>;
+
+    http_client &m_http;
+    logger &m_log;
+    claim_keeper &m_claims;
+    const configuration &m_config;
+    claim_flow_options m_options;
+    claim_flow_callbacks m_callbacks;
+    system_runtime_clock m_clock;
+    std::map<std::string, known_boot, std::less<>> m_boots;
+};
+
+} // namespace mustardline
