Mend pause, cancel and the size limit of HTTP calls

Cause: evhttp reads on after a data callback, so a pause from there had no effect; a call cancelled from its last data callback freed its request twice (seen as SIGSEGV in RunServiceTest.cutsAnAnswerOverTheLimit); a single chunk was collected whole whatever its size.

--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -114,6 +114,9 @@
     std::size_t maxAnswerBytes = 0;
     bool headersSeen = false;
     bool keepAlive = false;
+    bool paused = false;
+    // evhttp has ended the request and frees it.
+    bool requestEnded = false;
     evhttp_request_error fault = EVREQ_HTTP_EOF;
     bool faultSeen = false;
     // Keeps the state alive while evhttp may call back.
@@ -149,11 +152,24 @@
         auto *cancelled = std::exchange(request, nullptr);
         auto *used = std::exchange(connection, nullptr);
         pool->loop.post([cancelled, used, pool = pool, keep] {
-            evhttp_cancel_request(cancelled);
+            // The answer may have ended in the callback that the call was cancelled from.
+            if (!keep->requestEnded)
+                evhttp_cancel_request(cancelled);
             evhttp_connection_free(used);
         });
     }
 
+    auto setReading(bool reading) -> void
+    {
+        if (connection == nullptr)
+            return;
+        auto *channel = evhttp_connection_get_bufferevent(connection);
+        if (reading)
+            bufferevent_enable(channel, EV_READ);
+        else
+            bufferevent_disable(channel, EV_READ);
+    }
+
     auto sawHeaders(evhttp_request *answered) -> void
     {
         if (std::exchange(headersSeen, true) || !callbacks.onHeaders)
@@ -195,15 +211,24 @@
 auto http_call::pause() -> void
 {
     const auto current = m_state.lock();
-    if (current && current->connection != nullptr)
-        bufferevent_disable(evhttp_connection_get_bufferevent(current->connection), EV_READ);
+    if (!current || current->connection == nullptr)
+        return;
+    current->paused = true;
+    current->setReading(false);
+    // evhttp reads on when a data callback has returned, so that a pause from there is set again.
+    current->pool->loop.post([current] {
+        if (current->paused)
+            current->setReading(false);
+    });
 }
 
 auto http_call::resume() -> void
 {
     const auto current = m_state.lock();
-    if (current && current->connection != nullptr)
-        bufferevent_enable(evhttp_connection_get_bufferevent(current->connection), EV_READ);
+    if (!current)
+        return;
+    current->paused = false;
+    current->setReading(true);
 }
 
 http_client::http_client(event_loop &loop, http_client_options options)
@@ -228,6 +253,7 @@
 
     const auto onDone = [](evhttp_request *answered, void *argument) {
         auto &state = *static_cast<http_call::state *>(argument);
+        state.requestEnded = true;
         const auto keep = state.self;
         if (!keep)
             return;
@@ -240,6 +266,8 @@
             state.finish(std::monostate());
         } else if (answered != nullptr) {
             state.fail(result_code::connection_failed, "no connection could be made", false);
+        } else if (state.faultSeen && state.fault == EVREQ_HTTP_DATA_TOO_LONG) {
+            state.fail(result_code::answer_too_large, "the answer is over the limit", true);
         } else if (state.faultSeen && state.fault == EVREQ_HTTP_TIMEOUT) {
             state.fail(result_code::timeout, "the peer did not answer in time", true);
         } else {
@@ -277,6 +305,9 @@
                  request.body.size());
     const auto idle = toTimeval(request.idleTimeout);
     evhttp_connection_set_timeout_tv(call->connection, &idle);
+    // evhttp collects a chunk before it hands it over, so that one chunk could be over any limit.
+    evhttp_connection_set_max_body_size(call->connection,
+                                        static_cast<ev_ssize_t>(request.maxAnswerBytes));
     http_call handle;
     handle.m_state = call;
     evhttp_make_request(call->connection, call->request, commandOf(request.method),
--- a/packages/net/testing/http_test.cpp
+++ b/packages/net/testing/http_test.cpp
@@ -162,6 +162,61 @@
     EXPECT_EQ(std::get<http_failure>(m_outcome).reason.code, result_code::answer_too_large);
 }
 
+TEST_F(HttpTest, endsAnAnswerOverTheLimitThatCameInOneRead)
+{
+    listen({}, [](const std::shared_ptr<http_exchange> &exchange) {
+        exchange->reply(200, {}, std::string(200, 'x'));
+    });
+    for (int i = 0; i < 3; ++i) {
+        fetch({.maxAnswerBytes = 100});
+        ASSERT_FALSE(whole());
+        EXPECT_EQ(std::get<http_failure>(m_outcome).reason.code, result_code::answer_too_large);
+    }
+}
+
+TEST_F(HttpTest, endsAChunkOverTheLimit)
+{
+    listen({}, [](const std::shared_ptr<http_exchange> &exchange) {
+        exchange->startStream(200, {});
+        exchange->sendChunk(std::string(1U << 20U, 'x'));
+    });
+    fetch({.maxAnswerBytes = 1000});
+    ASSERT_FALSE(whole());
+    EXPECT_EQ(std::get<http_failure>(m_outcome).reason.code, result_code::answer_too_large);
+}
+
+TEST_F(HttpTest, readsNoFurtherAfterAPauseFromTheDataCallback)
+{
+    constexpr std::size_t chunkBytes = 1U << 10U;
+    constexpr std::size_t total = 32U << 20U;
+    std::shared_ptr<http_exchange> kept;
+    listen({}, [&](std::shared_ptr<http_exchange> exchange) {
+        exchange->startStream(200, {});
+        for (std::size_t sent = 0; sent < total; sent += chunkBytes)
+            exchange->sendChunk(std::string(chunkBytes, 'x'));
+        kept = std::move(exchange);
+    });
+    http_call call;
+    std::size_t seen = 0;
+    call = m_client.start(m_address, {}, {.onData = [&](std::string_view data) {
+                              seen += data.size();
+                              call.pause();
+                          }});
+    // Turns of the loop in which the peer could have sent far more.
+    auto turns = 0;
+    const auto turning = m_loop.every(milliseconds(1), [&] {
+        if (++turns > 100)
+            m_loop.stop();
+    });
+    m_loop.run();
+    EXPECT_GT(kept->backlogBytes(), total / 4);
+    const auto before = seen;
+    call.resume();
+    turns = 0;
+    m_loop.run();
+    EXPECT_GT(seen, before);
+}
+
 TEST_F(HttpTest, timesOutOnASilentPeer)
 {
     std::shared_ptr<http_exchange> kept;
