--- a/packages/agent/usage_meter.cpp
+++ b/packages/agent/usage_meter.cpp
@@ -18,7 +18,11 @@
 
 } // namespace
 
-usage_meter::usage_meter(usage_meter_options options) : m_options(std::move(options)) {}
+usage_meter::usage_meter(usage_meter_options options) : m_options(std::move(options))
+{
+    // What lies beyond the bound is never pushed, so that it can be merged into.
+    m_options.maxBatch = std::min(m_options.maxBatch, m_options.maxDeltas);
+}
 
 auto usage_meter::record(const run_usage &usage) -> void
 {
