Let a refused request try again at the same agent

Cause: the first run of the whole path ended in 503: agents were asked for the configuration before the connection stood, nng refuses to send then, and the two-second timeout moved on to a new connection each time. The refusal "no configuration" then tombstoned the id, so every retry at the same agent was refused too. Ruled out: a tombstone per request id and agent only (it turns a brief refusal into a final one); waiting in tests before the first send (hides the fault). Now a control client sends as soon as its connection stands, a refusal holds for its attempt and those before it, and an id of which some attempt ran is never told not run. The usage meter's test summed one batch only and failed; it now sums all pushes.

--- a/packages/agent/run_service.cpp
+++ b/packages/agent/run_service.cpp
@@ -1,6 +1,7 @@
 #include "agent/run_service.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include <fmt/format.h>
@@ -468,7 +469,11 @@
 
 auto run_service::replyFate(http_exchange &exchange, const request_id &id) -> void
 {
-    const auto told = m_table.fate(id, m_clock.now());
+    const auto attempt = exchange.parameter("attempt");
+    auto through = everyAttempt;
+    if (!attempt.empty())
+        std::from_chars(attempt.data(), attempt.data() + attempt.size(), through);
+    const auto told = m_table.fate(id, m_clock.now(), through);
     if (told.unknown) {
         m_log.write(event::runTableFull, field("kept", m_table.size()));
         exchange.reply(describe(result_code::overloaded).httpStatus, ownHeaders(),
--- a/packages/agent/run_table.cpp
+++ b/packages/agent/run_table.cpp
@@ -1,5 +1,6 @@
 #include "agent/run_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mustardline {
@@ -39,7 +40,8 @@
     expire(now);
     const auto earlier = m_runs.find(request.id);
     const auto isKnown = earlier != m_runs.end();
-    if (isKnown && earlier->second.isTombstone())
+    const auto isTombstone = isKnown && earlier->second.isTombstone();
+    if (isTombstone && request.attempt <= earlier->second.attempt)
         return refused_run{.code = result_code::not_run};
     if (!isKnown && isFull())
         return refused_run{.code = result_code::overloaded};
@@ -49,8 +51,8 @@
             registerShared(request, requestHash, now);
         return verdict;
     }
-    // An id whose holder never ran is as good as new.
-    if (isKnown && !earlier->second.sharesFate) {
+    // An id that never ran is as good as new.
+    if (isKnown && !isTombstone && !earlier->second.sharesFate) {
         const auto verdict = verdictOn(earlier->second, request, requestHash);
         if (!std::holds_alternative<fresh_run>(verdict))
             return verdict;
@@ -89,6 +91,7 @@
 {
     auto &fresh = m_runs[request.id];
     fresh = {.idempotent = request.idempotent,
+             .hasRun = fresh.hasRun,
              .attempt = request.attempt,
              .requestHash = requestHash,
              .clientAccount = request.clientAccount,
@@ -125,35 +128,39 @@
     if (found == m_runs.end() || found->second.state == run_state::ended)
         return;
     auto &run = found->second;
-    run.fate = end.fate;
+    run.hasRun = run.hasRun || end.fate != run_fate::not_run;
+    run.fate = run.hasRun && end.fate == run_fate::not_run ? run_fate::failed : end.fate;
     run.outcome.httpStatus = end.httpStatus;
     if (end.fate == run_fate::done && !run.idempotent && end.bodyKept)
         keepOutcome(id, run, std::move(end));
     this->end(id, run, now);
 }
 
-auto run_table::fate(const request_id &id, time_point now) -> told_fate
+auto run_table::fate(const request_id &id, time_point now, std::uint32_t attempt) -> told_fate
 {
     expire(now);
     const auto found = m_runs.find(id);
     if (found == m_runs.end()) {
         if (isFull())
             return {.unknown = true};
-        end(id, m_runs[id], now);
+        auto &tombstone = m_runs[id];
+        tombstone.attempt = attempt;
+        end(id, tombstone, now);
         return {.fate = run_fate::not_run};
     }
     auto &run = found->second;
-    if (!run.sharesFate) {
-        return {.fate = run.state == run_state::ended ? run.fate : run_fate::running,
-                .httpStatus = run.outcome.httpStatus};
-    }
     const auto claim = m_claims.find(run.claim);
-    if (claim != m_claims.end())
-        return fate(claim->second, now);
-    // The holder never ran, so neither did this one; from now on it never will.
-    run.sharesFate = false;
-    run.fate = run_fate::not_run;
-    return {.fate = run_fate::not_run};
+    if (run.sharesFate && claim != m_claims.end())
+        return fate(claim->second, now, 0);
+    if (run.sharesFate) {
+        // The holder never ran, so neither did this one; from now on it never will.
+        run.sharesFate = false;
+        run.fate = run_fate::not_run;
+    }
+    if (run.isTombstone())
+        run.attempt = std::max(run.attempt, attempt);
+    return {.fate = run.state == run_state::ended ? run.fate : run_fate::running,
+            .httpStatus = run.outcome.httpStatus};
 }
 
 auto run_table::expire(time_point now) -> void
--- a/packages/agent/run_table.h
+++ b/packages/agent/run_table.h
@@ -11,8 +11,9 @@
 //     const auto told = runs.fate(id, now);
 //
 // The table does no I/O. Its invariants:
-// - An id that was told to be `not_run` never runs afterwards: it stays in the table as a
-// tombstone.
+// - An attempt that was told to be `not_run` never runs afterwards, nor do those before it: the id
+//   stays in the table as a tombstone. A higher attempt may run, since its entry sends it only
+//   after it was told.
 // - A non-idempotent request is fresh at most once per id, and at most once per (client account,
 //   idempotency key), unless the earlier one is a tombstone.
 // - An idempotent request may run again, for an attempt higher than all before it.
@@ -43,6 +44,9 @@
     std::size_t maxOutcomeBytesTotal = 16U << 20U;
 };
 
+// Stands for all attempts of a request, those to come included.
+inline constexpr std::uint32_t everyAttempt = UINT32_MAX;
+
 enum class run_fate : std::uint8_t {
     // Never reached the endpoint and never will.
     not_run,
@@ -117,8 +121,10 @@
     // A fresh run ended, or was refused (`run_fate::not_run`).
     auto finished(const request_id &id, run_end end, time_point now) -> void;
 
-    // Tells the fate of an id; an unseen one becomes a tombstone.
-    auto fate(const request_id &id, time_point now) -> told_fate;
+    // Tells the fate of an id. One that never ran becomes a tombstone for all attempts up to
+    // `attempt`.
+    auto fate(const request_id &id, time_point now, std::uint32_t attempt = everyAttempt)
+        -> told_fate;
 
     // Forgets ended runs that are older than the retention.
     auto expire(time_point now) -> void;
@@ -135,6 +141,8 @@
         run_state state = run_state::waiting;
         run_fate fate = run_fate::not_run;
         bool idempotent = false;
+        // Some attempt reached the endpoint, so the id can never be told as not run again.
+        bool hasRun = false;
         bool outcomeKept = false;
         std::uint32_t attempt = 0;
         std::uint64_t requestHash = 0;
--- a/packages/agent/testing/usage_meter_test.cpp
+++ b/packages/agent/testing/usage_meter_test.cpp
@@ -123,10 +123,15 @@
         EXPECT_EQ(meter.isNearBound(), i >= 7) << i;
     }
     EXPECT_EQ(meter.size(), 12U);
+    // Over all its pushes the meter tells every request once.
     std::uint64_t requests = 0;
-    const auto push = meter.batch();
-    for (const auto &delta : push.deltas())
-        requests += delta.requests();
+    while (!meter.isEmpty()) {
+        const auto push = meter.batch();
+        ASSERT_GT(push.deltas_size(), 0);
+        for (const auto &delta : push.deltas())
+            requests += delta.requests();
+        meter.durableThrough(push.deltas().rbegin()->sequence());
+    }
     EXPECT_EQ(requests, 1000U);
 }
 
--- a/packages/entry/agent_call.cpp
+++ b/packages/entry/agent_call.cpp
@@ -198,9 +198,11 @@
 }
 
 auto askFate(http_client &http, const socket_address &agent, std::string_view requestId,
-             std::function<auto(const fate_answer &)->void> done) -> void
+             std::uint32_t attempt, std::function<auto(const fate_answer &)->void> done) -> void
 {
-    http.fetch(agent, {.path = fmt::format("/v1/fate/{}", requestId), .idleTimeout = askTimeout},
+    const auto range = attempt == 0 ? "" : fmt::format("?attempt={}", attempt);
+    http.fetch(agent,
+               {.path = fmt::format("/v1/fate/{}{}", requestId, range), .idleTimeout = askTimeout},
                [done = std::move(done)](const http_outcome &outcome, const http_answer &,
                                         const std::string &body) {
                    const auto whole = std::holds_alternative<std::monostate>(outcome);
--- a/packages/entry/agent_call.h
+++ b/packages/entry/agent_call.h
@@ -93,9 +93,10 @@
     std::string boot;
 };
 
-// Asks the agent for the fate of a request; `unknown` if it does not answer.
+// Asks the agent for the fate of a request; `unknown` if it does not answer. An answer `not_run`
+// holds for all attempts up to `attempt`, or for ever if that is 0.
 auto askFate(http_client &http, const socket_address &agent, std::string_view requestId,
-             std::function<auto(const fate_answer &)->void> done) -> void;
+             std::uint32_t attempt, std::function<auto(const fate_answer &)->void> done) -> void;
 
 // Reads the boot id of the agent; empty if it does not answer.
 auto askBoot(http_client &http, const socket_address &agent,
--- a/packages/entry/owner_resolver.cpp
+++ b/packages/entry/owner_resolver.cpp
@@ -55,9 +55,9 @@
     inquiry->open = candidates.size();
     inquiry->done = std::move(done);
     for (const auto &candidate : candidates) {
-        askFate(http, candidate.agent, requestId, [inquiry, candidate](const fate_answer &answer) {
-            inquiry->take(candidate, answer);
-        });
+        askFate(
+            http, candidate.agent, requestId, 0,
+            [inquiry, candidate](const fate_answer &answer) { inquiry->take(candidate, answer); });
     }
 }
 
--- a/packages/entry/request_router.cpp
+++ b/packages/entry/request_router.cpp
@@ -355,25 +355,27 @@
         return;
     }
     const auto agent = parseAddress(endpoint->agent_address());
-    askFate(m_http, agent, live->id, [this, number, agent](const fate_answer &answer) {
-        auto *waiting = find(number);
-        if (waiting == nullptr)
-            return;
-        const auto sameBoot = answer.boot == waiting->bootAtSend;
-        if (!answer.boot.empty() && !sameBoot) {
-            m_dispatcher.finished(number, result_code::outcome_unknown, 0, m_clock.now());
-            fail(*waiting, {.code = result_code::outcome_unknown});
-        } else if (answer.fate == request_fate::not_run) {
-            retry(*waiting, result_code::not_run);
-        } else if (answer.fate == request_fate::done) {
-            // The agent repeats the answer of a request that it has run, and does not run it again.
-            send(*waiting, agent);
-        } else {
-            waiting->retryTimer
-                = m_loop.after(fateRetryPause, [this, number] { resolveFate(number); });
-        }
-        carryOut();
-    });
+    askFate(m_http, agent, live->id, live->attempt,
+            [this, number, agent](const fate_answer &answer) {
+                auto *waiting = find(number);
+                if (waiting == nullptr)
+                    return;
+                const auto sameBoot = answer.boot == waiting->bootAtSend;
+                if (!answer.boot.empty() && !sameBoot) {
+                    m_dispatcher.finished(number, result_code::outcome_unknown, 0, m_clock.now());
+                    fail(*waiting, {.code = result_code::outcome_unknown});
+                } else if (answer.fate == request_fate::not_run) {
+                    retry(*waiting, result_code::not_run);
+                } else if (answer.fate == request_fate::done) {
+                    // The agent repeats the answer of a request that it has run, and does not run
+                    // it again.
+                    send(*waiting, agent);
+                } else {
+                    waiting->retryTimer
+                        = m_loop.after(fateRetryPause, [this, number] { resolveFate(number); });
+                }
+                carryOut();
+            });
 }
 
 auto request_router::retry(live_request &live, result_code code) -> void
--- a/packages/net/control_socket.cpp
+++ b/packages/net/control_socket.cpp
@@ -14,6 +14,7 @@
 
 // Covers a whole configuration snapshot at the size that is designed for.
 constexpr std::size_t maxMessageBytes = 64U << 20U;
+constexpr auto sendRetryPause = std::chrono::milliseconds(20);
 constexpr nng_duration reconnectLowest = 50;    // milliseconds
 constexpr nng_duration reconnectHighest = 1000; // milliseconds
 
@@ -113,8 +114,18 @@
     m_timer = m_loop.after(m_options.timeout, [this] {
         finish(error{.code = result_code::timeout, .message = "no reply in time"});
     });
-    // Without a connection nothing is sent, and the timer reports it.
-    sendBytes(nng_socket{m_socket}, request);
+    m_unsent = request;
+    trySend();
+}
+
+auto control_client::trySend() -> void
+{
+    m_sendTimer = {};
+    // nng refuses to send without blocking while there is no connection.
+    if (sendBytes(nng_socket{m_socket}, m_unsent))
+        m_unsent.clear();
+    else
+        m_sendTimer = m_loop.after(sendRetryPause, [this] { trySend(); });
 }
 
 auto control_client::receive() -> void
@@ -130,6 +141,7 @@
 auto control_client::finish(const result<std::string> &reply) -> void
 {
     m_timer = {};
+    m_sendTimer = {};
     if (const auto done = std::exchange(m_done, nullptr))
         done(reply);
 }
--- a/packages/net/control_socket.h
+++ b/packages/net/control_socket.h
@@ -74,6 +74,7 @@
     [[nodiscard]] auto isBusy() const -> bool { return m_done != nullptr; }
 
 private:
+    auto trySend() -> void;
     auto receive() -> void;
     auto finish(const result<std::string> &reply) -> void;
 
@@ -82,7 +83,10 @@
     std::uint32_t m_socket = 0;
     bool m_open = false;
     reply_handler m_done;
+    // The request while the connection does not stand yet.
+    std::string m_unsent;
     event_handle m_readable;
+    event_handle m_sendTimer;
     event_handle m_timer;
 };
 
