Run keyed requests at most once through either entry

Cause: a repeat with the same Idempotency-Key through the other entry reached the agent and was stopped only by the agent's memory, which a restart loses. Now the log decides first. A request whose agent itself told that its outcome is open is answered so at once; asking for its fate again could only loop.

--- a/packages/entry/agent_call.cpp
+++ b/packages/entry/agent_call.cpp
@@ -116,7 +116,7 @@
     [[nodiscard]] auto end(const http_outcome &outcome) const -> agent_call_end
     {
         if (const auto *failure = std::get_if<http_failure>(&outcome))
-            return lost{.reason = failure->reason, .sent = failure->sent, .started = started};
+            return lost{.reason = failure->reason, .sent = failure->sent};
         if (mismatched) {
             return lost{.reason = {.code = result_code::malformed_message,
                                    .message = "the answer is for another request"}};
@@ -164,8 +164,10 @@
         answer.fate = request_fate::not_run;
     else if (text == "running")
         answer.fate = request_fate::running;
-    else if (text == "done" || text == "failed")
+    else if (text == "done")
         answer.fate = request_fate::done;
+    else if (text == "failed")
+        answer.fate = request_fate::failed;
     return answer;
 }
 
--- a/packages/entry/agent_call.h
+++ b/packages/entry/agent_call.h
@@ -60,13 +60,13 @@
     result_code code = result_code::not_run;
 };
 
-// The connection ended early; the request may have run unless `sent` is false.
+// No whole answer came; the request may have run unless `sent` is false.
 struct lost
 {
     error reason;
     bool sent = true;
-    // Whether some of the endpoint's answer had come.
-    bool started = false;
+    // The agent itself said so and has no more to tell; otherwise its connection was lost.
+    bool told = false;
 };
 
 using agent_call_end = std::variant<answered, not_run, lost>;
@@ -85,7 +85,7 @@
     -> http_call;
 
 // What an agent says of a request whose connection was lost.
-enum class request_fate : std::uint8_t { unknown, not_run, running, done };
+enum class request_fate : std::uint8_t { unknown, not_run, running, done, failed };
 
 struct fate_answer
 {
--- a/packages/entry/claim_flow.cpp
+++ b/packages/entry/claim_flow.cpp
@@ -39,16 +39,18 @@
                     .keyHash = keyHash,
                     .requestHash = requestHash,
                     .requestId = live.id},
-                   [this, number = live.number, request](const claim_answer &answer) {
-                       decided(number, request, answer);
+                   [this, number = live.number, id = live.id, request](const claim_answer &answer) {
+                       decided(number, id, request, answer);
                    });
 }
 
 auto claim_flow::finished(const live_request &live) -> void
 {
+    // One byte over the limit tells the ledger that the answer is too long to be kept.
+    const auto longest = idempotency_ledger_options().maxBodyBytes + 1;
     m_claims.settle(live.id, {.resultCode = number(result_code::ok),
                               .httpStatus = static_cast<std::uint32_t>(live.start.status),
-                              .body = live.collected});
+                              .body = live.collected.substr(0, longest)});
 }
 
 auto claim_flow::noteBoot(const std::string &endpoint, const std::string &boot) -> void
@@ -64,8 +66,8 @@
     return known == m_boots.end() ? "" : known->second.boot;
 }
 
-auto claim_flow::decided(std::uint64_t number, const caller_request &request,
-                         const claim_answer &answer) -> void
+auto claim_flow::decided(std::uint64_t number, const std::string &requestId,
+                         const caller_request &request, const claim_answer &answer) -> void
 {
     constexpr auto names = std::to_array<std::string_view>(
         {"run", "finished", "running", "conflict", "unavailable"});
@@ -74,7 +76,8 @@
                 field("owner", answer.ownerRequestId));
     switch (answer.what) {
     case claim_answer::kind::run:
-        m_callbacks.onRun(number);
+        if (!m_callbacks.onRun(number))
+            m_claims.giveBack(requestId);
         return;
     case claim_answer::kind::finished:
         m_callbacks.onRepeat(number, answer.outcome);
--- a/packages/entry/claim_flow.h
+++ b/packages/entry/claim_flow.h
@@ -24,8 +24,8 @@
 
 struct claim_flow_callbacks
 {
-    // The request may be placed.
-    std::function<auto(std::uint64_t number)->void> onRun;
+    // The request may be placed. Answers whether it is still wanted; otherwise the key is freed.
+    std::function<auto(std::uint64_t number)->bool> onRun;
     // The request ends with the answer of an earlier attempt.
     std::function<auto(std::uint64_t number, const claim_outcome &)->void> onRepeat;
     // The answer of an earlier attempt is to be fetched from its agent under the owner's id.
@@ -73,8 +73,8 @@
         time_point seenAt;
     };
 
-    auto decided(std::uint64_t number, const caller_request &request, const claim_answer &answer)
-        -> void;
+    auto decided(std::uint64_t number, const std::string &requestId, const caller_request &request,
+                 const claim_answer &answer) -> void;
     auto resolve(std::uint64_t number, const caller_request &request, const claim_answer &answer)
         -> void;
     [[nodiscard]] auto candidates(const std::string &service, duration claimAge) const
--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -36,7 +36,8 @@
       m_follower(m_loop, m_http, m_log, m_config, {.logAddress = m_settings.log}),
       m_usageStream(m_loop, m_http, {.address = m_settings.log, .stream = "usage"}),
       m_usage(m_log, m_usageStream, {.entryName = m_settings.name}),
-      m_router(m_loop, m_http, m_log, m_metrics, m_config,
+      m_claims(m_loop, m_http, m_log, {.entryName = m_settings.name, .logAddress = m_settings.log}),
+      m_router(m_loop, m_http, m_log, m_metrics, m_config, m_claims,
                {.dataCentre = m_settings.dataCentre,
                 .keySecret = m_settings.keySecret,
                 .entryCount = m_settings.entryCount,
@@ -78,6 +79,7 @@
     m_tickTimer = m_loop.every(tickPeriod, [this] { tick(); });
     m_sweepTimer = m_loop.every(sweepPeriod, [this] { m_router.sweep(); });
     m_follower.start();
+    m_claims.start();
     m_loop.run();
     m_log.write(entryStopped, field("live", m_router.liveCount()));
     return m_exitStatus;
@@ -162,7 +164,8 @@
 
 auto entry_process::finishIfIdle() -> void
 {
-    if (m_router.liveCount() == 0 && !m_usage.isBusy())
+    const auto flushed = !m_usage.isBusy() && m_claims.pendingCount() == 0;
+    if (m_router.liveCount() == 0 && flushed)
         m_loop.stop();
 }
 
--- a/packages/entry/entry_process.h
+++ b/packages/entry/entry_process.h
@@ -9,6 +9,7 @@
 
 #include "base/counters.h"
 #include "base/log.h"
+#include "entry/claim_keeper.h"
 #include "entry/configuration_follower.h"
 #include "entry/operator_service.h"
 #include "entry/request_router.h"
@@ -49,6 +50,7 @@
     configuration_follower m_follower;
     log_client m_usageStream;
     usage_collector m_usage;
+    claim_keeper m_claims;
     request_router m_router;
     operator_service m_operators;
     http_server m_callerServer;
--- a/packages/entry/live_request.h
+++ b/packages/entry/live_request.h
@@ -19,6 +19,17 @@
 
 namespace mustardline {
 
+enum class live_phase : std::uint8_t {
+    // The log has not decided yet whether the request owns its idempotency key.
+    claiming,
+    // The dispatcher has it, waiting.
+    queued,
+    // It was sent to an agent.
+    placed,
+    // The answer of an earlier attempt is fetched from its agent.
+    fetching,
+};
+
 struct live_request
 {
     // Unique within the process.
@@ -28,6 +39,7 @@
     caller_request request;
     std::shared_ptr<http_exchange> exchange;
     time_point arrivedAt;
+    live_phase phase = live_phase::queued;
 
     std::string endpoint;
     std::uint32_t attempt = 0;
--- a/packages/entry/request_router.cpp
+++ b/packages/entry/request_router.cpp
@@ -34,7 +34,8 @@
 } // namespace
 
 request_router::request_router(event_loop &loop, http_client &http, logger &log, counters &metrics,
-                               configuration &config, request_router_options options)
+                               configuration &config, claim_keeper &claims,
+                               request_router_options options)
     : m_loop(loop),
       m_http(http),
       m_log(log),
@@ -45,9 +46,39 @@
                     .seed = m_options.seed,
                     .entryCount = m_options.entryCount,
                     .subsetSize = m_options.subsetSize,
-                    .maxQueued = m_options.maxQueued})
+                    .maxQueued = m_options.maxQueued}),
+      m_claims(http, log, claims, config, {.keySecret = m_options.keySecret}, claimCallbacks())
 {}
 
+auto request_router::claimCallbacks() -> claim_flow_callbacks
+{
+    // Whatever the log decides, the caller may have left meanwhile.
+    return {.onRun =
+                [this](std::uint64_t number) {
+                    auto *live = find(number);
+                    if (live == nullptr)
+                        return false;
+                    live->claimed = true;
+                    queue(*live);
+                    return true;
+                },
+            .onRepeat =
+                [this](std::uint64_t number, const claim_outcome &outcome) {
+                    if (auto *live = find(number))
+                        repeat(*live, outcome);
+                },
+            .onFetch =
+                [this](std::uint64_t number, const owner_found &owner, const std::string &ownerId) {
+                    if (auto *live = find(number))
+                        fetch(*live, owner, ownerId);
+                },
+            .onFail =
+                [this](std::uint64_t number, const http_error &fault) {
+                    if (auto *live = find(number))
+                        fail(*live, fault);
+                }};
+}
+
 auto request_router::handle(const std::shared_ptr<http_exchange> &exchange) -> void
 {
     if (m_draining) {
@@ -76,8 +107,19 @@
     live.exchange = exchange;
     live.arrivedAt = m_clock.now();
     exchange->onGone([this, number] { callerGone(number); });
+    if (claim_flow::needsClaim(live.request)) {
+        live.phase = live_phase::claiming;
+        m_claims.begin(live);
+    } else {
+        queue(live);
+    }
+}
+
+auto request_router::queue(live_request &live) -> void
+{
+    live.phase = live_phase::queued;
     const auto &request = live.request;
-    m_dispatcher.arrive({.request = number,
+    m_dispatcher.arrive({.request = live.number,
                          .clientAccount = request.clientAccount,
                          .requestClass = request.requestClass,
                          .target = request.target,
@@ -95,6 +137,31 @@
     carryOut();
 }
 
+auto request_router::repeat(live_request &live, const claim_outcome &outcome) -> void
+{
+    if (outcome.bodyOmitted) {
+        fail(live, {.code = result_code::answer_too_large,
+                    .message = fmt::format("the request ran once and was answered {}; the answer "
+                                           "was too long to be kept",
+                                           outcome.httpStatus)});
+        return;
+    }
+    countResult(live.request.tier, result_code::ok);
+    replyRepeated(live, static_cast<int>(outcome.httpStatus), outcome.body);
+    forget(live.number);
+}
+
+auto request_router::fetch(live_request &live, const owner_found &owner, const std::string &ownerId)
+    -> void
+{
+    live.phase = live_phase::fetching;
+    live.id = ownerId;
+    live.endpoint = owner.endpoint;
+    live.attempt = 1;
+    live.claimed = true;
+    send(live, owner.agent);
+}
+
 auto request_router::configurationChanged(v1::EntityKind kind, const std::string &id) -> void
 {
     m_log.write(entityChanged, field("kind", v1::EntityKind_Name(kind)), field("id", id),
@@ -148,13 +215,11 @@
 
 auto request_router::expire(live_request &live) -> void
 {
-    if (live.request.idempotent || live.endpoint.empty()) {
-        stop(live, result_code::deadline_exceeded);
-        return;
-    }
     // The agent runs a non-idempotent request to its end; only its caller gives up on it.
-    m_dispatcher.finished(live.number, result_code::outcome_unknown, 0, m_clock.now());
-    fail(live, {.code = result_code::outcome_unknown});
+    if (mayStop(live))
+        stop(live, result_code::deadline_exceeded);
+    else
+        failPlaced(live, result_code::outcome_unknown);
 }
 
 auto request_router::carryOut() -> void
@@ -183,6 +248,7 @@
     if (live == nullptr)
         return;
     const auto *endpoint = m_config.endpoint(action.endpoint);
+    live->phase = live_phase::placed;
     live->endpoint = action.endpoint;
     live->attempt = action.attempt;
     m_log.write(requestPlaced, field("request", live->id), field("attempt", action.attempt),
@@ -196,9 +262,9 @@
         return;
     }
     const auto agent = parseAddress(endpoint->agent_address());
-    const auto known = m_boots.find(action.endpoint);
-    if (known != m_boots.end() || live->request.idempotent) {
-        live->bootAtSend = known == m_boots.end() ? "" : known->second;
+    const auto boot = m_claims.bootOf(action.endpoint);
+    if (!boot.empty() || live->request.idempotent) {
+        live->bootAtSend = boot;
         send(*live, agent);
         return;
     }
@@ -208,6 +274,8 @@
         if (waiting == nullptr)
             return;
         waiting->bootAtSend = boot;
+        if (!boot.empty())
+            m_claims.noteBoot(waiting->endpoint, boot);
         if (boot.empty())
             retry(*waiting, result_code::connection_failed);
         else
@@ -235,7 +303,7 @@
         {.onReport =
              [this, endpoint = live.endpoint](const agent_report &report) {
                  if (!report.boot.empty())
-                     m_boots[endpoint] = report.boot;
+                     m_claims.noteBoot(endpoint, report.boot);
                  if (report.hasLoad)
                      m_dispatcher.reportLoad(endpoint, report.load, m_clock.now());
                  if (report.configurationOffset > m_config.offset() && onNewerConfiguration)
@@ -318,6 +386,8 @@
                 field("tokens", live.tokens),
                 field("total_ms", milliseconds(now - live.arrivedAt)));
     countResult(live.request.tier, result_code::ok);
+    if (live.claimed)
+        m_claims.finished(live);
     replyWhole(live);
     forget(live.number);
 }
@@ -326,20 +396,22 @@
 {
     m_log.write(requestLost, field("request", live.id), field("attempt", live.attempt),
                 field("endpoint", live.endpoint), field("code", number(loss.reason.code)),
-                field("sent", loss.sent), field("started", loss.started),
+                field("sent", loss.sent), field("told", loss.told),
                 field("reason", loss.reason.message));
-    const auto now = m_clock.now();
-    m_dispatcher.reportFailure(live.endpoint, now);
-    if (!loss.sent) {
+    const auto endpointFailed = loss.reason.code == result_code::endpoint_failed
+                                || loss.reason.code == result_code::answer_cut;
+    if (!loss.told || endpointFailed)
+        m_dispatcher.reportFailure(live.endpoint, m_clock.now());
+    if (!loss.sent)
         retry(live, result_code::connection_failed);
-    } else if (live.streaming) {
-        m_dispatcher.finished(live.number, result_code::answer_cut, live.tokens, now);
-        fail(live, {.code = result_code::answer_cut});
-    } else if (live.request.idempotent) {
+    else if (live.streaming)
+        failPlaced(live, result_code::answer_cut);
+    else if (live.request.idempotent)
         retry(live, loss.reason.code);
-    } else {
+    else if (loss.told)
+        failPlaced(live, result_code::outcome_unknown);
+    else
         resolveFate(live.number);
-    }
 }
 
 auto request_router::resolveFate(std::uint64_t number) -> void
@@ -350,38 +422,44 @@
     const auto *endpoint = m_config.endpoint(live->endpoint);
     const auto expired = m_clock.now() - live->arrivedAt >= live->request.deadline;
     if (endpoint == nullptr || expired || live->bootAtSend.empty()) {
-        m_dispatcher.finished(number, result_code::outcome_unknown, 0, m_clock.now());
-        fail(*live, {.code = result_code::outcome_unknown});
+        failPlaced(*live, result_code::outcome_unknown);
         return;
     }
     const auto agent = parseAddress(endpoint->agent_address());
     askFate(m_http, agent, live->id, live->attempt,
             [this, number, agent](const fate_answer &answer) {
-                auto *waiting = find(number);
-                if (waiting == nullptr)
-                    return;
-                const auto sameBoot = answer.boot == waiting->bootAtSend;
-                if (!answer.boot.empty() && !sameBoot) {
-                    m_dispatcher.finished(number, result_code::outcome_unknown, 0, m_clock.now());
-                    fail(*waiting, {.code = result_code::outcome_unknown});
-                } else if (answer.fate == request_fate::not_run) {
-                    retry(*waiting, result_code::not_run);
-                } else if (answer.fate == request_fate::done) {
-                    // The agent repeats the answer of a request that it has run, and does not run
-                    // it again.
-                    send(*waiting, agent);
-                } else {
-                    waiting->retryTimer
-                        = m_loop.after(fateRetryPause, [this, number] { resolveFate(number); });
-                }
+                if (auto *waiting = find(number))
+                    settleFate(*waiting, agent, answer);
                 carryOut();
             });
 }
 
+auto request_router::settleFate(live_request &live, const socket_address &agent,
+                                const fate_answer &answer) -> void
+{
+    const auto replaced = !answer.boot.empty() && answer.boot != live.bootAtSend;
+    if (replaced || answer.fate == request_fate::failed) {
+        failPlaced(live, result_code::outcome_unknown);
+    } else if (answer.fate == request_fate::not_run) {
+        retry(live, result_code::not_run);
+    } else if (answer.fate == request_fate::done) {
+        // The agent repeats the answer of a request that it has run, and does not run it again.
+        send(live, agent);
+    } else {
+        live.retryTimer
+            = m_loop.after(fateRetryPause, [this, number = live.number] { resolveFate(number); });
+    }
+}
+
 auto request_router::retry(live_request &live, result_code code) -> void
 {
     m_log.write(requestNotRun, field("request", live.id), field("attempt", live.attempt),
                 field("endpoint", live.endpoint), field("code", number(code)));
+    if (live.phase == live_phase::fetching) {
+        failPlaced(live, result_code::outcome_unknown);
+        return;
+    }
+    live.phase = live_phase::queued;
     live.mayHaveRun = false;
     m_dispatcher.notRun(live.number, code, m_clock.now(), m_actions);
     carryOut();
@@ -392,10 +470,9 @@
     auto *live = find(number);
     if (live == nullptr)
         return;
-    const auto wasPlaced = !live->endpoint.empty();
-    if (wasPlaced && !live->request.idempotent)
-        return; // What was begun runs to its end; its answer has no reader.
-    stop(*live, result_code::cancelled);
+    // What was begun and may not be repeated runs to its end; its answer has no reader.
+    if (mayStop(*live))
+        stop(*live, result_code::cancelled);
 }
 
 auto request_router::stop(live_request &live, result_code code) -> void
@@ -407,8 +484,22 @@
     fail(live, {.code = code});
 }
 
+auto request_router::mayStop(const live_request &live) -> bool
+{
+    const auto waits = live.phase == live_phase::claiming || live.phase == live_phase::queued;
+    return waits || live.request.idempotent;
+}
+
+auto request_router::failPlaced(live_request &live, result_code code) -> void
+{
+    m_dispatcher.finished(live.number, code, live.tokens, m_clock.now());
+    fail(live, {.code = code});
+}
+
 auto request_router::fail(live_request &live, const http_error &fault) -> void
 {
+    if (live.claimed && !live.mayHaveRun)
+        m_claims.notRun(live);
     countResult(live.request.tier, fault.code);
     replyError(live, fault);
     forget(live.number);
@@ -454,8 +545,7 @@
 {
     std::vector<std::uint64_t> affected;
     for (const auto &[number, live] : m_requests) {
-        const auto maySend = live.endpoint.empty() || live.request.idempotent;
-        if (live.request.keyId == keyId && maySend)
+        if (live.request.keyId == keyId && mayStop(live))
             affected.push_back(number);
     }
     for (const auto number : affected)
--- a/packages/entry/request_router.h
+++ b/packages/entry/request_router.h
@@ -19,6 +19,7 @@
 #include "base/log.h"
 #include "entry/agent_call.h"
 #include "entry/caller_request.h"
+#include "entry/claim_flow.h"
 #include "entry/live_request.h"
 #include "net/http_error.h"
 #include "net/http_server.h"
@@ -43,7 +44,7 @@
 {
 public:
     request_router(event_loop &loop, http_client &http, logger &log, counters &metrics,
-                   configuration &config, request_router_options options);
+                   configuration &config, claim_keeper &claims, request_router_options options);
 
     // Takes a caller's request; it is answered later.
     auto handle(const std::shared_ptr<http_exchange> &exchange) -> void;
@@ -67,6 +68,11 @@
     std::function<auto(std::uint64_t offset)->void> onNewerConfiguration;
 
 private:
+    [[nodiscard]] auto claimCallbacks() -> claim_flow_callbacks;
+    auto queue(live_request &live) -> void;
+    auto repeat(live_request &live, const claim_outcome &outcome) -> void;
+    auto fetch(live_request &live, const owner_found &owner, const std::string &ownerId) -> void;
+
     auto carryOut() -> void;
     auto place(const place_action &action) -> void;
     auto send(live_request &live, const socket_address &agent) -> void;
@@ -79,12 +85,16 @@
     auto endedWhole(live_request &live) -> void;
     auto endedLost(live_request &live, const lost &loss) -> void;
     auto resolveFate(std::uint64_t number) -> void;
+    auto settleFate(live_request &live, const socket_address &agent, const fate_answer &answer)
+        -> void;
     auto retry(live_request &live, result_code code) -> void;
 
     auto callerGone(std::uint64_t number) -> void;
     auto holdBack(live_request &live) -> void;
     auto expire(live_request &live) -> void;
+    [[nodiscard]] static auto mayStop(const live_request &live) -> bool;
     auto stop(live_request &live, result_code code) -> void;
+    auto failPlaced(live_request &live, result_code code) -> void;
     auto fail(live_request &live, const http_error &fault) -> void;
     auto forget(std::uint64_t number) -> void;
     auto find(std::uint64_t number) -> live_request *;
@@ -103,7 +113,7 @@
     dispatcher m_dispatcher;
     std::vector<dispatch_action> m_actions;
     std::unordered_map<std::uint64_t, live_request> m_requests;
-    std::map<std::string, std::string, std::less<>> m_boots;
+    claim_flow m_claims;
     std::uint64_t m_lastNumber = 0;
     bool m_draining = false;
     bool m_carryingOut = false;
