Add endpoint orders: the ledger of written orders, the order book and its client

An order is written to the lease stream, read back and only then sent; its answer or a later list settles it; a successor repeats it under its id. The searches also found that a claim by an empty holder name took fencing 0; the fold now asks for an accepted claim before it takes one for a renewal.

--- a/packages/platform/lease_table.cpp
+++ b/packages/platform/lease_table.cpp
@@ -51,8 +51,8 @@
     duty.newestRecord = offset;
     if (!accepted)
         return;
-    const auto renewsKnown
-        = duty.known && !duty.current.released && duty.current.holder == claim.holder();
+    const auto isHeld = duty.known && duty.current.offset != 0 && !duty.current.released;
+    const auto renewsKnown = isHeld && duty.current.holder == claim.holder();
     auto fencing = offset;
     if (renewsKnown)
         fencing = duty.current.fencing;
--- a/packages/platform/lease_table.h
+++ b/packages/platform/lease_table.h
@@ -43,7 +43,8 @@
 class lease_table
 {
 public:
-    explicit lease_table(std::uint64_t firstOffset = 1) : m_firstOffset(firstOffset) {}
+    lease_table() = default;
+    explicit lease_table(std::uint64_t firstOffset) : m_firstOffset(firstOffset) {}
 
     // Folds one record. Offsets at or below `offset()` are ignored.
     auto apply(std::uint64_t offset, const v1::LogRecord &record) -> void;
@@ -79,7 +80,7 @@
     auto applyClaim(std::uint64_t offset, const v1::LeaseClaim &claim) -> void;
     auto applyRelease(std::uint64_t offset, const v1::LeaseRelease &release) -> void;
 
-    std::uint64_t m_firstOffset;
+    std::uint64_t m_firstOffset = 1;
     std::uint64_t m_offset = 0;
     std::map<std::string, duty_state, std::less<>> m_duties;
 };
--- /dev/null
+++ b/packages/platform/order_ledger.h
@@ -0,0 +1,59 @@
+#pragma once
+
+// Endpoint orders that lease holders are about to send, folded from the log's lease stream.
+//
+//     leases.apply(offset, record);
+//     orders.apply(offset, record, leases);      // the same record, after the lease table
+//     const auto *intent = orders.latest("tuzla", "endpoint-7");
+//
+// A holder writes each order down, reads it back and only then sends it, so a successor finds what
+// its predecessor may have sent and repeats it under the same id. A record with another number than
+// the present tenure's is void: its writer had already been succeeded.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "platform/lease_table.h"
+
+namespace mustardline {
+
+enum class order_action : std::uint8_t { start, stop };
+
+[[nodiscard]] auto orderActionName(order_action action) -> std::string_view;
+
+struct order_intent
+{
+    std::string orderId;
+    order_action action = order_action::start;
+    std::string endpoint;
+    std::string model;
+
+    auto operator<=>(const order_intent &) const = default;
+};
+
+// The lease duty for the orders of a data centre.
+[[nodiscard]] auto orderDuty(std::string_view dataCentre) -> std::string;
+
+class order_ledger
+{
+public:
+    // Folds one record, which `leases` must have folded before.
+    auto apply(std::uint64_t offset, const v1::LogRecord &record, const lease_table &leases)
+        -> void;
+
+    // The newest order written down for an endpoint; null if none.
+    [[nodiscard]] auto latest(std::string_view dataCentre, std::string_view endpoint) const
+        -> const order_intent *;
+
+    auto operator<=>(const order_ledger &) const = default;
+
+private:
+    using endpoint_table = std::map<std::string, order_intent, std::less<>>;
+
+    std::uint64_t m_offset = 0;
+    std::map<std::string, endpoint_table, std::less<>> m_dataCentres;
+};
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/platform/orders_client.cpp
@@ -0,0 +1,69 @@
+#include "platform/orders_client.h"
+
+#include <fmt/format.h>
+
+namespace mustardline {
+
+namespace {
+
+auto stateFromName(std::string_view name) -> std::optional<endpoint_state>
+{
+    if (name == "starting")
+        return endpoint_state::starting;
+    if (name == "running")
+        return endpoint_state::running;
+    if (name == "stopping")
+        return endpoint_state::stopping;
+    return std::nullopt;
+}
+
+auto readList(const nlohmann::json &body) -> result<std::vector<listed_endpoint>>
+{
+    const error malformed{.code = result_code::malformed_message,
+                          .message = "the list of endpoints is not well formed"};
+    if (!body.is_object() || !body.contains("endpoints") || !body["endpoints"].is_array())
+        return malformed;
+    std::vector<listed_endpoint> endpoints;
+    for (const auto &item : body["endpoints"]) {
+        const auto state = stateFromName(textOf(item, "state"));
+        auto endpoint = textOf(item, "endpoint");
+        if (!state || endpoint.empty())
+            return malformed;
+        endpoints.push_back({.endpoint = std::move(endpoint),
+                             .model = textOf(item, "model"),
+                             .state = *state,
+                             .orderId = textOf(item, "order_id")});
+    }
+    return endpoints;
+}
+
+} // namespace
+
+auto orders_client::order(const endpoint_order &order, order_handler done) -> void
+{
+    const nlohmann::json body = {{"order_id", order.orderId},
+                                 {"data_centre", order.dataCentre},
+                                 {"action", orderActionName(order.action)},
+                                 {"endpoint", order.endpoint},
+                                 {"model", order.model},
+                                 {"fencing", order.fencing}};
+    callPlatform(m_http, m_address, jsonPost("/v1/endpoints/orders", body),
+                 [done = std::move(done)](const result<nlohmann::json> &answer) {
+                     const auto *failure = failed(answer);
+                     done(failure == nullptr ? status() : status(*failure));
+                 });
+}
+
+auto orders_client::list(const std::string &dataCentre, list_handler done) -> void
+{
+    callPlatform(m_http, m_address,
+                 {.path = fmt::format("/v1/endpoints?data_centre={}", dataCentre)},
+                 [done = std::move(done)](const result<nlohmann::json> &answer) {
+                     if (const auto *failure = failed(answer))
+                         done(*failure);
+                     else
+                         done(readList(std::get<nlohmann::json>(answer)));
+                 });
+}
+
+} // namespace mustardline
--- a/packages/platform/testing/usage_promise_test.cpp
+++ b/packages/platform/testing/usage_promise_test.cpp
@@ -217,7 +217,7 @@
 // One process of the random run: a lease contender, a ledger and a reporter.
 struct usage_process
 {
-    lease_table leases{1};
+    lease_table leases;
     lease_holder lease;
     usage_ledger ledger;
     usage_reporter reporter;
