Validate whole configurations in the fold and bound what it remembers

contract: a change that breaks a rule of configuration_rules.h is now refused with invalid_entity: references must exist, what is in use cannot be removed, tiers, limits, ids, addresses and hashes are checked, a withdrawn key stays withdrawn and the id of a removed key is not used again. Ruled out: forgetting writers by offset alone, since a change that creates an entity could then be repeated after its removal.

--- a/packages/platform/configuration.cpp
+++ b/packages/platform/configuration.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include "platform/configuration_rules.h"
+
 namespace mustardline {
 
 namespace {
@@ -13,10 +15,8 @@
                                    found, base)};
 }
 
-auto invalid(std::string message) -> error
-{
-    return {.code = result_code::invalid_entity, .message = std::move(message)};
-}
+// How often positions, removals and the like are looked through, in offsets.
+constexpr std::uint64_t forgetPeriod = 1024;
 
 } // namespace
 
@@ -68,30 +68,50 @@
     if (offset <= m_offset)
         return;
     m_offset = offset;
+    if (offset % forgetPeriod == 0)
+        forgetOld();
     if (isRepeat(record))
         return;
-    auto &position = m_writers[{record.writer(), record.boot()}];
+    notePosition(offset, record);
+    if (record.has_configuration_change())
+        applyChange(offset, record);
+}
+
+auto configuration::notePosition(std::uint64_t offset, const v1::LogRecord &record) -> void
+{
+    const auto [found, isNew] = m_writers.try_emplace({record.writer(), record.boot()});
+    auto &position = found->second;
+    position.set_tells_base((isNew || position.tells_base()) && record.base_offset() != 0);
     position.set_writer(record.writer());
     position.set_boot(record.boot());
     position.set_sequence(record.sequence());
     position.set_offset(offset);
-    if (record.has_configuration_change())
-        applyChange(offset, record.configuration_change());
 }
 
-auto configuration::restore(const v1::ConfigurationSnapshot &snapshot) -> void
+auto configuration::restore(v1::ConfigurationSnapshot snapshot) -> void
 {
     if (snapshot.offset() <= m_offset)
         return;
     const auto before = std::exchange(m_tables, {});
     m_offset = snapshot.offset();
-    for (const auto &item : snapshot.entities())
-        m_tables[kindOf(item.entity())][idOf(item.entity())] = item;
+    m_references.clear();
+    for (auto &item : *snapshot.mutable_entities()) {
+        countReferences(item.entity(), 1);
+        auto id = idOf(item.entity());
+        m_tables[kindOf(item.entity())].insert_or_assign(std::move(id), std::move(item));
+    }
     m_writers.clear();
     for (const auto &position : snapshot.writers())
         m_writers[{position.writer(), position.boot()}] = position;
-    if (!m_observer)
-        return;
+    m_removed.clear();
+    for (const auto &item : snapshot.removed())
+        m_removed[item.kind()][item.id()] = item.offset();
+    if (m_observer)
+        announce(before);
+}
+
+auto configuration::announce(const std::map<v1::EntityKind, entity_table> &before) -> void
+{
     for (const auto &[kind, entities] : before) {
         for (const auto &[id, entity] : entities) {
             if (find(kind, id) == nullptr)
@@ -114,6 +134,14 @@
     }
     for (const auto &[name, position] : m_writers)
         *out.add_writers() = position;
+    for (const auto &[kind, items] : m_removed) {
+        for (const auto &[id, offset] : items) {
+            auto &item = *out.add_removed();
+            item.set_kind(kind);
+            item.set_id(id);
+            item.set_offset(offset);
+        }
+    }
     return out;
 }
 
@@ -127,22 +155,28 @@
 
 auto configuration::check(const v1::ConfigurationChange &change) const -> status
 {
-    if (change.entities().empty())
-        return invalid("the change names no entity");
     for (const auto &item : change.entities()) {
         const auto *current = find(item.kind(), item.id());
         const auto revision = current == nullptr ? 0 : current->revision();
         if (revision != item.base_revision())
             return conflictOf(item.id(), revision, item.base_revision());
-        if (item.id().empty() || item.kind() == v1::ENTITY_KIND_UNSPECIFIED)
-            return invalid("an entity of the change has no kind or no id");
-        const auto matches
-            = !item.has_entity()
-              || (kindOf(item.entity()) == item.kind() && idOf(item.entity()) == item.id());
-        if (!matches)
-            return invalid(fmt::format("the entity does not match its id \"{}\"", item.id()));
     }
-    return std::monostate();
+    return validateChange(*this, change);
+}
+
+auto configuration::referenceCount(v1::EntityKind kind, std::string_view id) const -> std::uint32_t
+{
+    const auto references = m_references.find(kind);
+    if (references == m_references.end())
+        return 0;
+    const auto found = references->second.find(id);
+    return found == references->second.end() ? 0 : found->second;
+}
+
+auto configuration::isRetiredKey(std::string_view id) const -> bool
+{
+    const auto keys = m_removed.find(v1::ENTITY_KIND_KEY);
+    return keys != m_removed.end() && keys->second.contains(id);
 }
 
 auto configuration::dataCentre(std::string_view id) const -> const v1::DataCentre *
@@ -228,28 +262,104 @@
     return found != m_writers.end() && record.sequence() <= found->second.sequence();
 }
 
-auto configuration::applyChange(std::uint64_t offset, const v1::ConfigurationChange &change) -> void
+auto configuration::isTooOld(std::uint64_t offset, std::uint64_t baseOffset) const -> bool
 {
-    const auto verdict = check(change);
-    if (const auto *fault = failed(verdict)) {
-        m_decisions[change.change_id()]
-            = {.offset = offset, .code = fault->code, .message = fault->message};
-        return;
+    return baseOffset != 0 && offset > baseOffset + m_options.recordLifetime;
+}
+
+auto configuration::checkRecord(std::uint64_t offset, const v1::LogRecord &record) const -> status
+{
+    if (isTooOld(offset, record.base_offset())) {
+        return error{.code = result_code::conflict,
+                     .message = "the change reached the log too long after it was written"};
     }
-    for (const auto &item : change.entities()) {
-        if (!item.has_entity()) {
-            m_tables[item.kind()].erase(item.id());
+    for (const auto &item : record.configuration_change().entities()) {
+        const auto removed = m_removed.find(item.kind());
+        if (item.base_revision() != 0 || removed == m_removed.end())
             continue;
+        const auto found = removed->second.find(item.id());
+        const auto sawRemoval = found == removed->second.end() || record.base_offset() == 0
+                                || record.base_offset() >= found->second;
+        if (!sawRemoval) {
+            return error{.code = result_code::conflict,
+                         .message = fmt::format("\"{}\" was removed since", item.id())};
         }
-        auto &entity = m_tables[item.kind()][item.id()];
-        entity.set_revision(offset);
-        *entity.mutable_entity() = item.entity();
     }
-    m_decisions[change.change_id()] = {.offset = offset, .code = result_code::ok};
+    return check(record.configuration_change());
+}
+
+auto configuration::applyChange(std::uint64_t offset, const v1::LogRecord &record) -> void
+{
+    const auto &change = record.configuration_change();
+    const auto verdict = checkRecord(offset, record);
+    if (const auto *fault = failed(verdict)) {
+        decide({.offset = offset, .code = fault->code, .message = fault->message},
+               change.change_id());
+        return;
+    }
+    if (m_acceptObserver)
+        m_acceptObserver(offset, change);
+    for (const auto &item : change.entities())
+        applyEntity(offset, item);
+    decide({.offset = offset, .code = result_code::ok}, change.change_id());
     if (!m_observer)
         return;
     for (const auto &item : change.entities())
         m_observer(item.kind(), item.id());
 }
 
+auto configuration::applyEntity(std::uint64_t offset, const v1::EntityChange &item) -> void
+{
+    if (const auto *current = find(item.kind(), item.id()))
+        countReferences(current->entity(), -1);
+    if (!item.has_entity()) {
+        if (m_tables[item.kind()].erase(item.id()) != 0)
+            m_removed[item.kind()][item.id()] = offset;
+        return;
+    }
+    countReferences(item.entity(), 1);
+    auto &entity = m_tables[item.kind()][item.id()];
+    entity.set_revision(offset);
+    *entity.mutable_entity() = item.entity();
+    m_removed[item.kind()].erase(item.id());
+}
+
+auto configuration::countReferences(const v1::Entity &entity, std::int32_t by) -> void
+{
+    for (const auto &reference : referencesOf(entity)) {
+        auto &references = m_references[reference.kind];
+        const auto count = references.try_emplace(std::string(reference.id)).first;
+        count->second += static_cast<std::uint32_t>(by);
+        if (count->second == 0)
+            references.erase(count);
+    }
+}
+
+auto configuration::decide(change_decision decision, const std::string &changeId) -> void
+{
+    const auto [found, isNew] = m_decisions.try_emplace(changeId, decision);
+    if (!isNew) {
+        if (found->second.code != result_code::ok)
+            found->second = std::move(decision);
+        return;
+    }
+    m_decisionOrder.push_back(changeId);
+    if (m_decisionOrder.size() <= m_options.maxDecisions)
+        return;
+    m_decisions.erase(m_decisionOrder.front());
+    m_decisionOrder.pop_front();
+}
+
+auto configuration::forgetOld() -> void
+{
+    std::erase_if(m_writers, [this](const auto &item) {
+        return item.second.tells_base() && isTooOld(m_offset, item.second.offset());
+    });
+    for (auto &[kind, items] : m_removed) {
+        if (kind == v1::ENTITY_KIND_KEY)
+            continue;
+        std::erase_if(items, [this](const auto &item) { return isTooOld(m_offset, item.second); });
+    }
+}
+
 } // namespace mustardline
--- /dev/null
+++ b/packages/platform/configuration_rules.cpp
@@ -0,0 +1,262 @@
+#include "platform/configuration_rules.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include <fmt/format.h>
+
+#include "net/http_message.h"
+#include "platform/configuration.h"
+
+namespace mustardline {
+
+namespace {
+
+constexpr std::size_t longestId = 128;
+constexpr std::size_t hashDigits = 64;
+constexpr std::uint32_t lowestTier = 6;
+constexpr std::uint32_t longestDeadlineMs = 24 * 3'600'000;
+constexpr std::uint32_t largestPriority = 1'000;
+constexpr std::uint32_t largestLimit = 1'000'000;
+constexpr std::uint32_t largestConcurrency = 100'000;
+
+constexpr std::string_view idCharacters
+    = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
+constexpr std::string_view nameCharacters
+    = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-:/";
+constexpr std::string_view hexadecimalDigits = "0123456789abcdef";
+
+auto invalid(std::string message) -> error
+{
+    return {.code = result_code::invalid_entity, .message = std::move(message)};
+}
+
+auto consistsOf(std::string_view text, std::string_view allowed) -> bool
+{
+    return !text.empty() && text.size() <= longestId
+           && text.find_first_not_of(allowed) == std::string_view::npos;
+}
+
+auto isAddress(std::string_view text) -> bool
+{
+    const auto address = parseAddress(text);
+    return !address.host.empty() && address.port != 0;
+}
+
+auto validateAccount(const v1::ClientAccount &account) -> status
+{
+    if (account.tier() < 1 || account.tier() > lowestTier)
+        return invalid(fmt::format("tier {} of client account \"{}\" is not between 1 and {}",
+                                   account.tier(), account.id(), lowestTier));
+    if (account.requests_per_second() > largestLimit
+        || account.concurrent_requests() > largestLimit)
+        return invalid(
+            fmt::format("a limit of client account \"{}\" is over {}", account.id(), largestLimit));
+    const std::set<std::string_view> distinct(account.classes().begin(), account.classes().end());
+    if (distinct.size() != static_cast<std::size_t>(account.classes_size()))
+        return invalid(fmt::format("client account \"{}\" names a class twice", account.id()));
+    return std::monostate();
+}
+
+auto validateKey(const v1::Key &key) -> status
+{
+    if (key.hash().size() != hashDigits || !consistsOf(key.hash(), hexadecimalDigits))
+        return invalid(fmt::format("the hash of key \"{}\" is not {} hexadecimal digits", key.id(),
+                                   hashDigits));
+    return std::monostate();
+}
+
+auto validateClass(const v1::RequestClass &item) -> status
+{
+    if (item.deadline_ms() < 1 || item.deadline_ms() > longestDeadlineMs)
+        return invalid(
+            fmt::format("the deadline of class \"{}\" is not between 1 ms and a day", item.id()));
+    if (item.first_token_ms() > item.deadline_ms() || item.between_tokens_ms() > item.deadline_ms())
+        return invalid(fmt::format("a target of class \"{}\" is over its deadline", item.id()));
+    if (item.priority() > largestPriority)
+        return invalid(
+            fmt::format("the priority of class \"{}\" is over {}", item.id(), largestPriority));
+    return std::monostate();
+}
+
+auto validateRoute(const v1::Route &route) -> status
+{
+    const auto isService = route.kind() == v1::ROUTE_KIND_SERVICE;
+    if (!isService && route.kind() != v1::ROUTE_KIND_MODEL)
+        return invalid(fmt::format("route \"{}\" is of no known kind", route.id()));
+    if (isService != consistsOf(route.service(), nameCharacters))
+        return invalid(fmt::format(
+            "route \"{}\" must name a service if it leads to one, and else none", route.id()));
+    if (route.open() == route.open_client_account().empty())
+        return invalid(fmt::format(
+            "route \"{}\" must name the client account of open requests if it is open, and else "
+            "none",
+            route.id()));
+    return std::monostate();
+}
+
+auto validateEndpoint(const v1::Endpoint &endpoint) -> status
+{
+    const auto isService = endpoint.kind() == v1::ENDPOINT_KIND_SERVICE;
+    if (!isService && endpoint.kind() != v1::ENDPOINT_KIND_MODEL)
+        return invalid(fmt::format("endpoint \"{}\" is of no known kind", endpoint.id()));
+    if (endpoint.serves().empty() || (isService && endpoint.serves_size() != 1))
+        return invalid(fmt::format("endpoint \"{}\" must serve one service, or at least one model",
+                                   endpoint.id()));
+    for (const auto &name : endpoint.serves()) {
+        if (!consistsOf(name, nameCharacters))
+            return invalid(fmt::format("endpoint \"{}\" serves a name with characters that are not "
+                                       "allowed",
+                                       endpoint.id()));
+    }
+    const auto &control = endpoint.control_address();
+    if (!isAddress(endpoint.agent_address()) || (!control.empty() && !isAddress(control)))
+        return invalid(fmt::format("an address of endpoint \"{}\" is not IP:PORT", endpoint.id()));
+    if (endpoint.max_concurrency() < 1 || endpoint.max_concurrency() > largestConcurrency)
+        return invalid(fmt::format("max_concurrency of endpoint \"{}\" is not between 1 and {}",
+                                   endpoint.id(), largestConcurrency));
+    return std::monostate();
+}
+
+auto validateId(const v1::Entity &entity) -> status
+{
+    const auto &id = idOf(entity);
+    const auto isValid = entity.has_route() ? id.starts_with('/') && consistsOf(id, nameCharacters)
+                                            : consistsOf(id, idCharacters);
+    if (!isValid)
+        return invalid(fmt::format("the id \"{}\" is empty, too long or has characters that are "
+                                   "not allowed",
+                                   id));
+    return std::monostate();
+}
+
+// What a key may become after what it was.
+auto validateKeyChange(const configuration &config, const v1::Key &next) -> status
+{
+    if (config.isRetiredKey(next.id()))
+        return invalid(
+            fmt::format("a key \"{}\" was removed; its id is not used again", next.id()));
+    const auto *before = config.key(next.id());
+    if (before == nullptr)
+        return std::monostate();
+    if (before->withdrawn() && !next.withdrawn())
+        return invalid(fmt::format("key \"{}\" is withdrawn and stays so", next.id()));
+    if (before->hash() != next.hash() || before->client_account() != next.client_account())
+        return invalid(
+            fmt::format("the hash and client account of key \"{}\" cannot change", next.id()));
+    return std::monostate();
+}
+
+// The entities that a change sets (true) or removes (false).
+using change_view = std::map<std::pair<v1::EntityKind, std::string_view>, bool>;
+
+auto validateItem(const configuration &config, const v1::EntityChange &item,
+                  const change_view &view) -> status
+{
+    const auto &entity = item.entity();
+    if (kindOf(entity) != item.kind() || idOf(entity) != item.id())
+        return invalid(fmt::format("the entity does not match its id \"{}\"", item.id()));
+    auto verdict = validateEntity(entity);
+    if (failed(verdict) == nullptr && entity.has_key())
+        verdict = validateKeyChange(config, entity.key());
+    if (failed(verdict) != nullptr)
+        return verdict;
+    for (const auto &reference : referencesOf(entity)) {
+        const auto changed = view.find({reference.kind, reference.id});
+        const auto exists = changed != view.end()
+                                ? changed->second
+                                : config.find(reference.kind, reference.id) != nullptr;
+        if (!exists)
+            return invalid(
+                fmt::format("\"{}\" names \"{}\", which does not exist", item.id(), reference.id));
+    }
+    return std::monostate();
+}
+
+// An entity may go only if nothing names it once the whole change is applied.
+auto validateRemovals(const configuration &config, const v1::ConfigurationChange &change,
+                      const change_view &view) -> status
+{
+    std::map<std::pair<v1::EntityKind, std::string_view>, std::uint32_t> released;
+    for (const auto &item : change.entities()) {
+        const auto *current = config.find(item.kind(), item.id());
+        if (current == nullptr)
+            continue;
+        for (const auto &reference : referencesOf(current->entity()))
+            ++released[{reference.kind, reference.id}];
+    }
+    for (const auto &[name, isSet] : view) {
+        if (isSet)
+            continue;
+        // What the change itself sets was already held against the view.
+        if (config.referenceCount(name.first, name.second) > released[name])
+            return invalid(fmt::format("\"{}\" is still in use", name.second));
+    }
+    return std::monostate();
+}
+
+} // namespace
+
+auto referencesOf(const v1::Entity &entity) -> std::vector<entity_reference>
+{
+    std::vector<entity_reference> references;
+    if (entity.has_key()) {
+        references.push_back({v1::ENTITY_KIND_CLIENT_ACCOUNT, entity.key().client_account()});
+    } else if (entity.has_client_account()) {
+        for (const auto &id : entity.client_account().classes())
+            references.push_back({v1::ENTITY_KIND_REQUEST_CLASS, id});
+    } else if (entity.has_route() && entity.route().open()) {
+        references.push_back(
+            {v1::ENTITY_KIND_CLIENT_ACCOUNT, entity.route().open_client_account()});
+    } else if (entity.has_endpoint()) {
+        references.push_back({v1::ENTITY_KIND_DATA_CENTRE, entity.endpoint().data_centre()});
+    }
+    return references;
+}
+
+auto validateEntity(const v1::Entity &entity) -> status
+{
+    if (auto verdict = validateId(entity); failed(verdict) != nullptr)
+        return verdict;
+    switch (entity.entity_case()) {
+    case v1::Entity::kClientAccount:
+        return validateAccount(entity.client_account());
+    case v1::Entity::kKey:
+        return validateKey(entity.key());
+    case v1::Entity::kRequestClass:
+        return validateClass(entity.request_class());
+    case v1::Entity::kRoute:
+        return validateRoute(entity.route());
+    case v1::Entity::kEndpoint:
+        return validateEndpoint(entity.endpoint());
+    case v1::Entity::kDataCentre:
+    case v1::Entity::ENTITY_NOT_SET:
+        break;
+    }
+    return std::monostate();
+}
+
+auto validateChange(const configuration &config, const v1::ConfigurationChange &change) -> status
+{
+    if (change.entities().empty())
+        return invalid("the change names no entity");
+    change_view view;
+    for (const auto &item : change.entities()) {
+        if (item.id().empty() || item.kind() == v1::ENTITY_KIND_UNSPECIFIED)
+            return invalid("an entity of the change has no kind or no id");
+        if (!view.try_emplace({item.kind(), item.id()}, item.has_entity()).second)
+            return invalid(fmt::format("the change names \"{}\" twice", item.id()));
+        if (!item.has_entity() && config.find(item.kind(), item.id()) == nullptr)
+            return invalid(fmt::format("\"{}\" cannot be removed: it does not exist", item.id()));
+    }
+    for (const auto &item : change.entities()) {
+        if (!item.has_entity())
+            continue;
+        if (auto verdict = validateItem(config, item, view); failed(verdict) != nullptr)
+            return verdict;
+    }
+    return validateRemovals(config, change, view);
+}
+
+} // namespace mustardline
