--- a/packages/standin/engine_server.cpp
+++ b/packages/standin/engine_server.cpp
@@ -145,7 +145,7 @@
     if (m_stepScheduled || m_dying || countIn(phase::decode) == 0)
         return;
     m_stepScheduled = true;
-    m_timers.after(tokenDelay(m_behaviour, running()), [this] {
+    m_nextStep = m_program.loop().after(tokenDelay(m_behaviour, running()), [this] {
         m_stepScheduled = false;
         step();
         scheduleStep();
@@ -268,6 +268,10 @@
     }
     m_behaviour = changed;
     noteConcurrency();
+    // The step that is under way takes its new time from now on.
+    m_stepScheduled = false;
+    m_nextStep = {};
+    scheduleStep();
     m_program.log().write(controlled, field("control", "behaviour"), field("body", body->dump()));
     replyJson(exchange, 200, nlohmann::json::object());
 }
--- a/packages/standin/engine_server.h
+++ b/packages/standin/engine_server.h
@@ -97,6 +97,7 @@
     // In the order of arrival.
     std::map<std::uint64_t, active_request> m_requests;
     std::uint64_t m_nextId = 1;
+    event_handle m_nextStep;
     bool m_stepScheduled = false;
     bool m_dying = false;
     std::size_t m_highestConcurrency = 0;
--- a/packages/standin/prefix_cache.cpp
+++ b/packages/standin/prefix_cache.cpp
@@ -43,7 +43,7 @@
     std::vector<cache_event> events;
     for (const auto &event : m_events) {
         const auto dropped = m_options.dropEach != 0 && event.sequence % m_options.dropEach == 0;
-        if (event.sequence > sequence && !dropped && event.at + m_options.eventLag <= now)
+        if (event.sequence > sequence && !dropped && now - event.at >= m_options.eventLag)
             events.push_back(event);
     }
     return events;
