--- a/packages/base/testing/docs_table.cpp
+++ b/packages/base/testing/docs_table.cpp
@@ -59,7 +59,8 @@
     return rows;
 }
 
-auto settingsRows(std::span<const settings_field> fields) -> std::vector<std::vector<std::string>>
+auto settingsRows(std::span<const settings_description> fields)
+    -> std::vector<std::vector<std::string>>
 {
     std::vector<std::vector<std::string>> rows;
     for (const auto &item : fields)
--- a/packages/base/testing/docs_table.h
+++ b/packages/base/testing/docs_table.h
@@ -26,7 +26,7 @@
     -> std::vector<std::vector<std::string>>;
 
 // The rows that a table of these settings has: field, type, allowed, default.
-[[nodiscard]] auto settingsRows(std::span<const settings_field> fields)
+[[nodiscard]] auto settingsRows(std::span<const settings_description> fields)
     -> std::vector<std::vector<std::string>>;
 
 } // namespace mustardline
--- a/packages/entry/events.h
+++ b/packages/entry/events.h
@@ -34,6 +34,16 @@
 inline constexpr log_event requestRejected{2016, "request_rejected", log_level::info,
                                            "A request was at fault and not considered."};
 
+inline constexpr log_event claimDecided{
+    2017, "claim_decided", log_level::info,
+    "The log decided whether an attempt may run under its idempotency key."};
+inline constexpr log_event claimGivenUp{
+    2018, "claim_given_up", log_level::warning,
+    "The log did not decide a claim in time; the request is refused."};
+inline constexpr log_event ownerResolved{
+    2019, "owner_resolved", log_level::info,
+    "The agents told what became of a request whose entry was lost."};
+
 inline constexpr log_event entityChanged{2020, "entity_changed", log_level::info,
                                          "A change of configuration is in force here."};
 inline constexpr log_event changeDecided{2021, "change_decided", log_level::info,
@@ -50,9 +60,10 @@
                                         "Metered usage could not be appended to the log."};
 
 inline constexpr auto entryEvents = std::to_array<log_event>(
-    {entryListening, entryReady, entryDraining, entryStopped, entryFailed, requestPlaced,
-     requestRefused, requestFinished, requestNotRun, requestLost, requestCancelled, requestRejected,
-     entityChanged, changeDecided, configurationExpired, operatorRefused, usageAppended,
+    {entryListening,   entryReady,      entryDraining,        entryStopped,    entryFailed,
+     requestPlaced,    requestRefused,  requestFinished,      requestNotRun,   requestLost,
+     requestCancelled, requestRejected, claimDecided,         claimGivenUp,    ownerResolved,
+     entityChanged,    changeDecided,   configurationExpired, operatorRefused, usageAppended,
      usageDelayed});
 
 } // namespace mustardline
--- a/packages/entry/settings.cpp
+++ b/packages/entry/settings.cpp
@@ -190,7 +190,7 @@
     return settings;
 }
 
-auto entrySettingsFields() -> std::vector<settings_field>
+auto entrySettingsFields() -> std::vector<settings_description>
 {
     settings_reader reader(nlohmann::json::object());
     fault_keeper faults;
