--- a/packages/policy/concurrency_window.cpp
+++ b/packages/policy/concurrency_window.cpp
@@ -1,6 +1,7 @@
 #include "policy/concurrency_window.h"
 
 #include <algorithm>
+#include <bit>
 
 #include "policy/durations.h"
 
@@ -19,22 +20,29 @@
 constexpr duration noticeable = std::chrono::milliseconds(5);
 constexpr duration shortestShrinkGap = std::chrono::milliseconds(50);
 
+// Prompts of one octave of length share a baseline.
+auto octaveOf(std::uint32_t promptTokens) -> std::size_t
+{
+    return std::min<std::size_t>(std::bit_width(promptTokens), 23);
+}
+
 } // namespace
 
 concurrency_window::concurrency_window(concurrency_window_options options)
     : m_options(options), m_size(std::clamp(options.initial, 1U, std::max(1U, options.highest)))
 {}
 
-auto concurrency_window::succeeded(duration latency, duration target, std::uint32_t running,
+auto concurrency_window::succeeded(const first_token_sample &sample, std::uint32_t running,
                                    time_point now) -> void
 {
-    const bool late = congested(latency, target);
-    const bool fallen = collapsed(latency, target);
-    m_baseline
-        = m_baseline.count() == 0 ? latency : std::min(latency, scaled(m_baseline, baselineRise));
+    const bool late = congested(sample);
+    const bool fallen = collapsed(sample);
+    auto &baseline = m_baselines[octaveOf(sample.promptTokens)];
+    baseline = baseline.count() == 0 ? sample.latency
+                                     : std::min(sample.latency, scaled(baseline, baselineRise));
     m_typical = m_typical.count() == 0
-                    ? latency
-                    : scaled(m_typical, 1 - typicalWeight) + scaled(latency, typicalWeight);
+                    ? sample.latency
+                    : scaled(m_typical, 1 - typicalWeight) + scaled(sample.latency, typicalWeight);
     if (fallen)
         shrink(0, now);
     else if (late)
@@ -43,9 +51,9 @@
         grow();
 }
 
-auto concurrency_window::outstanding(duration waited, duration target, time_point now) -> void
+auto concurrency_window::outstanding(const first_token_sample &sample, time_point now) -> void
 {
-    if (collapsed(waited, target))
+    if (collapsed(sample))
         shrink(0, now);
 }
 
@@ -64,22 +72,29 @@
     return m_typical;
 }
 
-auto concurrency_window::congested(duration latency, duration target) const -> bool
+auto concurrency_window::baselineFor(std::uint32_t promptTokens) const -> duration
+{
+    return m_baselines[octaveOf(promptTokens)];
+}
+
+auto concurrency_window::congested(const first_token_sample &sample) const -> bool
 {
-    if (latency <= noticeable)
+    if (sample.latency <= noticeable)
         return false;
-    if (target.count() > 0 && latency > target)
+    if (sample.target.count() > 0 && sample.latency > sample.target)
         return true;
-    return m_baseline.count() > 0 && latency > scaled(m_baseline, congestedRatio);
+    const auto baseline = baselineFor(sample.promptTokens);
+    return baseline.count() > 0 && sample.latency > scaled(baseline, congestedRatio);
 }
 
 // True if the endpoint must have turned cold: far over what it does when warm and over the target.
-auto concurrency_window::collapsed(duration latency, duration target) const -> bool
+auto concurrency_window::collapsed(const first_token_sample &sample) const -> bool
 {
-    if (latency <= noticeable || m_baseline.count() == 0)
-        return target.count() > 0 && latency > target;
-    return latency > scaled(m_baseline, collapsedRatio)
-           && (target.count() == 0 || latency > target / 2);
+    const auto baseline = baselineFor(sample.promptTokens);
+    if (sample.latency <= noticeable || baseline.count() == 0)
+        return sample.target.count() > 0 && sample.latency > sample.target;
+    return sample.latency > scaled(baseline, collapsedRatio)
+           && (sample.target.count() == 0 || sample.latency > sample.target / 2);
 }
 
 auto concurrency_window::grow() -> void
--- a/packages/policy/concurrency_window.h
+++ b/packages/policy/concurrency_window.h
@@ -8,14 +8,15 @@
 // turn cold without warning:
 //
 //     concurrency_window window({.highest = 32});
-//     window.succeeded(latency, target, now);
-//     if (oldestOutstanding)
-//         window.outstanding(now - *oldestOutstanding, target, now);
+//     window.succeeded({.latency = latency, .target = target, .promptTokens = 800}, running, now);
+//     window.outstanding({.latency = now - startedAt, .target = target}, now);
 //
-// The baseline is the fastest first token seen, rising slowly so that it forgets. A first token
+// The baseline is the fastest first token seen for prompts of that size, rising slowly so that it
+// forgets. A first token
 // later than its target never lets the window grow, whatever the baseline, so that an endpoint that
 // starts cold is not taken for a slow but healthy one.
 
+#include <array>
 #include <cstdint>
 
 #include "base/clock.h"
@@ -28,17 +29,25 @@
     std::uint32_t highest = 1;
 };
 
+// The time to a first token, or the time for which it has been outstanding.
+struct first_token_sample
+{
+    duration latency{};
+    // Zero for none.
+    duration target{};
+    std::uint32_t promptTokens = 0;
+};
+
 class concurrency_window
 {
 public:
     explicit concurrency_window(concurrency_window_options options);
 
-    // A request was started when `running` others were running and its first token took `latency`.
-    auto succeeded(duration latency, duration target, std::uint32_t running, time_point now)
-        -> void;
+    // The first token came of a request that was started as one of `running`.
+    auto succeeded(const first_token_sample &sample, std::uint32_t running, time_point now) -> void;
 
-    // A running request has waited for its first token for `waited` so far.
-    auto outstanding(duration waited, duration target, time_point now) -> void;
+    // A running request still has no first token.
+    auto outstanding(const first_token_sample &sample, time_point now) -> void;
 
     // The endpoint did not answer a request properly.
     auto failed(time_point now) -> void;
@@ -49,15 +58,17 @@
     [[nodiscard]] auto typicalLatency() const -> duration;
 
 private:
-    [[nodiscard]] auto congested(duration latency, duration target) const -> bool;
-    [[nodiscard]] auto collapsed(duration latency, duration target) const -> bool;
+    [[nodiscard]] auto baselineFor(std::uint32_t promptTokens) const -> duration;
+    [[nodiscard]] auto congested(const first_token_sample &sample) const -> bool;
+    [[nodiscard]] auto collapsed(const first_token_sample &sample) const -> bool;
     auto grow() -> void;
     auto shrink(double factor, time_point now) -> void;
 
     concurrency_window_options m_options;
     double m_size;
     bool m_slowStart = true;
-    duration m_baseline{};
+    // By the octave of the prompt's length.
+    std::array<duration, 24> m_baselines{};
     duration m_typical{};
     // Shrinks are spaced, so that one slow batch counts once.
     time_point m_nextShrink{};
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -313,10 +313,11 @@
 {
     if (delayed.empty())
         return;
-    const auto due = std::ranges::partition(
-        delayed, [&](std::uint32_t slot) { return requests.at(slot).retryAt > now; });
-    const std::vector<std::uint32_t> ready(due.begin(), due.end());
-    delayed.erase(due.begin(), due.end());
+    const auto due = std::partition(delayed.begin(), delayed.end(), [&](std::uint32_t slot) {
+        return requests.at(slot).retryAt > now;
+    });
+    const std::vector<std::uint32_t> ready(due, delayed.end());
+    delayed.erase(due, delayed.end());
     for (const auto slot : ready) {
         auto &row = requests.at(slot);
         row.state = request_state::waiting;
--- a/packages/policy/endpoint_scheduler.cpp
+++ b/packages/policy/endpoint_scheduler.cpp
@@ -30,6 +30,13 @@
     return left.arrivedAt < right.arrivedAt;
 }
 
+auto sampleOf(const scheduler_row &row, time_point now) -> first_token_sample
+{
+    return {.latency = now - row.startedAt,
+            .target = row.request.firstTokenTarget,
+            .promptTokens = row.request.promptTokens};
+}
+
 auto hasId(std::uint64_t request)
 {
     return [request](const scheduler_row &row) { return row.request.request == request; };
@@ -164,7 +171,7 @@
 {
     for (const auto &row : running) {
         if (!row.hasFirstToken)
-            window.outstanding(now - row.startedAt, row.request.firstTokenTarget, now);
+            window.outstanding(sampleOf(row, now), now);
     }
 }
 
@@ -196,8 +203,7 @@
     if (row == m_state->running.end() || row->hasFirstToken)
         return;
     row->hasFirstToken = true;
-    m_state->window.succeeded(now - row->startedAt, row->request.firstTokenTarget,
-                              row->runningAtStart + 1, now);
+    m_state->window.succeeded(sampleOf(*row, now), row->runningAtStart + 1, now);
 }
 
 auto endpoint_scheduler::finished(std::uint64_t request, bool failed, time_point now,
--- /dev/null
+++ b/packages/policy/testing/policy_bench.cpp
@@ -0,0 +1,53 @@
+// Prints what the product and the baselines reach on the seeded workloads.
+//
+//     policy_bench [SEEDS [WORKLOAD]]
+
+#include <cstdlib>
+#include <string_view>
+
+#include <fmt/format.h>
+
+#include "policy/testing/routers.h"
+
+namespace mustardline {
+
+namespace {
+
+template<class Router, class... Arguments>
+auto printRun(const workload &load, std::uint64_t seed, Arguments... arguments) -> void
+{
+    simulation world(load, seed);
+    Router router(world, arguments...);
+    fmt::print("seed={} {}", seed, runWorkload(world, router).text());
+}
+
+auto printAll(const workload &load, std::uint64_t seed) -> void
+{
+    printRun<product_router>(load, seed, seed);
+    printRun<baseline_router>(load, seed, baseline::random_fifo, seed);
+    printRun<baseline_router>(load, seed, baseline::round_robin_priority, seed);
+    printRun<baseline_router>(load, seed, baseline::least_in_flight, seed);
+    printRun<central_router>(load, seed);
+}
+
+} // namespace
+
+} // namespace mustardline
+
+auto main(int argc, char **argv) -> int
+{
+    using namespace mustardline;
+    const auto seeds = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
+    const std::string_view wanted = argc > 2 ? argv[2] : "";
+    for (const auto &base : {kartkalkanNight(), feiraSulReviews()}) {
+        for (const auto &load : withFaults(base)) {
+            if (!wanted.empty() && load.name != wanted)
+                continue;
+            for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+                printRun<product_router>(unloaded(load), seed, seed);
+                printAll(load, seed);
+            }
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/packages/policy/testing/product_router.cpp
@@ -0,0 +1,267 @@
+#include <algorithm>
+
+#include "policy/testing/routers.h"
+
+namespace mustardline {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration networkDelay = 1ms;
+constexpr duration probeInterval = 250ms;
+constexpr std::string_view model = "model";
+
+} // namespace
+
+product_router::product_router(simulation &world, std::uint64_t seed)
+    : m_world(world), m_requests(world.records().size())
+{
+    const auto &engines = world.engines();
+    for (std::uint32_t entry = 0; entry < world.load().entries; ++entry) {
+        m_entries.emplace_back(
+            dispatcher_options{.dataCentre = engines[entry % engines.size()].info.dataCentre,
+                               .seed = seed * 100 + entry,
+                               .entryCount = world.load().entries});
+        for (std::uint32_t engine = 0; engine < engines.size(); ++engine)
+            m_entries.back().setEndpoint(describe(engine), world.now());
+    }
+    for (const auto &engine : engines)
+        m_agents.emplace_back(
+            endpoint_scheduler_options{.maxConcurrency = engine.info.options.concurrency});
+    for (std::uint32_t account = 0; account < 100; ++account)
+        m_accountNames.push_back("account-" + std::to_string(account));
+}
+
+auto product_router::describe(std::uint32_t engine) const -> endpoint_info
+{
+    const auto &state = m_world.engines()[engine];
+    return {.id = state.info.id,
+            .dataCentre = state.info.dataCentre,
+            .serves = {std::string(model)},
+            .maxConcurrency = state.info.options.concurrency,
+            .available = state.available};
+}
+
+auto product_router::loadOf(std::uint32_t engine) const -> endpoint_load
+{
+    const auto &agent = m_agents[engine];
+    return {
+        .running = agent.runningCount(), .queued = agent.queuedCount(), .window = agent.window()};
+}
+
+auto product_router::arrived(std::uint64_t number) -> void
+{
+    const auto &request = m_world.record(number).request;
+    const auto &kind = m_world.kindOf(number);
+    m_requests[number] = {.entry = request.entry};
+    std::vector<dispatch_action> actions;
+    m_entries[request.entry].arrive(
+        {.request = number,
+         .clientAccount = m_accountNames[request.account],
+         .requestClass = kind.name,
+         .target = model,
+         .tier = kind.tier,
+         .priority = kind.priority,
+         .firstTokenTarget = kind.firstTokenTarget,
+         .deadline = kind.deadline,
+         .idempotent = kind.idempotent,
+         .promptTokens = static_cast<std::uint32_t>(request.promptUnits)},
+        m_world.now(), actions);
+    for (const auto &action : actions)
+        std::visit([&](const auto &item) { carryOut(request.entry, item); }, action);
+}
+
+auto product_router::entryActs(std::uint32_t entry) -> void
+{
+    std::vector<dispatch_action> actions;
+    m_entries[entry].tick(m_world.now(), actions);
+    for (const auto &action : actions)
+        std::visit([&](const auto &item) { carryOut(entry, item); }, action);
+}
+
+auto product_router::carryOut(std::uint32_t entry, const place_action &action) -> void
+{
+    const auto &engines = m_world.engines();
+    const auto engine = static_cast<std::uint32_t>(
+        std::ranges::find_if(
+            engines, [&](const engine_state &state) { return state.info.id == action.endpoint; })
+        - engines.begin());
+    m_requests[action.request] = {.entry = entry, .engine = engine, .waitsAtEntry = false};
+    m_world.after(networkDelay, [this, engine, number = action.request] {
+        if (m_world.engines()[engine].crashed) {
+            notRun(engine, number, result_code::connection_failed);
+            return;
+        }
+        const auto &kind = m_world.kindOf(number);
+        const auto &request = m_world.record(number).request;
+        std::vector<schedule_action> actions;
+        m_agents[engine].arrive({.request = number,
+                                 .tier = kind.tier,
+                                 .priority = kind.priority,
+                                 .preemptible = kind.idempotent,
+                                 .promptTokens = static_cast<std::uint32_t>(request.promptUnits),
+                                 .firstTokenTarget = kind.firstTokenTarget,
+                                 .deadline = kind.deadline - (m_world.now() - request.at)},
+                                m_world.now(), actions);
+        for (const auto &item : actions)
+            std::visit([&](const auto &each) { carryOut(engine, each); }, item);
+    });
+}
+
+// A refusal for want of capacity while a lower tier waits at the same entry is an inversion.
+auto product_router::checkRefusal(std::uint32_t entry, const refuse_action &action) -> void
+{
+    const auto tier = m_world.kindOf(action.request).tier;
+    for (const auto &row : m_world.records()) {
+        const auto number = row.request.number;
+        if (number == 0 || row.request.at > m_world.now() || row.end != outcome::open)
+            continue;
+        if (m_requests[number].entry == entry && m_requests[number].waitsAtEntry && !row.isPlaced
+            && m_world.kindOf(number).tier > tier) {
+            m_world.countInversion();
+            return;
+        }
+    }
+}
+
+auto product_router::carryOut(std::uint32_t entry, const refuse_action &action) -> void
+{
+    if (m_world.kindOf(action.request).tier < 6)
+        checkRefusal(entry, action);
+    m_world.refuse(action.request);
+}
+
+auto product_router::carryOut(std::uint32_t entry, const cancel_action &action) -> void
+{
+    const auto engine = m_requests[action.request].engine;
+    m_world.after(networkDelay, [this, entry, engine, number = action.request] {
+        if (!m_world.record(number).isPlaced)
+            return;
+        m_world.cancel(engine, number);
+        std::vector<schedule_action> actions;
+        m_agents[engine].finished(number, true, m_world.now(), actions);
+        for (const auto &item : actions)
+            std::visit([&](const auto &each) { carryOut(engine, each); }, item);
+        m_world.fail(number);
+        m_entries[entry].finished(number, result_code::deadline_exceeded, 0, m_world.now());
+    });
+}
+
+auto product_router::carryOut(std::uint32_t engine, const start_action &action) -> void
+{
+    m_world.start(engine, action.request);
+}
+
+auto product_router::carryOut(std::uint32_t engine, const reject_action &action) -> void
+{
+    notRun(engine, action.request, action.code);
+}
+
+auto product_router::carryOut(std::uint32_t engine, const preempt_action &action) -> void
+{
+    m_world.countPreemption();
+    if (m_world.kindOf(action.request).tier <= m_world.kindOf(action.inFavourOf).tier)
+        m_world.countInversion();
+    m_world.cancel(engine, action.request);
+    notRun(engine, action.request, result_code::preempted);
+    std::vector<schedule_action> actions;
+    m_agents[engine].finished(action.request, true, m_world.now(), actions);
+    for (const auto &item : actions)
+        std::visit([&](const auto &each) { carryOut(engine, each); }, item);
+}
+
+auto product_router::notRun(std::uint32_t engine, std::uint64_t number, result_code code) -> void
+{
+    const auto entry = m_requests[number].entry;
+    m_world.after(networkDelay, [this, engine, entry, number, code] {
+        m_requests[number].waitsAtEntry = true;
+        if (code != result_code::connection_failed)
+            m_entries[entry].reportLoad(m_world.engines()[engine].info.id, loadOf(engine),
+                                        m_world.now());
+        std::vector<dispatch_action> actions;
+        m_entries[entry].notRun(number, code, m_world.now(), actions);
+        for (const auto &action : actions)
+            std::visit([&](const auto &item) { carryOut(entry, item); }, action);
+    });
+}
+
+auto product_router::firstToken(std::uint32_t engine, std::uint64_t number) -> void
+{
+    m_agents[engine].firstToken(number, m_world.now());
+    const auto entry = m_requests[number].entry;
+    m_world.after(networkDelay,
+                  [this, entry, number] { m_entries[entry].firstToken(number, m_world.now()); });
+    reportLoad(engine, entry);
+}
+
+auto product_router::ended(std::uint32_t engine, std::uint64_t number) -> void
+{
+    const auto entry = m_requests[number].entry;
+    std::vector<schedule_action> actions;
+    m_agents[engine].finished(number, false, m_world.now(), actions);
+    for (const auto &item : actions)
+        std::visit([&](const auto &each) { carryOut(engine, each); }, item);
+    m_world.after(networkDelay, [this, entry, number] {
+        const auto tokens = static_cast<std::uint32_t>(m_world.record(number).request.tokens);
+        m_world.answered(number);
+        m_entries[entry].finished(number, result_code::ok, tokens, m_world.now());
+        entryActs(entry);
+    });
+    reportLoad(engine, entry);
+}
+
+auto product_router::reportLoad(std::uint32_t engine, std::uint32_t entry) -> void
+{
+    m_world.after(m_world.load().reportLag, [this, engine, entry, load = loadOf(engine)] {
+        m_entries[entry].reportLoad(m_world.engines()[engine].info.id, load, m_world.now());
+    });
+}
+
+// The agent lives on. What it had not started is not run; what ran is idempotent here and is
+// placed again.
+auto product_router::crashed(std::uint32_t engine, const std::vector<fake_job> &jobs) -> void
+{
+    for (const auto &job : jobs) {
+        m_world.record(job.request).isPlaced = false;
+        std::vector<schedule_action> actions;
+        m_agents[engine].finished(job.request, true, m_world.now(), actions);
+        for (const auto &item : actions) {
+            if (const auto *started = std::get_if<start_action>(&item)) {
+                m_agents[engine].cancelled(started->request, m_world.now(), actions);
+                notRun(engine, started->request, result_code::endpoint_failed);
+                break;
+            }
+        }
+        notRun(engine, job.request, result_code::endpoint_failed);
+    }
+}
+
+auto product_router::availabilityChanged(std::uint32_t engine) -> void
+{
+    for (auto &entry : m_entries)
+        entry.setEndpoint(describe(engine), m_world.now());
+}
+
+auto product_router::tick() -> void
+{
+    for (std::uint32_t entry = 0; entry < m_entries.size(); ++entry)
+        entryActs(entry);
+    for (std::uint32_t engine = 0; engine < m_agents.size(); ++engine) {
+        std::vector<schedule_action> actions;
+        m_agents[engine].tick(m_world.now(), actions);
+        for (const auto &item : actions)
+            std::visit([&](const auto &each) { carryOut(engine, each); }, item);
+    }
+    if (m_world.now() < m_nextProbe)
+        return;
+    m_nextProbe = m_world.now() + probeInterval;
+    for (std::uint32_t engine = 0; engine < m_agents.size(); ++engine) {
+        if (m_world.engines()[engine].crashed)
+            continue;
+        for (std::uint32_t entry = 0; entry < m_entries.size(); ++entry)
+            reportLoad(engine, entry);
+    }
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/policy/testing/simulation.cpp
@@ -0,0 +1,254 @@
+#include "policy/testing/simulation.h"
+
+#include <algorithm>
+
+#include "policy/durations.h"
+
+namespace mustardline {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration tickInterval = 5ms;
+// The run goes on for this long after the last arrival, so that answers can end.
+constexpr duration longestTail = 150s;
+
+} // namespace
+
+simulation::simulation(workload load, std::uint64_t seed) : m_load(std::move(load))
+{
+    for (const auto &info : m_load.engines)
+        m_engines.push_back({.info = info, .engine = fake_engine(info.options)});
+    m_records.emplace_back();
+    for (const auto &request : arrivalsOf(m_load, seed)) {
+        m_records.push_back({.request = request});
+        at(request.at, [this, number = request.number] { m_hooks.arrived(number); });
+    }
+    m_open = m_records.size() - 1;
+    scheduleFaults();
+}
+
+auto simulation::at(time_point when, std::function<auto()->void> run) -> void
+{
+    m_events.push({.when = std::max(when, m_now), .order = ++m_order, .run = std::move(run)});
+}
+
+auto simulation::scheduleFaults() -> void
+{
+    for (std::uint32_t index = 0; index < m_engines.size(); ++index) {
+        const auto coldFor = m_engines[index].info.coldFor;
+        if (coldFor.count() == 0)
+            continue;
+        m_engines[index].engine.setCold(true, m_now);
+        at(m_now + coldFor, [this, index] {
+            m_engines[index].engine.setCold(false, m_now);
+            schedule(index);
+        });
+    }
+    for (const auto &fault : m_load.faults) {
+        at(time_point{} + fault.at, [this, fault] { applyFault(fault, true); });
+        at(time_point{} + fault.until, [this, fault] { applyFault(fault, false); });
+    }
+}
+
+auto simulation::applyFault(const workload_fault &fault, bool begins) -> void
+{
+    for (std::uint32_t index = 0; index < m_engines.size(); ++index) {
+        auto &state = m_engines[index];
+        if (fault.kind == fault_kind::zone_out) {
+            if (state.info.dataCentre != fault.dataCentre)
+                continue;
+            state.available = !begins;
+            m_hooks.availabilityChanged(index);
+        } else if (index != fault.engine) {
+            continue;
+        } else if (fault.kind == fault_kind::cold) {
+            state.engine.setCold(begins, m_now);
+        } else if (begins) {
+            state.crashed = true;
+            const auto jobs = state.engine.crash(m_now);
+            for (const auto &job : jobs)
+                m_lostUnits += job.done;
+            m_hooks.crashed(index, jobs);
+        } else {
+            state.crashed = false;
+        }
+        schedule(index);
+    }
+}
+
+auto simulation::start(std::uint32_t engine, std::uint64_t number) -> void
+{
+    auto &row = m_records[number];
+    row.isPlaced = true;
+    row.engine = engine;
+    if (!row.wasPlaced)
+        row.firstPlacedAt = m_now;
+    row.wasPlaced = true;
+    row.firstTokenAt = {};
+    m_engines[engine].engine.start(number, row.request.promptUnits, row.request.tokens, m_now);
+    schedule(engine);
+}
+
+auto simulation::cancel(std::uint32_t engine, std::uint64_t number) -> void
+{
+    m_lostUnits += m_engines[engine].engine.cancel(number, m_now);
+    m_records[number].isPlaced = false;
+    schedule(engine);
+}
+
+auto simulation::schedule(std::uint32_t engine) -> void
+{
+    auto &state = m_engines[engine];
+    const auto version = ++state.version;
+    if (state.engine.running() == 0)
+        return;
+    at(state.engine.nextEvent(), [this, engine, version] {
+        if (m_engines[engine].version == version)
+            engineDue(engine);
+    });
+}
+
+auto simulation::engineDue(std::uint32_t engine) -> void
+{
+    const auto events = m_engines[engine].engine.advance(m_now);
+    schedule(engine);
+    for (const auto &item : events) {
+        if (item.kind == engine_event_kind::first_token) {
+            m_records[item.request].firstTokenAt = m_now;
+            m_hooks.firstToken(engine, item.request);
+        } else {
+            m_records[item.request].isPlaced = false;
+            m_doneUnits += item.units;
+            m_hooks.ended(engine, item.request);
+        }
+    }
+}
+
+auto simulation::refuse(std::uint64_t number) -> void
+{
+    auto &row = m_records[number];
+    row.end = outcome::refused;
+    row.endedAt = m_now;
+    --m_open;
+}
+
+auto simulation::fail(std::uint64_t number) -> void
+{
+    auto &row = m_records[number];
+    row.end = outcome::failed;
+    row.endedAt = m_now;
+    --m_open;
+}
+
+auto simulation::answered(std::uint64_t number) -> void
+{
+    auto &row = m_records[number];
+    row.end = outcome::answered;
+    row.endedAt = m_now;
+    --m_open;
+}
+
+auto simulation::tickLoop() -> void
+{
+    m_hooks.tick();
+    if (m_open > 0 && m_now < time_point{} + m_load.length + longestTail)
+        after(tickInterval, [this] { tickLoop(); });
+}
+
+auto simulation::run(hooks router) -> void
+{
+    m_hooks = std::move(router);
+    after(tickInterval, [this] { tickLoop(); });
+    while (!m_events.empty() && m_open > 0) {
+        auto next = m_events.top();
+        m_events.pop();
+        m_now = next.when;
+        if (m_now > time_point{} + m_load.length + longestTail)
+            return;
+        next.run();
+    }
+}
+
+auto simulation::isCounted(const request_record &row) const -> bool
+{
+    return row.request.number != 0 && row.request.at >= time_point{} + m_load.countedFrom;
+}
+
+auto simulation::isInTime(const request_record &row) const -> bool
+{
+    const auto &kind = m_load.classes[row.request.requestClass];
+    return row.end == outcome::answered && row.endedAt - row.request.at <= kind.deadline;
+}
+
+auto simulation::attained(const request_record &row) const -> bool
+{
+    const auto &kind = m_load.classes[row.request.requestClass];
+    return isInTime(row) && row.firstTokenAt - row.request.at <= kind.firstTokenTarget;
+}
+
+auto simulation::classReport(std::uint32_t requestClass) const -> class_report
+{
+    const auto &kind = m_load.classes[requestClass];
+    class_report result{.name = kind.name, .tier = kind.tier};
+    std::vector<double> demands(kind.accountWeights.size(), 0);
+    std::vector<double> served(kind.accountWeights.size(), 0);
+    double total = 0;
+    for (const auto &row : m_records) {
+        if (!isCounted(row) || row.request.requestClass != requestClass)
+            continue;
+        const auto units = row.request.tokens + row.request.promptUnits;
+        ++result.offered;
+        result.attained += attained(row) ? 1 : 0;
+        result.answered += row.end == outcome::answered ? 1 : 0;
+        result.refused += row.end == outcome::refused ? 1 : 0;
+        const auto settledAt = row.wasPlaced              ? row.firstPlacedAt
+                               : row.end == outcome::open ? m_now
+                                                          : row.endedAt;
+        result.longestWait = std::max(result.longestWait, settledAt - row.request.at);
+        demands[row.request.account] += units;
+        if (row.end != outcome::answered)
+            continue;
+        served[row.request.account] += units;
+        total += units;
+    }
+    const auto shares = fairShares(demands, total);
+    for (std::size_t account = 0; account < shares.size(); ++account) {
+        if (shares[account] > 0)
+            result.worstShare = std::min(result.worstShare, served[account] / shares[account]);
+    }
+    return result;
+}
+
+auto simulation::report(std::string router) -> run_report
+{
+    run_report result{.workload = m_load.name, .router = std::move(router)};
+    double good = 0;
+    double late = 0;
+    for (const auto &row : m_records) {
+        if (!isCounted(row))
+            continue;
+        const auto units = row.request.tokens + row.request.promptUnits;
+        if (attained(row))
+            good += units;
+        if (row.end == outcome::answered && !isInTime(row))
+            late += units;
+    }
+    for (std::uint32_t number = 0; number < m_load.classes.size(); ++number)
+        result.classes.push_back(classReport(number));
+    result.goodput = good / toSeconds(m_load.length - m_load.countedFrom);
+    const auto all = m_doneUnits + m_lostUnits;
+    result.wasted = all == 0 ? 0 : (m_lostUnits + late) / all;
+    result.preemptions = m_preemptions;
+    result.inversions = m_inversions;
+    for (const auto &state : m_engines) {
+        if (state.info.coldFor.count() > 0)
+            result.coldLoad
+                = std::max(result.coldLoad, static_cast<double>(state.engine.highestColdStart())
+                                                / state.info.options.bearable);
+    }
+    return result;
+}
+
+} // namespace mustardline
