--- a/packages/policy/concurrency_window.cpp
+++ b/packages/policy/concurrency_window.cpp
@@ -26,6 +26,12 @@
     return std::min<std::size_t>(std::bit_width(promptTokens), 23);
 }
 
+// Moves a mean towards a sample; a mean of zero takes the sample over.
+auto follow(duration &mean, duration sample) -> void
+{
+    mean = mean.count() == 0 ? sample : mean + scaled(sample - mean, typicalWeight);
+}
+
 } // namespace
 
 concurrency_window::concurrency_window(concurrency_window_options options)
@@ -37,12 +43,12 @@
 {
     const bool late = congested(sample);
     const bool fallen = collapsed(sample);
-    auto &baseline = m_baselines[octaveOf(sample.promptTokens)];
-    baseline = baseline.count() == 0 ? sample.latency
-                                     : std::min(sample.latency, scaled(baseline, baselineRise));
-    m_typical = m_typical.count() == 0
-                    ? sample.latency
-                    : scaled(m_typical, 1 - typicalWeight) + scaled(sample.latency, typicalWeight);
+    auto &octave = m_octaves[octaveOf(sample.promptTokens)];
+    octave.baseline = octave.baseline.count() == 0
+                          ? sample.latency
+                          : std::min(sample.latency, scaled(octave.baseline, baselineRise));
+    follow(octave.typical, sample.latency);
+    follow(m_typical, sample.latency);
     if (fallen)
         shrink(0, now);
     else if (late)
@@ -67,14 +73,10 @@
     return static_cast<std::uint32_t>(m_size);
 }
 
-auto concurrency_window::typicalLatency() const -> duration
-{
-    return m_typical;
-}
-
-auto concurrency_window::baselineFor(std::uint32_t promptTokens) const -> duration
+auto concurrency_window::typicalLatency(std::uint32_t promptTokens) const -> duration
 {
-    return m_baselines[octaveOf(promptTokens)];
+    const auto &octave = m_octaves[octaveOf(promptTokens)];
+    return octave.typical.count() > 0 ? octave.typical : m_typical;
 }
 
 auto concurrency_window::congested(const first_token_sample &sample) const -> bool
@@ -83,14 +85,14 @@
         return false;
     if (sample.target.count() > 0 && sample.latency > sample.target)
         return true;
-    const auto baseline = baselineFor(sample.promptTokens);
+    const auto baseline = m_octaves[octaveOf(sample.promptTokens)].baseline;
     return baseline.count() > 0 && sample.latency > scaled(baseline, congestedRatio);
 }
 
 // True if the endpoint must have turned cold: far over what it does when warm and over the target.
 auto concurrency_window::collapsed(const first_token_sample &sample) const -> bool
 {
-    const auto baseline = baselineFor(sample.promptTokens);
+    const auto baseline = m_octaves[octaveOf(sample.promptTokens)].baseline;
     if (sample.latency <= noticeable || baseline.count() == 0)
         return sample.target.count() > 0 && sample.latency > sample.target;
     return sample.latency > scaled(baseline, collapsedRatio)
--- a/packages/policy/concurrency_window.h
+++ b/packages/policy/concurrency_window.h
@@ -55,10 +55,11 @@
     [[nodiscard]] auto size() const -> std::uint32_t;
 
     // Typical time to the first token; zero if nothing was measured.
-    [[nodiscard]] auto typicalLatency() const -> duration;
+    [[nodiscard]] auto typicalLatency() const -> duration { return m_typical; }
+    // The same for prompts of about that size.
+    [[nodiscard]] auto typicalLatency(std::uint32_t promptTokens) const -> duration;
 
 private:
-    [[nodiscard]] auto baselineFor(std::uint32_t promptTokens) const -> duration;
     [[nodiscard]] auto congested(const first_token_sample &sample) const -> bool;
     [[nodiscard]] auto collapsed(const first_token_sample &sample) const -> bool;
     auto grow() -> void;
@@ -67,8 +68,14 @@
     concurrency_window_options m_options;
     double m_size;
     bool m_slowStart = true;
-    // By the octave of the prompt's length.
-    std::array<duration, 24> m_baselines{};
+    // First-token times of the prompts of one octave of length.
+    struct octave_row
+    {
+        duration baseline{};
+        duration typical{};
+    };
+
+    std::array<octave_row, 24> m_octaves{};
     duration m_typical{};
     // Shrinks are spaced, so that one slow batch counts once.
     time_point m_nextShrink{};
--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -9,15 +9,6 @@
 
 namespace {
 
-constexpr double firstTokenWeight = 0.1;
-constexpr double tokenWeight = 0.1;
-
-// Moves a mean towards a sample; a mean of 0 takes the sample over.
-auto follow(double &mean, double sample, double weight) -> void
-{
-    mean = mean == 0 ? sample : mean + (sample - mean) * weight;
-}
-
 // The endpoint itself is at fault, or may be.
 auto isEndpointFailure(result_code code) -> bool
 {
@@ -108,7 +99,7 @@
     const auto latency = now - row.placedAt;
     m_state->endpoints.firstToken(row.endpoint, latency, now);
     m_state->prefixes.stored(row.prefixHash, row.endpoint);
-    follow(m_state->targets[row.target].firstTokenSeconds, toSeconds(latency), firstTokenWeight);
+    m_state->paceOf(row).firstToken(latency);
 }
 
 auto dispatcher::progressed(std::uint64_t request, std::uint32_t tokens) -> void
@@ -128,15 +119,13 @@
         m_state->forget(slot);
         return;
     }
-    auto &target = m_state->targets[row.target];
+    auto &pace = m_state->paceOf(row);
     if (code == result_code::ok) {
         m_state->endpoints.answered(row.endpoint);
         m_state->sizes.learn(row.requestClass, row.account, completionTokens);
-        target.drain.served(now - row.placedAt);
+        pace.answered(now - row.placedAt);
         if (row.hasFirstToken && completionTokens > 1)
-            follow(target.tokenSeconds,
-                   toSeconds(now - row.firstTokenAt) / static_cast<double>(completionTokens - 1),
-                   tokenWeight);
+            pace.token(toSeconds(now - row.firstTokenAt) / (completionTokens - 1));
     } else if (isEndpointFailure(code)) {
         m_state->endpoints.failed(row.endpoint, now);
     }
@@ -188,6 +177,7 @@
     m_state->latest = now;
     m_state->releaseDelayed(now, actions);
     for (auto &target : m_state->targets) {
+        m_state->followLoad(target, now);
         if (target.queue.size() == 0)
             continue;
         m_state->expireWaiting(target, now, actions);
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -1,6 +1,7 @@
 #include "policy/dispatcher_state.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <fmt/format.h>
 
@@ -17,9 +18,14 @@
 constexpr duration noEndpointRetry = std::chrono::seconds(2);
 constexpr duration sweepInterval = std::chrono::milliseconds(250);
 // A waiting request is urgent after this part of its first-token target.
-constexpr int urgentPart = 4;
+const double urgentPart = getenv("UP") ? atof(getenv("UP")) : 4;
 // Waiting requests are shed when their wait is this much over what would have been admitted.
 constexpr double hopelessFactor = 1.5;
+// A class is never taken to be served at less than this part of all places that come free.
+constexpr double leastPart = 0.02;
+// Standard deviations of the higher tiers' load that lower tiers keep free.
+const double reserveDeviations = getenv("RD") ? atof(getenv("RD")) : 1;
+constexpr double loadFadeSeconds = 10;
 
 } // namespace
 
@@ -101,9 +107,10 @@
     row.target = targetOf(arrival.target);
     auto &target = targets[row.target];
     row.queue = target.queue.queueOf(row.requestClass, row.tier, row.priority);
-    if (target.arrivals.size() < target.queue.queueCount())
-        target.arrivals.resize(target.queue.queueCount());
-    target.arrivals[row.queue].count(now);
+    if (target.paces.size() < target.queue.queueCount()) {
+        target.paces.resize(target.queue.queueCount());
+        target.loads.resize(target.queue.queueCount());
+    }
     if (target.subset.empty())
         refuse(slot, result_code::no_endpoint, "no_endpoint", now, actions);
     else
@@ -133,37 +140,53 @@
     const auto &row = requests.at(slot);
     if (row.state != request_state::waiting || target.queue.hasLowerTier(row.tier))
         return;
-    const auto verdict = lateness(row, predictedWait(target, queue, ahead, now), now);
+    const auto verdict = lateness(row, predictedWait(target, queue, ahead), now);
     if (verdict != result_code::ok)
         refuse(slot, verdict, "predicted_wait", now, actions);
 }
 
-// Time until a request of the class with `ahead` others before it is placed.
-auto dispatcher::state::predictedWait(const target_row &target, std::uint32_t queue,
-                                      std::uint32_t ahead, time_point now) const -> duration
+// The rate at which places come free that the class would take: those that it or a later class
+// holds now.
+auto dispatcher::state::placesPerSecond(const target_row &target, std::uint32_t queue) const
+    -> double
 {
-    const auto &own = target.queue.queue(queue).options();
-    double earlier = 0;
-    for (std::uint32_t other = 0; other < target.queue.queueCount(); ++other) {
-        const auto &options = target.queue.queue(other).options();
-        if (std::pair(options.tier, options.priority) < std::pair(own.tier, own.priority))
-            earlier += target.arrivals[other].perSecond(now);
+    const auto orderOf = [&target](std::uint32_t number) {
+        const auto &options = target.queue.queue(number).options();
+        return std::pair(options.tier, options.priority);
+    };
+    const auto own = orderOf(queue);
+    double taken = 0;
+    double all = 0;
+    for (std::uint32_t number = 0; number < target.paces.size(); ++number) {
+        const auto freed = target.paces[number].freedPerSecond();
+        all += freed;
+        if (orderOf(number) >= own)
+            taken += freed;
     }
-    return target.drain.waitFor(ahead, target.inFlight, earlier);
+    return std::max(taken, all * leastPart);
+}
+
+// Time until a request of the class with `ahead` others before it is placed; zero if nothing is
+// known.
+auto dispatcher::state::predictedWait(const target_row &target, std::uint32_t queue,
+                                      std::uint32_t ahead) const -> duration
+{
+    const auto places = placesPerSecond(target, queue);
+    return places == 0 ? duration{} : fromSeconds((ahead + 1) / places);
 }
 
 // `ok` if a request that waits for `wait` more can still be in time for its targets.
 auto dispatcher::state::lateness(const request_row &row, duration wait, time_point now) const
     -> result_code
 {
-    const auto &target = targets[row.target];
+    const auto &pace = targets[row.target].paces[row.queue];
     const auto placedAt = now + wait;
-    const auto firstToken = fromSeconds(target.firstTokenSeconds);
+    const auto firstToken = fromSeconds(pace.firstTokenSeconds());
     if (row.firstTokenTarget.count() > 0
         && placedAt + firstToken > row.arrivedAt + row.firstTokenTarget)
         return result_code::overloaded;
     const auto tokens = sizes.quantile(row.requestClass, row.account, sizeQuantile);
-    if (placedAt + firstToken + fromSeconds(tokens * target.tokenSeconds) > row.dueAt)
+    if (placedAt + firstToken + fromSeconds(tokens * pace.tokenSeconds()) > row.dueAt)
         return result_code::deadline_unmeetable;
     return result_code::ok;
 }
@@ -177,12 +200,12 @@
         target.queue.remove(requests, slot);
     auto wait = noEndpointRetry;
     if (!target.subset.empty())
-        wait = predictedWait(target, row.queue, target.queue.ahead(row.queue, row.account), now);
-    actions.emplace_back(
-        refuse_action{.request = row.request,
-                      .code = code,
-                      .retryAfter = target.drain.retryAfter(wait, target.inFlight, random, now),
-                      .reason = reason});
+        wait = predictedWait(target, row.queue, target.queue.ahead(row.queue, row.account));
+    actions.emplace_back(refuse_action{.request = row.request,
+                                       .code = code,
+                                       .retryAfter = target.returns.retryAfter(
+                                           wait, placesPerSecond(target, row.queue), random, now),
+                                       .reason = reason});
     forget(slot);
 }
 
@@ -206,25 +229,49 @@
     const auto &row = requests.at(slot);
     const placement_wish wish{.tier = row.tier,
                               .warm = prefixes.find(row.prefixHash),
+                              .reserve = reserveFor(target, row.tier),
                               .avoid = row.attempt > 0 ? row.endpoint : noIndex};
     placement_choice choice;
     if (!target.isFull) {
         choice = target.subset.choose(endpoints, wish, random, now);
         if (choice.endpoint == noIndex && wish.avoid != noIndex)
-            choice = target.subset.choose(endpoints, {.tier = row.tier}, random, now);
+            choice = target.subset.choose(endpoints, {.tier = row.tier, .reserve = wish.reserve},
+                                          random, now);
         target.isFull = choice.endpoint == noIndex;
     }
     if (choice.endpoint == noIndex && isUrgent(row, now))
-        choice = target.subset.chooseOver(endpoints, wish, random, now);
+        choice = target.subset.chooseOver(endpoints, wish, now);
     return choice;
 }
 
+// Places that each endpoint keeps free for higher tiers. Their number in flight varies by about its
+// square root; a lower tier that took the places in a lull would have to be preempted after it.
+auto dispatcher::state::reserveFor(const target_row &target, std::uint32_t tier) const -> double
+{
+    double higher = 0;
+    for (std::uint32_t number = 0; number < target.loads.size(); ++number) {
+        if (target.queue.queue(number).options().tier < tier)
+            higher += target.loads[number];
+    }
+    const auto fleet = higher * options.entryCount;
+    return reserveDeviations * std::sqrt(fleet) / static_cast<double>(target.subset.size());
+}
+
+// Follows the number in flight of each class.
+auto dispatcher::state::followLoad(target_row &target, time_point now) -> void
+{
+    const auto weight = std::min(1.0, toSeconds(now - target.loadsAt) / loadFadeSeconds);
+    for (std::uint32_t number = 0; number < target.loads.size(); ++number)
+        target.loads[number] += (target.paces[number].inFlight() - target.loads[number]) * weight;
+    target.loadsAt = now;
+}
+
 // True if a request has waited so long that lower tiers should make way at an endpoint.
 auto dispatcher::state::isUrgent(const request_row &row, time_point now) const -> bool
 {
     const auto bound
         = row.firstTokenTarget.count() > 0 ? row.firstTokenTarget : row.dueAt - row.arrivedAt;
-    return now - row.arrivedAt >= bound / urgentPart;
+    return now - row.arrivedAt >= scaled(bound, 1 / urgentPart);
 }
 
 auto dispatcher::state::place(target_row &target, std::uint32_t slot,
@@ -241,11 +288,12 @@
     row.hasFirstToken = false;
     row.cancelling = false;
     ++row.attempt;
-    ++target.inFlight;
+    paceOf(row).started();
     ++placedCount;
     actions.emplace_back(place_action{.request = row.request,
                                       .endpoint = endpoints.at(choice.endpoint).id,
                                       .attempt = row.attempt,
+                                      .resumeFrom = row.generatedTokens,
                                       .reason = choice.reason,
                                       .considered = describeConsidered(choice, now)});
     endpoints.placed(choice.endpoint, row.tier, now);
@@ -271,7 +319,7 @@
     endpoints.released(row.endpoint, row.tier, row.hasFirstToken);
     target.queue.finish(row, usedTokens);
     target.isFull = false;
-    --target.inFlight;
+    paceOf(row).ended();
     --placedCount;
 }
 
@@ -289,7 +337,6 @@
 {
     auto &row = requests.at(slot);
     row.state = request_state::delayed;
-    row.generatedTokens = 0;
     if (now >= row.dueAt) {
         refuse(slot, result_code::deadline_unmeetable, "expired", now, actions);
         return;
@@ -329,6 +376,14 @@
     }
 }
 
+// True for a request that would miss its target even if it were placed now. One that was placed
+// before is not given up, because work was done for it.
+auto dispatcher::state::isLate(std::uint32_t slot, time_point now) const -> bool
+{
+    const auto &row = requests.at(slot);
+    return row.attempt == 0 && lateness(row, {}, now) != result_code::ok;
+}
+
 auto dispatcher::state::expireWaiting(target_row &target, time_point now, dispatch_actions &actions)
     -> void
 {
@@ -336,6 +391,9 @@
         const auto &queue = target.queue.queue(number);
         while (!queue.empty() && requests.at(queue.oldest()).dueAt <= now)
             refuse(queue.oldest(), result_code::deadline_unmeetable, "expired", now, actions);
+        while (!queue.empty() && !target.queue.hasLowerTier(queue.options().tier)
+               && isLate(queue.oldest(), now))
+            refuse(queue.oldest(), result_code::overloaded, "late", now, actions);
     }
 }
 
@@ -347,7 +405,7 @@
     while (const auto *lowest = target.queue.lowest()) {
         const auto slot = lowest->newestOfLongest();
         const auto &row = requests.at(slot);
-        const auto wait = predictedWait(target, row.queue, target.queue.size() - 1, now);
+        const auto wait = predictedWait(target, row.queue, target.queue.size() - 1);
         const auto allowed = scaled(wait, 1 / hopelessFactor);
         const auto verdict = lateness(row, allowed, now);
         if (verdict == result_code::ok)
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -34,18 +34,21 @@
     {
         target_queue queue;
         endpoint_subset subset;
-        drain_estimate drain;
-        // Arrivals of each class, by the number of its queue.
-        std::vector<rate_meter> arrivals;
-        std::uint32_t inFlight = 0;
-        // Mean time to the first token and between tokens; 0 if unknown.
-        double firstTokenSeconds = 0;
-        double tokenSeconds = 0;
+        // By the number of the class's queue.
+        std::vector<class_pace> paces;
+        return_schedule returns;
+        // Mean number in flight of each class.
+        std::vector<double> loads;
+        time_point loadsAt{};
         // No endpoint had room at the last try and nothing has happened since.
         bool isFull = false;
     };
 
     // Entities.
+    auto paceOf(const request_row &row) -> class_pace &
+    {
+        return targets[row.target].paces[row.queue];
+    }
     auto targetOf(std::string_view name) -> std::uint32_t;
     auto updateSubsets(std::uint32_t index, std::span<const std::uint32_t> before) -> void;
     auto newRow(const request_arrival &arrival, time_point now) -> std::uint32_t;
@@ -54,8 +57,10 @@
     auto admit(std::uint32_t slot, const request_arrival &arrival, time_point now,
                dispatch_actions &actions) -> void;
     auto enqueue(std::uint32_t slot, time_point now, dispatch_actions &actions) -> void;
+    [[nodiscard]] auto placesPerSecond(const target_row &target, std::uint32_t queue) const
+        -> double;
     [[nodiscard]] auto predictedWait(const target_row &target, std::uint32_t queue,
-                                     std::uint32_t ahead, time_point now) const -> duration;
+                                     std::uint32_t ahead) const -> duration;
     [[nodiscard]] auto lateness(const request_row &row, duration wait, time_point now) const
         -> result_code;
     auto refuse(std::uint32_t slot, result_code code, std::string_view reason, time_point now,
@@ -65,6 +70,7 @@
     auto placeWaiting(target_row &target, time_point now, dispatch_actions &actions) -> void;
     [[nodiscard]] auto chooseFor(target_row &target, std::uint32_t slot, time_point now)
         -> placement_choice;
+    [[nodiscard]] auto reserveFor(const target_row &target, std::uint32_t tier) const -> double;
     [[nodiscard]] auto isUrgent(const request_row &row, time_point now) const -> bool;
     auto place(target_row &target, std::uint32_t slot, const placement_choice &choice,
                time_point now, dispatch_actions &actions) -> void;
@@ -78,7 +84,9 @@
         -> void;
 
     // Periodic systems.
+    auto followLoad(target_row &target, time_point now) -> void;
     auto releaseDelayed(time_point now, dispatch_actions &actions) -> void;
+    [[nodiscard]] auto isLate(std::uint32_t slot, time_point now) const -> bool;
     auto expireWaiting(target_row &target, time_point now, dispatch_actions &actions) -> void;
     auto shedHopeless(target_row &target, time_point now, dispatch_actions &actions) -> void;
     auto cancelOverdue(time_point now, dispatch_actions &actions) -> void;
--- a/packages/policy/drain_estimate.h
+++ b/packages/policy/drain_estimate.h
@@ -1,19 +1,23 @@
 #pragma once
 
-// How fast the requests of one target get their turn, and when a refused caller should come back.
+// How fast the classes of one target get their turn, and when a refused caller should come back.
 //
-// While requests wait, every place is in use, so places come free at the number in flight divided
-// by the mean time that one is held (Little's law). That follows a change of capacity at once,
-// without waiting for a rate to be measured. Refused callers are told times one drain interval
-// apart, so that they do not come back together:
+// While requests wait, every place is in use, and a class holds as many places as the classes
+// before it leave to it. Each of them comes free after the mean time that the class holds one
+// (Little's law), so a class is served at the rate at which places come free that it or a later
+// class holds. That follows a change of capacity at once, without a rate having to be measured:
 //
-//     drain_estimate drain;
-//     drain.served(heldFor);
-//     drain.waitFor(requestsAhead, inFlight, earlierArrivalsPerSecond);
-//     drain.retryAfter(wait, inFlight, random, now);
+//     class_pace pace;
+//     pace.started();
+//     pace.ended(held, result);
+//     pace.freedPerSecond();
+//
+// Refused callers are told times one drain interval apart, so that they do not come back together:
+//
+//     return_schedule returns;
+//     returns.retryAfter(wait, placesPerSecond, random, now);
 
 #include <algorithm>
-#include <cmath>
 #include <cstdint>
 
 #include "base/clock.h"
@@ -22,83 +26,66 @@
 
 namespace mustardline {
 
-// Events per second, faded with a time constant of a few seconds.
-class rate_meter
+// Moves a mean towards a sample; a mean of 0 takes the sample over.
+inline auto follow(double &mean, double sample, double weight) -> void
+{
+    mean = mean == 0 ? sample : mean + (sample - mean) * weight;
+}
+
+// What was measured of one class at one target.
+class class_pace
 {
 public:
-    auto count(time_point now) -> void
+    auto started() -> void { ++m_inFlight; }
+    auto ended() -> void { --m_inFlight; }
+
+    // A request was answered after holding its place for `held`.
+    auto answered(duration held) -> void { follow(m_holdSeconds, toSeconds(held), weight); }
+    auto firstToken(duration latency) -> void
     {
-        m_level = levelAt(now) + 1 / fadeSeconds;
-        m_countedAt = now;
+        follow(m_firstTokenSeconds, toSeconds(latency), weight);
     }
+    auto token(double seconds) -> void { follow(m_tokenSeconds, seconds, weight); }
 
-    [[nodiscard]] auto perSecond(time_point now) const -> double { return levelAt(now); }
-
-private:
-    static constexpr double fadeSeconds = 4;
-
-    [[nodiscard]] auto levelAt(time_point now) const -> double
+    [[nodiscard]] auto inFlight() const -> std::uint32_t { return m_inFlight; }
+    // Places held by this class that come free each second; 0 if not known.
+    [[nodiscard]] auto freedPerSecond() const -> double
     {
-        const auto seconds = toSeconds(now - m_countedAt);
-        return m_level * std::exp(-seconds / fadeSeconds);
+        return m_holdSeconds == 0 ? 0 : m_inFlight / m_holdSeconds;
     }
+    [[nodiscard]] auto holdSeconds() const -> double { return m_holdSeconds; }
+    // Mean time to the first token and between tokens; 0 if not known.
+    [[nodiscard]] auto firstTokenSeconds() const -> double { return m_firstTokenSeconds; }
+    [[nodiscard]] auto tokenSeconds() const -> double { return m_tokenSeconds; }
 
-    double m_level = 0;
-    time_point m_countedAt{};
+private:
+    static constexpr double weight = 1.0 / 16; // of a new sample
+
+    std::uint32_t m_inFlight = 0;
+    double m_holdSeconds = 0;
+    double m_firstTokenSeconds = 0;
+    double m_tokenSeconds = 0;
 };
 
-class drain_estimate
+class return_schedule
 {
 public:
-    // A placed request ended after holding its place for `held`.
-    auto served(duration held) -> void
-    {
-        const auto sample = toSeconds(held);
-        m_holdSeconds
-            = m_holdSeconds == 0 ? sample : m_holdSeconds + (sample - m_holdSeconds) * weight;
-    }
-
-    [[nodiscard]] auto isKnown() const -> bool { return m_holdSeconds > 0; }
-
-    // Places that come free each second.
-    [[nodiscard]] auto perSecond(std::uint32_t inFlight) const -> double
-    {
-        return isKnown() ? std::max(1U, inFlight) / m_holdSeconds : 0;
-    }
-
-    // Time until a request with `ahead` others before it is placed, when requests that go before
-    // it keep arriving at `earlierPerSecond`. Zero if nothing is known.
-    [[nodiscard]] auto waitFor(std::uint32_t ahead, std::uint32_t inFlight,
-                               double earlierPerSecond) const -> duration
-    {
-        if (!isKnown())
-            return {};
-        const auto drain = perSecond(inFlight);
-        const auto left = std::max(drain - earlierPerSecond, drain * leastPart);
-        return fromSeconds((ahead + 1) / left);
-    }
-
     // The time for a refused caller: after `wait`, and after those told before it.
-    auto retryAfter(duration wait, std::uint32_t inFlight, random_source &random, time_point now)
+    auto retryAfter(duration wait, double placesPerSecond, random_source &random, time_point now)
         -> duration
     {
-        const auto gap = isKnown() ? fromSeconds(1 / perSecond(inFlight)) : shortest;
-        m_nextReturn = std::max(m_nextReturn, now + std::max(wait, shortest)) + gap;
-        m_nextReturn = std::min(m_nextReturn, now + longest);
-        const auto base = toSeconds(m_nextReturn - now);
-        return fromSeconds(base * (1 - spread + 2 * spread * random.uniform()));
+        const auto gap = placesPerSecond > 0 ? fromSeconds(1 / placesPerSecond) : shortest;
+        m_next = std::max(m_next, now + std::max(wait, shortest)) + gap;
+        m_next = std::min(m_next, now + longest);
+        return scaled(m_next - now, 1 - spread + 2 * spread * random.uniform());
     }
 
 private:
-    static constexpr double weight = 1.0 / 32; // of a new sample
-    // An estimate never leaves less than this part of the drain to a class.
-    static constexpr double leastPart = 0.02;
     static constexpr double spread = 0.25;
     static constexpr duration shortest = std::chrono::milliseconds(200);
     static constexpr duration longest = std::chrono::seconds(60);
 
-    double m_holdSeconds = 0;
-    time_point m_nextReturn{};
+    time_point m_next{};
 };
 
 } // namespace mustardline
--- a/packages/policy/endpoint_scheduler.cpp
+++ b/packages/policy/endpoint_scheduler.cpp
@@ -4,11 +4,17 @@
 #include <optional>
 
 #include "policy/concurrency_window.h"
+#include "policy/durations.h"
 
 namespace mustardline {
 
 namespace {
 
+// A request is taken to need this many times the typical time to its first token.
+constexpr double latencyMargin = 1.5;
+// A request that preempts does so this long before it would be refused for waiting.
+constexpr duration preemptMargin = std::chrono::milliseconds(50);
+
 struct scheduler_row
 {
     scheduled_request request;
@@ -101,13 +107,17 @@
     return serviceTime / static_cast<std::int64_t>(running.size());
 }
 
-// True while a waiting request can be left to wait for the next free place.
+// True while a waiting request can be left to wait for the next free place and still have its
+// first token in time.
 auto endpoint_scheduler::state::mayWait(const scheduler_row &row, time_point now) const -> bool
 {
-    if (serviceTime.count() == 0 || row.request.firstTokenTarget.count() == 0)
-        return false;
-    const auto slack = row.request.firstTokenTarget - window.typicalLatency() * 2;
-    return now - row.arrivedAt + expectedWait() < std::min(slack, options.maxWait) / 2;
+    const auto &request = row.request;
+    const auto here = now - row.arrivedAt;
+    if (request.firstTokenTarget.count() == 0)
+        return here < options.maxWait / 2;
+    const auto latest = request.firstTokenTarget
+                        - scaled(window.typicalLatency(request.promptTokens), latencyMargin);
+    return request.waited + here < latest && here < options.maxWait - preemptMargin;
 }
 
 // The running request of the lowest tier that may be stopped for `urgent`, the youngest among them
--- a/packages/policy/endpoint_table.cpp
+++ b/packages/policy/endpoint_table.cpp
@@ -106,6 +106,7 @@
     auto &row = m_rows[index];
     ++row.own;
     ++row.ownByTier[tier];
+    row.newestByTier[tier] = now;
     if (row.owing == 0)
         row.owingSince = now;
     ++row.owing;
@@ -173,4 +174,14 @@
     return sum;
 }
 
+auto endpoint_table::newestOfLowest(std::uint32_t index) const -> time_point
+{
+    const auto &row = m_rows[index];
+    for (auto tier = lowestTier; tier > 0; --tier) {
+        if (row.ownByTier[tier] > 0)
+            return row.newestByTier[tier];
+    }
+    return {};
+}
+
 } // namespace mustardline
--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -41,6 +41,8 @@
     // Requests of this entry there, in all and by tier.
     std::uint32_t own = 0;
     std::array<std::uint32_t, lowestTier + 1> ownByTier{};
+    // When the newest of each tier was placed.
+    std::array<time_point, lowestTier + 1> newestByTier{};
     // Requests of other entries there, at the time of the report.
     std::uint32_t others = 0;
     std::uint32_t window = 0;
@@ -89,6 +91,9 @@
     // Requests of this entry there of a lower tier than `tier`.
     [[nodiscard]] auto ownBelow(std::uint32_t index, std::uint32_t tier) const -> std::uint32_t;
 
+    // When the newest request of the lowest tier there was placed: what would be preempted.
+    [[nodiscard]] auto newestOfLowest(std::uint32_t index) const -> time_point;
+
     [[nodiscard]] auto at(std::uint32_t index) const -> const endpoint_row &
     {
         return m_rows[index];
--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -1,6 +1,7 @@
 #include "policy/placement.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "base/hashing.h"
 
@@ -26,9 +27,21 @@
     return filled * (latency == 0 ? 1 : latency) * (index == wish.warm ? warmFactor : 1);
 }
 
-auto fits(const endpoint_table &endpoints, std::uint32_t index, time_point now) -> bool
+// The part of a fractional reserve that falls on this endpoint.
+auto reserveAt(std::uint32_t index, double reserve) -> std::uint32_t
 {
-    return endpoints.hasRoom(index, now) && endpoints.isUsable(index, now);
+    // Multiples of the golden ratio spread the rounding evenly over the endpoints.
+    constexpr double goldenRatio = 0.6180339887498949;
+    const auto phase = index * goldenRatio;
+    return static_cast<std::uint32_t>(reserve + (phase - std::floor(phase)));
+}
+
+auto fits(const endpoint_table &endpoints, std::uint32_t index, const placement_wish &wish,
+          time_point now) -> bool
+{
+    const auto kept = wish.reserve > 0 ? reserveAt(index, wish.reserve) : 0;
+    return endpoints.load(index, now) + kept < endpoints.window(index)
+           && endpoints.isUsable(index, now);
 }
 
 } // namespace
@@ -87,7 +100,7 @@
         const auto at = count <= weighedWhole ? (start + probe) % count : random.below(count);
         const auto index = members[at].index;
         choice.consider(index);
-        if (index == wish.avoid || !fits(endpoints, index, now))
+        if (index == wish.avoid || !fits(endpoints, index, wish, now))
             continue;
         const auto weight = weigh(endpoints, index, wish, now);
         if (choice.endpoint == noIndex || weight < least) {
@@ -98,7 +111,7 @@
     // None of the few had room: take any that has.
     for (std::uint32_t step = 0; choice.endpoint == noIndex && step < count; ++step) {
         const auto index = members[(start + step) % count].index;
-        if (fits(endpoints, index, now))
+        if (fits(endpoints, index, wish, now))
             choice.endpoint = index;
     }
     return choice.endpoint != noIndex;
@@ -109,7 +122,7 @@
 {
     placement_choice choice;
     if (wish.warm != noIndex && wish.warm != wish.avoid && contains(wish.warm)
-        && fits(endpoints, wish.warm, now)
+        && fits(endpoints, wish.warm, wish, now)
         && endpoints.load(wish.warm, now) * 2 < endpoints.window(wish.warm)) {
         choice.consider(wish.warm);
         choice.endpoint = wish.warm;
@@ -123,26 +136,27 @@
     return choice;
 }
 
+// Takes the endpoint where the least work would be lost.
 auto endpoint_subset::chooseOver(const endpoint_table &endpoints, const placement_wish &wish,
-                                 random_source &random, time_point now) const -> placement_choice
+                                 time_point now) const -> placement_choice
 {
     placement_choice choice;
+    time_point newest{};
     for (const auto *members : {&m_own, &m_others}) {
-        const auto count = static_cast<std::uint32_t>(members->size());
-        const auto start = count == 0 ? 0 : random.below(count);
-        for (std::uint32_t step = 0; step < count; ++step) {
-            const auto index = (*members)[(start + step) % count].index;
-            if (index == wish.avoid || !endpoints.isUsable(index, now))
-                continue;
-            const auto load = endpoints.load(index, now);
-            const auto window = endpoints.window(index);
+        for (const auto &item : *members) {
+            const auto load = endpoints.load(item.index, now);
+            const auto window = endpoints.window(item.index);
             const auto over = load > window ? load - window : 0;
-            if (endpoints.ownBelow(index, wish.tier) <= over)
+            if (endpoints.ownBelow(item.index, wish.tier) <= over || item.index == wish.avoid
+                || !endpoints.isUsable(item.index, now))
                 continue;
-            choice.consider(index);
-            choice.endpoint = index;
+            const auto placedAt = endpoints.newestOfLowest(item.index);
+            if (choice.endpoint != noIndex && placedAt <= newest)
+                continue;
+            choice.consider(item.index);
+            choice.endpoint = item.index;
             choice.reason = "over_window";
-            return choice;
+            newest = placedAt;
         }
     }
     return choice;
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -35,6 +35,8 @@
     std::uint32_t tier = lowestTier;
     // Probably has the prompt's prefix in its cache; noIndex for none.
     std::uint32_t warm = noIndex;
+    // Places to leave free at each endpoint for higher tiers, on average over the endpoints.
+    double reserve = 0;
     // Tried before; taken only if no other has room.
     std::uint32_t avoid = noIndex;
 };
@@ -70,7 +72,7 @@
                               random_source &random, time_point now) const -> placement_choice;
     // An endpoint without room where requests of lower tiers can make way.
     [[nodiscard]] auto chooseOver(const endpoint_table &endpoints, const placement_wish &wish,
-                                  random_source &random, time_point now) const -> placement_choice;
+                                  time_point now) const -> placement_choice;
 
     [[nodiscard]] auto empty() const -> bool { return m_own.empty() && m_others.empty(); }
     [[nodiscard]] auto size() const -> std::size_t { return m_own.size() + m_others.size(); }
--- a/packages/policy/testing/fake_engine.cpp
+++ b/packages/policy/testing/fake_engine.cpp
@@ -34,7 +34,6 @@
     const auto units = elapsed * unitsPerSecond();
     for (auto &job : m_jobs)
         job.done += units;
-    m_busySlotSeconds += elapsed * static_cast<double>(m_jobs.size());
     m_updatedAt = now;
 }
 
--- a/packages/policy/testing/fake_engine.h
+++ b/packages/policy/testing/fake_engine.h
@@ -65,7 +65,6 @@
     [[nodiscard]] auto options() const -> const fake_engine_options & { return m_options; }
     // Most answers started while cold, counting only starts, not what already ran.
     [[nodiscard]] auto highestColdStart() const -> std::uint32_t { return m_highestColdStart; }
-    [[nodiscard]] auto busySlotSeconds() const -> double { return m_busySlotSeconds; }
 
 private:
     // Units each running answer does in a second.
@@ -77,7 +76,6 @@
     time_point m_updatedAt{};
     bool m_cold = false;
     std::uint32_t m_highestColdStart = 0;
-    double m_busySlotSeconds = 0;
 };
 
 } // namespace mustardline
--- a/packages/policy/testing/product_router.cpp
+++ b/packages/policy/testing/product_router.cpp
@@ -80,14 +80,15 @@
         std::visit([&](const auto &item) { carryOut(entry, item); }, action);
 }
 
-auto product_router::carryOut(std::uint32_t entry, const place_action &action) -> void
+auto product_router::carryOut(std::uint32_t, const place_action &action) -> void
 {
     const auto &engines = m_world.engines();
     const auto engine = static_cast<std::uint32_t>(
         std::ranges::find_if(
             engines, [&](const engine_state &state) { return state.info.id == action.endpoint; })
         - engines.begin());
-    m_requests[action.request] = {.entry = entry, .engine = engine, .waitsAtEntry = false};
+    m_requests[action.request].engine = engine;
+    m_requests[action.request].waitsAtEntry = false;
     m_world.after(networkDelay, [this, engine, number = action.request] {
         if (m_world.engines()[engine].crashed) {
             notRun(engine, number, result_code::connection_failed);
@@ -102,6 +103,7 @@
                                  .preemptible = kind.idempotent,
                                  .promptTokens = static_cast<std::uint32_t>(request.promptUnits),
                                  .firstTokenTarget = kind.firstTokenTarget,
+                                 .waited = m_world.now() - request.at,
                                  .deadline = kind.deadline - (m_world.now() - request.at)},
                                 m_world.now(), actions);
         for (const auto &item : actions)
@@ -179,6 +181,9 @@
         if (code != result_code::connection_failed)
             m_entries[entry].reportLoad(m_world.engines()[engine].info.id, loadOf(engine),
                                         m_world.now());
+        const auto sent = static_cast<std::uint32_t>(m_world.record(number).sentTokens);
+        m_entries[entry].progressed(number, sent - m_requests[number].sentTokens);
+        m_requests[number].sentTokens = sent;
         std::vector<dispatch_action> actions;
         m_entries[entry].notRun(number, code, m_world.now(), actions);
         for (const auto &action : actions)
--- a/packages/policy/testing/routers.h
+++ b/packages/policy/testing/routers.h
@@ -34,6 +34,8 @@
         std::uint32_t entry = 0;
         std::uint32_t engine = 0;
         bool waitsAtEntry = true;
+        // Tokens that the entry was told of.
+        std::uint32_t sentTokens = 0;
     };
 
     auto entryActs(std::uint32_t entry) -> void;
--- a/packages/policy/testing/run_report.cpp
+++ b/packages/policy/testing/run_report.cpp
@@ -24,10 +24,11 @@
 
 auto run_report::text() const -> std::string
 {
-    auto lines = fmt::format("{} {} goodput={:.0f} wasted={:.4f} worst_share={:.3f} preemptions={} "
-                             "inversions={} cold_load={:.2f} endpoint_seconds={:.0f}/{:.0f}\n",
-                             workload, router, goodput, wasted, worstShare(), preemptions,
-                             inversions, coldLoad, endpointSeconds, leastEndpointSeconds);
+    auto lines = fmt::format(
+        "{} {} goodput={:.0f} used_places={:.3f} wasted={:.4f} worst_share={:.3f} preemptions={} "
+        "inversions={} cold_load={:.2f} endpoint_seconds={:.0f}/{:.0f}\n",
+        workload, router, goodput, usedPlaces, wasted, worstShare(), preemptions, inversions,
+        coldLoad, endpointSeconds, leastEndpointSeconds);
     for (const auto &row : classes)
         lines += fmt::format("    tier={} class={} offered={} attainment={:.4f} answered={} "
                              "refused={} longest_wait={:.2f}s worst_share={:.3f}\n",
--- a/packages/policy/testing/run_report.h
+++ b/packages/policy/testing/run_report.h
@@ -39,6 +39,8 @@
     double goodput = 0;
     // Part of all work that went into no whole answer within its deadline.
     double wasted = 0;
+    // Part of the engines' places in use, over the length of the workload.
+    double usedPlaces = 0;
     std::uint64_t preemptions = 0;
     std::uint64_t inversions = 0;
     // Most that a cold engine was made to run at once, over what it can bear; 1 is at the limit.
--- a/packages/policy/testing/simulation.cpp
+++ b/packages/policy/testing/simulation.cpp
@@ -1,6 +1,7 @@
 #include "policy/testing/simulation.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "policy/durations.h"
 
@@ -69,7 +70,7 @@
             state.crashed = true;
             const auto jobs = state.engine.crash(m_now);
             for (const auto &job : jobs)
-                m_lostUnits += job.done;
+                keepSent(job.request, job.done);
             m_hooks.crashed(index, jobs);
         } else {
             state.crashed = false;
@@ -86,18 +87,31 @@
     if (!row.wasPlaced)
         row.firstPlacedAt = m_now;
     row.wasPlaced = true;
-    row.firstTokenAt = {};
-    m_engines[engine].engine.start(number, row.request.promptUnits, row.request.tokens, m_now);
+    if (row.sentTokens == 0)
+        row.firstTokenAt = {};
+    m_engines[engine].engine.start(number, row.request.promptUnits,
+                                   row.request.tokens - row.sentTokens, m_now);
     schedule(engine);
 }
 
 auto simulation::cancel(std::uint32_t engine, std::uint64_t number) -> void
 {
-    m_lostUnits += m_engines[engine].engine.cancel(number, m_now);
+    keepSent(number, m_engines[engine].engine.cancel(number, m_now));
     m_records[number].isPlaced = false;
     schedule(engine);
 }
 
+// Books the work of a stopped answer: what was sent is kept if answers resume, the rest is lost.
+auto simulation::keepSent(std::uint64_t number, double doneUnits) -> void
+{
+    auto &row = m_records[number];
+    const auto sent
+        = m_load.resumes ? std::max(0.0, std::floor(doneUnits - row.request.promptUnits)) : 0;
+    row.sentTokens += sent;
+    m_doneUnits += sent;
+    m_lostUnits += doneUnits - sent;
+}
+
 auto simulation::schedule(std::uint32_t engine) -> void
 {
     auto &state = m_engines[engine];
@@ -116,7 +130,9 @@
     schedule(engine);
     for (const auto &item : events) {
         if (item.kind == engine_event_kind::first_token) {
-            m_records[item.request].firstTokenAt = m_now;
+            auto &row = m_records[item.request];
+            if (row.firstTokenAt == time_point{})
+                row.firstTokenAt = m_now;
             m_hooks.firstToken(engine, item.request);
         } else {
             m_records[item.request].isPlaced = false;
@@ -153,6 +169,10 @@
 auto simulation::tickLoop() -> void
 {
     m_hooks.tick();
+    if (m_now <= time_point{} + m_load.length) {
+        for (const auto &state : m_engines)
+            m_busyPlaceSeconds += state.engine.running() * toSeconds(tickInterval);
+    }
     if (m_open > 0 && m_now < time_point{} + m_load.length + longestTail)
         after(tickInterval, [this] { tickLoop(); });
 }
@@ -230,7 +250,7 @@
         if (!isCounted(row))
             continue;
         const auto units = row.request.tokens + row.request.promptUnits;
-        if (attained(row))
+        if (attained(row) && row.endedAt <= time_point{} + m_load.length)
             good += units;
         if (row.end == outcome::answered && !isInTime(row))
             late += units;
@@ -242,6 +262,10 @@
     result.wasted = all == 0 ? 0 : (m_lostUnits + late) / all;
     result.preemptions = m_preemptions;
     result.inversions = m_inversions;
+    double places = 0;
+    for (const auto &state : m_engines)
+        places += state.info.options.concurrency * toSeconds(m_load.length);
+    result.usedPlaces = m_busyPlaceSeconds / places;
     for (const auto &state : m_engines) {
         if (state.info.coldFor.count() > 0)
             result.coldLoad
--- a/packages/policy/testing/simulation.h
+++ b/packages/policy/testing/simulation.h
@@ -33,6 +33,8 @@
     workload_request request;
     outcome end = outcome::open;
     time_point firstPlacedAt{};
+    // Tokens sent before it was stopped.
+    double sentTokens = 0;
     time_point firstTokenAt{};
     time_point endedAt{};
     bool isPlaced = false;
@@ -112,6 +114,7 @@
     };
 
     auto schedule(std::uint32_t engine) -> void;
+    auto keepSent(std::uint64_t number, double doneUnits) -> void;
     auto engineDue(std::uint32_t engine) -> void;
     auto scheduleFaults() -> void;
     auto applyFault(const workload_fault &fault, bool begins) -> void;
@@ -130,6 +133,7 @@
     std::vector<request_record> m_records;
     hooks m_hooks;
     std::uint64_t m_open = 0;
+    double m_busyPlaceSeconds = 0;
     double m_doneUnits = 0;
     double m_lostUnits = 0;
     std::uint64_t m_preemptions = 0;
--- a/packages/policy/testing/workload.h
+++ b/packages/policy/testing/workload.h
@@ -64,6 +64,9 @@
     std::vector<workload_class> classes;
     std::vector<workload_fault> faults;
     duration reportLag = std::chrono::milliseconds(50);
+    // A stopped answer goes on elsewhere from the tokens that were sent; only its prompt is done
+    // again.
+    bool resumes = true;
 };
 
 // One request of a workload; the clairvoyant baseline may look at all of it.
