--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -107,10 +107,8 @@
     row.target = targetOf(arrival.target);
     auto &target = targets[row.target];
     row.queue = target.queue.queueOf(row.requestClass, row.tier, row.priority);
-    if (target.paces.size() < target.queue.queueCount()) {
+    if (target.paces.size() < target.queue.queueCount())
         target.paces.resize(target.queue.queueCount());
-        target.loads.resize(target.queue.queueCount());
-    }
     if (target.subset.empty())
         refuse(slot, result_code::no_endpoint, "no_endpoint", now, actions);
     else
@@ -249,9 +247,9 @@
 auto dispatcher::state::reserveFor(const target_row &target, std::uint32_t tier) const -> double
 {
     double higher = 0;
-    for (std::uint32_t number = 0; number < target.loads.size(); ++number) {
+    for (std::uint32_t number = 0; number < target.paces.size(); ++number) {
         if (target.queue.queue(number).options().tier < tier)
-            higher += target.loads[number];
+            higher += target.paces[number].load();
     }
     const auto fleet = higher * options.entryCount;
     return reserveDeviations * std::sqrt(fleet) / static_cast<double>(target.subset.size());
@@ -261,8 +259,8 @@
 auto dispatcher::state::followLoad(target_row &target, time_point now) -> void
 {
     const auto weight = std::min(1.0, toSeconds(now - target.loadsAt) / loadFadeSeconds);
-    for (std::uint32_t number = 0; number < target.loads.size(); ++number)
-        target.loads[number] += (target.paces[number].inFlight() - target.loads[number]) * weight;
+    for (auto &pace : target.paces)
+        pace.followLoad(weight);
     target.loadsAt = now;
 }
 
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -37,8 +37,6 @@
         // By the number of the class's queue.
         std::vector<class_pace> paces;
         return_schedule returns;
-        // Mean number in flight of each class.
-        std::vector<double> loads;
         time_point loadsAt{};
         // No endpoint had room at the last try and nothing has happened since.
         bool isFull = false;
--- a/packages/policy/drain_estimate.h
+++ b/packages/policy/drain_estimate.h
@@ -47,11 +47,16 @@
     }
     auto token(double seconds) -> void { follow(m_tokenSeconds, seconds, weight); }
 
+    // Moves the mean number in flight towards the present one.
+    auto followLoad(double part) -> void { m_load += (m_inFlight - m_load) * part; }
+
     [[nodiscard]] auto inFlight() const -> std::uint32_t { return m_inFlight; }
+    // Mean number in flight.
+    [[nodiscard]] auto load() const -> double { return m_load; }
     // Places held by this class that come free each second; 0 if not known.
     [[nodiscard]] auto freedPerSecond() const -> double
     {
-        return m_holdSeconds == 0 ? 0 : m_inFlight / m_holdSeconds;
+        return m_holdSeconds == 0 ? 0 : std::max<double>(m_inFlight, m_load) / m_holdSeconds;
     }
     [[nodiscard]] auto holdSeconds() const -> double { return m_holdSeconds; }
     // Mean time to the first token and between tokens; 0 if not known.
@@ -62,6 +67,7 @@
     static constexpr double weight = 1.0 / 16; // of a new sample
 
     std::uint32_t m_inFlight = 0;
+    double m_load = 0;
     double m_holdSeconds = 0;
     double m_firstTokenSeconds = 0;
     double m_tokenSeconds = 0;
--- a/packages/policy/testing/simulation.cpp
+++ b/packages/policy/testing/simulation.cpp
@@ -227,6 +227,9 @@
                                : row.end == outcome::open ? m_now
                                                           : row.endedAt;
         result.longestWait = std::max(result.longestWait, settledAt - row.request.at);
+        if (row.request.at < time_point{} + m_load.contendedFrom
+            || row.request.at >= time_point{} + m_load.contendedUntil)
+            continue;
         demands[row.request.account] += units;
         if (row.end != outcome::answered)
             continue;
