--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -129,7 +129,7 @@
     } else if (isEndpointFailure(code)) {
         m_state->endpoints.failed(row.endpoint, now);
     }
-    m_state->release(slot, std::max(completionTokens, row.generatedTokens));
+    m_state->release(slot, std::max(completionTokens, row.generatedTokens), now);
     m_state->forget(slot);
 }
 
@@ -144,7 +144,7 @@
         m_state->endpoints.failed(endpoint, now);
     else if (code == result_code::not_run)
         m_state->endpoints.busy(endpoint, now);
-    m_state->release(slot, m_state->requests.at(slot).generatedTokens);
+    m_state->release(slot, m_state->requests.at(slot).generatedTokens, now);
     m_state->retry(slot, code, now, actions);
 }
 
@@ -155,7 +155,7 @@
         return;
     auto &row = m_state->requests.at(slot);
     if (row.state == request_state::placed)
-        m_state->release(slot, row.generatedTokens);
+        m_state->release(slot, row.generatedTokens, m_state->latest);
     else if (row.state == request_state::waiting)
         m_state->targets[row.target].queue.remove(m_state->requests, slot);
     m_state->forget(slot);
--- a/packages/policy/dispatcher.h
+++ b/packages/policy/dispatcher.h
@@ -52,6 +52,8 @@
     std::uint32_t queued = 0;
     // Requests that the agent would run at once.
     std::uint32_t window = 1;
+    // Time since it was measured.
+    duration age{};
 };
 
 struct request_arrival
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -11,20 +11,21 @@
 
 namespace {
 
-constexpr std::uint32_t mostAttempts = 8;
 // The part of the answers of a class that must be no longer than the estimate.
 constexpr double sizeQuantile = 0.9;
+// A first token must be expected within this part of its target, because its time varies.
+constexpr double targetPart = 0.9;
 constexpr std::uint32_t unknownTokens = 100;
 constexpr duration noEndpointRetry = std::chrono::seconds(2);
 constexpr duration sweepInterval = std::chrono::milliseconds(250);
 // A waiting request is urgent after this part of its first-token target.
-const double urgentPart = getenv("UP") ? atof(getenv("UP")) : 4;
+constexpr double urgentPart = 0.25;
 // Waiting requests are shed when their wait is this much over what would have been admitted.
 constexpr double hopelessFactor = 1.5;
 // A class is never taken to be served at less than this part of all places that come free.
 constexpr double leastPart = 0.02;
 // Standard deviations of the higher tiers' load that lower tiers keep free.
-const double reserveDeviations = getenv("RD") ? atof(getenv("RD")) : 1;
+constexpr double reserveDeviations = 1.5;
 constexpr double loadFadeSeconds = 10;
 
 } // namespace
@@ -181,7 +182,7 @@
     const auto placedAt = now + wait;
     const auto firstToken = fromSeconds(pace.firstTokenSeconds());
     if (row.firstTokenTarget.count() > 0
-        && placedAt + firstToken > row.arrivedAt + row.firstTokenTarget)
+        && placedAt + firstToken > row.arrivedAt + scaled(row.firstTokenTarget, targetPart))
         return result_code::overloaded;
     const auto tokens = sizes.quantile(row.requestClass, row.account, sizeQuantile);
     if (placedAt + firstToken + fromSeconds(tokens * pace.tokenSeconds()) > row.dueAt)
@@ -269,7 +270,7 @@
 {
     const auto bound
         = row.firstTokenTarget.count() > 0 ? row.firstTokenTarget : row.dueAt - row.arrivedAt;
-    return now - row.arrivedAt >= scaled(bound, 1 / urgentPart);
+    return now - row.arrivedAt >= scaled(bound, urgentPart);
 }
 
 auto dispatcher::state::place(target_row &target, std::uint32_t slot,
@@ -310,11 +311,12 @@
 }
 
 // Takes a placed request out of its endpoint's and its account's counts.
-auto dispatcher::state::release(std::uint32_t slot, std::uint32_t usedTokens) -> void
+auto dispatcher::state::release(std::uint32_t slot, std::uint32_t usedTokens, time_point now)
+    -> void
 {
     const auto &row = requests.at(slot);
     auto &target = targets[row.target];
-    endpoints.released(row.endpoint, row.tier, row.hasFirstToken);
+    endpoints.released(row.endpoint, row.tier, row.hasFirstToken, now);
     target.queue.finish(row, usedTokens);
     target.isFull = false;
     paceOf(row).ended();
@@ -339,10 +341,6 @@
         refuse(slot, result_code::deadline_unmeetable, "expired", now, actions);
         return;
     }
-    if (row.attempt >= mostAttempts) {
-        refuse(slot, result_code::not_run, "attempts_spent", now, actions);
-        return;
-    }
     // An endpoint without room or a preemption is no failure: nothing was tried in vain.
     const bool isFailure = code != result_code::not_run && code != result_code::preempted;
     if (isFailure && !accountBudgets[row.account].take()) {
@@ -375,11 +373,11 @@
 }
 
 // True for a request that would miss its target even if it were placed now. One that was placed
-// before is not given up, because work was done for it.
+// before and has sent tokens is not given up, because work was done for it.
 auto dispatcher::state::isLate(std::uint32_t slot, time_point now) const -> bool
 {
     const auto &row = requests.at(slot);
-    return row.attempt == 0 && lateness(row, {}, now) != result_code::ok;
+    return row.generatedTokens == 0 && lateness(row, {}, now) != result_code::ok;
 }
 
 auto dispatcher::state::expireWaiting(target_row &target, time_point now, dispatch_actions &actions)
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -76,7 +76,7 @@
         -> std::string;
 
     // The end of a try or of a request.
-    auto release(std::uint32_t slot, std::uint32_t usedTokens) -> void;
+    auto release(std::uint32_t slot, std::uint32_t usedTokens, time_point now) -> void;
     auto forget(std::uint32_t slot) -> void;
     auto retry(std::uint32_t slot, result_code code, time_point now, dispatch_actions &actions)
         -> void;
--- a/packages/policy/endpoint_table.cpp
+++ b/packages/policy/endpoint_table.cpp
@@ -16,6 +16,10 @@
 constexpr duration busyPause = std::chrono::milliseconds(20);
 // A report is believed whole for this long, half for as long again, then not at all.
 constexpr duration reportFreshness = std::chrono::seconds(1);
+// Reports up to this age are taken as they are; of older ones a mean is kept.
+constexpr duration freshAge = std::chrono::milliseconds(200);
+constexpr double staleWeight = 0.2;
+constexpr duration historySpanLength = std::chrono::milliseconds(200);
 // Owing first tokens for longer than this many times the mean, and this long, is a stall.
 constexpr double stallRatio = 8;
 constexpr duration shortestStall = std::chrono::seconds(1);
@@ -72,14 +76,39 @@
     -> void
 {
     auto &row = m_rows[index];
+    recordOwn(row, now);
     const auto total = load.running + load.queued;
-    row.others = total > row.own ? total - row.own : 0;
+    const auto own = ownAt(row, now - load.age);
+    const double others = total > own ? total - own : 0;
+    // What others had long ago says little of now; their mean says more.
+    const auto weight = load.age > freshAge ? staleWeight : 1;
+    row.others += (others - row.others) * weight;
     row.window = load.window;
     row.reportedAt = now;
-    if (total < load.window)
+    if (total < load.window && load.age <= freshAge)
         row.busyUntil = {};
 }
 
+// Fills the spans of time up to now with the present count.
+auto endpoint_table::recordOwn(endpoint_row &row, time_point now) -> void
+{
+    const auto span = now.nanoseconds / historySpanLength.count();
+    const auto size = static_cast<std::int64_t>(row.ownHistory.size());
+    for (auto at = std::max(row.historySpan + 1, span - size + 1); at <= span; ++at)
+        row.ownHistory[at % size] = static_cast<std::uint16_t>(row.own);
+    row.historySpan = span;
+}
+
+auto endpoint_table::ownAt(const endpoint_row &row, time_point when) -> std::uint32_t
+{
+    const auto span = when.nanoseconds / historySpanLength.count();
+    const auto size = static_cast<std::int64_t>(row.ownHistory.size());
+    if (span >= row.historySpan)
+        return row.own;
+    const auto kept = std::max(span, row.historySpan - size + 1);
+    return row.ownHistory[std::max<std::int64_t>(0, kept) % size];
+}
+
 auto endpoint_table::failed(std::uint32_t index, time_point now) -> void
 {
     auto &row = m_rows[index];
@@ -104,6 +133,7 @@
 auto endpoint_table::placed(std::uint32_t index, std::uint32_t tier, time_point now) -> void
 {
     auto &row = m_rows[index];
+    recordOwn(row, now);
     ++row.own;
     ++row.ownByTier[tier];
     row.newestByTier[tier] = now;
@@ -125,9 +155,11 @@
     answered(index);
 }
 
-auto endpoint_table::released(std::uint32_t index, std::uint32_t tier, bool hadFirstToken) -> void
+auto endpoint_table::released(std::uint32_t index, std::uint32_t tier, bool hadFirstToken,
+                              time_point now) -> void
 {
     auto &row = m_rows[index];
+    recordOwn(row, now);
     --row.own;
     --row.ownByTier[tier];
     if (!hadFirstToken)
@@ -152,10 +184,11 @@
 {
     const auto &row = m_rows[index];
     const auto age = now - row.reportedAt;
+    const auto others = static_cast<std::uint32_t>(row.others + 0.5);
     if (age < reportFreshness)
-        return row.own + row.others;
+        return row.own + others;
     if (age < reportFreshness * 2)
-        return row.own + row.others / 2;
+        return row.own + others / 2;
     return row.own;
 }
 
--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -43,8 +43,11 @@
     std::array<std::uint32_t, lowestTier + 1> ownByTier{};
     // When the newest of each tier was placed.
     std::array<time_point, lowestTier + 1> newestByTier{};
-    // Requests of other entries there, at the time of the report.
-    std::uint32_t others = 0;
+    // Requests of other entries there, by the reports; their mean over old reports.
+    double others = 0;
+    // The highest `own` in each of the last spans of time, to set against an old report.
+    std::array<std::uint16_t, 16> ownHistory{};
+    std::int64_t historySpan = 0;
     std::uint32_t window = 0;
     time_point reportedAt{};
 
@@ -77,7 +80,8 @@
 
     auto placed(std::uint32_t index, std::uint32_t tier, time_point now) -> void;
     auto firstToken(std::uint32_t index, duration latency, time_point now) -> void;
-    auto released(std::uint32_t index, std::uint32_t tier, bool hadFirstToken) -> void;
+    auto released(std::uint32_t index, std::uint32_t tier, bool hadFirstToken, time_point now)
+        -> void;
 
     // May be sent a request at all, whether or not it has room.
     [[nodiscard]] auto isUsable(std::uint32_t index, time_point now) const -> bool;
@@ -105,6 +109,8 @@
 
 private:
     auto freeRow() -> std::uint32_t;
+    static auto recordOwn(endpoint_row &row, time_point now) -> void;
+    [[nodiscard]] static auto ownAt(const endpoint_row &row, time_point when) -> std::uint32_t;
 
     std::vector<endpoint_row> m_rows;
     std::vector<std::uint32_t> m_removed;
--- a/packages/policy/testing/product_router.cpp
+++ b/packages/policy/testing/product_router.cpp
@@ -218,7 +218,8 @@
 
 auto product_router::reportLoad(std::uint32_t engine, std::uint32_t entry) -> void
 {
-    m_world.after(m_world.load().reportLag, [this, engine, entry, load = loadOf(engine)] {
+    m_world.after(m_world.load().reportLag, [this, engine, entry, load = loadOf(engine)]() mutable {
+        load.age = m_world.load().reportLag;
         m_entries[entry].reportLoad(m_world.engines()[engine].info.id, load, m_world.now());
     });
 }
--- a/packages/policy/testing/workload.cpp
+++ b/packages/policy/testing/workload.cpp
@@ -12,6 +12,9 @@
 
 using namespace std::chrono_literals;
 
+// Callers bound the length of an answer.
+constexpr double longestRatio = 3;
+
 auto exponential(random_source &random, double mean) -> double
 {
     return -std::log(1 - random.uniform()) * mean;
@@ -22,7 +25,8 @@
 {
     const auto angle = 2 * 3.14159265358979 * random.uniform();
     const auto normal = std::sqrt(-2 * std::log(1 - random.uniform())) * std::cos(angle);
-    return std::max(1.0, std::round(mean * std::exp(sigma * normal - sigma * sigma / 2)));
+    const auto length = mean * std::exp(sigma * normal - sigma * sigma / 2);
+    return std::clamp(std::round(length), 1.0, mean * longestRatio);
 }
 
 auto pick(random_source &random, const std::vector<double> &weights) -> std::uint32_t
