--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -9,15 +9,6 @@
 
 namespace {
 
-constexpr double firstTokenWeight = 0.1;
-constexpr double tokenWeight = 0.1;
-
-// Moves a mean towards a sample; a mean of 0 takes the sample over.
-auto follow(double &mean, double sample, double weight) -> void
-{
-    mean = mean == 0 ? sample : mean + (sample - mean) * weight;
-}
-
 // The endpoint itself is at fault, or may be.
 auto isEndpointFailure(result_code code) -> bool
 {
@@ -108,7 +99,7 @@
     const auto latency = now - row.placedAt;
     m_state->endpoints.firstToken(row.endpoint, latency, now);
     m_state->prefixes.stored(row.prefixHash, row.endpoint);
-    follow(m_state->targets[row.target].firstTokenSeconds, toSeconds(latency), firstTokenWeight);
+    m_state->paceOf(row).firstToken(latency);
 }
 
 auto dispatcher::progressed(std::uint64_t request, std::uint32_t tokens) -> void
@@ -128,19 +119,17 @@
         m_state->forget(slot);
         return;
     }
-    auto &target = m_state->targets[row.target];
+    auto &pace = m_state->paceOf(row);
     if (code == result_code::ok) {
         m_state->endpoints.answered(row.endpoint);
         m_state->sizes.learn(row.requestClass, row.account, completionTokens);
-        target.drain.served(now - row.placedAt);
+        pace.answered(now - row.placedAt);
         if (row.hasFirstToken && completionTokens > 1)
-            follow(target.tokenSeconds,
-                   toSeconds(now - row.firstTokenAt) / static_cast<double>(completionTokens - 1),
-                   tokenWeight);
+            pace.token(toSeconds(now - row.firstTokenAt) / (completionTokens - 1));
     } else if (isEndpointFailure(code)) {
         m_state->endpoints.failed(row.endpoint, now);
     }
-    m_state->release(slot, std::max(completionTokens, row.generatedTokens));
+    m_state->release(slot, std::max(completionTokens, row.generatedTokens), now);
     m_state->forget(slot);
 }
 
@@ -155,7 +144,7 @@
         m_state->endpoints.failed(endpoint, now);
     else if (code == result_code::not_run)
         m_state->endpoints.busy(endpoint, now);
-    m_state->release(slot, m_state->requests.at(slot).generatedTokens);
+    m_state->release(slot, m_state->requests.at(slot).generatedTokens, now);
     m_state->retry(slot, code, now, actions);
 }
 
@@ -166,7 +155,7 @@
         return;
     auto &row = m_state->requests.at(slot);
     if (row.state == request_state::placed)
-        m_state->release(slot, row.generatedTokens);
+        m_state->release(slot, row.generatedTokens, m_state->latest);
     else if (row.state == request_state::waiting)
         m_state->targets[row.target].queue.remove(m_state->requests, slot);
     m_state->forget(slot);
@@ -188,6 +177,7 @@
     m_state->latest = now;
     m_state->releaseDelayed(now, actions);
     for (auto &target : m_state->targets) {
+        m_state->followLoad(target, now);
         if (target.queue.size() == 0)
             continue;
         m_state->expireWaiting(target, now, actions);
--- a/packages/policy/endpoint_scheduler.cpp
+++ b/packages/policy/endpoint_scheduler.cpp
@@ -4,11 +4,17 @@
 #include <optional>
 
 #include "policy/concurrency_window.h"
+#include "policy/durations.h"
 
 namespace mustardline {
 
 namespace {
 
+// A request is taken to need this many times the typical time to its first token.
+constexpr double latencyMargin = 1.5;
+// A request that preempts does so this long before it would be refused for waiting.
+constexpr duration preemptMargin = std::chrono::milliseconds(50);
+
 struct scheduler_row
 {
     scheduled_request request;
@@ -30,6 +36,13 @@
     return left.arrivedAt < right.arrivedAt;
 }
 
+auto sampleOf(const scheduler_row &row, time_point now) -> first_token_sample
+{
+    return {.latency = now - row.startedAt,
+            .target = row.request.firstTokenTarget,
+            .promptTokens = row.request.promptTokens};
+}
+
 auto hasId(std::uint64_t request)
 {
     return [request](const scheduler_row &row) { return row.request.request == request; };
@@ -94,13 +107,17 @@
     return serviceTime / static_cast<std::int64_t>(running.size());
 }
 
-// True while a waiting request can be left to wait for the next free place.
+// True while a waiting request can be left to wait for the next free place and still have its
+// first token in time.
 auto endpoint_scheduler::state::mayWait(const scheduler_row &row, time_point now) const -> bool
 {
-    if (serviceTime.count() == 0 || row.request.firstTokenTarget.count() == 0)
-        return false;
-    const auto slack = row.request.firstTokenTarget - window.typicalLatency() * 2;
-    return now - row.arrivedAt + expectedWait() < std::min(slack, options.maxWait) / 2;
+    const auto &request = row.request;
+    const auto here = now - row.arrivedAt;
+    if (request.firstTokenTarget.count() == 0)
+        return here < options.maxWait / 2;
+    const auto latest = request.firstTokenTarget
+                        - scaled(window.typicalLatency(request.promptTokens), latencyMargin);
+    return request.waited + here < latest && here < options.maxWait - preemptMargin;
 }
 
 // The running request of the lowest tier that may be stopped for `urgent`, the youngest among them
@@ -164,7 +181,7 @@
 {
     for (const auto &row : running) {
         if (!row.hasFirstToken)
-            window.outstanding(now - row.startedAt, row.request.firstTokenTarget, now);
+            window.outstanding(sampleOf(row, now), now);
     }
 }
 
@@ -196,8 +213,7 @@
     if (row == m_state->running.end() || row->hasFirstToken)
         return;
     row->hasFirstToken = true;
-    m_state->window.succeeded(now - row->startedAt, row->request.firstTokenTarget,
-                              row->runningAtStart + 1, now);
+    m_state->window.succeeded(sampleOf(*row, now), row->runningAtStart + 1, now);
 }
 
 auto endpoint_scheduler::finished(std::uint64_t request, bool failed, time_point now,
