Prove P4, P5, P8 to P14 at the agent, each against a naive variant

In process: a run service between a fake endpoint and an entry's client, with copies, lost answers, entries that leave, withdrawn keys, a data centre out, a leaving endpoint, a stop under load and a slow reader; at-most-once by 60 seeds. Naive variants (forward everything, check on arrival only, full concurrency, trust in the connection's end, a forgetful table, stop at once) show each violation.

--- a/packages/agent/run_service.cpp
+++ b/packages/agent/run_service.cpp
@@ -97,8 +97,11 @@
 
 run_service::~run_service()
 {
-    for (const auto &[number, live] : m_live)
+    for (const auto &[number, live] : m_live) {
         live->call.cancel();
+        live->exchange->onGone(nullptr);
+        live->exchange->abort();
+    }
 }
 
 auto run_service::run(std::shared_ptr<http_exchange> exchange) -> void
--- /dev/null
+++ b/packages/agent/testing/agent_promise_test.cpp
@@ -0,0 +1,620 @@
+// The promises that the agent keeps, each under the failures that it is meant for, and each shown
+// to fail against a naive variant.
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+#include "agent/endpoint_request.h"
+#include "agent/live_run.h"
+#include "agent/testing/agent_fixture.h"
+
+namespace mustardline {
+namespace {
+
+class AgentPromiseTest : public AgentFixture
+{
+protected:
+    explicit AgentPromiseTest(endpoint_kind kind = endpoint_kind::model) : AgentFixture(kind)
+    {
+        // All that the endpoint may ever run, so that the window does not grow in a test.
+        m_limits.initialWindow = 4;
+    }
+
+    // Where the endpoint received the run of a request.
+    auto indexOf(int id) const -> std::size_t
+    {
+        const auto found = std::ranges::find_if(m_received, [&](const auto &exchange) {
+            return exchange->header("mustardline-request") == idText(id);
+        });
+        return static_cast<std::size_t>(found - m_received.begin());
+    }
+
+    // Runs at the endpoint that have not been answered.
+    auto openAtEndpoint() const -> std::size_t
+    {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(m_received, [](const auto &item) { return item->isOpen(); }));
+    }
+
+    // Fills the window with runs from id 100 on, so that further ones wait.
+    auto fillWindow() -> std::vector<std::shared_ptr<entry_call>>
+    {
+        std::vector<std::shared_ptr<entry_call>> calls;
+        for (std::uint32_t i = 0; i < m_limits.initialWindow; ++i)
+            calls.push_back(run(100 + static_cast<int>(i)));
+        untilReceived(m_limits.initialWindow);
+        return calls;
+    }
+
+    auto untilQueued(std::uint32_t count) -> void
+    {
+        until([&] { return m_runs->load().queued == count; });
+    }
+
+    auto finishAtEndpoint() -> void
+    {
+        for (const auto &exchange : m_received) {
+            if (exchange->isOpen())
+                exchange->reply(200, {}, "{}");
+        }
+    }
+
+    // Lets a stopped event reach everybody: a call there and back over the agent's socket.
+    auto settle() -> void { fate(9999); }
+};
+
+class ActionPromiseTest : public AgentPromiseTest
+{
+protected:
+    ActionPromiseTest() : AgentPromiseTest(endpoint_kind::service) {}
+};
+
+// P4 -------------------------------------------------------------------------------------------
+
+constexpr std::string_view secret = "sk-very-secret";
+
+auto headersWithSecret(int id, endpoint_kind kind) -> std::vector<http_header>
+{
+    auto headers = runHeaders(id, kind);
+    for (const auto *name : {"authorization", "Authorization", "AUTHORIZATION", "x-api-key",
+                             "api-key", "cookie", "Proxy-Authorization", "x-auth-token", "from",
+                             "referer", "user-agent", "mustardline-extra"})
+        headers.push_back({.name = name, .value = "Bearer " + std::string(secret)});
+    return headers;
+}
+
+auto bodyWithSecret() -> std::string
+{
+    const std::string text(secret);
+    return nlohmann::json{{"model", "m"},
+                          {"api_key", text},
+                          {"key", text},
+                          {"authorization", text},
+                          {"user", text},
+                          {"metadata", {{"key", text}}},
+                          {text, text},
+                          {"extra_headers", {{"authorization", text}}},
+                          {"messages", nlohmann::json::array()}}
+        .dump();
+}
+
+auto holdsSecret(const http_exchange &received) -> bool
+{
+    auto all = std::string(received.body()) + std::string(received.path())
+               + std::string(received.query());
+    for (const auto &item : received.headers())
+        all += item.name + item.value;
+    return all.find(secret) != std::string::npos;
+}
+
+TEST_F(AgentPromiseTest, P4_theEndpointSeesNoKeyFromHeaderQueryOrBody)
+{
+    start();
+    auto headers = headersWithSecret(1, m_kind);
+    for (auto &item : headers) {
+        if (item.name == "mustardline-path")
+            item.value += "?key=" + std::string(secret);
+    }
+    send("POST", "/v1/run", headers, bodyWithSecret());
+    untilReceived(1);
+    EXPECT_FALSE(holdsSecret(*m_received[0]));
+    std::set<std::string> names;
+    for (const auto &item : m_received[0]->headers())
+        names.insert(item.name);
+    EXPECT_EQ(names, (std::set<std::string>{"Content-Length", "Host", "content-type",
+                                            "mustardline-request"}));
+}
+
+TEST_F(ActionPromiseTest, P4_aServiceSeesNoKeyFromHeaders)
+{
+    start();
+    send("POST", "/v1/run", headersWithSecret(1, m_kind), "{}");
+    untilReceived(1);
+    EXPECT_FALSE(holdsSecret(*m_received[0]));
+}
+
+TEST_F(AgentPromiseTest, P4_naiveForwardingShowsTheKey)
+{
+    // Everything but the header that is known to carry keys.
+    auto headers = headersWithSecret(1, m_kind);
+    std::erase_if(headers, [](const auto &item) { return item.name == "authorization"; });
+    m_http.start(m_endpointAddress,
+                 {.method = "POST", .path = "/", .headers = headers, .body = bodyWithSecret()}, {});
+    untilReceived(1);
+    EXPECT_TRUE(holdsSecret(*m_received[0]));
+}
+
+// P5 -------------------------------------------------------------------------------------------
+
+TEST_F(AgentPromiseTest, P5_aWithdrawnKeyStopsQueuedRunningAndNewRuns)
+{
+    start();
+    const auto running = fillWindow();
+    beginStream(indexOf(100));
+    until([&] { return !running[0]->body.empty(); });
+    const auto queued = run(1);
+    untilQueued(1);
+    change(sampleKey(true));
+    untilEnded(queued);
+    EXPECT_EQ(queued->result(), "110");
+    EXPECT_EQ(fate(1), "not_run");
+    untilEnded(running[0]);
+    EXPECT_FALSE(running[0]->whole);
+    untilEnded(running[1]);
+    EXPECT_EQ(running[1]->result(), "303");
+    until([&] { return openAtEndpoint() == 0; });
+    const auto late = run(2);
+    untilEnded(late);
+    EXPECT_EQ(late->result(), "110");
+    EXPECT_EQ(m_received.size(), m_limits.initialWindow);
+}
+
+TEST_F(ActionPromiseTest, P5_anActionBegunBeforeTheWithdrawalFinishes)
+{
+    start();
+    const auto call = run(1);
+    untilReceived(1);
+    change(sampleKey(true));
+    m_received[0]->reply(201, {}, "done");
+    untilEnded(call);
+    EXPECT_EQ(call->result(), "0");
+    EXPECT_EQ(call->body, "done");
+}
+
+TEST_F(AgentPromiseTest, P5_naiveCheckOnArrivalOnlyLetsAWithdrawnKeyRunOn)
+{
+    start();
+    const auto running = fillWindow();
+    run(1);
+    untilQueued(1);
+    applyEntity(m_config, sampleKey(true));
+    finishAtEndpoint();
+    untilReceived(m_limits.initialWindow + 1);
+}
+
+// P8 -------------------------------------------------------------------------------------------
+
+// Sends `count` runs at once and tells the most that were open at the endpoint before any token.
+class FreshEndpointTest : public AgentPromiseTest
+{
+protected:
+    FreshEndpointTest() { m_limits.initialWindow = 2; }
+
+    auto mostOpen(int count) -> std::size_t
+    {
+        start();
+        std::vector<std::shared_ptr<entry_call>> calls;
+        for (int i = 0; i < count; ++i)
+            calls.push_back(run(i + 1));
+        const auto decided = [&] {
+            const auto refused
+                = std::ranges::count_if(calls, [](const auto &call) { return call->ended; });
+            return openAtEndpoint() + m_runs->load().queued + static_cast<std::size_t>(refused)
+                   == static_cast<std::size_t>(count);
+        };
+        until(decided);
+        return openAtEndpoint();
+    }
+};
+
+TEST_F(FreshEndpointTest, P8_aFreshEndpointGetsNoMoreThanItsFirstWindow)
+{
+    EXPECT_EQ(mostOpen(40), 2U);
+}
+
+TEST_F(FreshEndpointTest, P8_naiveFullConcurrencyOverrunsAFreshEndpoint)
+{
+    m_limits.initialWindow = 4;
+    EXPECT_GT(mostOpen(40), 2U);
+}
+
+TEST_F(FreshEndpointTest, P8_theWindowNeverExceedsTheConfiguredConcurrency)
+{
+    start();
+    std::size_t most = 0;
+    std::vector<std::shared_ptr<entry_call>> calls;
+    for (int i = 0; i < 200; ++i) {
+        calls.push_back(run(i + 1));
+        until([&] {
+            most = std::max(most, openAtEndpoint());
+            return m_runs->load().running + m_runs->load().queued > 0 || calls.back()->ended;
+        });
+        if (i % 3 == 2)
+            finishAtEndpoint();
+    }
+    EXPECT_LE(most, 4U);
+}
+
+// P9 and P13 -------------------------------------------------------------------------------------
+
+class LeavingTest : public AgentPromiseTest
+{
+protected:
+    // What `leave` brings about: queued and new runs refused as not run, running ones whole; after
+    // `back` it serves again.
+    auto expectNoNewWork(const v1::Entity &leave, const v1::Entity &back, const std::string &code)
+        -> void
+    {
+        start();
+        const auto running = fillWindow();
+        const auto queued = run(1);
+        untilQueued(1);
+        change(leave);
+        const auto late = run(2);
+        untilEnded(queued);
+        untilEnded(late);
+        EXPECT_EQ(queued->result(), code);
+        EXPECT_EQ(late->result(), code);
+        EXPECT_EQ(fate(1), "not_run");
+        EXPECT_EQ(fate(2), "not_run");
+        finishAtEndpoint();
+        for (const auto &call : running) {
+            untilEnded(call);
+            EXPECT_EQ(call->result(), "0");
+        }
+        EXPECT_EQ(m_received.size(), m_limits.initialWindow);
+        change(back);
+        run(3);
+        untilReceived(m_limits.initialWindow + 1);
+    }
+
+    auto expectNaiveTakesWork(const v1::Entity &leave) -> void
+    {
+        start();
+        fillWindow();
+        run(1);
+        untilQueued(1);
+        // Only new requests are checked; nobody looks at what waits.
+        applyEntity(m_config, leave);
+        finishAtEndpoint();
+        untilReceived(m_limits.initialWindow + 1);
+    }
+};
+
+TEST_F(LeavingTest, P9_aDataCentreThatIsOutGetsNoNewWorkAndEndsItsOwn)
+{
+    expectNoNewWork(sampleDataCentre(true), sampleDataCentre(false), "300");
+}
+
+TEST_F(LeavingTest, P9_naiveCheckOnArrivalOnlyStartsQueuedWorkThere)
+{
+    expectNaiveTakesWork(sampleDataCentre(true));
+}
+
+TEST_F(LeavingTest, P13_aLeavingEndpointGetsNoNewWorkAndEndsItsOwn)
+{
+    expectNoNewWork(sampleEndpoint(m_kind, true), sampleEndpoint(m_kind, false), "205");
+}
+
+TEST_F(LeavingTest, P13_naiveCheckOnArrivalOnlyStartsQueuedWorkThere)
+{
+    expectNaiveTakesWork(sampleEndpoint(m_kind, true));
+}
+
+// P10 ------------------------------------------------------------------------------------------
+
+TEST_F(AgentPromiseTest, P10_aStreamThatClosesInOrderWithoutItsEndIsCut)
+{
+    start();
+    const auto call = run(1);
+    untilReceived(1);
+    beginStream(0);
+    m_received[0]->endStream();
+    untilEnded(call);
+    EXPECT_FALSE(call->whole);
+    EXPECT_EQ(fate(1), "failed");
+}
+
+TEST_F(AgentPromiseTest, P10_aStreamWhoseConnectionBreaksIsCut)
+{
+    start();
+    const auto call = run(1);
+    untilReceived(1);
+    beginStream(0);
+    until([&] { return !call->body.empty(); });
+    m_received[0]->abort();
+    untilEnded(call);
+    EXPECT_FALSE(call->whole);
+}
+
+TEST_F(AgentPromiseTest, P10_manyAnswersOutOfOrderReachTheirOwnRequests)
+{
+    m_limits.initialWindow = 4;
+    start();
+    for (unsigned seed = 0; seed < 20; ++seed) {
+        SCOPED_TRACE(seed);
+        std::mt19937 random(seed);
+        m_received.clear();
+        std::vector<std::shared_ptr<entry_call>> calls;
+        for (int i = 0; i < 4; ++i)
+            calls.push_back(run(static_cast<int>(seed) * 10 + i));
+        untilReceived(4);
+        auto order = std::vector<std::size_t>{0, 1, 2, 3};
+        std::ranges::shuffle(order, random);
+        for (const auto index : order) {
+            const auto id = std::string(m_received[index]->header("mustardline-request"));
+            m_received[index]->reply(200, {}, "answer to " + id);
+        }
+        for (int i = 0; i < 4; ++i) {
+            const auto &call = calls[static_cast<std::size_t>(i)];
+            untilEnded(call);
+            EXPECT_EQ(call->body, "answer to " + idText(static_cast<int>(seed) * 10 + i));
+            EXPECT_EQ(findHeader(call->answer.headers, "mustardline-request"),
+                      idText(static_cast<int>(seed) * 10 + i));
+        }
+    }
+}
+
+TEST_F(AgentPromiseTest, P10_naiveTrustInTheConnectionsEndTakesACutStreamForWhole)
+{
+    http_outcome outcome;
+    auto ended = false;
+    m_http.fetch(m_endpointAddress, {},
+                 [&](const http_outcome &result, const http_answer &, const std::string &) {
+                     outcome = result;
+                     ended = true;
+                 });
+    untilReceived(1);
+    beginStream(0);
+    m_received[0]->endStream();
+    until([&] { return ended; });
+    EXPECT_TRUE(std::holds_alternative<std::monostate>(outcome));
+}
+
+// P11 and P12 ------------------------------------------------------------------------------------
+
+TEST_F(AgentPromiseTest, P11_whatWasRefusedAsNotRunNeverRunsWhenACopyArrivesLate)
+{
+    m_limits.configurationWait = std::chrono::milliseconds(20);
+    start();
+    const auto causes
+        = std::vector<header_changes>{{{"mustardline-endpoint", "other"}},
+                                      {{"mustardline-key-id", "k9"}},
+                                      {{"mustardline-class", "batch"}},
+                                      {{"mustardline-tier", "1"}},
+                                      {{"mustardline-route", "/none"}},
+                                      {{"mustardline-key-id", "k9"}, {"mustardline-offset", "99"}}};
+    auto id = 0;
+    for (const auto &cause : causes) {
+        const auto refused = run(++id, cause);
+        untilEnded(refused);
+        EXPECT_NE(refused->result(), "0");
+        const auto copy = run(id);
+        untilEnded(copy);
+        EXPECT_EQ(copy->result(), "300") << id;
+        EXPECT_EQ(fate(id), "not_run");
+    }
+    EXPECT_EQ(fate(77), "not_run") << "unseen";
+    const auto travelling = run(77);
+    untilEnded(travelling);
+    EXPECT_EQ(travelling->result(), "300");
+    untilEnded(send("POST", "/v1/cancel/" + idText(78)));
+    const auto cancelled = run(78);
+    untilEnded(cancelled);
+    EXPECT_EQ(cancelled->result(), "300");
+    EXPECT_TRUE(m_received.empty());
+}
+
+TEST_F(AgentPromiseTest, P11_aQueuedRunWhoseEntryLeftNeverRuns)
+{
+    start();
+    const auto running = fillWindow();
+    const auto queued = run(1);
+    untilQueued(1);
+    queued->call.cancel();
+    untilQueued(0);
+    EXPECT_EQ(fate(1), "not_run");
+    finishAtEndpoint();
+    for (const auto &call : running)
+        untilEnded(call);
+    settle();
+    EXPECT_EQ(m_received.size(), m_limits.initialWindow);
+}
+
+TEST_F(ActionPromiseTest, P11_whatMayHaveRunIsNotCalledNotRun)
+{
+    start();
+    m_onEndpoint = [](http_exchange &exchange) { exchange.abort(); };
+    const auto call = run(1);
+    untilEnded(call);
+    EXPECT_EQ(call->result(), "301");
+    EXPECT_EQ(fate(1), "failed");
+    const auto sameKey = run(2, {{"idempotency-key", "a"}});
+    untilEnded(sameKey);
+    const auto again = run(3, {{"idempotency-key", "a"}});
+    untilEnded(again);
+    EXPECT_EQ(again->result(), "301");
+    EXPECT_EQ(fate(3), "failed") << "the order may stand under the other id";
+}
+
+// What a caller, two entries and the network do to one action, by seed.
+class AtMostOnceTest : public ActionPromiseTest
+{
+protected:
+    auto play(unsigned seed) -> void
+    {
+        std::mt19937 random(seed);
+        const auto base = static_cast<int>(seed) * 10;
+        const auto key = "key-" + std::to_string(seed);
+        std::vector<std::shared_ptr<entry_call>> calls;
+        m_onEndpoint = [&](http_exchange &exchange) {
+            if (random() % 2 == 0)
+                exchange.abort();
+            else
+                exchange.reply(200, {}, "ran");
+        };
+        for (int i = 0; i < 12; ++i) {
+            const auto id = base + static_cast<int>(random() % 2);
+            switch (random() % 5) {
+            case 0:
+                fate(id);
+                break;
+            case 1:
+                untilEnded(send("POST", "/v1/cancel/" + idText(id)));
+                break;
+            case 2:
+                if (!calls.empty())
+                    calls.back()->call.cancel();
+                break;
+            default:
+                calls.push_back(run(id,
+                                    {{"idempotency-key", key},
+                                     {"mustardline-attempt", std::to_string(1 + random() % 3)}},
+                                    "{}"));
+                if (random() % 2 == 0)
+                    settle();
+            }
+        }
+        until([&] { return m_runs->isIdle(); });
+    }
+
+    auto executionsOf(unsigned seed) const -> std::ptrdiff_t
+    {
+        return std::ranges::count_if(m_received, [&](const auto &exchange) {
+            return exchange->header("idempotency-key") == "key-" + std::to_string(seed);
+        });
+    }
+};
+
+TEST_F(AtMostOnceTest, P12_anActionRunsAtMostOnceWhateverIsLostOrDoubled)
+{
+    start();
+    std::ptrdiff_t ran = 0;
+    for (unsigned seed = 1; seed <= 60; ++seed) {
+        play(seed);
+        EXPECT_LE(executionsOf(seed), 1) << "seed " << seed;
+        ran += executionsOf(seed);
+    }
+    EXPECT_GT(ran, 20) << "the play must run something";
+}
+
+TEST_F(AtMostOnceTest, P12_naiveForgetfulAgentRunsAnActionTwice)
+{
+    // Remembers nothing that has ended.
+    m_limits.runRetention = duration::zero();
+    start();
+    std::ptrdiff_t most = 0;
+    for (unsigned seed = 1; seed <= 60; ++seed) {
+        play(seed);
+        most = std::max(most, executionsOf(seed));
+    }
+    EXPECT_GT(most, 1);
+}
+
+TEST_F(ActionPromiseTest, P11_naiveForgetfulAgentRunsWhatItCalledNotRun)
+{
+    m_limits.runRetention = duration::zero();
+    start();
+    EXPECT_EQ(fate(1), "not_run");
+    run(1);
+    untilReceived(1);
+}
+
+TEST_F(ActionPromiseTest, P12_anActionRunsOnWhenItsEntryIsKilled)
+{
+    start();
+    const auto call = run(1);
+    untilReceived(1);
+    call->call.cancel();
+    settle();
+    EXPECT_EQ(fate(1), "running");
+    EXPECT_TRUE(m_received[0]->isOpen());
+    m_received[0]->reply(201, {}, "done");
+    until([&] { return m_runs->isIdle(); });
+    EXPECT_EQ(fate(1), "done");
+    const auto again = run(1, {{"mustardline-attempt", "2"}});
+    untilEnded(again);
+    EXPECT_EQ(again->body, "done");
+    EXPECT_EQ(m_received.size(), 1U);
+}
+
+// P14 ------------------------------------------------------------------------------------------
+
+TEST_F(AgentPromiseTest, P14_aStopLetsQueuedAndRunningRunsEndWhole)
+{
+    start();
+    const auto running = fillWindow();
+    beginStream(indexOf(100));
+    until([&] { return !running[0]->body.empty(); });
+    const auto queued = run(1);
+    untilQueued(1);
+    m_runs->drain();
+    const auto late = run(2);
+    untilEnded(late);
+    EXPECT_EQ(late->result(), "205");
+    EXPECT_EQ(fate(2), "not_run");
+    EXPECT_FALSE(m_runs->isIdle());
+    endStream(indexOf(100));
+    untilEnded(running[0]);
+    EXPECT_TRUE(running[0]->whole);
+    finishAtEndpoint();
+    for (const auto &call : running)
+        untilEnded(call);
+    untilReceived(m_limits.initialWindow + 1);
+    finishAtEndpoint();
+    untilEnded(queued);
+    EXPECT_EQ(queued->result(), "0");
+    until([&] { return m_runs->isIdle(); });
+}
+
+TEST_F(AgentPromiseTest, P14_aStopWaitsForAnEntryThatReadsSlowly)
+{
+    m_limits.maxBacklogBytes = 64U << 20U;
+    start();
+    const auto call = run(1);
+    untilReceived(1);
+    beginStream(0);
+    until([&] { return !call->body.empty(); });
+    call->call.pause();
+    constexpr std::size_t chunks = 8192;
+    const std::string chunk = ": " + std::string(1022, 'x') + "\n";
+    for (std::size_t i = 0; i < chunks; ++i)
+        m_received[0]->sendChunk(chunk);
+    endStream(0);
+    m_runs->drain();
+    until([&] { return m_runs->load().running == 0; });
+    EXPECT_FALSE(m_runs->isIdle()) << "part of the answer is still here";
+    call->call.resume();
+    untilEnded(call);
+    EXPECT_TRUE(call->whole);
+    EXPECT_EQ(call->body.size(), firstEvent.size() + chunks * chunk.size() + lastEvents.size());
+    until([&] { return m_runs->isIdle(); });
+}
+
+TEST_F(AgentPromiseTest, P14_naiveStopAtOnceCutsAStream)
+{
+    start();
+    const auto call = run(1);
+    untilReceived(1);
+    beginStream(0);
+    until([&] { return !call->body.empty(); });
+    m_received[0]->onGone([this] { m_loop.stop(); });
+    m_runs.reset();
+    m_loop.run();
+    untilEnded(call);
+    EXPECT_FALSE(call->whole);
+}
+
+} // namespace
+} // namespace mustardline
