--- a/packages/agent/sse_scanner.cpp
+++ b/packages/agent/sse_scanner.cpp
@@ -1,5 +1,8 @@
 #include "agent/sse_scanner.h"
 
+#include <algorithm>
+#include <cstring>
+
 #include <nlohmann/json.hpp>
 
 namespace mustardline {
@@ -20,13 +23,30 @@
     return first == std::string_view::npos ? std::string_view() : text.substr(first);
 }
 
+// Bytes before the first line end, or all if there is none.
+auto lineLength(std::string_view text) -> std::size_t
+{
+    const auto isLineEnd = [](char letter) { return letter == '\n' || letter == '\r'; };
+    return static_cast<std::size_t>(std::ranges::find_if(text, isLineEnd) - text.begin());
+}
+
+// Where `name` stands in `text`. memmem beats string_view::find, which stops at every quote.
+auto findName(std::string_view text, std::string_view name) -> std::size_t
+{
+    const auto *found = memmem(text.data(), text.size(), name.data(), name.size());
+    if (found == nullptr)
+        return std::string_view::npos;
+    return static_cast<std::size_t>(static_cast<const char *>(found) - text.data());
+}
+
 // Whether a JSON text holds the member `content` with a text that is not empty. Quotes inside JSON
 // texts are escaped, so the name with its quotes cannot stand inside one.
 auto hasContent(std::string_view json) -> bool
 {
-    for (auto at = json.find(contentName); at != std::string_view::npos;
-         at = json.find(contentName, at + 1)) {
-        auto rest = skipSpaces(json.substr(at + contentName.size()));
+    for (auto at = findName(json, contentName); at != std::string_view::npos;
+         at = findName(json, contentName)) {
+        json = json.substr(at + contentName.size());
+        auto rest = skipSpaces(json);
         if (!rest.starts_with(':'))
             continue;
         rest = skipSpaces(rest.substr(1));
@@ -93,9 +113,9 @@
 auto sse_scanner::feed(std::string_view data) -> void
 {
     while (!data.empty()) {
-        const auto end = data.find_first_of("\r\n");
+        const auto end = lineLength(data);
         const auto part = data.substr(0, end);
-        const auto ends = end != std::string_view::npos;
+        const auto ends = end < data.size();
         if (m_line.empty() && !m_lineTooLong && ends) {
             takeLine(part);
         } else {
@@ -127,7 +147,7 @@
     }
     if (hasContent(value))
         ++m_contentEvents;
-    if (value.find(usageName) == std::string_view::npos)
+    if (findName(value, usageName) == std::string_view::npos)
         return;
     if (const auto usage = usageOfDocument(value))
         m_usage = usage;
