--- /dev/null
+++ b/packages/platform/configuration_history.cpp
@@ -0,0 +1,102 @@
+#include "platform/configuration_history.h"
+
+#include <google/protobuf/text_format.h>
+
+namespace mustardline {
+
+namespace {
+
+using google::protobuf::FieldDescriptor;
+using google::protobuf::Message;
+
+// The kind's own message; null for an empty entity.
+auto contentOf(const v1::Entity &entity) -> const Message *
+{
+    const auto *oneof = v1::Entity::descriptor()->oneof_decl(0);
+    const auto *field = entity.GetReflection()->GetOneofFieldDescriptor(entity, oneof);
+    return field == nullptr ? nullptr : &entity.GetReflection()->GetMessage(entity, field);
+}
+
+auto printField(const Message &message, const FieldDescriptor *field) -> std::string
+{
+    std::string text;
+    if (!field->is_repeated()) {
+        google::protobuf::TextFormat::PrintFieldValueToString(message, field, -1, &text);
+        return text;
+    }
+    const auto count = message.GetReflection()->FieldSize(message, field);
+    for (int i = 0; i < count; ++i) {
+        std::string item;
+        google::protobuf::TextFormat::PrintFieldValueToString(message, field, i, &item);
+        text += (i == 0 ? "" : ", ") + item;
+    }
+    return text;
+}
+
+} // namespace
+
+auto differences(const v1::Entity &before, const v1::Entity &after) -> std::vector<field_difference>
+{
+    std::vector<field_difference> found;
+    const auto *left = contentOf(before);
+    const auto *right = contentOf(after);
+    const auto *any = right == nullptr ? left : right;
+    const auto areComparable = any != nullptr
+                               && (left == nullptr || right == nullptr
+                                   || left->GetDescriptor() == right->GetDescriptor());
+    if (!areComparable)
+        return found;
+    const auto *type = any->GetDescriptor();
+    const auto &none = *google::protobuf::MessageFactory::generated_factory()->GetPrototype(type);
+    const auto &from = left == nullptr ? none : *left;
+    const auto &to = right == nullptr ? none : *right;
+    for (int i = 0; i < type->field_count(); ++i) {
+        const auto *field = type->field(i);
+        auto was = printField(from, field);
+        auto is = printField(to, field);
+        if (was != is)
+            found.push_back(
+                {.field = field->name(), .before = std::move(was), .after = std::move(is)});
+    }
+    return found;
+}
+
+configuration_history::configuration_history(configuration &config,
+                                             configuration_history_options options)
+    : m_config(config), m_options(options)
+{
+    config.onAccept([this](std::uint64_t offset, const v1::ConfigurationChange &change) {
+        note(offset, change);
+    });
+}
+
+auto configuration_history::of(v1::EntityKind kind, std::string_view id) const
+    -> std::vector<const entity_change *>
+{
+    std::vector<const entity_change *> found;
+    for (const auto &change : m_changes) {
+        if (change.kind == kind && change.id == id)
+            found.push_back(&change);
+    }
+    return found;
+}
+
+auto configuration_history::note(std::uint64_t offset, const v1::ConfigurationChange &change)
+    -> void
+{
+    for (const auto &item : change.entities()) {
+        auto &noted = m_changes.emplace_back(entity_change{.offset = offset,
+                                                           .changeId = change.change_id(),
+                                                           .operatorName = change.operator_(),
+                                                           .kind = item.kind(),
+                                                           .id = item.id()});
+        if (const auto *current = m_config.find(item.kind(), item.id()))
+            noted.before = current->entity();
+        if (item.has_entity())
+            noted.after = item.entity();
+        if (m_changes.size() > m_options.maxChanges)
+            m_changes.pop_front();
+    }
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/platform/configuration_history.h
@@ -0,0 +1,75 @@
+#pragma once
+
+// The newest accepted changes, for operators: who changed what, and from what to what.
+//
+//     configuration_history history(config, {});    // observes the configuration from now on
+//     for (const auto *change : history.of(v1::ENTITY_KIND_KEY, "abc")) ...
+//     for (const auto &line : differences(before, after)) ...
+//
+// It holds what this process folded since it started, up to a bound; the log is the full record.
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "platform/configuration.h"
+
+namespace mustardline {
+
+// One entity of an accepted change.
+struct entity_change
+{
+    std::uint64_t offset = 0;
+    std::string changeId;
+    std::string operatorName;
+    v1::EntityKind kind = v1::ENTITY_KIND_UNSPECIFIED;
+    std::string id;
+    // Absent if the entity did not exist before, or does not any more.
+    std::optional<v1::Entity> before;
+    std::optional<v1::Entity> after;
+};
+
+struct field_difference
+{
+    std::string field;
+    // Text form of the values; an entity that is absent counts as one with all defaults.
+    std::string before;
+    std::string after;
+
+    auto operator<=>(const field_difference &) const = default;
+};
+
+// The fields in which two entities of a kind differ; an empty entity stands for none.
+[[nodiscard]] auto differences(const v1::Entity &before, const v1::Entity &after)
+    -> std::vector<field_difference>;
+
+struct configuration_history_options
+{
+    std::size_t maxChanges = 1'000;
+};
+
+class configuration_history
+{
+public:
+    // Takes the configuration's `onAccept`.
+    configuration_history(configuration &config, configuration_history_options options);
+
+    // All remembered changes, oldest first.
+    [[nodiscard]] auto changes() const -> const std::deque<entity_change> & { return m_changes; }
+
+    // The changes of one entity, oldest first; they hold until the next change.
+    [[nodiscard]] auto of(v1::EntityKind kind, std::string_view id) const
+        -> std::vector<const entity_change *>;
+
+private:
+    auto note(std::uint64_t offset, const v1::ConfigurationChange &change) -> void;
+
+    configuration &m_config;
+    configuration_history_options m_options;
+    std::deque<entity_change> m_changes;
+};
+
+} // namespace mustardline
