--- /dev/null
+++ b/packages/platform/testing/membership_test.cpp
@@ -0,0 +1,127 @@
+#include "platform/membership.h"
+
+#include <gtest/gtest.h>
+
+#include "net/http_server.h"
+#include "platform/vm_list_client.h"
+
+namespace mustardline {
+namespace {
+
+using std::chrono::seconds;
+
+auto vmOf(const std::string &name, vm_state state = vm_state::live,
+          const std::string &address = "10.0.0.1") -> listed_vm
+{
+    return {.vm = name, .dataCentre = "tuzla", .address = address, .state = state};
+}
+
+class MembershipTest : public testing::Test
+{
+protected:
+    auto list(const std::vector<listed_vm> &vms) -> void { m_members.listed(vms, m_clock.now()); }
+
+    manual_clock m_clock;
+    membership m_members{{.self = "self", .selfDataCentre = "tuzla", .logReaders = 2}};
+};
+
+TEST_F(MembershipTest, anUnlistedVmStaysForAWhile)
+{
+    list({vmOf("a"), vmOf("b")});
+    m_clock.advance(seconds(29));
+    list({vmOf("b")});
+    EXPECT_NE(m_members.find("a"), nullptr);
+    m_clock.advance(seconds(1));
+    list({vmOf("b")});
+    EXPECT_EQ(m_members.find("a"), nullptr);
+}
+
+TEST_F(MembershipTest, whoeverIsHeardStaysThoughTheListIsEmpty)
+{
+    list({vmOf("a"), vmOf("b")});
+    m_clock.advance(seconds(25));
+    EXPECT_TRUE(m_members.heard("a", 1, m_clock.now()));
+    m_clock.advance(seconds(10));
+    list({});
+    EXPECT_NE(m_members.find("a"), nullptr);
+    EXPECT_EQ(m_members.find("b"), nullptr);
+}
+
+TEST_F(MembershipTest, aLeavingVmNeverComesBackUnderItsBoot)
+{
+    list({vmOf("a")});
+    EXPECT_TRUE(m_members.heard("a", 1, m_clock.now()));
+    list({vmOf("a", vm_state::leaving)});
+    list({vmOf("a")});
+    EXPECT_FALSE(m_members.find("a")->isLive()) << "an older list came late";
+    EXPECT_TRUE(m_members.heard("a", 2, m_clock.now()));
+    EXPECT_TRUE(m_members.find("a")->isLive()) << "the VM was started anew";
+    EXPECT_FALSE(m_members.heard("a", 1, m_clock.now())) << "a message of the process before";
+    EXPECT_EQ(m_members.find("a")->boot, 2);
+}
+
+TEST_F(MembershipTest, anotherAddressIsAnotherProcess)
+{
+    list({vmOf("a", vm_state::leaving)});
+    m_members.heard("a", 1, m_clock.now());
+    list({vmOf("a", vm_state::live, "10.0.0.2")});
+    EXPECT_TRUE(m_members.find("a")->isLive());
+    EXPECT_FALSE(m_members.find("a")->boot);
+}
+
+TEST_F(MembershipTest, knowsItselfAndItsPeers)
+{
+    list({vmOf("self", vm_state::leaving), vmOf("a"), vmOf("b", vm_state::leaving)});
+    EXPECT_TRUE(m_members.selfIsLeaving());
+    EXPECT_EQ(m_members.peers().size(), 2);
+}
+
+TEST(MembershipReadersTest, aFewMembersOfEachDataCentreReadTheLog)
+{
+    std::vector<listed_vm> vms;
+    for (int i = 0; i < 95; ++i)
+        vms.push_back(vmOf("entry-" + std::to_string(i)));
+    vms.push_back({.vm = "elsewhere", .dataCentre = "gebze"});
+    int readers = 0;
+    for (const auto &vm : vms) {
+        membership members({.self = vm.vm, .selfDataCentre = vm.dataCentre});
+        EXPECT_TRUE(members.readsLog()) << "a process that knows of no other reads";
+        members.listed(vms, {});
+        readers += members.readsLog() ? 1 : 0;
+    }
+    EXPECT_EQ(readers, 4);
+}
+
+TEST(VmListClientTest, readsThePublishedForm)
+{
+    event_loop loop;
+    http_client http(loop, {});
+    http_server server(loop, {});
+    std::string answer;
+    server.onRequest([&](const std::shared_ptr<http_exchange> &exchange) {
+        exchange->reply(exchange->path() == "/v1/vms" ? 200 : 404, {}, answer);
+    });
+    vm_list_client vms(http,
+                       {.host = "127.0.0.1", .port = std::get<std::uint16_t>(server.listen())});
+    result<std::vector<listed_vm>> found;
+    const auto list = [&](const std::string &text) {
+        answer = text;
+        vms.list([&](const result<std::vector<listed_vm>> &listed) {
+            found = listed;
+            loop.stop();
+        });
+        loop.run();
+    };
+    list(R"({"vms":[{"vm":"a","data_centre":"tuzla","address":"10.0.0.1","state":"leaving"}]})");
+    EXPECT_EQ(std::get<std::vector<listed_vm>>(found),
+              std::vector<listed_vm>{vmOf("a", vm_state::leaving)});
+    for (const auto *text :
+         {"", "[]", R"({"vms":{}})", R"({"vms":[{"vm":"a"}]})", R"({"vms":[{"state":"live"}]})"}) {
+        list(text);
+        ASSERT_NE(failed(found), nullptr) << text;
+        EXPECT_EQ(failed(found)->code, result_code::malformed_message) << text;
+    }
+}
+
+} // namespace
+} // namespace mustardline
