--- a/packages/base/clock.h
+++ b/packages/base/clock.h
@@ -27,6 +27,7 @@
 {
     std::int64_t nanoseconds = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the rewritten 0 for a pointer.
     auto operator<=>(const time_point &) const = default;
 
     [[nodiscard]] auto operator+(duration delta) const -> time_point
--- a/packages/platform/configuration_gossip.cpp
+++ b/packages/platform/configuration_gossip.cpp
@@ -34,8 +34,11 @@
     return asks;
 }
 
-auto configuration_gossip::heard(const std::string &peer, std::uint64_t offset) -> void
+auto configuration_gossip::heard(const std::string &peer, std::uint64_t offset, time_point now)
+    -> void
 {
+    // Peers are chosen at random, so a question of one tells as much as a question to one.
+    m_nextPoll = std::max(m_nextPoll, now + m_options.period);
     if (offset > m_feed.offset())
         m_ahead[peer] = offset;
 }
@@ -49,7 +52,7 @@
     if (peer == m_source)
         m_source.clear();
     std::erase_if(m_open, [&](const auto &item) { return item.peer == peer; });
-    heard(peer, offset);
+    heard(peer, offset, now);
     // A peer that is ahead and gave nothing of use is left alone for a while.
     if (!moved && offset > m_feed.offset())
         failed(peer, now);
--- a/packages/platform/configuration_gossip.h
+++ b/packages/platform/configuration_gossip.h
@@ -5,7 +5,7 @@
 //     configuration_gossip gossip({.seed = boot}, feed);
 //     gossip.setPeers(names, now);
 //     for (const auto &ask : gossip.tick(now)) send(ask.peer, ask.request);
-//     gossip.heard(sender, itsOffset);              // from every message of a peer, of any kind
+//     gossip.heard(sender, itsOffset, now);         // from every message of another entry
 //     gossip.replied(peer, reply, itsOffset, now);  // to an ask
 //     gossip.failed(peer, now);
 //
@@ -29,7 +29,7 @@
 {
     // Peers told at once of a newer configuration.
     std::size_t fanOut = 3;
-    // Pause between questions to random peers.
+    // A process that has not exchanged a message with a peer for so long asks a random one.
     duration period = std::chrono::seconds(1);
     // A question without an answer is asked again after this long, of another peer if there is one.
     duration patience = std::chrono::milliseconds(250);
@@ -58,7 +58,7 @@
     [[nodiscard]] auto tick(time_point now) -> std::vector<catch_up_ask>;
 
     // Takes note of a peer's configuration offset.
-    auto heard(const std::string &peer, std::uint64_t offset) -> void;
+    auto heard(const std::string &peer, std::uint64_t offset, time_point now) -> void;
 
     auto replied(const std::string &peer, const v1::CatchUpReply &reply, std::uint64_t offset,
                  time_point now) -> void;
--- a/packages/platform/configuration_history.h
+++ b/packages/platform/configuration_history.h
@@ -39,6 +39,7 @@
     std::string before;
     std::string after;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const field_difference &) const = default;
 };
 
--- a/packages/platform/lease_holder.h
+++ b/packages/platform/lease_holder.h
@@ -67,6 +67,7 @@
     // Whether nothing is left to give back after `release`.
     [[nodiscard]] auto isReleased() const -> bool { return m_releasing && !isMine(); }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const lease_holder &) const = default;
 
 private:
@@ -77,6 +78,7 @@
         time_point firstSentAt;
         time_point lastSentAt;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
         auto operator<=>(const sent_claim &) const = default;
     };
 
--- a/packages/platform/lease_table.h
+++ b/packages/platform/lease_table.h
@@ -37,6 +37,7 @@
     duration term{};
     bool released = false;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const lease &) const = default;
 };
 
@@ -64,6 +65,7 @@
     // Whether the table saw the stream from its beginning.
     [[nodiscard]] auto sawBeginning() const -> bool { return m_firstOffset == 1; }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const lease_table &) const = default;
 
 private:
@@ -73,6 +75,7 @@
         std::uint64_t newestRecord = 0;
         lease current;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
         auto operator<=>(const duty_state &) const = default;
     };
 
--- a/packages/platform/membership.h
+++ b/packages/platform/membership.h
@@ -41,6 +41,7 @@
     std::string address;
     vm_state state = vm_state::live;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const listed_vm &) const = default;
 };
 
--- a/packages/platform/order_book.h
+++ b/packages/platform/order_book.h
@@ -38,6 +38,7 @@
     std::string model;
     bool running = false;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const desired_endpoint &) const = default;
 };
 
@@ -52,6 +53,7 @@
     // The order that brought it into this state.
     std::string orderId;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const listed_endpoint &) const = default;
 };
 
@@ -65,6 +67,7 @@
     std::string model;
     std::uint64_t fencing = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const endpoint_order &) const = default;
 };
 
@@ -80,6 +83,7 @@
     // taken for lost.
     duration retryAfter = std::chrono::seconds(5);
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const order_book_options &) const = default;
 };
 
@@ -122,6 +126,7 @@
     // Endpoints that differ from what is desired, by the newest list.
     [[nodiscard]] auto openCount() const -> std::size_t;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const order_book &) const = default;
 
 private:
@@ -131,6 +136,7 @@
         order_intent intent;
         time_point appendedAt;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
         auto operator<=>(const unwritten_order &) const = default;
     };
     // An order that stands in the log.
@@ -142,6 +148,7 @@
         // Lists up to this one do not show the order's last event.
         std::uint64_t staleList = 0;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
         auto operator<=>(const written_order &) const = default;
     };
 
--- a/packages/platform/order_ledger.h
+++ b/packages/platform/order_ledger.h
@@ -30,6 +30,7 @@
     std::string endpoint;
     std::string model;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const order_intent &) const = default;
 };
 
@@ -47,6 +48,7 @@
     [[nodiscard]] auto latest(std::string_view dataCentre, std::string_view endpoint) const
         -> const order_intent *;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const order_ledger &) const = default;
 
 private:
--- a/packages/platform/testing/fake_orders.h
+++ b/packages/platform/testing/fake_orders.h
@@ -20,6 +20,7 @@
     int doubled = 0;
     int effects = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const fake_orders &) const = default;
 
     auto take(const endpoint_order &order) -> void
--- a/packages/platform/testing/lease_promise_test.cpp
+++ b/packages/platform/testing/lease_promise_test.cpp
@@ -25,6 +25,7 @@
     [[nodiscard]] auto offset() const -> std::uint64_t { return m_table.offset(); }
     operator const lease_table &() const { return m_table; }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const table_without_compare &) const = default;
 
 private:
@@ -58,6 +59,7 @@
         return m_mine && now < m_from + m_term - m_margin;
     }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const holder_counting_from_the_answer &) const = default;
 
 private:
--- a/packages/platform/testing/lease_world.h
+++ b/packages/platform/testing/lease_world.h
@@ -22,6 +22,7 @@
     std::uint32_t termMs = 0;
     std::uint64_t fencing = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const world_record &) const = default;
 
     static auto of(const v1::LogRecord &record) -> world_record
@@ -65,6 +66,7 @@
         Table table;
         Holder holder;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
         auto operator<=>(const contender &) const = default;
     };
     struct flight
@@ -72,6 +74,7 @@
         world_record record;
         int copies = 2;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
         auto operator<=>(const flight &) const = default;
     };
 
@@ -80,6 +83,7 @@
     std::vector<contender> contenders;
     time_point now;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const lease_world &) const = default;
 
     auto add(lease_holder_options options, std::uint64_t firstOffset = 1) -> void
--- a/packages/platform/testing/order_promise_test.cpp
+++ b/packages/platform/testing/order_promise_test.cpp
@@ -35,6 +35,7 @@
         m_book.answered(orderId.substr(0, orderId.rfind('/')), accepted);
     }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const book_with_new_ids &) const = default;
 
 private:
@@ -66,6 +67,7 @@
         m_book.answered(orderId, accepted);
     }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const book_without_log &) const = default;
 
 private:
@@ -102,6 +104,7 @@
         lease_table leases;
         order_ledger orders;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
         auto operator<=>(const member &) const = default;
     };
     struct flight
@@ -109,6 +112,7 @@
         std::size_t sender = 0;
         endpoint_order order;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
         auto operator<=>(const flight &) const = default;
     };
 
@@ -122,6 +126,7 @@
     time_point now;
     int tenures = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const order_world &) const = default;
 
     // The next process claims the lease, as after the term of its predecessor.
--- /dev/null
+++ b/packages/platform/testing/platform_slopes.cpp
@@ -0,0 +1,329 @@
+// Prints how the platform package's memory, processor time and traffic grow with its sizes, for
+// docs/CAPACITY.md.
+//
+//     platform_slopes               every table, with a straight line fitted to each
+//     platform_slopes fold N        only folds a configuration of N client accounts, and
+//     platform_slopes restore N     only restores one, for use under callgrind
+//
+// Memory is what the allocator has handed out, messages and bytes are counted; both are the same in
+// every run. Processor time is this machine's and bounds nothing.
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <cmath>
+#include <ctime>
+#include <functional>
+
+#include <fmt/format.h>
+
+#include "platform/idempotency_ledger.h"
+#include "platform/lease_holder.h"
+#include "platform/testing/spread_world.h"
+#include "platform/testing/usage_records.h"
+
+namespace mustardline {
+namespace {
+
+struct sample
+{
+    double size = 0;
+    double value = 0;
+};
+
+// Prints the samples, the line fitted to them, and the largest distance from it in hundredths.
+auto printSlope(std::string_view name, std::string_view per, std::string_view unit,
+                const std::vector<sample> &samples) -> void
+{
+    double sumSize = 0;
+    double sumValue = 0;
+    double sumSquare = 0;
+    double sumProduct = 0;
+    for (const auto &it : samples) {
+        sumSize += it.size;
+        sumValue += it.value;
+        sumSquare += it.size * it.size;
+        sumProduct += it.size * it.value;
+    }
+    const auto count = static_cast<double>(samples.size());
+    const auto slope
+        = (count * sumProduct - sumSize * sumValue) / (count * sumSquare - sumSize * sumSize);
+    const auto base = (sumValue - slope * sumSize) / count;
+    double residual = 0;
+    fmt::print("{}\n", name);
+    for (const auto &it : samples) {
+        fmt::print("  {:>8.0f} {:>14.1f}\n", it.size, it.value);
+        residual = std::max(residual, std::abs(it.value - base - slope * it.size)
+                                          / std::max(1.0, std::abs(it.value)));
+    }
+    fmt::print("  slope {:.4g} {} per {}, base {:.4g}, residual {:.1f}%\n\n", slope, unit, per,
+               base, 100 * residual);
+}
+
+auto heapBytes() -> double
+{
+    const auto info = mallinfo2();
+    return static_cast<double>(info.uordblks) + static_cast<double>(info.hblkhd);
+}
+
+// The processor time of `work` in milliseconds.
+auto processorTime(const std::function<auto()->void> &work) -> double
+{
+    const auto begin = std::clock();
+    work();
+    return 1000.0 * static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC;
+}
+
+// A configuration with the designed proportions.
+auto sizeFor(int accounts) -> configuration_size
+{
+    return {.accounts = accounts, .endpoints = accounts * 10 / 12};
+}
+
+auto fold(configuration &config, const std::vector<v1::LogRecord> &records) -> void
+{
+    std::uint64_t offset = config.offset();
+    for (const auto &record : records)
+        config.apply(++offset, record);
+}
+
+auto restoreFrom(const std::string &bytes, configuration &config) -> void
+{
+    v1::ConfigurationSnapshot snapshot;
+    snapshot.ParseFromString(bytes);
+    config.restore(std::move(snapshot));
+}
+
+auto measureConfiguration() -> void
+{
+    std::vector<sample> memory;
+    std::vector<sample> snapshotBytes;
+    std::vector<sample> foldTime;
+    std::vector<sample> restoreTime;
+    for (const auto accounts : {1'500, 3'000, 6'000, 12'000}) {
+        const auto records = configurationRecords(sizeFor(accounts));
+        const auto entities = static_cast<double>(records.size());
+        std::string bytes;
+        {
+            configuration whole;
+            foldTime.push_back({entities, processorTime([&] { fold(whole, records); })});
+            bytes = whole.snapshot().SerializeAsString();
+        }
+        snapshotBytes.push_back({entities, static_cast<double>(bytes.size())});
+        const auto before = heapBytes();
+        configuration restored;
+        restoreTime.push_back({entities, processorTime([&] { restoreFrom(bytes, restored); })});
+        memory.push_back({entities, heapBytes() - before});
+    }
+    printSlope("configuration: memory by entities", "entity", "bytes", memory);
+    printSlope("configuration: snapshot by entities", "entity", "bytes", snapshotBytes);
+    printSlope("configuration: fold by entities, processor time", "entity", "ms", foldTime);
+    printSlope("configuration: restore by entities, processor time", "entity", "ms", restoreTime);
+}
+
+auto measureUsage() -> void
+{
+    std::vector<sample> agents;
+    std::vector<sample> accounts;
+    std::vector<sample> time;
+    for (const auto count : {1'250, 2'500, 5'000, 10'000}) {
+        auto before = heapBytes();
+        usage_ledger byAgent;
+        std::vector<v1::LogRecord> records;
+        for (int i = 0; i < count; ++i)
+            records.push_back(batchOf({{.agent = fmt::format("endpoint-{:05}", i)}}));
+        const auto recordBytes = heapBytes() - before;
+        std::uint64_t offset = 0;
+        time.push_back({static_cast<double>(count), processorTime([&] {
+                            for (const auto &record : records)
+                                byAgent.apply(++offset, record);
+                        })});
+        agents.push_back({static_cast<double>(count), heapBytes() - before - recordBytes});
+        before = heapBytes();
+        usage_ledger byAccount;
+        for (int i = 0; i < count; ++i)
+            byAccount.apply(static_cast<std::uint64_t>(i) + 1,
+                            batchOf({{.sequence = static_cast<std::uint64_t>(i) + 1,
+                                      .account = fmt::format("account-{:05}", i)}}));
+        accounts.push_back({static_cast<double>(count), heapBytes() - before});
+    }
+    printSlope("usage ledger: memory by agents", "agent", "bytes", agents);
+    printSlope("usage ledger: memory by client accounts with one open window", "account", "bytes",
+               accounts);
+    printSlope("usage ledger: fold by deltas, processor time", "delta", "ms", time);
+}
+
+auto measureClaims() -> void
+{
+    std::vector<sample> memory;
+    for (const auto count : {12'500, 25'000, 50'000, 100'000}) {
+        const auto before = heapBytes();
+        idempotency_ledger ledger;
+        for (int i = 0; i < count; ++i) {
+            v1::LogRecord record;
+            auto &claim = *record.mutable_idempotency_claim();
+            claim.set_client_account(fmt::format("account-{:05}", i % 12'000));
+            claim.set_key_hash(fmt::format("{:064x}", i));
+            claim.set_request_hash(fmt::format("{:064x}", i));
+            claim.set_request_id(fmt::format("{:032x}", i));
+            ledger.apply(static_cast<std::uint64_t>(i) + 1, record);
+        }
+        memory.push_back({static_cast<double>(count), heapBytes() - before});
+    }
+    printSlope("idempotency ledger: memory by claims without outcome", "claim", "bytes", memory);
+}
+
+// Appends of the lease stream: three contenders for each duty, for ten minutes.
+auto measureLeases() -> void
+{
+    std::vector<sample> appends;
+    constexpr int lengthSeconds = 600;
+    for (const auto duties : {5, 10, 20, 40}) {
+        manual_clock clock;
+        lease_table table;
+        std::vector<lease_holder> contenders;
+        for (int i = 0; i < duties * 3; ++i)
+            contenders.emplace_back(lease_holder_options{.duty = fmt::format("duty-{}", i / 3),
+                                                         .holder = fmt::format("entry-{}", i)},
+                                    clock.now());
+        std::uint64_t offset = 0;
+        for (int tick = 0; tick < lengthSeconds * 10; ++tick) {
+            clock.advance(std::chrono::milliseconds(100));
+            for (auto &contender : contenders) {
+                contender.observe(table, clock.now());
+                if (const auto record = contender.tick(clock.now()))
+                    table.apply(++offset, *record);
+            }
+        }
+        appends.push_back(
+            {static_cast<double>(duties), static_cast<double>(offset) / lengthSeconds});
+    }
+    printSlope("leases: appends a second by duties", "duty", "appends/s", appends);
+}
+
+// Traffic between entries, with changes at the designed rate of 39,000 a day.
+auto measureSpread() -> void
+{
+    constexpr int lengthSeconds = 60;
+    std::vector<sample> bytes;
+    std::vector<sample> messages;
+    for (const std::size_t nodes : {107, 215, 430, 860}) {
+        spread_world world({.nodes = nodes, .tailers = nodes / 32, .lossPercent = 0});
+        world.append(changeOf({{.entity = accountOf("account-00000")}}));
+        time_point nextChange;
+        for (int change = 0; world.now < time_point() + std::chrono::seconds(lengthSeconds);) {
+            if (world.now >= nextChange) {
+                const auto id = fmt::format("{:032x}", ++change);
+                world.append(changeOf({{.entity = keyOf(id, "account-00000")}}, {.changeId = id}));
+                nextChange = nextChange + std::chrono::milliseconds(2215);
+            }
+            world.advance();
+        }
+        double sumBytes = 0;
+        double sumMessages = 0;
+        for (std::size_t i = 0; i < nodes; ++i) {
+            sumBytes += static_cast<double>(world.bytesOf(i));
+            sumMessages += static_cast<double>(world.messagesOf(i));
+        }
+        const auto perNodeSecond = static_cast<double>(nodes) * lengthSeconds;
+        bytes.push_back({static_cast<double>(nodes), sumBytes / perNodeSecond});
+        messages.push_back({static_cast<double>(nodes), sumMessages / perNodeSecond});
+    }
+    printSlope("entries: control bytes per node and second by entries", "entry", "bytes/s", bytes);
+    printSlope("entries: control messages per node and second by entries", "entry", "messages/s",
+               messages);
+}
+
+// What an agent's question for the configuration costs, on either side.
+auto measureAgentLink() -> void
+{
+    configuration config;
+    configuration_feed feed(config, {});
+    const auto records = configurationRecords({.accounts = 100, .endpoints = 100});
+    std::vector<v1::LogEntry> entries;
+    std::size_t keyBytes = 0;
+    for (const auto &record : records) {
+        auto &entry = entries.emplace_back();
+        entry.set_offset(entries.size());
+        entry.set_record(record.SerializeAsString());
+        const auto isKey = record.configuration_change().entities(0).kind() == v1::ENTITY_KIND_KEY;
+        keyBytes = isKey ? entry.record().size() : keyBytes;
+    }
+    feed.add(entries);
+    v1::ControlRequest request;
+    request.set_sender("endpoint-00000");
+    request.set_configuration_offset(feed.offset());
+    request.set_sender_boot(UINT64_MAX);
+    request.mutable_catch_up()->set_after_offset(feed.offset());
+    v1::ControlReply reply;
+    reply.set_sender("entry-000");
+    reply.set_configuration_offset(feed.offset());
+    *reply.mutable_catch_up() = feed.answer(request.catch_up());
+    const auto idle = request.ByteSizeLong() + reply.ByteSizeLong() + 2 * spread_world::frameBytes;
+    constexpr double changesPerSecond = 39'000.0 / 86'400;
+    constexpr double agentsPerEntry = 10'000.0 / 860;
+    fmt::print("agents: bytes of one idle question and answer {}, of a key's change {}\n", idle,
+               keyBytes);
+    for (const auto seconds : {1, 5, 10}) {
+        const auto perAgent = static_cast<double>(idle) / seconds
+                              + changesPerSecond * static_cast<double>(keyBytes);
+        fmt::print(
+            "  asking every {:>2} s: {:.0f} bytes/s at an agent, {:.0f} bytes/s at its entry\n",
+            seconds, perAgent, perAgent * agentsPerEntry);
+    }
+    fmt::print("\n");
+}
+
+// Appends a second at the designed size, by arithmetic from the rates above.
+auto printAppends() -> void
+{
+    constexpr double duties = 9 + 8 + 3;
+    constexpr double renewEverySeconds = 4;
+    constexpr double usageFlushSeconds = 60;
+    constexpr double entries = 860;
+    constexpr double accounts = 12'000;
+    constexpr double day = 86'400;
+    fmt::print("log appends a second at the designed size\n");
+    fmt::print("  configuration changes, 39,000 a day        {:.2f}\n", 39'000 / day);
+    fmt::print("  lease renewals, 20 duties every 4 s        {:.2f}\n", duties / renewEverySeconds);
+    fmt::print("  usage batches, 860 entries every minute    {:.2f}\n",
+               entries / usageFlushSeconds);
+    fmt::print(
+        "  seals and marks, 12,000 accounts an hour   {:.2f} records in at most {:.2f} appends\n",
+        2 * accounts / 3600, 2 * 8.0);
+    fmt::print("  endpoint orders, 2,800 restarts a day      {:.2f}\n", 2 * 2'800 / day);
+}
+
+auto runOne(const std::string &what, int accounts) -> void
+{
+    const auto records = configurationRecords(sizeFor(accounts));
+    configuration whole;
+    fold(whole, records);
+    if (what != "restore")
+        return;
+    const auto bytes = whole.snapshot().SerializeAsString();
+    configuration restored;
+    restoreFrom(bytes, restored);
+}
+
+} // namespace
+} // namespace mustardline
+
+auto main(int argc, char **argv) -> int
+{
+    using namespace mustardline;
+    // Large blocks are counted like small ones.
+    mallopt(M_MMAP_MAX, 0);
+    if (argc == 3) {
+        runOne(argv[1], std::stoi(argv[2]));
+        return 0;
+    }
+    measureConfiguration();
+    measureUsage();
+    measureClaims();
+    measureLeases();
+    measureSpread();
+    measureAgentLink();
+    printAppends();
+    return 0;
+}
--- a/packages/platform/testing/spread_world.h
+++ b/packages/platform/testing/spread_world.h
@@ -172,7 +172,7 @@
     {
         v1::ControlRequest request;
         request.ParseFromString(item.request);
-        to.gossip.heard(std::to_string(item.from), request.configuration_offset());
+        to.gossip.heard(std::to_string(item.from), request.configuration_offset(), now);
         v1::ControlReply reply;
         reply.set_sender("entry-" + std::to_string(item.to));
         reply.set_configuration_offset(to.config.offset());
--- a/packages/platform/testing/usage_promise_test.cpp
+++ b/packages/platform/testing/usage_promise_test.cpp
@@ -38,6 +38,7 @@
         m_reporter.answered(report, accepted);
     }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const reporter_before_seal &) const = default;
 
 private:
@@ -57,6 +58,7 @@
         std::string record;
         int copies = 2;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
         auto operator<=>(const flight &) const = default;
     };
     struct member
@@ -65,6 +67,7 @@
         Reporter reporter;
         std::vector<usage_report> unanswered;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
         auto operator<=>(const member &) const = default;
     };
 
@@ -76,6 +79,7 @@
     std::map<unix_milliseconds, figure_pair> reported;
     bool differed = false;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const usage_world &) const = default;
 
     auto step(std::size_t index) -> void
--- a/packages/platform/usage_ledger.h
+++ b/packages/platform/usage_ledger.h
@@ -42,6 +42,7 @@
     std::uint64_t completionTokens = 0;
 
     auto operator==(const usage_figures &) const -> bool = default;
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const usage_figures &) const = default;
     auto operator+=(const usage_figures &other) -> usage_figures &;
     auto operator-=(const usage_figures &other) -> usage_figures &;
@@ -59,6 +60,7 @@
     usage_figures figures;
     usage_figures adjustment;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const sealed_window &) const = default;
 };
 
@@ -76,6 +78,7 @@
     std::uint64_t sealOffset = 0;
     std::uint64_t fencing = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const usage_account &) const = default;
 };
 
@@ -86,6 +89,7 @@
     std::size_t keptReported = 24;
     std::uint64_t forgetAfter = 500'000;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const usage_ledger_options &) const = default;
 };
 
@@ -120,6 +124,7 @@
     // Agent boots whose positions are remembered.
     [[nodiscard]] auto positionCount() const -> std::size_t;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const usage_ledger &) const = default;
 
 private:
@@ -128,6 +133,7 @@
         std::uint64_t sequence = 0;
         std::uint64_t offset = 0;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
         auto operator<=>(const agent_position &) const = default;
     };
     using boot_table = std::map<std::uint64_t, agent_position>;
--- a/packages/platform/usage_reporter.h
+++ b/packages/platform/usage_reporter.h
@@ -42,6 +42,7 @@
     usage_figures adjustment;
     std::uint64_t fencing = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const usage_report &) const = default;
 };
 
@@ -57,6 +58,7 @@
     // Actions of one kind in one tick.
     std::size_t maxPerTick = 64;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const usage_reporter_options &) const = default;
 };
 
@@ -90,6 +92,7 @@
     // Whether the client account belongs to this reporter's shard.
     [[nodiscard]] auto isMine(std::string_view clientAccount) const -> bool;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
     auto operator<=>(const usage_reporter &) const = default;
 
 private:
@@ -98,6 +101,7 @@
         std::string clientAccount;
         unix_milliseconds start = 0;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
         auto operator<=>(const window_name &) const = default;
     };
     struct seal_attempt
@@ -105,6 +109,7 @@
         unix_milliseconds start = 0;
         time_point sentAt;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
         auto operator<=>(const seal_attempt &) const = default;
     };
     struct window_progress
@@ -113,6 +118,7 @@
         std::optional<time_point> sentAt;
         bool accepted = false;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): see time_point.
         auto operator<=>(const window_progress &) const = default;
     };
 
