Add the stand-in link and the load tool

`standin-cut` forwards TCP to one target and drops, stalls, half-closes or cuts on command, for tests that disturb the links between processes. A stalled link reads from neither side, so that it looks like a silent network and not like a slow peer; what was held is passed on afterwards.

`standin-load` drives an entry or an engine from a seed, with a rate (Poisson arrivals that do not wait for answers) or with a fixed number of callers, and compares every answer with the one that the request must get.

`receivedText` reads an answer back as a caller would and is used by the load tool and the tests. The engine's prefix hash is now over the first 1024 bytes of `messages`, as the entry computes it, so that its cache events mean something to a router.

--- a/packages/standin/chat_answer.cpp
+++ b/packages/standin/chat_answer.cpp
@@ -12,6 +12,7 @@
 using nlohmann::json;
 
 constexpr std::int64_t maxTokens = 1'000'000;
+constexpr std::size_t prefixBytes = 1024;
 
 // The text of a message, which is a string or a list of parts.
 auto contentOf(const json &message) -> std::string
@@ -60,6 +61,25 @@
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+auto textOfStream(std::string_view events) -> std::optional<std::string>
+{
+    constexpr std::string_view fieldName = "data: ";
+    constexpr std::string_view separator = "\n\n";
+    std::string text;
+    while (events.starts_with(fieldName)) {
+        const auto end = std::min(events.find(separator), events.size());
+        const auto data = events.substr(fieldName.size(), end - fieldName.size());
+        events.remove_prefix(std::min(end + separator.size(), events.size()));
+        if (data == "[DONE]")
+            return events.empty() ? std::optional(text) : std::nullopt;
+        const auto chunk = json::parse(data, nullptr, false);
+        if (!chunk.is_object() || !chunk.contains("choices"))
+            return {};
+        text += textOf(chunk["choices"][0]["delta"], "content");
+    }
+    return {};
+}
+
 auto usageOf(const chat_request &request) -> json
 {
     return {{"prompt_tokens", request.promptTokens},
@@ -96,7 +116,7 @@
             return {};
         request.promptTokens += countWords(contentOf(message));
     }
-    request.prefix = contentOf(messages->front());
+    request.prefix = dumped(*messages).substr(0, prefixBytes);
     if (request.echo.empty())
         request.echo = contentOf(messages->back());
     const auto limit = integerOf(parsed, "max_completion_tokens", defaults.tokens);
@@ -150,4 +170,14 @@
          {"usage", usageOf(request)}});
 }
 
+auto receivedText(std::string_view body, bool streamed) -> std::optional<std::string>
+{
+    if (streamed)
+        return textOfStream(body);
+    const auto answer = json::parse(body, nullptr, false);
+    if (!answer.is_object() || !answer.contains("choices"))
+        return {};
+    return textOf(answer["choices"][0]["message"], "content");
+}
+
 } // namespace mustardline::standin
--- a/packages/standin/chat_answer.h
+++ b/packages/standin/chat_answer.h
@@ -5,7 +5,7 @@
 // answer to its own request:
 //
 //     const auto request = parseChatRequest(body, {.tokens = 16});
-//     EXPECT_EQ(received, answerText(*request));   // "ECHO t1 t2 ... t15 "
+//     EXPECT_EQ(receivedText(body, request->stream), answerText(*request));   // "ECHO t1 t2 ... "
 
 #include <cstdint>
 #include <optional>
@@ -25,7 +25,7 @@
     std::string model;
     // The first token: the request's `user`, else the content of its last message.
     std::string echo;
-    // The content of the first message, which engines cache as a prefix.
+    // The first 1024 bytes of the messages as compact JSON, which engines cache as a prefix.
     std::string prefix;
     std::uint32_t tokens = 0;
     std::uint32_t promptTokens = 0;
@@ -63,4 +63,7 @@
 [[nodiscard]] auto wholeAnswer(const chat_request &request, const answer_identity &identity)
     -> std::string;
 
+// The text of an answer as a caller received it; nothing if it lacks its proper end.
+[[nodiscard]] auto receivedText(std::string_view body, bool streamed) -> std::optional<std::string>;
+
 } // namespace mustardline::standin
--- /dev/null
+++ b/packages/standin/load_run.cpp
@@ -0,0 +1,149 @@
+#include "standin/load_run.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace mustardline::standin {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int okStatus = 200;
+} // namespace
+
+struct load_run::request
+{
+    chat_request chat;
+    std::string sentBody;
+    time_point sentAt;
+    time_point firstDataAt;
+    int status = 0;
+    std::string answer;
+};
+
+auto quantile(const std::vector<duration> &ascending, double share) -> duration
+{
+    if (ascending.empty())
+        return {};
+    const auto rank = static_cast<std::size_t>(share * static_cast<double>(ascending.size()));
+    return ascending[std::min(rank, ascending.size() - 1)];
+}
+
+load_run::load_run(event_loop &loop, load_options options)
+    : m_loop(loop),
+      m_options(std::move(options)),
+      m_client(loop, {.maxIdlePerAddress = std::max(64U, m_options.concurrency)}),
+      m_timers(loop),
+      m_random(m_options.seed)
+{}
+
+auto load_run::start(std::function<auto()->void> done) -> void
+{
+    m_done = std::move(done);
+    m_startedAt = m_clock.now();
+    if (m_options.rate > 0) {
+        scheduleArrival();
+        return;
+    }
+    for (std::uint32_t i = 0; i < std::min(m_options.concurrency, m_options.requests); ++i)
+        sendNext();
+}
+
+auto load_run::scheduleArrival() -> void
+{
+    if (m_sent == m_options.requests)
+        return;
+    std::exponential_distribution<double> gap(m_options.rate);
+    const auto seconds = std::chrono::duration<double>(gap(m_random));
+    m_timers.after(std::chrono::duration_cast<duration>(seconds), [this] {
+        sendNext();
+        scheduleArrival();
+    });
+}
+
+auto load_run::makeRequest() -> std::shared_ptr<request>
+{
+    auto made = std::make_shared<request>();
+    auto text = fmt::format("r{}", m_sent);
+    for (std::uint32_t i = 1; i < m_options.promptWords; ++i)
+        text += fmt::format(" w{}", m_random() % m_options.promptWords);
+    constexpr std::uint32_t percent = 100;
+    const json body{{"model", m_options.model},
+                    {"stream", m_random() % percent < m_options.streamedPercent},
+                    {"max_tokens", m_options.tokens},
+                    {"messages", json::array({{{"role", "user"}, {"content", text}}})}};
+    made->sentBody = body.dump();
+    made->chat = *parseChatRequest(made->sentBody, {});
+    return made;
+}
+
+auto load_run::sendNext() -> void
+{
+    const auto sent = makeRequest();
+    ++m_sent;
+    http_request message{.method = "POST",
+                         .path = "/v1/chat/completions",
+                         .headers = {{.name = "content-type", .value = "application/json"}},
+                         .body = sent->sentBody};
+    if (!m_options.key.empty())
+        message.headers.push_back({.name = "authorization", .value = "Bearer " + m_options.key});
+    sent->sentAt = m_clock.now();
+    m_client.start(
+        m_options.target, std::move(message),
+        {.onHeaders = [sent](const http_answer &answer) { sent->status = answer.status; },
+         .onData =
+             [this, sent](std::string_view data) {
+                 if (sent->answer.empty())
+                     sent->firstDataAt = m_clock.now();
+                 sent->answer += data;
+             },
+         .onDone = [this, sent](const http_outcome &outcome) { ended(*sent, outcome); }});
+}
+
+auto load_run::ended(const request &answered, const http_outcome &outcome) -> void
+{
+    count(answered, outcome);
+    ++m_ended;
+    if (m_ended == m_options.requests) {
+        m_figures.elapsed = m_clock.now() - m_startedAt;
+        m_done();
+    } else if (m_options.rate == 0 && m_sent < m_options.requests) {
+        // Not from within the client's callback, or a refusing target would deepen the stack.
+        m_loop.post([this] { sendNext(); });
+    }
+}
+
+auto load_run::count(const request &answered, const http_outcome &outcome) -> void
+{
+    if (std::holds_alternative<http_failure>(outcome)) {
+        ++m_figures.failed;
+        return;
+    }
+    if (answered.status != okStatus) {
+        ++m_figures.refused;
+        return;
+    }
+    if (receivedText(answered.answer, answered.chat.stream) != answerText(answered.chat)) {
+        ++m_figures.wrong;
+        return;
+    }
+    ++m_figures.whole;
+    m_figures.tokens += answered.chat.tokens;
+    m_figures.wholeAnswer.push_back(m_clock.now() - answered.sentAt);
+    if (answered.chat.stream)
+        m_figures.firstToken.push_back(answered.firstDataAt - answered.sentAt);
+}
+
+auto load_run::figures() const -> load_figures
+{
+    auto sorted = m_figures;
+    std::ranges::sort(sorted.firstToken);
+    std::ranges::sort(sorted.wholeAnswer);
+    return sorted;
+}
+
+} // namespace mustardline::standin
--- /dev/null
+++ b/packages/standin/tcp_forwarder.cpp
@@ -0,0 +1,242 @@
+#include "standin/tcp_forwarder.h"
+
+#include <utility>
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <fmt/format.h>
+#include <netinet/tcp.h>
+#include <unistd.h>
+
+namespace mustardline::standin {
+
+namespace {
+
+// Bytes that wait for a slow reader before its sender is held back.
+constexpr std::size_t maxPendingBytes = 256U << 10U;
+constexpr int listenBacklog = 1024;
+
+auto toSockaddr(const socket_address &address) -> sockaddr_in
+{
+    sockaddr_in converted{};
+    converted.sin_family = AF_INET;
+    converted.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.host.c_str(), &converted.sin_addr);
+    return converted;
+}
+
+auto sendAtOnce(int descriptor) -> void
+{
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+} // namespace
+
+// One end of a connection through the forwarder.
+struct tcp_forwarder::side
+{
+    bufferevent *channel = nullptr;
+    side *other = nullptr;
+    std::uint64_t *bytesReceived = nullptr;
+    // The peer has ended its sending.
+    bool ended = false;
+    // Sending is to end once everything has been sent.
+    bool endWhenSent = false;
+
+    [[nodiscard]] auto pendingBytes() const -> std::size_t
+    {
+        return evbuffer_get_length(bufferevent_get_output(channel));
+    }
+
+    auto endSending() -> void
+    {
+        endWhenSent = true;
+        if (pendingBytes() == 0)
+            shutdown(bufferevent_getfd(channel), SHUT_WR);
+    }
+};
+
+struct tcp_forwarder::connection
+{
+    tcp_forwarder *owner = nullptr;
+    std::uint64_t id = 0;
+    side caller;
+    side target;
+
+    connection() = default;
+    connection(const connection &) = delete;
+    auto operator=(const connection &) -> connection & = delete;
+
+    ~connection()
+    {
+        bufferevent_free(caller.channel);
+        bufferevent_free(target.channel);
+    }
+
+    [[nodiscard]] auto sideOf(const bufferevent *channel) -> side &
+    {
+        return channel == caller.channel ? caller : target;
+    }
+
+    auto setReading(bool on) -> void
+    {
+        for (auto *channel : {caller.channel, target.channel}) {
+            if (on)
+                bufferevent_enable(channel, EV_READ);
+            else
+                bufferevent_disable(channel, EV_READ);
+        }
+    }
+};
+
+// Entry points that libevent calls.
+struct tcp_forwarder::callbacks
+{
+    static auto accepted(evconnlistener *, evutil_socket_t descriptor, sockaddr *, int,
+                         void *argument) -> void
+    {
+        static_cast<tcp_forwarder *>(argument)->accept(descriptor);
+    }
+
+    static auto readable(bufferevent *channel, void *argument) -> void
+    {
+        auto &moved = *static_cast<connection *>(argument);
+        moved.owner->moveBytes(moved, moved.sideOf(channel));
+    }
+
+    static auto written(bufferevent *channel, void *argument) -> void
+    {
+        auto &sent = *static_cast<connection *>(argument);
+        auto &to = sent.sideOf(channel);
+        if (to.endWhenSent)
+            to.endSending();
+        else if (sent.owner->m_mode != forward_mode::stall)
+            bufferevent_enable(to.other->channel, EV_READ);
+    }
+
+    static auto happened(bufferevent *channel, short what, void *argument) -> void
+    {
+        auto &affected = *static_cast<connection *>(argument);
+        if ((what & BEV_EVENT_CONNECTED) != 0)
+            sendAtOnce(bufferevent_getfd(channel));
+        else if ((what & BEV_EVENT_EOF) != 0)
+            affected.owner->sideEnded(affected, affected.sideOf(channel));
+        else
+            affected.owner->close(affected.id);
+    }
+};
+
+tcp_forwarder::tcp_forwarder(event_loop &loop, forwarder_options options)
+    : m_loop(loop), m_options(std::move(options))
+{}
+
+tcp_forwarder::~tcp_forwarder()
+{
+    m_connections.clear();
+    if (m_listener != nullptr)
+        evconnlistener_free(m_listener);
+}
+
+auto tcp_forwarder::listen() -> result<std::uint16_t>
+{
+    auto address = toSockaddr({.host = "127.0.0.1", .port = m_options.port});
+    m_listener = evconnlistener_new_bind(m_loop.base(), callbacks::accepted, this,
+                                         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listenBacklog,
+                                         reinterpret_cast<sockaddr *>(&address), sizeof address);
+    if (m_listener == nullptr) {
+        return error{.code = result_code::listen_failed,
+                     .message = fmt::format("cannot listen on port {}", m_options.port)};
+    }
+    socklen_t length = sizeof address;
+    getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&address), &length);
+    return ntohs(address.sin_port);
+}
+
+auto tcp_forwarder::accept(int descriptor) -> void
+{
+    if (m_mode == forward_mode::drop) {
+        ++m_counts.dropped;
+        ::close(descriptor);
+        return;
+    }
+    ++m_counts.accepted;
+    sendAtOnce(descriptor);
+    const auto id = m_nextId++;
+    auto &added = *(m_connections[id] = std::make_unique<connection>());
+    added.owner = this;
+    added.id = id;
+    added.caller
+        = {.channel = bufferevent_socket_new(m_loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE),
+           .other = &added.target,
+           .bytesReceived = &m_counts.bytesToTarget};
+    added.target = {.channel = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE),
+                    .other = &added.caller,
+                    .bytesReceived = &m_counts.bytesToCaller};
+    for (auto *channel : {added.caller.channel, added.target.channel}) {
+        bufferevent_setcb(channel, callbacks::readable, callbacks::written, callbacks::happened,
+                          &added);
+        bufferevent_enable(channel, EV_WRITE);
+    }
+    if (m_mode == forward_mode::pass)
+        added.setReading(true);
+    auto address = toSockaddr(m_options.target);
+    bufferevent_socket_connect(added.target.channel, reinterpret_cast<sockaddr *>(&address),
+                               sizeof address);
+}
+
+auto tcp_forwarder::moveBytes(connection &moved, side &from) -> void
+{
+    auto *input = bufferevent_get_input(from.channel);
+    auto &to = *from.other;
+    *from.bytesReceived += evbuffer_get_length(input);
+    if (to.endWhenSent) {
+        evbuffer_drain(input, evbuffer_get_length(input));
+        return;
+    }
+    bufferevent_write_buffer(to.channel, input);
+    if (moved.owner->m_mode == forward_mode::stall || to.pendingBytes() > maxPendingBytes)
+        bufferevent_disable(from.channel, EV_READ);
+}
+
+auto tcp_forwarder::sideEnded(connection &ended, side &from) -> void
+{
+    from.ended = true;
+    from.other->endSending();
+    if (from.other->ended)
+        close(ended.id);
+}
+
+auto tcp_forwarder::close(std::uint64_t id) -> void
+{
+    m_connections.erase(id);
+}
+
+auto tcp_forwarder::setMode(forward_mode mode) -> void
+{
+    m_mode = mode;
+    for (auto &[id, held] : m_connections)
+        held->setReading(mode != forward_mode::stall);
+}
+
+auto tcp_forwarder::halfClose() -> void
+{
+    for (auto &[id, open] : m_connections)
+        open->caller.endSending();
+}
+
+auto tcp_forwarder::cutAll() -> void
+{
+    m_connections.clear();
+}
+
+auto tcp_forwarder::counts() const -> forwarder_counts
+{
+    auto counts = m_counts;
+    counts.open = m_connections.size();
+    return counts;
+}
+
+} // namespace mustardline::standin
--- a/packages/standin/testing/engine_test.cpp
+++ b/packages/standin/testing/engine_test.cpp
@@ -107,9 +107,8 @@
     EXPECT_EQ(m_probe.get(m_address, "/v1/load").json()["running"], 1);
     behave({{"token_ms", 1}});
     m_probe.runUntil([&] { return done; }, "the stream ends");
-    EXPECT_NE(seen.find("t2 "), std::string::npos);
+    EXPECT_EQ(receivedText(seen, true), "hello t1 t2 ");
     EXPECT_NE(seen.find(R"("completion_tokens":3)"), std::string::npos);
-    EXPECT_TRUE(seen.ends_with("data: [DONE]\n\n"));
 }
 
 TEST_F(StandinEngineTest, aCallerThatLeavesCancelsItsRequest)
@@ -166,10 +165,10 @@
     behave({{"close_without_end", true}});
     const auto stream = ask(chatBody("hello", 2, true));
     EXPECT_TRUE(stream.whole);
-    EXPECT_EQ(stream.body.find("[DONE]"), std::string::npos);
+    EXPECT_FALSE(receivedText(stream.body, true));
     const auto whole = ask(chatBody("hello", 2, false));
     EXPECT_TRUE(whole.whole);
-    EXPECT_TRUE(whole.json().is_null());
+    EXPECT_FALSE(receivedText(whole.body, false));
 }
 
 TEST_F(StandinEngineTest, diesAfterTheTokensItWasTold)
--- a/packages/standin/testing/http_probe.cpp
+++ b/packages/standin/testing/http_probe.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Time between two tries of `waitUntil`.
+// Time between two looks at something that is waited for.
 constexpr auto retryPause = std::chrono::milliseconds(10);
 
 } // namespace
@@ -79,6 +79,8 @@
 {
     auto late = false;
     const auto timer = m_loop.after(giveUp, [&] { late = true; });
+    // Wakes the loop, since what is waited for may happen outside it.
+    const auto looking = m_loop.every(retryPause, [] {});
     while (!done()) {
         if (late)
             throw harness_error("gave up waiting until " + what);
--- a/packages/standin/testing/http_probe.h
+++ b/packages/standin/testing/http_probe.h
@@ -54,8 +54,8 @@
     auto waitUntil(const socket_address &address, const http_request &request,
                    const std::function<auto(const probe_answer &)->bool> &accepted) -> probe_answer;
 
-    // Runs the event loop until `done` holds, which is looked at after each event; throws
-    // `harness_error` after `giveUp`.
+    // Runs the event loop until `done` holds, which is looked at after each event and some times a
+    // second; throws `harness_error` after `giveUp`.
     auto runUntil(const std::function<auto()->bool> &done, const std::string &what) -> void;
 
 private:
