--- a/packages/entry/agent_call.cpp
+++ b/packages/entry/agent_call.cpp
@@ -116,7 +116,7 @@
     [[nodiscard]] auto end(const http_outcome &outcome) const -> agent_call_end
     {
         if (const auto *failure = std::get_if<http_failure>(&outcome))
-            return lost{.reason = failure->reason, .sent = failure->sent, .started = started};
+            return lost{.reason = failure->reason, .sent = failure->sent};
         if (mismatched) {
             return lost{.reason = {.code = result_code::malformed_message,
                                    .message = "the answer is for another request"}};
@@ -164,8 +164,10 @@
         answer.fate = request_fate::not_run;
     else if (text == "running")
         answer.fate = request_fate::running;
-    else if (text == "done" || text == "failed")
+    else if (text == "done")
         answer.fate = request_fate::done;
+    else if (text == "failed")
+        answer.fate = request_fate::failed;
     return answer;
 }
 
@@ -198,9 +200,11 @@
 }
 
 auto askFate(http_client &http, const socket_address &agent, std::string_view requestId,
-             std::function<auto(const fate_answer &)->void> done) -> void
+             std::uint32_t attempt, std::function<auto(const fate_answer &)->void> done) -> void
 {
-    http.fetch(agent, {.path = fmt::format("/v1/fate/{}", requestId), .idleTimeout = askTimeout},
+    const auto range = attempt == 0 ? "" : fmt::format("?attempt={}", attempt);
+    http.fetch(agent,
+               {.path = fmt::format("/v1/fate/{}{}", requestId, range), .idleTimeout = askTimeout},
                [done = std::move(done)](const http_outcome &outcome, const http_answer &,
                                         const std::string &body) {
                    const auto whole = std::holds_alternative<std::monostate>(outcome);
