--- a/packages/policy/testing/policy_bench.cpp
+++ b/packages/policy/testing/policy_bench.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "policy/testing/routers.h"
+#include "policy/testing/scaling_run.h"
 
 namespace mustardline {
 
@@ -49,5 +50,13 @@
             }
         }
     }
+    for (std::uint64_t seed = 1; seed <= seeds && wanted.empty(); ++seed) {
+        const auto report = runScaling({}, seed);
+        fmt::print("scaling seed={} paid={:.0f} least={:.0f} ratio={:.3f} unserved={:.5f} "
+                   "starting={}\n",
+                   seed, report.paidSeconds, report.leastSeconds,
+                   report.paidSeconds / report.leastSeconds, report.unserved,
+                   report.mostStartingAtOnce);
+    }
     return 0;
 }
