Order accounts by work given and in flight, admit an idle account at once

Cause: small accounts were refused by a predicted wait that they would not have had, and lost their credit whenever their line ran empty.

--- a/packages/policy/class_queue.cpp
+++ b/packages/policy/class_queue.cpp
@@ -9,16 +9,16 @@
     return [this](std::uint32_t left, std::uint32_t right) {
         const auto &a = m_flows[left];
         const auto &b = m_flows[right];
-        if (a.inFlight != b.inFlight)
-            return a.inFlight < b.inFlight;
-        return a.startTag < b.startTag;
+        return a.startTag + a.inFlightTokens < b.startTag + b.inFlightTokens;
     };
 }
 
 auto class_queue::lengthOrder() const
 {
     return [this](std::uint32_t left, std::uint32_t right) {
-        return m_flows[left].waiting > m_flows[right].waiting;
+        const auto &a = m_flows[left];
+        const auto &b = m_flows[right];
+        return a.waiting + a.inFlight > b.waiting + b.inFlight;
     };
 }
 
@@ -74,7 +74,10 @@
 {
     auto &line = m_flows[number];
     if (line.waiting == 1) {
-        line.startTag = std::max(line.startTag, m_virtualTime);
+        const auto present = m_byShare.empty()
+                                 ? m_virtualTime
+                                 : std::min(m_virtualTime, m_flows[m_byShare.top()].startTag);
+        line.startTag = std::max(line.startTag, present);
         m_byShare.push(number, fairOrder());
         m_byLength.push(number, lengthOrder());
     } else {
@@ -128,7 +131,9 @@
     auto &line = m_flows[flowOf(requests.at(slot).account)];
     m_virtualTime = std::max(m_virtualTime, line.startTag);
     line.startTag += tokens;
+    line.inFlightTokens += tokens;
     ++line.inFlight;
+    ++m_inFlight;
     unlink(requests, slot);
 }
 
@@ -137,26 +142,44 @@
 {
     const auto number = flowOf(account);
     auto &line = m_flows[number];
+    line.inFlightTokens -= chargedTokens;
     line.startTag += static_cast<double>(usedTokens) - static_cast<double>(chargedTokens);
     --line.inFlight;
+    --m_inFlight;
     reorder(number);
 }
 
-auto class_queue::newestOfLongest() const -> std::uint32_t
+auto class_queue::newestOfLargest() const -> std::uint32_t
 {
     return m_flows[m_byLength.top()].last;
 }
 
-auto class_queue::longestLine() const -> std::uint32_t
+auto class_queue::mostHeld() const -> std::uint32_t
 {
-    return m_byLength.empty() ? 0 : m_flows[m_byLength.top()].waiting;
+    if (m_byLength.empty())
+        return 0;
+    const auto &line = m_flows[m_byLength.top()];
+    return line.waiting + line.inFlight;
 }
 
-auto class_queue::lineOf(std::uint32_t account) const -> std::uint32_t
+auto class_queue::heldBy(std::uint32_t account) const -> std::uint32_t
 {
     if (account >= m_flowOfAccount.size() || m_flowOfAccount[account] == noIndex)
         return 0;
-    return m_flows[m_flowOfAccount[account]].waiting;
+    const auto &line = m_flows[m_flowOfAccount[account]];
+    return line.waiting + line.inFlight;
+}
+
+auto class_queue::aheadOf(std::uint32_t account) const -> std::uint32_t
+{
+    const auto accounts = waitingAccounts();
+    if (accounts == 0)
+        return 0;
+    // It is served before the others until it has as many in flight as they have on average.
+    const auto average = m_inFlight / accounts;
+    const auto held = heldBy(account);
+    const auto turns = held > average ? held - average : 0;
+    return std::min(m_size, turns * accounts);
 }
 
 auto class_queue::waitingAccounts() const -> std::uint32_t
--- a/packages/policy/class_queue.h
+++ b/packages/policy/class_queue.h
@@ -2,11 +2,11 @@
 
 // The waiting requests of one class for one target, shared out fairly among client accounts.
 //
-// The next request is taken from the account that has the fewest requests of this class in flight,
-// and among equals from the one that was given the least work so far (start-time fair queueing). An
-// account that was idle starts at the present virtual time, so it gets its share at once and cannot
-// save up more than that; a burst of one account only lengthens its own line. When the queue is
-// full the newest request of the longest line goes.
+// The next request is taken from the account that was given the least work so far (start-time fair
+// queueing), where work in flight counts twice. An account that was idle starts at the present
+// virtual time, so it cannot save up, and it is served before those that hold many places until it
+// has its share; a burst of one account only lengthens its own line. When the queue is
+// full the newest request of the account that holds most goes.
 //
 //     class_queue queue({.tier = 2, .priority = 0});
 //     queue.push(requests, slot);
@@ -50,10 +50,13 @@
 
     // The request that has waited longest; the queue must not be empty.
     [[nodiscard]] auto oldest() const -> std::uint32_t { return m_oldest; }
-    // The newest request of the account with the longest line.
-    [[nodiscard]] auto newestOfLongest() const -> std::uint32_t;
-    [[nodiscard]] auto longestLine() const -> std::uint32_t;
-    [[nodiscard]] auto lineOf(std::uint32_t account) const -> std::uint32_t;
+    // The newest waiting request of the account that holds most, waiting and in flight.
+    [[nodiscard]] auto newestOfLargest() const -> std::uint32_t;
+    // How many it holds.
+    [[nodiscard]] auto mostHeld() const -> std::uint32_t;
+    [[nodiscard]] auto heldBy(std::uint32_t account) const -> std::uint32_t;
+    // Requests of this class that would be placed before a new one of the account.
+    [[nodiscard]] auto aheadOf(std::uint32_t account) const -> std::uint32_t;
     [[nodiscard]] auto waitingAccounts() const -> std::uint32_t;
 
     [[nodiscard]] auto size() const -> std::uint32_t { return m_size; }
@@ -76,6 +79,8 @@
         std::uint32_t inFlight = 0;
         // Virtual time at which its next request may start.
         double startTag = 0;
+        // Tokens charged for what is in flight.
+        double inFlightTokens = 0;
     };
 
     auto flowOf(std::uint32_t account) -> std::uint32_t;
@@ -94,6 +99,7 @@
     indexed_heap m_byLength;
     double m_virtualTime = 0;
     std::uint32_t m_size = 0;
+    std::uint32_t m_inFlight = 0;
     std::uint32_t m_oldest = noIndex;
     std::uint32_t m_newest = noIndex;
 };
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -25,7 +25,7 @@
 // A class is never taken to be served at less than this part of all places that come free.
 constexpr double leastPart = 0.02;
 // Standard deviations of the higher tiers' load that lower tiers keep free.
-constexpr double reserveDeviations = 1.5;
+constexpr double reserveDeviations = 2;
 constexpr double loadFadeSeconds = 10;
 
 } // namespace
@@ -399,7 +399,7 @@
     -> void
 {
     while (const auto *lowest = target.queue.lowest()) {
-        const auto slot = lowest->newestOfLongest();
+        const auto slot = lowest->newestOfLargest();
         const auto &row = requests.at(slot);
         const auto wait = predictedWait(target, row.queue, target.queue.size() - 1);
         const auto allowed = scaled(wait, 1 / hopelessFactor);
--- a/packages/policy/target_queue.cpp
+++ b/packages/policy/target_queue.cpp
@@ -35,10 +35,10 @@
         if (other.options().tier <= row.tier)
             break;
         if (!other.empty())
-            return other.newestOfLongest();
+            return other.newestOfLargest();
     }
-    if (own.lineOf(row.account) + 1 < own.longestLine())
-        return own.newestOfLongest();
+    if (own.heldBy(row.account) + 1 < own.mostHeld())
+        return own.newestOfLargest();
     return slot;
 }
 
@@ -133,10 +133,7 @@
             break;
         count += m_classes[other].queue.size();
     }
-    const auto &own = m_classes[number].queue;
-    // Accounts take turns, so a short line passes the longer ones.
-    const auto turns = own.lineOf(account) * std::max(1U, own.waitingAccounts());
-    return count + std::min(own.size(), turns + own.waitingAccounts());
+    return count + m_classes[number].queue.aheadOf(account);
 }
 
 auto target_queue::lowest() const -> const class_queue *
--- a/packages/policy/testing/workload.h
+++ b/packages/policy/testing/workload.h
@@ -56,14 +56,14 @@
 struct workload
 {
     std::string name;
-    duration length = std::chrono::seconds(120);
+    duration length = std::chrono::seconds(240);
     // Requests that arrive earlier are not counted: the fleet has only just started.
     duration countedFrom = std::chrono::seconds(5);
     // Shares of accounts are compared for the requests that arrive in between, when the lowest tier
     // is over capacity: before and after there is enough for all, and the shares are as unequal as
     // the demands.
     duration contendedFrom = std::chrono::seconds(25);
-    duration contendedUntil = std::chrono::seconds(100);
+    duration contendedUntil = std::chrono::seconds(220);
     std::uint32_t entries = 3;
     std::vector<workload_engine> engines;
     std::vector<workload_class> classes;
