--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -137,7 +137,7 @@
     target.queue.push(requests, slot, now);
     placeWaiting(target, now, actions);
     const auto &row = requests.at(slot);
-    if (row.state != request_state::waiting || target.queue.hasLowerTier(row.tier))
+    if (row.state != request_state::waiting || holdsLowerTier(target, row.tier))
         return;
     const auto verdict = lateness(row, predictedWait(target, queue, ahead), now);
     if (verdict != result_code::ok)
@@ -190,6 +190,17 @@
     return result_code::ok;
 }
 
+auto dispatcher::state::holdsLowerTier(const target_row &target, std::uint32_t tier) const -> bool
+{
+    if (target.queue.hasLowerTier(tier))
+        return true;
+    for (auto lower = tier + 1; lower <= lowestTier; ++lower) {
+        if (target.delayed[lower] > 0)
+            return true;
+    }
+    return false;
+}
+
 auto dispatcher::state::refuse(std::uint32_t slot, result_code code, std::string_view reason,
                                time_point now, dispatch_actions &actions) -> void
 {
@@ -327,7 +338,7 @@
 {
     limits.ended(requests.at(slot).account);
     if (requests.at(slot).state == request_state::delayed)
-        std::erase(delayed, slot);
+        undelay(slot);
     requests.remove(slot);
 }
 
@@ -348,10 +359,24 @@
         return;
     }
     row.retryAt = isFailure || row.attempt > 1 ? now + retryBackoff(row.attempt, random) : now;
-    delayed.push_back(slot);
+    delay(slot);
     releaseDelayed(now, actions);
 }
 
+auto dispatcher::state::delay(std::uint32_t slot) -> void
+{
+    const auto &row = requests.at(slot);
+    ++targets[row.target].delayed[row.tier];
+    delayed.push_back(slot);
+}
+
+auto dispatcher::state::undelay(std::uint32_t slot) -> void
+{
+    const auto &row = requests.at(slot);
+    if (std::erase(delayed, slot) > 0)
+        --targets[row.target].delayed[row.tier];
+}
+
 auto dispatcher::state::releaseDelayed(time_point now, dispatch_actions &actions) -> void
 {
     if (delayed.empty())
@@ -364,6 +389,7 @@
     for (const auto slot : ready) {
         auto &row = requests.at(slot);
         row.state = request_state::waiting;
+        --targets[row.target].delayed[row.tier];
         targets[row.target].queue.pushFront(requests, slot, now);
     }
     for (const auto slot : ready) {
@@ -387,7 +413,7 @@
         const auto &queue = target.queue.queue(number);
         while (!queue.empty() && requests.at(queue.oldest()).dueAt <= now)
             refuse(queue.oldest(), result_code::deadline_unmeetable, "expired", now, actions);
-        while (!queue.empty() && !target.queue.hasLowerTier(queue.options().tier)
+        while (!queue.empty() && !holdsLowerTier(target, queue.options().tier)
                && isLate(queue.oldest(), now))
             refuse(queue.oldest(), result_code::overloaded, "late", now, actions);
     }
@@ -401,6 +427,8 @@
     while (const auto *lowest = target.queue.lowest()) {
         const auto slot = lowest->newestOfLargest();
         const auto &row = requests.at(slot);
+        if (holdsLowerTier(target, row.tier))
+            return;
         const auto wait = predictedWait(target, row.queue, target.queue.size() - 1);
         const auto allowed = scaled(wait, 1 / hopelessFactor);
         const auto verdict = lateness(row, allowed, now);
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -6,6 +6,7 @@
 // retries (delayed) or counted at an endpoint (placed). Systems that change the place of a row are
 // the only ones that touch the counters that go with it.
 
+#include <array>
 #include <span>
 #include <string>
 #include <vector>
@@ -37,6 +38,8 @@
         // By the number of the class's queue.
         std::vector<class_pace> paces;
         return_schedule returns;
+        // Delayed retries by tier.
+        std::array<std::uint32_t, lowestTier + 1> delayed{};
         time_point loadsAt{};
         // No endpoint had room at the last try and nothing has happened since.
         bool isFull = false;
@@ -61,6 +64,8 @@
                                      std::uint32_t ahead) const -> duration;
     [[nodiscard]] auto lateness(const request_row &row, duration wait, time_point now) const
         -> result_code;
+    // True if a request of a lower tier waits, also for its retry: no other may be shed then.
+    [[nodiscard]] auto holdsLowerTier(const target_row &target, std::uint32_t tier) const -> bool;
     auto refuse(std::uint32_t slot, result_code code, std::string_view reason, time_point now,
                 dispatch_actions &actions) -> void;
 
@@ -83,6 +88,8 @@
 
     // Periodic systems.
     auto followLoad(target_row &target, time_point now) -> void;
+    auto delay(std::uint32_t slot) -> void;
+    auto undelay(std::uint32_t slot) -> void;
     auto releaseDelayed(time_point now, dispatch_actions &actions) -> void;
     [[nodiscard]] auto isLate(std::uint32_t slot, time_point now) const -> bool;
     auto expireWaiting(target_row &target, time_point now, dispatch_actions &actions) -> void;
