--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -123,7 +123,9 @@
 {
     const auto number = requests.at(slot).target;
     auto &target = targets[number];
-    const auto shed = target.queue.makeRoom(requests, slot);
+    auto shed = target.queue.makeRoom(requests, slot);
+    if (shed == slot)
+        shed = lowerDelayed(slot);
     if (shed == slot) {
         refuse(slot, result_code::queue_full, "queue_full", now, actions);
         return;
@@ -190,6 +192,19 @@
     return result_code::ok;
 }
 
+// A request of the lowest tier that waits for its retry, if that is lower than that of `slot`, else
+// `slot`.
+auto dispatcher::state::lowerDelayed(std::uint32_t slot) const -> std::uint32_t
+{
+    auto lowest = slot;
+    for (const auto other : delayed) {
+        if (requests.at(other).target == requests.at(slot).target
+            && requests.at(other).tier > requests.at(lowest).tier)
+            lowest = other;
+    }
+    return lowest;
+}
+
 auto dispatcher::state::holdsLowerTier(const target_row &target, std::uint32_t tier) const -> bool
 {
     if (target.queue.hasLowerTier(tier))
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -66,6 +66,7 @@
         -> result_code;
     // True if a request of a lower tier waits, also for its retry: no other may be shed then.
     [[nodiscard]] auto holdsLowerTier(const target_row &target, std::uint32_t tier) const -> bool;
+    [[nodiscard]] auto lowerDelayed(std::uint32_t slot) const -> std::uint32_t;
     auto refuse(std::uint32_t slot, result_code code, std::string_view reason, time_point now,
                 dispatch_actions &actions) -> void;
 
--- a/packages/policy/endpoint_table.cpp
+++ b/packages/policy/endpoint_table.cpp
@@ -19,6 +19,9 @@
 // Reports up to this age are taken as they are; of older ones a mean is kept.
 constexpr duration freshAge = std::chrono::milliseconds(200);
 constexpr double staleWeight = 0.2;
+// Requests sent beyond the window on an old report; they wait in the agent's queue for a place that
+// the report could not show.
+constexpr std::uint32_t staleSlack = 1;
 constexpr duration historySpanLength = std::chrono::milliseconds(200);
 // Owing first tokens for longer than this many times the mean, and this long, is a stall.
 constexpr double stallRatio = 8;
@@ -83,7 +86,7 @@
     // What others had long ago says little of now; their mean says more.
     const auto weight = load.age > freshAge ? staleWeight : 1;
     row.others += (others - row.others) * weight;
-    row.window = load.window;
+    row.window = load.window + (load.age > freshAge ? staleSlack : 0);
     row.reportedAt = now;
     if (total < load.window && load.age <= freshAge)
         row.busyUntil = {};
@@ -195,7 +198,7 @@
 auto endpoint_table::window(std::uint32_t index) const -> std::uint32_t
 {
     const auto &row = m_rows[index];
-    return std::min(row.window == 0 ? unknownWindow : row.window, row.maxConcurrency);
+    return row.window == 0 ? std::min(unknownWindow, row.maxConcurrency) : row.window;
 }
 
 auto endpoint_table::ownBelow(std::uint32_t index, std::uint32_t tier) const -> std::uint32_t
