--- a/packages/policy/scaler.h
+++ b/packages/policy/scaler.h
@@ -40,7 +40,7 @@
     // Endpoints that may start at once, by the rate of the weight store.
     std::uint32_t startsAtOnce = 2;
     // A surplus must last this long before an endpoint is drained.
-    duration surplusTime = std::chrono::seconds(60);
+    duration surplusTime = std::chrono::seconds(30);
     // Never fewer endpoints than this while any data centre is in.
     std::uint32_t least = 1;
     // Never more than this.
