--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -444,12 +444,27 @@
     }
 }
 
-// True for a request that would miss its target even if it were placed now. One that was placed
-// before and has sent tokens is not given up, because work was done for it.
+// True for a request that would miss its target even if it were placed now.
 auto dispatcher::state::isLate(std::uint32_t slot, time_point now) const -> bool
 {
     const auto &row = requests.at(slot);
-    return row.generatedTokens == 0 && lateness(row, {}, now) != result_code::ok;
+    return lateness(row, {}, now) != result_code::ok;
+}
+
+// Refuses the late ones from `slot` on in the order of arrival; some that came back are kept.
+auto dispatcher::state::refuseLate(std::uint32_t slot, time_point now, dispatch_actions &actions)
+    -> void
+{
+    while (slot != noIndex) {
+        const auto &row = requests.at(slot);
+        const auto next = row.classLink.next;
+        const bool isKept = row.generatedTokens > 0;
+        if (!isKept && !isLate(slot, now))
+            return;
+        if (!isKept)
+            refuse(slot, result_code::overloaded, "late", now, actions);
+        slot = next;
+    }
 }
 
 auto dispatcher::state::expireWaiting(target_row &target, time_point now, dispatch_actions &actions)
@@ -459,9 +474,8 @@
         const auto &queue = target.queue.queue(number);
         while (!queue.empty() && requests.at(queue.oldest()).dueAt <= now)
             refuse(queue.oldest(), result_code::deadline_unmeetable, "expired", now, actions);
-        while (!queue.empty() && !holdsLowerTier(target, queue.options().tier)
-               && isLate(queue.oldest(), now))
-            refuse(queue.oldest(), result_code::overloaded, "late", now, actions);
+        if (!queue.empty() && !holdsLowerTier(target, queue.options().tier))
+            refuseLate(queue.oldest(), now, actions);
     }
 }
 
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -97,6 +97,7 @@
     auto undelay(std::uint32_t slot) -> void;
     auto releaseDelayed(time_point now, dispatch_actions &actions) -> void;
     [[nodiscard]] auto isLate(std::uint32_t slot, time_point now) const -> bool;
+    auto refuseLate(std::uint32_t slot, time_point now, dispatch_actions &actions) -> void;
     auto expireWaiting(target_row &target, time_point now, dispatch_actions &actions) -> void;
     auto shedHopeless(target_row &target, time_point now, dispatch_actions &actions) -> void;
     auto cancelOverdue(time_point now, dispatch_actions &actions) -> void;
--- a/packages/policy/testing/run_report.cpp
+++ b/packages/policy/testing/run_report.cpp
@@ -30,10 +30,11 @@
         workload, router, goodput, usedPlaces, wasted, worstShare(), preemptions, inversions,
         coldLoad, endpointSeconds, leastEndpointSeconds);
     for (const auto &row : classes)
-        lines += fmt::format("    tier={} class={} offered={} attainment={:.4f} answered={} "
-                             "refused={} longest_wait={:.2f}s worst_share={:.3f}\n",
-                             row.tier, row.name, row.offered, row.attainment(), row.answered,
-                             row.refused, toSeconds(row.longestWait), row.worstShare);
+        lines += fmt::format(
+            "    tier={} class={} offered={} attainment={:.4f} answered={} "
+            "refused={} longest_wait={:.2f}s longest_gap={:.2f}s worst_share={:.3f}\n",
+            row.tier, row.name, row.offered, row.attainment(), row.answered, row.refused,
+            toSeconds(row.longestWait), toSeconds(row.longestGap), row.worstShare);
     return lines;
 }
 
--- a/packages/policy/testing/run_report.h
+++ b/packages/policy/testing/run_report.h
@@ -21,6 +21,8 @@
     std::uint64_t refused = 0;
     // Longest time from arrival to placement or final answer.
     duration longestWait{};
+    // Longest time in which a request of the class waited and none of the class was placed.
+    duration longestGap{};
     // Worst account's served work over its max-min fair share of what the class was served.
     double worstShare = 1;
 
--- a/packages/policy/testing/simulation.cpp
+++ b/packages/policy/testing/simulation.cpp
@@ -208,6 +208,22 @@
     return isInTime(row) && row.firstTokenAt - row.request.at <= kind.firstTokenTarget;
 }
 
+auto simulation::longestGap(std::uint32_t requestClass) const -> duration
+{
+    std::vector<const request_record *> placed;
+    for (const auto &row : m_records) {
+        if (isCounted(row) && row.request.requestClass == requestClass && row.wasPlaced)
+            placed.push_back(&row);
+    }
+    std::ranges::sort(placed, {}, &request_record::firstPlacedAt);
+    duration longest{};
+    for (std::size_t at = 1; at < placed.size(); ++at) {
+        const auto since = std::max(placed[at - 1]->firstPlacedAt, placed[at]->request.at);
+        longest = std::max(longest, placed[at]->firstPlacedAt - since);
+    }
+    return longest;
+}
+
 auto simulation::classReport(std::uint32_t requestClass) const -> class_report
 {
     const auto &kind = m_load.classes[requestClass];
@@ -236,6 +252,7 @@
         served[row.request.account] += units;
         total += units;
     }
+    result.longestGap = longestGap(requestClass);
     const auto shares = fairShares(demands, total);
     for (std::size_t account = 0; account < shares.size(); ++account) {
         if (shares[account] > 0)
--- a/packages/policy/testing/simulation.h
+++ b/packages/policy/testing/simulation.h
@@ -119,6 +119,7 @@
     auto scheduleFaults() -> void;
     auto applyFault(const workload_fault &fault, bool begins) -> void;
     auto tickLoop() -> void;
+    [[nodiscard]] auto longestGap(std::uint32_t requestClass) const -> duration;
     [[nodiscard]] auto classReport(std::uint32_t requestClass) const -> class_report;
     [[nodiscard]] auto attained(const request_record &row) const -> bool;
     [[nodiscard]] auto isCounted(const request_record &row) const -> bool;
