Make the agent's sample configuration valid and check that it is

Cause: the fold now validates whole configurations and rejected the sample's class without a deadline, its key without a hash and its endpoint without addresses; the agent under test had no configuration and six tests waited for ever. The sample now fails at once if an entity is rejected.

--- a/packages/agent/testing/sample_configuration.cpp
+++ b/packages/agent/testing/sample_configuration.cpp
@@ -1,12 +1,15 @@
 #include "agent/testing/sample_configuration.h"
 
 #include <fmt/format.h>
+#include <gtest/gtest.h>
 
 namespace mustardline {
 
 namespace {
 
 constexpr std::uint32_t sampleConcurrency = 4;
+constexpr std::uint32_t sampleDeadline = 600'000; // milliseconds
+constexpr std::size_t hashDigits = 64;
 
 auto accountOf(const std::string &id, std::uint32_t tier) -> v1::Entity
 {
@@ -24,6 +27,7 @@
     entity.mutable_key()->set_id(id);
     entity.mutable_key()->set_client_account(account);
     entity.mutable_key()->set_withdrawn(withdrawn);
+    entity.mutable_key()->set_hash(std::string(hashDigits, '0'));
     return entity;
 }
 
@@ -42,13 +46,18 @@
     change->set_id(idOf(entity));
     change->set_base_revision(current == nullptr ? 0 : current->revision());
     *change->mutable_entity() = entity;
+    record.mutable_configuration_change()->set_change_id(std::to_string(offset));
     config.apply(offset, record);
+    const auto decision = config.decision(std::to_string(offset));
+    EXPECT_TRUE(decision && decision->code == result_code::ok)
+        << idOf(entity) << ": " << (decision ? decision->message : "");
 }
 
 auto applySample(configuration &config, endpoint_kind kind) -> void
 {
     v1::Entity requestClass;
     requestClass.mutable_request_class()->set_id("chat");
+    requestClass.mutable_request_class()->set_deadline_ms(sampleDeadline);
     for (const auto &entity :
          {sampleDataCentre(false), requestClass, sampleAccount(2), accountOf("other", 5),
           sampleKey(false), keyOf("k2", "other", false),
@@ -60,6 +69,7 @@
 {
     v1::Entity entity;
     entity.mutable_data_centre()->set_id("tuzla");
+    entity.mutable_data_centre()->set_region("marmara");
     entity.mutable_data_centre()->set_out(out);
     return entity;
 }
@@ -95,6 +105,10 @@
     v1::Entity entity;
     auto *endpoint = entity.mutable_endpoint();
     endpoint->set_id("e");
+    endpoint->set_kind(kind == endpoint_kind::model ? v1::ENDPOINT_KIND_MODEL
+                                                    : v1::ENDPOINT_KIND_SERVICE);
+    endpoint->set_agent_address("127.0.0.1:1");
+    endpoint->set_control_address("127.0.0.1:2");
     endpoint->set_data_centre("tuzla");
     endpoint->set_max_concurrency(sampleConcurrency);
     endpoint->set_leaving(leaving);
