Hold duties by lease, close and report usage windows, survive log retention

Cause: usage reached the log but nobody reported it, and a reader past the log's retention stopped for good. An agent's usage counts as durable once the ledger has counted it, not once an append was answered. Ruled out: the time of an answer as the time of having caught up (a pause between answer and use would close a window too early); it is the time when that read began.

--- a/packages/entry/claim_keeper.cpp
+++ b/packages/entry/claim_keeper.cpp
@@ -1,6 +1,5 @@
 #include "entry/claim_keeper.h"
 
-#include "base/hashing.h"
 #include "entry/events.h"
 
 namespace mustardline {
@@ -31,15 +30,13 @@
     : m_loop(loop),
       m_log(log),
       m_options(std::move(options)),
-      m_stream(loop, http, {.address = m_options.logAddress, .stream = "claims"}),
-      m_boot(randomBits())
+      m_namer(m_options.entryName),
+      m_stream(loop, http, log, {.address = m_options.logAddress, .stream = "claims"},
+               {.onEntries = [this](std::span<const v1::LogEntry> entries) { fold(entries); },
+                .offset = [this] { return m_ledger.offset(); },
+                .onTruncated = [](std::uint64_t) {}})
 {}
 
-auto claim_keeper::start() -> void
-{
-    follow(1);
-}
-
 auto claim_keeper::claim(const idempotency_request &request, answer_handler done) -> void
 {
     if (!m_stream.isReachable()) {
@@ -82,17 +79,6 @@
     append(std::move(record));
 }
 
-auto claim_keeper::follow(std::uint64_t from) -> void
-{
-    m_stream.follow(from,
-                    {.onEntries = [this](std::span<const v1::LogEntry> entries) { fold(entries); },
-                     .onExpired = [this](std::uint64_t oldest) { follow(oldest); },
-                     .onPosition =
-                         [this](std::uint64_t next) {
-                             m_caughtUp = m_caughtUp || m_ledger.offset() + 1 >= next;
-                         }});
-}
-
 auto claim_keeper::fold(std::span<const v1::LogEntry> entries) -> void
 {
     const auto now = m_clock.now();
@@ -147,11 +133,8 @@
 
 auto claim_keeper::append(v1::LogRecord record) -> void
 {
-    record.set_writer(m_options.entryName);
-    record.set_boot(m_boot);
-    record.set_sequence(++m_sequence);
     ++m_pendingRecords;
-    appendUntilTaken(record.SerializeAsString());
+    appendUntilTaken(m_namer.finish(std::move(record), m_ledger.offset()));
 }
 
 auto claim_keeper::appendUntilTaken(const std::string &record) -> void
--- a/packages/entry/claim_keeper.h
+++ b/packages/entry/claim_keeper.h
@@ -19,10 +19,11 @@
 #include <unordered_map>
 
 #include "base/log.h"
+#include "entry/record_namer.h"
+#include "entry/stream_follower.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "platform/idempotency_ledger.h"
-#include "platform/log_client.h"
 
 namespace mustardline {
 
@@ -65,7 +66,7 @@
     claim_keeper(event_loop &loop, http_client &http, logger &log, claim_keeper_options options);
 
     // Begins to read the stream from its oldest record.
-    auto start() -> void;
+    auto start() -> void { m_stream.start(); }
 
     auto claim(const idempotency_request &request, answer_handler done) -> void;
 
@@ -76,7 +77,7 @@
     auto giveBack(const std::string &requestId) -> void;
 
     // Whether every record up to the head of the stream was read once.
-    [[nodiscard]] auto isCaughtUp() const -> bool { return m_caughtUp; }
+    [[nodiscard]] auto isCaughtUp() const -> bool { return m_stream.isCaughtUp(); }
 
     // Records that are not in the log yet.
     [[nodiscard]] auto pendingCount() const -> std::size_t { return m_pendingRecords; }
@@ -91,7 +92,6 @@
         event_handle timer;
     };
 
-    auto follow(std::uint64_t from) -> void;
     auto fold(std::span<const v1::LogEntry> entries) -> void;
     auto answerClaim(const std::string &requestId) -> void;
     auto giveUp(const std::string &requestId) -> void;
@@ -102,15 +102,13 @@
     logger &m_log;
     claim_keeper_options m_options;
     system_runtime_clock m_clock;
-    log_client m_stream;
     idempotency_ledger m_ledger;
+    record_namer m_namer;
     std::unordered_map<std::string, waiting_claim> m_waiting;
     // When the claim of a request that has not finished was read.
     std::unordered_map<std::string, time_point> m_readAt;
-    std::uint64_t m_boot;
-    std::uint64_t m_sequence = 0;
     std::size_t m_pendingRecords = 0;
-    bool m_caughtUp = false;
+    stream_follower m_stream;
 };
 
 } // namespace mustardline
--- a/packages/entry/configuration_follower.cpp
+++ b/packages/entry/configuration_follower.cpp
@@ -1,69 +1,115 @@
 #include "entry/configuration_follower.h"
 
+#include <fmt/format.h>
+
+#include "base/hashing.h"
 #include "entry/events.h"
 
 namespace mustardline {
 
 configuration_follower::configuration_follower(event_loop &loop, http_client &http, logger &log,
-                                               configuration &config,
+                                               configuration &config, duty_leases &leases,
                                                configuration_follower_options options)
-    : m_log(log),
+    : m_loop(loop),
+      m_log(log),
       m_config(config),
       m_options(std::move(options)),
-      m_stream(loop, http, {.address = m_options.logAddress, .stream = "configuration"})
-{}
+      m_feed(config, {}),
+      m_gossip({.seed = randomBits()}, m_feed),
+      m_namer(m_options.entryName),
+      m_snapshotLease(leases.contend("snapshot/configuration")),
+      m_stream(loop, http, log, {.address = m_options.logAddress, .stream = "configuration"},
+               {.onSnapshot = [this](const whole_snapshot &snapshot) { restore(snapshot); },
+                .onEntries = [this](std::span<const v1::LogEntry> entries) { take(entries); },
+                .offset = [this] { return m_config.offset(); }})
+{
+    std::vector<std::string> names;
+    for (const auto &peer : m_options.peers) {
+        names.push_back(fmt::format("{}:{}", peer.host, peer.port));
+        m_peers[names.back()]
+            = std::make_unique<control_client>(m_loop, peer, control_client_options());
+    }
+    m_gossip.setPeers(names, m_clock.now());
+}
 
-auto configuration_follower::start() -> void
+auto configuration_follower::tick() -> void
 {
-    m_stream.follow(m_config.offset() + 1,
-                    {.onEntries = [this](std::span<const v1::LogEntry> entries) { fold(entries); },
-                     .onExpired =
-                         [this](std::uint64_t oldest) {
-                             m_log.write(configurationExpired, field("offset", m_config.offset()),
-                                         field("oldest", oldest));
-                         },
-                     .onPosition =
-                         [this](std::uint64_t next) {
-                             m_caughtUp = m_caughtUp || m_config.offset() + 1 >= next;
-                         }});
+    for (const auto &question : m_gossip.tick(m_clock.now()))
+        ask(question);
+    writeSnapshotIfDue();
 }
 
-auto configuration_follower::answer(const v1::CatchUpRequest &request) const -> v1::CatchUpReply
+auto configuration_follower::append(v1::LogRecord record) -> void
 {
-    v1::CatchUpReply reply;
-    if (request.after_offset() >= m_config.offset())
-        return reply;
-    const auto held = !m_recent.empty() && request.after_offset() + 1 >= m_recent.front().offset();
-    if (!held) {
-        *reply.mutable_snapshot() = m_config.snapshot();
-        return reply;
-    }
-    for (const auto &entry : m_recent) {
-        if (entry.offset() <= request.after_offset())
-            continue;
-        if (static_cast<std::size_t>(reply.records_size()) == m_options.maxRecordsPerAnswer) {
-            reply.set_more(true);
-            break;
-        }
-        *reply.add_records() = entry;
-    }
-    return reply;
+    m_stream.append(m_namer.finish(std::move(record), m_config.offset()));
 }
 
-auto configuration_follower::fold(std::span<const v1::LogEntry> entries) -> void
+auto configuration_follower::heard(const std::string &sender, std::uint64_t offset) -> void
+{
+    m_gossip.heard(sender, offset, m_clock.now());
+}
+
+auto configuration_follower::take(std::span<const v1::LogEntry> entries) -> void
 {
     for (const auto &entry : entries) {
         v1::LogRecord record;
-        // A record that cannot be read is skipped alike everywhere, so all folds still agree.
-        if (!record.ParseFromString(entry.record()))
-            record.Clear();
-        m_config.apply(entry.offset(), record);
-        m_recent.push_back(entry);
-        if (m_recent.size() > m_options.maxRecentRecords)
-            m_recent.pop_front();
+        if (record.ParseFromString(entry.record()))
+            m_snapshots.note(record);
+    }
+    if (m_feed.add(entries) && onFolded)
+        onFolded();
+}
+
+auto configuration_follower::restore(const whole_snapshot &snapshot) -> void
+{
+    v1::ConfigurationSnapshot parsed;
+    if (parsed.ParseFromString(snapshot.data) && m_feed.restore(std::move(parsed)) && onFolded)
+        onFolded();
+}
+
+auto configuration_follower::ask(const catch_up_ask &question) -> void
+{
+    const auto peer = m_peers.find(question.peer);
+    if (peer == m_peers.end())
+        return;
+    v1::ControlRequest request;
+    request.set_sender(m_options.entryName);
+    request.set_configuration_offset(m_config.offset());
+    *request.mutable_catch_up() = question.request;
+    peer->second->send(
+        request.SerializeAsString(),
+        [this, name = question.peer](const result<std::string> &reply) { answered(name, reply); });
+}
+
+auto configuration_follower::answered(const std::string &peer, const result<std::string> &reply)
+    -> void
+{
+    v1::ControlReply message;
+    const auto *bytes = std::get_if<std::string>(&reply);
+    if (bytes == nullptr || !message.ParseFromString(*bytes) || !message.has_catch_up()) {
+        m_gossip.failed(peer, m_clock.now());
+        return;
     }
-    if (onFolded)
+    const auto before = m_config.offset();
+    m_gossip.replied(peer, message.catch_up(), message.configuration_offset(), m_clock.now());
+    if (m_config.offset() != before && onFolded)
         onFolded();
 }
 
+auto configuration_follower::writeSnapshotIfDue() -> void
+{
+    m_feed.dropSnapshot();
+    if (!m_snapshotLease.holds(m_clock.now()) || !m_snapshots.isDue(m_config.offset()))
+        return;
+    m_snapshots.started(m_config.offset());
+    const auto data = m_config.snapshot().SerializeAsString();
+    m_log.write(snapshotWritten, field("stream", "configuration"),
+                field("offset", m_config.offset()), field("bytes", data.size()));
+    for (auto &part : splitSnapshot(data, m_config.offset(), {})) {
+        v1::LogRecord record;
+        *record.mutable_snapshot_part() = std::move(part);
+        append(std::move(record));
+    }
+}
+
 } // namespace mustardline
--- a/packages/entry/configuration_follower.h
+++ b/packages/entry/configuration_follower.h
@@ -1,66 +1,97 @@
 #pragma once
 
-// Keeps the entry's configuration at the head of the log, and passes it on to agents.
+// Keeps the entry's configuration at the head of the log, or of its peers while the log is out, and
+// passes it on to agents and peers.
 //
-//     configuration_follower follower(loop, http, log, config, {.logAddress = address});
-//     follower.onRecord = [&] { ... };
+//     configuration_follower follower(loop, http, log, config, leases,
+//                                     {.entryName = "entry-1", .logAddress = address,
+//                                      .peers = peerControlAddresses});
+//     follower.onFolded = [&] { ... };
 //     follower.start();
-//     reply = follower.answer(catchUpRequest);
+//     reply = follower.answer(sender, itsOffset, catchUpRequest);
 //
-// Recent records are kept, so that an agent that is a little behind gets just those; one that is
-// further behind gets a snapshot.
+// The holder of the duty "snapshot/configuration" writes snapshots into the stream before the log
+// forgets their records.
 
 #include <cstdint>
-#include <deque>
 #include <functional>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
 
 #include "base/log.h"
 #include "control.pb.h"
-#include "net/event_loop.h"
-#include "net/http_client.h"
+#include "entry/duty_leases.h"
+#include "entry/record_namer.h"
+#include "entry/stream_follower.h"
+#include "net/control_socket.h"
 #include "platform/configuration.h"
-#include "platform/log_client.h"
+#include "platform/configuration_feed.h"
+#include "platform/configuration_gossip.h"
 
 namespace mustardline {
 
 struct configuration_follower_options
 {
+    std::string entryName;
     socket_address logAddress;
-    // Records kept for agents that are behind.
-    std::size_t maxRecentRecords = 4096;
-    // Records sent in one answer.
-    std::size_t maxRecordsPerAnswer = 512;
+    // Control addresses of other entries.
+    std::vector<socket_address> peers;
 };
 
 class configuration_follower
 {
 public:
     configuration_follower(event_loop &loop, http_client &http, logger &log, configuration &config,
-                           configuration_follower_options options);
+                           duty_leases &leases, configuration_follower_options options);
 
-    auto start() -> void;
+    auto start() -> void { m_stream.start(); }
 
-    // Records that the asker lacks, or a snapshot.
-    [[nodiscard]] auto answer(const v1::CatchUpRequest &request) const -> v1::CatchUpReply;
+    // Asks peers and writes snapshots; call some times a second.
+    auto tick() -> void;
 
-    // Whether the head of the log has been reached once.
-    [[nodiscard]] auto isCaughtUp() const -> bool { return m_caughtUp; }
+    // Appends a record to the configuration stream.
+    auto append(v1::LogRecord record) -> void;
 
-    // Called after records were folded.
-    std::function<auto()->void> onFolded;
+    // Records that the asker lacks, or a part of a snapshot.
+    [[nodiscard]] auto answer(const v1::CatchUpRequest &request) -> v1::CatchUpReply
+    {
+        return m_feed.answer(request);
+    }
+
+    // Takes note of the configuration offset in a message of another process.
+    auto heard(const std::string &sender, std::uint64_t offset) -> void;
 
-    // The client of the stream, for appends.
-    [[nodiscard]] auto stream() -> log_client & { return m_stream; }
+    // Whether there is a configuration to serve by: the log's, or in its outage a peer's.
+    [[nodiscard]] auto isUsable() const -> bool
+    {
+        return m_stream.isCaughtUp() || m_config.offset() > 0;
+    }
+
+    // Called after the configuration has moved.
+    std::function<auto()->void> onFolded;
 
 private:
-    auto fold(std::span<const v1::LogEntry> entries) -> void;
+    auto take(std::span<const v1::LogEntry> entries) -> void;
+    auto restore(const whole_snapshot &snapshot) -> void;
+    auto ask(const catch_up_ask &question) -> void;
+    auto answered(const std::string &peer, const result<std::string> &reply) -> void;
+    auto writeSnapshotIfDue() -> void;
 
+    event_loop &m_loop;
     logger &m_log;
     configuration &m_config;
     configuration_follower_options m_options;
-    log_client m_stream;
-    std::deque<v1::LogEntry> m_recent;
-    bool m_caughtUp = false;
+    system_runtime_clock m_clock;
+    configuration_feed m_feed;
+    configuration_gossip m_gossip;
+    record_namer m_namer;
+    snapshot_schedule m_snapshots{{}};
+    const lease_holder &m_snapshotLease;
+    std::map<std::string, std::unique_ptr<control_client>> m_peers;
+    stream_follower m_stream;
 };
 
 } // namespace mustardline
--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -11,6 +11,7 @@
 
 constexpr auto tickPeriod = std::chrono::milliseconds(5);
 constexpr auto sweepPeriod = std::chrono::milliseconds(50);
+constexpr auto dutyPeriod = std::chrono::milliseconds(100);
 constexpr auto drainPoll = std::chrono::milliseconds(20);
 constexpr int exitCut = 1;
 constexpr int exitListenFailed = 3;
@@ -33,9 +34,21 @@
              .lowest = m_settings.lowestLevel,
              .process = m_settings.name}),
       m_http(m_loop, {}),
-      m_follower(m_loop, m_http, m_log, m_config, {.logAddress = m_settings.log}),
-      m_usageStream(m_loop, m_http, {.address = m_settings.log, .stream = "usage"}),
-      m_usage(m_log, m_usageStream, {.entryName = m_settings.name}),
+      m_leases(m_loop, m_http, m_log,
+               {.entryName = m_settings.name,
+                .logAddress = m_settings.log,
+                .term = m_settings.leaseTerm}),
+      m_follower(
+          m_loop, m_http, m_log, m_config, m_leases,
+          {.entryName = m_settings.name, .logAddress = m_settings.log, .peers = m_settings.peers}),
+      m_usageDuty(m_loop, m_http, m_log, m_leases,
+                  {.entryName = m_settings.name,
+                   .logAddress = m_settings.log,
+                   .usageAddress = m_settings.usage,
+                   .window = m_settings.usageWindow,
+                   .closeDelay = m_settings.usageCloseDelay,
+                   .shards = m_settings.usageShards}),
+      m_usage(m_log, m_usageDuty.stream(), m_usageDuty.ledger(), {.entryName = m_settings.name}),
       m_claims(m_loop, m_http, m_log, {.entryName = m_settings.name, .logAddress = m_settings.log}),
       m_router(m_loop, m_http, m_log, m_metrics, m_config, m_claims,
                {.dataCentre = m_settings.dataCentre,
@@ -58,6 +71,9 @@
         m_router.configurationChanged(kind, id);
     });
     m_follower.onFolded = [this] { m_operators.folded(); };
+    m_operators.onUsage = [this](const v1::UsageRequest &request, v1::UsageResponse &response) {
+        m_usageDuty.describe(request, response);
+    };
     m_operators.onStatus = [this](v1::StatusResponse &response) { fillStatus(response); };
     m_callerServer.onRequest(
         [this](const std::shared_ptr<http_exchange> &exchange) { serveCaller(exchange); });
@@ -78,8 +94,11 @@
     m_loop.onSignal(SIGINT, [this] { drain(); });
     m_tickTimer = m_loop.every(tickPeriod, [this] { tick(); });
     m_sweepTimer = m_loop.every(sweepPeriod, [this] { m_router.sweep(); });
+    m_dutyTimer = m_loop.every(dutyPeriod, [this] { tickDuties(); });
     m_follower.start();
     m_claims.start();
+    m_leases.start();
+    m_usageDuty.start();
     m_loop.run();
     m_log.write(entryStopped, field("live", m_router.liveCount()));
     return m_exitStatus;
@@ -126,6 +145,7 @@
     reply.set_configuration_offset(m_config.offset());
     if (!request.ParseFromArray(message.data(), static_cast<int>(message.size())))
         return reply.SerializeAsString();
+    m_follower.heard(request.sender(), request.configuration_offset());
     if (request.has_catch_up())
         *reply.mutable_catch_up() = m_follower.answer(request.catch_up());
     else if (request.has_usage_push())
@@ -145,6 +165,13 @@
     }
 }
 
+auto entry_process::tickDuties() -> void
+{
+    m_leases.tick();
+    m_follower.tick();
+    m_usageDuty.tick();
+}
+
 auto entry_process::drain() -> void
 {
     if (std::exchange(m_draining, true))
@@ -164,8 +191,12 @@
 
 auto entry_process::finishIfIdle() -> void
 {
+    if (m_router.liveCount() > 0)
+        return;
+    // Duties are held to the last request, so that its usage still finds its way.
+    m_leases.release();
     const auto flushed = !m_usage.isBusy() && m_claims.pendingCount() == 0;
-    if (m_router.liveCount() == 0 && flushed)
+    if (flushed && (m_leases.isReleased() || !m_leases.isReachable()))
         m_loop.stop();
 }
 
@@ -177,7 +208,7 @@
 
 auto entry_process::isReady() const -> bool
 {
-    return !m_draining && m_follower.isCaughtUp();
+    return !m_draining && m_follower.isUsable();
 }
 
 } // namespace mustardline
--- a/packages/entry/entry_process.h
+++ b/packages/entry/entry_process.h
@@ -11,10 +11,12 @@
 #include "base/log.h"
 #include "entry/claim_keeper.h"
 #include "entry/configuration_follower.h"
+#include "entry/duty_leases.h"
 #include "entry/operator_service.h"
 #include "entry/request_router.h"
 #include "entry/settings.h"
 #include "entry/usage_collector.h"
+#include "entry/usage_duty.h"
 #include "net/control_socket.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
@@ -36,6 +38,7 @@
     auto serveCaller(const std::shared_ptr<http_exchange> &exchange) -> void;
     auto serveControl(std::string_view message) -> std::string;
     auto tick() -> void;
+    auto tickDuties() -> void;
     auto drain() -> void;
     auto finishIfIdle() -> void;
     auto fillStatus(v1::StatusResponse &response) -> void;
@@ -47,8 +50,9 @@
     counters m_metrics;
     configuration m_config;
     http_client m_http;
+    duty_leases m_leases;
     configuration_follower m_follower;
-    log_client m_usageStream;
+    usage_duty m_usageDuty;
     usage_collector m_usage;
     claim_keeper m_claims;
     request_router m_router;
@@ -58,6 +62,7 @@
     control_server m_controlServer;
     event_handle m_tickTimer;
     event_handle m_sweepTimer;
+    event_handle m_dutyTimer;
     event_handle m_drainTimer;
     bool m_ready = false;
     bool m_draining = false;
--- a/packages/entry/events.h
+++ b/packages/entry/events.h
@@ -48,9 +48,6 @@
                                          "A change of configuration is in force here."};
 inline constexpr log_event changeDecided{2021, "change_decided", log_level::info,
                                          "An operator's change was accepted or rejected."};
-inline constexpr log_event configurationExpired{
-    2022, "configuration_expired", log_level::warning,
-    "The log no longer keeps the next record; a snapshot is needed."};
 inline constexpr log_event operatorRefused{2023, "operator_refused", log_level::warning,
                                            "An operator's call carried no accepted token."};
 
@@ -59,11 +56,31 @@
 inline constexpr log_event usageDelayed{2031, "usage_delayed", log_level::warning,
                                         "Metered usage could not be appended to the log."};
 
+inline constexpr log_event usageReported{2032, "usage_reported", log_level::info,
+                                         "The platform took the figures of a usage window."};
+inline constexpr log_event usageReportFailed{
+    2033, "usage_report_failed", log_level::warning,
+    "The platform did not take a usage report; it is sent again under its id."};
+inline constexpr log_event leaseTaken{2040, "lease_taken", log_level::info,
+                                      "This entry holds the lease of a duty."};
+inline constexpr log_event leaseLost{2041, "lease_lost", log_level::warning,
+                                     "This entry no longer holds the lease of a duty."};
+inline constexpr log_event streamTruncated{
+    2042, "stream_truncated", log_level::warning,
+    "The log no longer keeps the next record of a stream; reading begins anew."};
+inline constexpr log_event snapshotWritten{2043, "snapshot_written", log_level::info,
+                                           "A snapshot was appended to its stream."};
+inline constexpr log_event orderSent{2050, "order_sent", log_level::info,
+                                     "An endpoint order was sent to the platform."};
+inline constexpr log_event orderAnswered{2051, "order_answered", log_level::info,
+                                         "The platform answered an endpoint order."};
+
 inline constexpr auto entryEvents = std::to_array<log_event>(
-    {entryListening,   entryReady,      entryDraining,        entryStopped,    entryFailed,
-     requestPlaced,    requestRefused,  requestFinished,      requestNotRun,   requestLost,
-     requestCancelled, requestRejected, claimDecided,         claimGivenUp,    ownerResolved,
-     entityChanged,    changeDecided,   configurationExpired, operatorRefused, usageAppended,
-     usageDelayed});
+    {entryListening,   entryReady,        entryDraining,   entryStopped,  entryFailed,
+     requestPlaced,    requestRefused,    requestFinished, requestNotRun, requestLost,
+     requestCancelled, requestRejected,   claimDecided,    claimGivenUp,  ownerResolved,
+     entityChanged,    changeDecided,     operatorRefused, usageAppended, usageDelayed,
+     usageReported,    usageReportFailed, leaseTaken,      leaseLost,     streamTruncated,
+     snapshotWritten,  orderSent,         orderAnswered});
 
 } // namespace mustardline
--- a/packages/entry/operator_service.cpp
+++ b/packages/entry/operator_service.cpp
@@ -72,8 +72,7 @@
       m_log(log),
       m_config(config),
       m_follower(follower),
-      m_options(std::move(options)),
-      m_boot(randomBits())
+      m_options(std::move(options))
 {}
 
 auto operator_service::handle(const std::shared_ptr<http_exchange> &exchange) -> void
@@ -233,10 +232,6 @@
         return;
     }
     v1::LogRecord record;
-    record.set_writer(m_options.entryName);
-    record.set_boot(m_boot);
-    record.set_sequence(++m_sequence);
-    record.set_written_unix_ms(system_runtime_clock().unixNow());
     *record.mutable_configuration_change() = std::move(change);
     auto &waiting = m_waiting[id];
     waiting.done = std::move(done);
@@ -250,7 +245,7 @@
         handler(response);
     });
     // The decision comes by folding the record back, whatever becomes of this append's answer.
-    m_follower.stream().append(record.SerializeAsString(), [](const result<std::uint64_t> &) {});
+    m_follower.append(std::move(record));
 }
 
 auto operator_service::responseFor(const std::string &changeId, const change_decision &decision)
--- a/packages/entry/operator_service.h
+++ b/packages/entry/operator_service.h
@@ -69,8 +69,6 @@
     configuration &m_config;
     configuration_follower &m_follower;
     operator_service_options m_options;
-    std::uint64_t m_boot;
-    std::uint64_t m_sequence = 0;
     std::map<std::string, waiting_change> m_waiting;
 };
 
--- /dev/null
+++ b/packages/entry/record_namer.h
@@ -0,0 +1,43 @@
+#pragma once
+
+// Names the log records of one writer, so that a repeated append has no second effect.
+//
+//     record_namer namer("entry-1");
+//     log.append(namer.finish(record, config.offset()), done);
+//
+// Each stream needs a namer of its own: readers take the sequence numbers of a (writer, boot) in a
+// stream in ascending order.
+
+#include <cstdint>
+#include <string>
+
+#include "base/clock.h"
+#include "base/hashing.h"
+#include "log.pb.h"
+
+namespace mustardline {
+
+class record_namer
+{
+public:
+    explicit record_namer(std::string writer) : m_writer(std::move(writer)), m_boot(randomBits()) {}
+
+    // Fills in the record's name and serialises it. `baseOffset` is how far the writer had folded
+    // the stream; 0 if it does not follow it.
+    [[nodiscard]] auto finish(v1::LogRecord record, std::uint64_t baseOffset = 0) -> std::string
+    {
+        record.set_writer(m_writer);
+        record.set_boot(m_boot);
+        record.set_sequence(++m_sequence);
+        record.set_written_unix_ms(system_runtime_clock().unixNow());
+        record.set_base_offset(baseOffset);
+        return record.SerializeAsString();
+    }
+
+private:
+    std::string m_writer;
+    std::uint64_t m_boot;
+    std::uint64_t m_sequence = 0;
+};
+
+} // namespace mustardline
--- a/packages/entry/settings.cpp
+++ b/packages/entry/settings.cpp
@@ -160,6 +160,12 @@
         reader.integer("entry_count", {.lowest = 1, .highest = 10000, .fallback = 1}));
     settings.usageWindow = std::chrono::seconds(
         reader.integer("usage_window_s", {.lowest = 1, .highest = 86400, .fallback = 60}));
+    settings.usageCloseDelay = std::chrono::milliseconds(reader.integer(
+        "usage_close_delay_ms", {.lowest = 100, .highest = 86400000, .fallback = 120000}));
+    settings.usageShards = static_cast<std::uint32_t>(
+        reader.integer("usage_shards", {.lowest = 1, .highest = 64, .fallback = 1}));
+    settings.leaseTerm = std::chrono::milliseconds(
+        reader.integer("lease_term_ms", {.lowest = 500, .highest = 600000, .fallback = 10000}));
     secret_files files{.keySecret = reader.text("key_secret_file"),
                        .operatorTokens = reader.text("operator_tokens_file")};
     readLimits(reader, settings);
--- a/packages/entry/settings.h
+++ b/packages/entry/settings.h
@@ -59,6 +59,10 @@
     std::size_t maxBacklogBytes = 1U << 20U;
     duration drainTimeout = std::chrono::seconds(600);
     duration usageWindow = std::chrono::seconds(60);
+    // How long after its end a window still takes usage as its own.
+    duration usageCloseDelay = std::chrono::seconds(120);
+    std::uint32_t usageShards = 1;
+    duration leaseTerm = std::chrono::seconds(10);
     log_format format = log_format::key_value;
     log_level lowestLevel = log_level::info;
 };
--- a/packages/entry/usage_collector.h
+++ b/packages/entry/usage_collector.h
@@ -2,8 +2,8 @@
 
 // Makes the usage that agents metered durable in the log's usage stream.
 //
-// Agents push what they hold again and again until the reply says that it is durable. The collector
-// appends each delta once for itself; what another entry appended too is dropped by the fold.
+// Agents push what they hold again and again until the reply says that it is durable, which is what
+// the ledger has counted. What two entries append, or one appends twice, the ledger drops.
 
 #include <cstdint>
 #include <map>
@@ -12,7 +12,9 @@
 
 #include "base/log.h"
 #include "control.pb.h"
-#include "platform/log_client.h"
+#include "entry/record_namer.h"
+#include "entry/stream_follower.h"
+#include "platform/usage_ledger.h"
 
 namespace mustardline {
 
@@ -24,29 +26,25 @@
 class usage_collector
 {
 public:
-    usage_collector(logger &log, log_client &stream, usage_collector_options options);
+    usage_collector(logger &log, stream_follower &stream, const usage_ledger &ledger,
+                    usage_collector_options options);
 
     // Takes a push of one agent; replies what is durable so far.
     [[nodiscard]] auto push(const std::string &agent, std::uint64_t boot,
                             const v1::UsagePushRequest &request) -> v1::UsagePushReply;
 
     // Whether an append is under way.
-    [[nodiscard]] auto isBusy() const -> bool { return m_appending > 0; }
+    [[nodiscard]] auto isBusy() const -> bool { return !m_appending.empty(); }
 
 private:
-    struct agent_position
-    {
-        std::uint64_t appended = 0;
-        std::uint64_t durable = 0;
-    };
+    using agent_boot = std::pair<std::string, std::uint64_t>;
 
     logger &m_log;
-    log_client &m_stream;
-    usage_collector_options m_options;
-    std::uint64_t m_boot;
-    std::uint64_t m_sequence = 0;
-    std::size_t m_appending = 0;
-    std::map<std::pair<std::string, std::uint64_t>, agent_position> m_positions;
+    stream_follower &m_stream;
+    const usage_ledger &m_ledger;
+    record_namer m_namer;
+    // The newest delta of each agent's boot in the append that is under way.
+    std::map<agent_boot, std::uint64_t> m_appending;
 };
 
 } // namespace mustardline
