Learn the log's position at once after it was not reachable

Cause: a follower's first read waited up to a second for the next record, so on a stream without new records the client did not know for that long that the log was reachable, nor its own position. Entries refused every keyed request with 405 log_unavailable in their first second, and would again for up to a second after an outage.

Ruled out: taking the log for reachable until a call fails; a process that starts in an outage would then accept claims that it cannot decide. Now a read that follows no success asks with wait_ms=0.

--- a/packages/platform/log_client.cpp
+++ b/packages/platform/log_client.cpp
@@ -110,15 +110,17 @@
 auto log_client::read() -> void
 {
     m_readTimer = {};
-    m_readCall = m_http.fetch(
-        m_options.address,
-        {.path = url("read")
-                 + fmt::format("?from={}&max={}&wait_ms={}", m_next, m_options.maxEntriesPerRead,
-                               milliseconds(m_options.readWait)),
-         .idleTimeout = m_options.readWait + m_options.callTimeout},
-        [this](const http_outcome &outcome, const http_answer &answer, const std::string &body) {
-            readAnswered(outcome, answer, body);
-        });
+    // A log that was not reachable is asked for its position at once; a read that waits for the
+    // next record would leave the caller in the dark until then.
+    const auto wait = m_reachable ? m_options.readWait : duration::zero();
+    m_readCall
+        = m_http.fetch(m_options.address,
+                       {.path = url("read")
+                                + fmt::format("?from={}&max={}&wait_ms={}", m_next,
+                                              m_options.maxEntriesPerRead, milliseconds(wait)),
+                        .idleTimeout = m_options.readWait + m_options.callTimeout},
+                       [this](const http_outcome &outcome, const http_answer &answer,
+                              const std::string &body) { readAnswered(outcome, answer, body); });
 }
 
 auto log_client::readAnswered(const http_outcome &outcome, const http_answer &answer,
--- a/packages/platform/testing/fake_log_service.h
+++ b/packages/platform/testing/fake_log_service.h
@@ -32,6 +32,8 @@
     // Appends whose answer is lost after they took effect.
     int lostAnswers = 0;
     int appendCalls = 0;
+    // Whether a read that may wait and finds nothing is held for ever.
+    bool holdEmptyReads = false;
 
 private:
     auto answer(const std::shared_ptr<http_exchange> &exchange) -> void
@@ -75,6 +77,8 @@
             entry.set_offset(offset);
             entry.set_record(records[offset - 1]);
         }
+        if (holdEmptyReads && response.entries().empty() && exchange->parameter("wait_ms") != "0")
+            return;
         exchange->reply(from < oldestOffset ? 410 : 200, {}, response.SerializeAsString());
     }
 
--- a/packages/platform/testing/log_client_test.cpp
+++ b/packages/platform/testing/log_client_test.cpp
@@ -104,6 +104,19 @@
     EXPECT_TRUE(log.isReachable());
 }
 
+TEST_F(LogClientTest, learnsItsPositionOnAnEmptyStreamAtOnce)
+{
+    m_service.holdEmptyReads = true;
+    log_client log(m_loop, m_http, options());
+    std::uint64_t position = 0;
+    log.follow(1, {.onEntries = [](std::span<const v1::LogEntry>) { FAIL(); },
+                   .onExpired = [](std::uint64_t) { FAIL(); },
+                   .onPosition = [&](std::uint64_t next) { position = next; }});
+    runUntil([&] { return position != 0; });
+    EXPECT_EQ(position, 1U);
+    EXPECT_TRUE(log.isReachable());
+}
+
 TEST_F(LogClientTest, reportsExpiredOffsetsOnce)
 {
     m_service.records = {"a", "b", "c"};
