Stop a fleet kind by kind, and test the load tool

A fleet's stop asked one member after another, and each agent takes up to a second to see its usage durable. It now asks all members of a kind at once and waits for them: agents before entries before the platform. The fleet also waits for /readyz of every entry, as a balancer would.

--- a/packages/standin/testing/fleet.cpp
+++ b/packages/standin/testing/fleet.cpp
@@ -13,6 +13,8 @@
 
 using nlohmann::json;
 
+constexpr int statusOk = 200;
+
 // Operators' token of the fleet; a secret of this test only.
 constexpr std::string_view operatorToken = "test-operator-token";
 
@@ -37,15 +39,19 @@
     defineStandins();
     defineEntries();
     defineAgents();
-    for (auto *member : members())
-        start(*member);
+    for (auto *group : groups()) {
+        for (auto &member : *group)
+            start(member);
+    }
     configure();
 }
 
 fleet::~fleet()
 {
-    for (auto *member : members())
-        member->m_instance.reset();
+    for (auto *group : groups()) {
+        for (auto &member : *group)
+            member.m_instance.reset();
+    }
     std::error_code ignored;
     std::filesystem::remove_all(m_directory, ignored);
 }
@@ -81,7 +87,7 @@
             = {.program = programPath(program), .arguments = std::move(arguments), .name = name};
         return member;
     };
-    m_platform = define("standin-platform", "platform", {});
+    m_platform.push_back(define("standin-platform", "platform", {}));
     for (std::uint32_t i = 0; i < m_options.engines; ++i) {
         m_engines.push_back(
             define("standin-engine", fmt::format("engine-{}", i), m_options.engineArguments));
@@ -113,7 +119,7 @@
         m_entries.push_back(std::move(entry));
         if (m_options.platformLinks) {
             m_platformLinks.push_back(
-                defineLink(fmt::format("platform-link-{}", i), m_platform.address));
+                defineLink(fmt::format("platform-link-{}", i), m_platform.front().address));
         }
     }
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
@@ -148,8 +154,8 @@
 auto fleet::entrySettings(std::size_t index) -> json
 {
     const auto &entry = m_entries[index];
-    const auto platform
-        = textOf(m_options.platformLinks ? m_platformLinks[index].address : m_platform.address);
+    const auto platform = textOf(m_options.platformLinks ? m_platformLinks[index].address
+                                                         : m_platform.front().address);
     json settings{
         {"name", fmt::format("entry-{}", index)},
         {"data_centre", dataCentre(index)},
@@ -204,15 +210,10 @@
     return m_options.agentLinks ? m_agentLinks[index].address : m_agents[index].address;
 }
 
-auto fleet::members() -> std::vector<fleet_member *>
+auto fleet::groups() -> std::vector<std::deque<fleet_member> *>
 {
-    std::vector<fleet_member *> all{&m_platform};
-    for (auto *group :
-         {&m_engines, &m_services, &m_platformLinks, &m_agentLinks, &m_entries, &m_agents}) {
-        for (auto &member : *group)
-            all.push_back(&member);
-    }
-    return all;
+    return {&m_platform,   &m_engines, &m_services, &m_platformLinks,
+            &m_agentLinks, &m_entries, &m_agents};
 }
 
 auto fleet::start(fleet_member &member) -> void
@@ -255,6 +256,10 @@
         last = accepted(std::move(words));
     }
     m_key = createKey("shop");
+    for (auto &entry : m_entries) {
+        m_probe.waitUntil(entry.address, {.path = "/readyz"},
+                          [](const auto &answer) { return answer.status == statusOk; });
+    }
     for (auto &agent : m_agents)
         agent.instance().waitFor({.name = "configuration_loaded"});
 }
@@ -307,7 +312,7 @@
 auto fleet::control(const fleet_member &member, const std::string &name, const json &body) -> void
 {
     const auto answer = m_probe.post(member.control, "/control/" + name, body);
-    if (answer.status != 200) {
+    if (answer.status != statusOk) {
         throw harness_error(fmt::format("{}: control {} was answered {} {}", member.name(), name,
                                         answer.status, answer.body));
     }
@@ -334,15 +339,17 @@
 auto fleet::stop() -> std::string
 {
     std::string failures;
-    auto all = members();
-    // Agents hand their last usage to entries, so they go first of ours, and the platform last.
-    for (auto member = all.rbegin(); member != all.rend(); ++member) {
-        auto &instance = (*member)->instance();
-        if (instance.hasEnded())
-            continue;
-        const auto status = instance.terminate();
-        if (status != 0)
-            failures += fmt::format("{} ended with status {}; ", (*member)->name(), status);
+    auto started = groups();
+    // Agents hand their last usage to entries, and entries write it to the platform.
+    for (auto group = started.rbegin(); group != started.rend(); ++group) {
+        for (auto &member : **group)
+            member.instance().sendSignal(SIGTERM);
+        for (auto &member : **group) {
+            const auto endedBefore = member.instance().hasEnded();
+            const auto status = member.instance().wait();
+            if (!endedBefore && status != 0)
+                failures += fmt::format("{} ended with status {}; ", member.name(), status);
+        }
     }
     return failures;
 }
--- a/packages/standin/testing/fleet.h
+++ b/packages/standin/testing/fleet.h
@@ -92,7 +92,7 @@
     fleet(const fleet &) = delete;
     auto operator=(const fleet &) -> fleet & = delete;
 
-    [[nodiscard]] auto platform() -> fleet_member & { return m_platform; }
+    [[nodiscard]] auto platform() -> fleet_member & { return m_platform.front(); }
     [[nodiscard]] auto entry(std::size_t index) -> fleet_member & { return m_entries.at(index); }
     [[nodiscard]] auto engine(std::size_t index) -> fleet_member & { return m_engines.at(index); }
     [[nodiscard]] auto service(std::size_t index) -> fleet_member & { return m_services.at(index); }
@@ -155,8 +155,8 @@
 
     auto start(fleet_member &member) -> void;
     auto configure() -> void;
-    // Every member in the order of starting.
-    auto members() -> std::vector<fleet_member *>;
+    // The members of each kind, in the order of starting.
+    auto groups() -> std::vector<std::deque<fleet_member> *>;
 
     fleet_options m_options;
     std::string m_directory;
@@ -164,7 +164,8 @@
     std::string m_keySecretFile;
     std::string m_tokensFile;
     std::string m_tokenFile;
-    fleet_member m_platform;
+    // A single one.
+    std::deque<fleet_member> m_platform;
     std::deque<fleet_member> m_engines;
     std::deque<fleet_member> m_services;
     std::deque<fleet_member> m_platformLinks;
--- /dev/null
+++ b/packages/standin/testing/load_test.cpp
@@ -0,0 +1,64 @@
+#include "standin/load_run.h"
+
+#include <gtest/gtest.h>
+
+#include "standin/process_time.h"
+#include "standin/testing/process.h"
+
+namespace mustardline::standin {
+namespace {
+
+TEST(LoadToolTest, findsTheValueThatAShareDoesNotExceed)
+{
+    std::vector<duration> samples;
+    EXPECT_EQ(quantile(samples, 0.5), duration(0));
+    for (int i = 0; i < 100; ++i)
+        samples.emplace_back(i);
+    EXPECT_EQ(quantile(samples, 0.5), duration(50));
+    EXPECT_EQ(quantile(samples, 0.99), duration(99));
+    EXPECT_EQ(quantile(samples, 1), duration(99));
+}
+
+TEST(LoadToolTest, readsTheProcessorTimeOfAProcess)
+{
+    const auto before = processTime(getpid());
+    // Works until the kernel has counted a tick of it.
+    std::uint64_t sum = 0;
+    while (processTime(getpid()) == before)
+        ++sum;
+    EXPECT_GT(processTime(getpid()), before);
+    EXPECT_EQ(processTime(0), duration(0));
+}
+
+TEST(LoadToolTest, drivesAnEngineAndChecksEveryAnswer)
+{
+    process engine({.program = programPath("standin-engine"),
+                    .arguments = {"--first-token-ms", "1", "--token-ms", "1"}});
+    const auto target = "127.0.0.1:" + engine.waitFor({.name = "listening"}).field("port");
+    const auto run = [&](std::vector<std::string> arguments) {
+        arguments.insert(arguments.end(), {"--requests", "40", "--pids",
+                                           std::to_string(engine.id()), "--target", target});
+        process load({.program = programPath("standin-load"), .arguments = std::move(arguments)});
+        return std::pair(load.wait(), load.output());
+    };
+    const auto closed = run({"--concurrency", "8"});
+    EXPECT_EQ(closed.first, 0);
+    EXPECT_TRUE(closed.second.starts_with("whole 40\nrefused 0\nfailed 0\nwrong 0\n"));
+    EXPECT_NE(closed.second.find("cpu_ms pid " + std::to_string(engine.id())), std::string::npos);
+    const auto open = run({"--rate", "1000"});
+    EXPECT_EQ(open.first, 0);
+    const auto refused = run({"--model", "none"});
+    EXPECT_NE(refused.first, 0);
+    EXPECT_TRUE(refused.second.starts_with("whole 0\nrefused 40\n"));
+}
+
+TEST(LoadToolTest, drivesLoopbackOnly)
+{
+    for (const auto *target : {"", "10.0.0.1:80", "127.0.0.1", "1270.0.0.1:80"}) {
+        process load({.program = programPath("standin-load"), .arguments = {"--target", target}});
+        EXPECT_EQ(load.wait(), 1) << target;
+    }
+}
+
+} // namespace
+} // namespace mustardline::standin
