Read the load tool's output only after its end

Cause: std::pair(load.wait(), load.output()) left the order of the two open, and the compiler read the output first.

--- a/packages/standin/testing/load_test.cpp
+++ b/packages/standin/testing/load_test.cpp
@@ -39,7 +39,8 @@
         arguments.insert(arguments.end(), {"--requests", "40", "--pids",
                                            std::to_string(engine.id()), "--target", target});
         process load({.program = programPath("standin-load"), .arguments = std::move(arguments)});
-        return std::pair(load.wait(), load.output());
+        const auto status = load.wait();
+        return std::pair(status, load.output());
     };
     const auto closed = run({"--concurrency", "8"});
     EXPECT_EQ(closed.first, 0);
