Let no process outlive the test that started it

Cause: a test that is killed, by a time limit for instance, runs no destructors, so its entries, agents and stand-ins stayed behind; nine such processes of other runs were seen on this machine. The harness now starts programs through setpriv (util-linux), which asks the kernel to kill the process with its parent and then becomes the program, under the same process id.

Ruled out: closing pipes, which our programs ignore; a process group killed by the test, which a killed test cannot do.

Also adds an end-to-end test that the load tool's 100 requests at 50 a second are all answered rightly by an entry.

--- a/packages/standin/testing/fleet.cpp
+++ b/packages/standin/testing/fleet.cpp
@@ -256,6 +256,7 @@
         last = accepted(std::move(words));
     }
     m_key = createKey("shop");
+    m_keyFile = writeFile("key", m_key + "\n");
     for (auto &entry : m_entries) {
         m_probe.waitUntil(entry.address, {.path = "/readyz"},
                           [](const auto &answer) { return answer.status == statusOk; });
--- a/packages/standin/testing/fleet.h
+++ b/packages/standin/testing/fleet.h
@@ -110,6 +110,8 @@
 
     // The key of the account `shop`.
     [[nodiscard]] auto key() const -> const std::string & { return m_key; }
+    // A file that holds it.
+    [[nodiscard]] auto keyFile() const -> const std::string & { return m_keyFile; }
     [[nodiscard]] auto probe() -> http_probe & { return m_probe; }
 
     // A chat-completions request whose only message is `text`.
@@ -173,6 +175,7 @@
     std::deque<fleet_member> m_entries;
     std::deque<fleet_member> m_agents;
     std::string m_key;
+    std::string m_keyFile;
     http_probe m_probe;
 };
 
--- a/packages/standin/testing/fleet_test.cpp
+++ b/packages/standin/testing/fleet_test.cpp
@@ -102,6 +102,19 @@
     EXPECT_EQ(fleet.stop(), "");
 }
 
+TEST(FleetTest, aLoadAtAFixedRateIsServedWhole)
+{
+    fleet fleet;
+    const auto target = "127.0.0.1:" + std::to_string(fleet.entry(1).address.port);
+    process load({.program = programPath("standin-load"),
+                  .arguments = {"--target", target, "--key-file", fleet.keyFile(), "--requests",
+                                "100", "--rate", "50", "--tokens", "4", "--seed", "7"}});
+    EXPECT_EQ(load.wait(), 0) << load.output();
+    EXPECT_TRUE(load.output().starts_with("whole 100\nrefused 0\nfailed 0\nwrong 0\n"))
+        << load.output();
+    EXPECT_EQ(fleet.stop(), "");
+}
+
 TEST(FleetTest, everyRequestReachesTheUsageInterfaceOnce)
 {
     constexpr std::uint64_t count = 10;
--- a/packages/standin/testing/process.cpp
+++ b/packages/standin/testing/process.cpp
@@ -52,9 +52,14 @@
 
 auto spawn(const process_options &options, int output, int errors) -> pid_t
 {
-    std::vector<char *> words{const_cast<char *>(options.program.c_str())};
-    for (const auto &argument : options.arguments)
-        words.push_back(const_cast<char *>(argument.c_str()));
+    if (access(options.program.c_str(), X_OK) != 0)
+        throw harness_error(fmt::format("{} is no program", options.program));
+    // The launcher asks the kernel to kill the process when this one dies, then becomes it.
+    std::vector<std::string> line{"/usr/bin/setpriv", "--pdeathsig", "KILL", options.program};
+    line.insert(line.end(), options.arguments.begin(), options.arguments.end());
+    std::vector<char *> words;
+    for (auto &word : line)
+        words.push_back(word.data());
     words.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
@@ -63,10 +68,10 @@
     posix_spawn_file_actions_adddup2(&actions, errors, STDERR_FILENO);
     pid_t pid = -1;
     const auto failure
-        = posix_spawn(&pid, options.program.c_str(), &actions, nullptr, words.data(), environ);
+        = posix_spawn(&pid, line.front().c_str(), &actions, nullptr, words.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (failure != 0)
-        throw harness_error(fmt::format("cannot start {}", options.program));
+        throw harness_error(fmt::format("cannot start {}", line.front()));
     return pid;
 }
 
