--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -1,10 +1,9 @@
 #include "policy/dispatcher_state.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 
-#include <fmt/format.h>
-
 #include "policy/durations.h"
 
 namespace mustardline {
@@ -25,9 +24,16 @@
 // A class is never taken to be served at less than this part of all places that come free.
 constexpr double leastPart = 0.02;
 // Standard deviations of the higher tiers' load that lower tiers keep free.
-constexpr double reserveDeviations = 1.5;
+constexpr double reserveDeviations = 2;
 constexpr double loadFadeSeconds = 10;
 
+auto appendNumber(std::string &text, std::uint32_t number) -> void
+{
+    std::array<char, 10> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), number).ptr;
+    text.append(digits.data(), end);
+}
+
 } // namespace
 
 dispatcher::state::state(dispatcher_options value)
@@ -62,7 +68,7 @@
         return;
     for (const auto target : row.serves) {
         targets[target].subset.add(endpoints, index);
-        targets[target].isFull = false;
+        targets[target].fullTier = lowestTier + 1;
     }
 }
 
@@ -123,7 +129,9 @@
 {
     const auto number = requests.at(slot).target;
     auto &target = targets[number];
-    const auto shed = target.queue.makeRoom(requests, slot);
+    auto shed = target.queue.makeRoom(requests, slot);
+    if (shed == slot)
+        shed = lowerDelayed(slot);
     if (shed == slot) {
         refuse(slot, result_code::queue_full, "queue_full", now, actions);
         return;
@@ -137,7 +145,7 @@
     target.queue.push(requests, slot, now);
     placeWaiting(target, now, actions);
     const auto &row = requests.at(slot);
-    if (row.state != request_state::waiting || target.queue.hasLowerTier(row.tier))
+    if (row.state != request_state::waiting || holdsLowerTier(target, row.tier))
         return;
     const auto verdict = lateness(row, predictedWait(target, queue, ahead), now);
     if (verdict != result_code::ok)
@@ -190,6 +198,30 @@
     return result_code::ok;
 }
 
+// A request of the lowest tier that waits for its retry, if that is lower than that of `slot`, else
+// `slot`.
+auto dispatcher::state::lowerDelayed(std::uint32_t slot) const -> std::uint32_t
+{
+    auto lowest = slot;
+    for (const auto other : delayed) {
+        if (requests.at(other).target == requests.at(slot).target
+            && requests.at(other).tier > requests.at(lowest).tier)
+            lowest = other;
+    }
+    return lowest;
+}
+
+auto dispatcher::state::holdsLowerTier(const target_row &target, std::uint32_t tier) const -> bool
+{
+    if (target.queue.hasLowerTier(tier))
+        return true;
+    for (auto lower = tier + 1; lower <= lowestTier; ++lower) {
+        if (target.delayed[lower] > 0)
+            return true;
+    }
+    return false;
+}
+
 auto dispatcher::state::refuse(std::uint32_t slot, result_code code, std::string_view reason,
                                time_point now, dispatch_actions &actions) -> void
 {
@@ -228,15 +260,18 @@
     const auto &row = requests.at(slot);
     const placement_wish wish{.tier = row.tier,
                               .warm = prefixes.find(row.prefixHash),
-                              .reserve = reserveFor(target, row.tier),
+                              .reserve = target.reserves[row.tier],
                               .avoid = row.attempt > 0 ? row.endpoint : noIndex};
     placement_choice choice;
-    if (!target.isFull) {
+    if (row.tier < target.fullTier) {
         choice = target.subset.choose(endpoints, wish, random, now);
         if (choice.endpoint == noIndex && wish.avoid != noIndex)
             choice = target.subset.choose(endpoints, {.tier = row.tier, .reserve = wish.reserve},
                                           random, now);
-        target.isFull = choice.endpoint == noIndex;
+        if (choice.endpoint == noIndex)
+            target.fullTier = row.tier;
+    } else {
+        choice = target.subset.chooseFreed(endpoints, wish, target.freed, now);
     }
     if (choice.endpoint == noIndex && isUrgent(row, now))
         choice = target.subset.chooseOver(endpoints, wish, now);
@@ -256,6 +291,17 @@
     return reserveDeviations * std::sqrt(fleet) / static_cast<double>(target.subset.size());
 }
 
+auto dispatcher::state::maintain(target_row &target, time_point now, dispatch_actions &actions)
+    -> void
+{
+    followLoad(target, now);
+    for (std::uint32_t tier = 1; tier <= lowestTier; ++tier)
+        target.reserves[tier] = reserveFor(target, tier);
+    expireWaiting(target, now, actions);
+    // Some endpoints get room by time alone: their reports age and their pauses end.
+    target.fullTier = lowestTier + 1;
+}
+
 // Follows the number in flight of each class.
 auto dispatcher::state::followLoad(target_row &target, time_point now) -> void
 {
@@ -298,14 +344,25 @@
     endpoints.placed(choice.endpoint, row.tier, now);
 }
 
+// Written by hand: this is the costliest part of a placement otherwise.
 auto dispatcher::state::describeConsidered(const placement_choice &choice, time_point now) const
     -> std::string
 {
+    constexpr std::size_t numbersLength = 24;
     std::string text;
+    std::size_t length = 0;
+    for (std::uint32_t at = 0; at < choice.consideredCount; ++at)
+        length += endpoints.at(choice.considered[at]).id.size() + numbersLength;
+    text.reserve(length);
     for (std::uint32_t at = 0; at < choice.consideredCount; ++at) {
         const auto index = choice.considered[at];
-        fmt::format_to(std::back_inserter(text), "{}{}:{}/{}", at == 0 ? "" : ",",
-                       endpoints.at(index).id, endpoints.load(index, now), endpoints.window(index));
+        if (at > 0)
+            text += ',';
+        text += endpoints.at(index).id;
+        text += ':';
+        appendNumber(text, endpoints.load(index, now));
+        text += '/';
+        appendNumber(text, endpoints.window(index));
     }
     return text;
 }
@@ -318,7 +375,7 @@
     auto &target = targets[row.target];
     endpoints.released(row.endpoint, row.tier, row.hasFirstToken, now);
     target.queue.finish(row, usedTokens);
-    target.isFull = false;
+    target.freed.add(row.endpoint);
     paceOf(row).ended();
     --placedCount;
 }
@@ -327,7 +384,7 @@
 {
     limits.ended(requests.at(slot).account);
     if (requests.at(slot).state == request_state::delayed)
-        std::erase(delayed, slot);
+        undelay(slot);
     requests.remove(slot);
 }
 
@@ -348,10 +405,24 @@
         return;
     }
     row.retryAt = isFailure || row.attempt > 1 ? now + retryBackoff(row.attempt, random) : now;
-    delayed.push_back(slot);
+    delay(slot);
     releaseDelayed(now, actions);
 }
 
+auto dispatcher::state::delay(std::uint32_t slot) -> void
+{
+    const auto &row = requests.at(slot);
+    ++targets[row.target].delayed[row.tier];
+    delayed.push_back(slot);
+}
+
+auto dispatcher::state::undelay(std::uint32_t slot) -> void
+{
+    const auto &row = requests.at(slot);
+    if (std::erase(delayed, slot) > 0)
+        --targets[row.target].delayed[row.tier];
+}
+
 auto dispatcher::state::releaseDelayed(time_point now, dispatch_actions &actions) -> void
 {
     if (delayed.empty())
@@ -364,6 +435,7 @@
     for (const auto slot : ready) {
         auto &row = requests.at(slot);
         row.state = request_state::waiting;
+        --targets[row.target].delayed[row.tier];
         targets[row.target].queue.pushFront(requests, slot, now);
     }
     for (const auto slot : ready) {
@@ -372,12 +444,27 @@
     }
 }
 
-// True for a request that would miss its target even if it were placed now. One that was placed
-// before and has sent tokens is not given up, because work was done for it.
+// True for a request that would miss its target even if it were placed now.
 auto dispatcher::state::isLate(std::uint32_t slot, time_point now) const -> bool
 {
     const auto &row = requests.at(slot);
-    return row.generatedTokens == 0 && lateness(row, {}, now) != result_code::ok;
+    return lateness(row, {}, now) != result_code::ok;
+}
+
+// Refuses the late ones from `slot` on in the order of arrival; some that came back are kept.
+auto dispatcher::state::refuseLate(std::uint32_t slot, time_point now, dispatch_actions &actions)
+    -> void
+{
+    while (slot != noIndex) {
+        const auto &row = requests.at(slot);
+        const auto next = row.classLink.next;
+        const bool isKept = row.generatedTokens > 0;
+        if (!isKept && !isLate(slot, now))
+            return;
+        if (!isKept)
+            refuse(slot, result_code::overloaded, "late", now, actions);
+        slot = next;
+    }
 }
 
 auto dispatcher::state::expireWaiting(target_row &target, time_point now, dispatch_actions &actions)
@@ -387,9 +474,8 @@
         const auto &queue = target.queue.queue(number);
         while (!queue.empty() && requests.at(queue.oldest()).dueAt <= now)
             refuse(queue.oldest(), result_code::deadline_unmeetable, "expired", now, actions);
-        while (!queue.empty() && !target.queue.hasLowerTier(queue.options().tier)
-               && isLate(queue.oldest(), now))
-            refuse(queue.oldest(), result_code::overloaded, "late", now, actions);
+        if (!queue.empty() && !holdsLowerTier(target, queue.options().tier))
+            refuseLate(queue.oldest(), now, actions);
     }
 }
 
@@ -399,8 +485,10 @@
     -> void
 {
     while (const auto *lowest = target.queue.lowest()) {
-        const auto slot = lowest->newestOfLongest();
+        const auto slot = lowest->newestOfLargest();
         const auto &row = requests.at(slot);
+        if (holdsLowerTier(target, row.tier))
+            return;
         const auto wait = predictedWait(target, row.queue, target.queue.size() - 1);
         const auto allowed = scaled(wait, 1 / hopelessFactor);
         const auto verdict = lateness(row, allowed, now);
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -6,6 +6,7 @@
 // retries (delayed) or counted at an endpoint (placed). Systems that change the place of a row are
 // the only ones that touch the counters that go with it.
 
+#include <array>
 #include <span>
 #include <string>
 #include <vector>
@@ -37,9 +38,14 @@
         // By the number of the class's queue.
         std::vector<class_pace> paces;
         return_schedule returns;
+        // Places that each endpoint keeps free from a tier, on average.
+        std::array<double, lowestTier + 1> reserves{};
+        // Delayed retries by tier.
+        std::array<std::uint32_t, lowestTier + 1> delayed{};
         time_point loadsAt{};
-        // No endpoint had room at the last try and nothing has happened since.
-        bool isFull = false;
+        // No endpoint had room for this tier and those below it at the last search.
+        std::uint32_t fullTier = lowestTier + 1;
+        freed_places freed;
     };
 
     // Entities.
@@ -61,6 +67,9 @@
                                      std::uint32_t ahead) const -> duration;
     [[nodiscard]] auto lateness(const request_row &row, duration wait, time_point now) const
         -> result_code;
+    // True if a request of a lower tier waits, also for its retry: no other may be shed then.
+    [[nodiscard]] auto holdsLowerTier(const target_row &target, std::uint32_t tier) const -> bool;
+    [[nodiscard]] auto lowerDelayed(std::uint32_t slot) const -> std::uint32_t;
     auto refuse(std::uint32_t slot, result_code code, std::string_view reason, time_point now,
                 dispatch_actions &actions) -> void;
 
@@ -82,9 +91,13 @@
         -> void;
 
     // Periodic systems.
+    auto maintain(target_row &target, time_point now, dispatch_actions &actions) -> void;
     auto followLoad(target_row &target, time_point now) -> void;
+    auto delay(std::uint32_t slot) -> void;
+    auto undelay(std::uint32_t slot) -> void;
     auto releaseDelayed(time_point now, dispatch_actions &actions) -> void;
     [[nodiscard]] auto isLate(std::uint32_t slot, time_point now) const -> bool;
+    auto refuseLate(std::uint32_t slot, time_point now, dispatch_actions &actions) -> void;
     auto expireWaiting(target_row &target, time_point now, dispatch_actions &actions) -> void;
     auto shedHopeless(target_row &target, time_point now, dispatch_actions &actions) -> void;
     auto cancelOverdue(time_point now, dispatch_actions &actions) -> void;
@@ -103,6 +116,7 @@
     std::vector<target_row> targets;
     std::vector<std::uint32_t> delayed;
     std::size_t placedCount = 0;
+    time_point nextMaintenance{};
     time_point nextSweep{};
     // Time of the last call that named one.
     time_point latest{};
