--- a/packages/standin/testing/fleet.h
+++ b/packages/standin/testing/fleet.h
@@ -92,7 +92,7 @@
     fleet(const fleet &) = delete;
     auto operator=(const fleet &) -> fleet & = delete;
 
-    [[nodiscard]] auto platform() -> fleet_member & { return m_platform; }
+    [[nodiscard]] auto platform() -> fleet_member & { return m_platform.front(); }
     [[nodiscard]] auto entry(std::size_t index) -> fleet_member & { return m_entries.at(index); }
     [[nodiscard]] auto engine(std::size_t index) -> fleet_member & { return m_engines.at(index); }
     [[nodiscard]] auto service(std::size_t index) -> fleet_member & { return m_services.at(index); }
@@ -110,6 +110,8 @@
 
     // The key of the account `shop`.
     [[nodiscard]] auto key() const -> const std::string & { return m_key; }
+    // A file that holds it.
+    [[nodiscard]] auto keyFile() const -> const std::string & { return m_keyFile; }
     [[nodiscard]] auto probe() -> http_probe & { return m_probe; }
 
     // A chat-completions request whose only message is `text`.
@@ -155,8 +157,8 @@
 
     auto start(fleet_member &member) -> void;
     auto configure() -> void;
-    // Every member in the order of starting.
-    auto members() -> std::vector<fleet_member *>;
+    // The members of each kind, in the order of starting.
+    auto groups() -> std::vector<std::deque<fleet_member> *>;
 
     fleet_options m_options;
     std::string m_directory;
@@ -164,7 +166,8 @@
     std::string m_keySecretFile;
     std::string m_tokensFile;
     std::string m_tokenFile;
-    fleet_member m_platform;
+    // A single one.
+    std::deque<fleet_member> m_platform;
     std::deque<fleet_member> m_engines;
     std::deque<fleet_member> m_services;
     std::deque<fleet_member> m_platformLinks;
@@ -172,6 +175,7 @@
     std::deque<fleet_member> m_entries;
     std::deque<fleet_member> m_agents;
     std::string m_key;
+    std::string m_keyFile;
     http_probe m_probe;
 };
 
