cmake: name parametrised test cases by their parameter's name only

Cause: ctest names of TEST_P cases carried the printed bytes of the parameter, which hold addresses and change with each run, so that KNOWN-RED.txt could not name them.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -18,6 +18,6 @@
   target_link_libraries(${name} PRIVATE mustardline_options GTest::gtest_main GTest::gmock ${ARG_LINK})
   target_compile_definitions(${name} PRIVATE MUSTARDLINE_SOURCE_DIR="${PROJECT_SOURCE_DIR}"
     MUSTARDLINE_BINARY_DIR="${PROJECT_BINARY_DIR}")
-  gtest_discover_tests(${name} DISCOVERY_MODE PRE_TEST
+  gtest_discover_tests(${name} DISCOVERY_MODE PRE_TEST NO_PRETTY_VALUES
     PROPERTIES LABELS ${ARG_LABEL} TIMEOUT ${ARG_TIMEOUT})
 endfunction()
