--- a/packages/policy/concurrency_window.cpp
+++ b/packages/policy/concurrency_window.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double congestedRatio = 2.0; // of the baseline
+constexpr double warmRatio = 1.6;      // of what is usual at other endpoints
 constexpr double collapsedRatio = 4.0; // of the baseline
 constexpr double baselineRise = 1.01;  // per sample
 constexpr double typicalWeight = 0.2;  // of a new sample
@@ -53,7 +54,7 @@
         shrink(0, now);
     else if (late)
         shrink(congestedShrink, now);
-    else if (static_cast<double>(running) >= m_size * growFillRatio)
+    else if (!mayBeCold(sample, now) && static_cast<double>(running) >= m_size * growFillRatio)
         grow();
 }
 
@@ -79,6 +80,19 @@
     return octave.typical.count() > 0 ? octave.typical : m_typical;
 }
 
+auto concurrency_window::mayBeCold(const first_token_sample &sample, time_point now) -> bool
+{
+    if (m_isWarm)
+        return false;
+    if (!m_hasSample)
+        m_firstSampleAt = now;
+    m_hasSample = true;
+    m_isWarm
+        = now - m_firstSampleAt >= m_options.warmUpTime
+          || (sample.expected.count() > 0 && sample.latency <= scaled(sample.expected, warmRatio));
+    return !m_isWarm && sample.expected.count() > 0;
+}
+
 auto concurrency_window::congested(const first_token_sample &sample) const -> bool
 {
     if (sample.latency <= noticeable)
--- a/packages/policy/concurrency_window.h
+++ b/packages/policy/concurrency_window.h
@@ -11,10 +11,11 @@
 //     window.succeeded({.latency = latency, .target = target, .promptTokens = 800}, running, now);
 //     window.outstanding({.latency = now - startedAt, .target = target}, now);
 //
-// The baseline is the fastest first token seen for prompts of that size, rising slowly so that it
-// forgets. A first token
-// later than its target never lets the window grow, whatever the baseline, so that an endpoint that
-// starts cold is not taken for a slow but healthy one.
+// A new endpoint does not grow while it is slower than others usually are, because it cannot be
+// told from a cold one. The baseline is the fastest first token seen for prompts of that size,
+// rising slowly so that it forgets. A first token later than its target never lets the window grow,
+// whatever the baseline, so that an endpoint that starts cold is not taken for a slow but healthy
+// one.
 
 #include <array>
 #include <cstdint>
@@ -27,6 +28,8 @@
 {
     std::uint32_t initial = 2;
     std::uint32_t highest = 1;
+    // A new endpoint that is slower than others is taken to be cold for this long.
+    duration warmUpTime = std::chrono::seconds(60);
 };
 
 // The time to a first token, or the time for which it has been outstanding.
@@ -36,6 +39,8 @@
     // Zero for none.
     duration target{};
     std::uint32_t promptTokens = 0;
+    // Usual at other endpoints for such a request; zero if not known.
+    duration expected{};
 };
 
 class concurrency_window
@@ -60,6 +65,7 @@
     [[nodiscard]] auto typicalLatency(std::uint32_t promptTokens) const -> duration;
 
 private:
+    [[nodiscard]] auto mayBeCold(const first_token_sample &sample, time_point now) -> bool;
     [[nodiscard]] auto congested(const first_token_sample &sample) const -> bool;
     [[nodiscard]] auto collapsed(const first_token_sample &sample) const -> bool;
     auto grow() -> void;
@@ -68,6 +74,10 @@
     concurrency_window_options m_options;
     double m_size;
     bool m_slowStart = true;
+    // It has been as fast as others or has run for its warm-up time.
+    bool m_isWarm = false;
+    bool m_hasSample = false;
+    time_point m_firstSampleAt{};
     // First-token times of the prompts of one octave of length.
     struct octave_row
     {
--- a/packages/policy/dispatcher.h
+++ b/packages/policy/dispatcher.h
@@ -89,6 +89,8 @@
     std::uint32_t attempt = 1;
     // Tokens that were sent to the caller in earlier tries; the answer goes on from there.
     std::uint32_t resumeFrom = 0;
+    // Usual time to the first token of its class at all endpoints; zero if not known.
+    duration expectedFirstToken{};
     // For the log: why this endpoint, and which others were weighed, as "id:in_flight/window".
     std::string_view reason;
     std::string considered;
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -335,12 +335,14 @@
     ++row.attempt;
     paceOf(row).started();
     ++placedCount;
-    actions.emplace_back(place_action{.request = row.request,
-                                      .endpoint = endpoints.at(choice.endpoint).id,
-                                      .attempt = row.attempt,
-                                      .resumeFrom = row.generatedTokens,
-                                      .reason = choice.reason,
-                                      .considered = describeConsidered(choice, now)});
+    actions.emplace_back(
+        place_action{.request = row.request,
+                     .endpoint = endpoints.at(choice.endpoint).id,
+                     .attempt = row.attempt,
+                     .resumeFrom = row.generatedTokens,
+                     .expectedFirstToken = fromSeconds(paceOf(row).fastFirstTokenSeconds()),
+                     .reason = choice.reason,
+                     .considered = describeConsidered(choice, now)});
     endpoints.placed(choice.endpoint, row.tier, now);
 }
 
@@ -434,14 +436,15 @@
     delayed.erase(due, delayed.end());
     for (const auto slot : ready) {
         auto &row = requests.at(slot);
+        auto &target = targets[row.target];
         row.state = request_state::waiting;
-        --targets[row.target].delayed[row.tier];
-        targets[row.target].queue.pushFront(requests, slot, now);
-    }
-    for (const auto slot : ready) {
-        if (requests.at(slot).state == request_state::waiting)
-            placeWaiting(targets[requests.at(slot).target], now, actions);
+        --target.delayed[row.tier];
+        target.queue.pushFront(requests, slot, now);
+        if (row.generatedTokens == 0 && isLate(slot, now) && !holdsLowerTier(target, row.tier))
+            refuse(slot, result_code::overloaded, "late", now, actions);
     }
+    for (auto &target : targets)
+        placeWaiting(target, now, actions);
 }
 
 // True for a request that would miss its target even if it were placed now.
--- a/packages/policy/drain_estimate.h
+++ b/packages/policy/drain_estimate.h
@@ -43,7 +43,10 @@
     auto answered(duration held) -> void { follow(m_holdSeconds, toSeconds(held), weight); }
     auto firstToken(duration latency) -> void
     {
-        follow(m_firstTokenSeconds, toSeconds(latency), weight);
+        const auto sample = toSeconds(latency);
+        follow(m_firstTokenSeconds, sample, weight);
+        follow(m_fastFirstTokenSeconds, sample,
+               sample < m_fastFirstTokenSeconds ? fallWeight : riseWeight);
     }
     auto token(double seconds) -> void { follow(m_tokenSeconds, seconds, weight); }
 
@@ -61,15 +64,21 @@
     [[nodiscard]] auto holdSeconds() const -> double { return m_holdSeconds; }
     // Mean time to the first token and between tokens; 0 if not known.
     [[nodiscard]] auto firstTokenSeconds() const -> double { return m_firstTokenSeconds; }
+    // What the fastest part of the requests needs, without waiting at the endpoint.
+    [[nodiscard]] auto fastFirstTokenSeconds() const -> double { return m_fastFirstTokenSeconds; }
     [[nodiscard]] auto tokenSeconds() const -> double { return m_tokenSeconds; }
 
 private:
     static constexpr double weight = 1.0 / 16; // of a new sample
+    // A fall is followed faster than a rise, which leaves about the fastest tenth.
+    static constexpr double fallWeight = 0.2;
+    static constexpr double riseWeight = 0.02;
 
     std::uint32_t m_inFlight = 0;
     double m_load = 0;
     double m_holdSeconds = 0;
     double m_firstTokenSeconds = 0;
+    double m_fastFirstTokenSeconds = 0;
     double m_tokenSeconds = 0;
 };
 
--- a/packages/policy/endpoint_scheduler.cpp
+++ b/packages/policy/endpoint_scheduler.cpp
@@ -40,7 +40,8 @@
 {
     return {.latency = now - row.startedAt,
             .target = row.request.firstTokenTarget,
-            .promptTokens = row.request.promptTokens};
+            .promptTokens = row.request.promptTokens,
+            .expected = row.request.expectedFirstToken};
 }
 
 auto hasId(std::uint64_t request)
--- a/packages/policy/endpoint_scheduler.h
+++ b/packages/policy/endpoint_scheduler.h
@@ -49,6 +49,8 @@
     bool preemptible = false;
     std::uint32_t promptTokens = 0;
     duration firstTokenTarget{};
+    // Usual time to the first token at other endpoints; zero if not known.
+    duration expectedFirstToken{};
     // Time from its arrival at the entry to its arrival here.
     duration waited{};
     // Time left until the whole answer is due.
--- a/packages/policy/testing/product_router.cpp
+++ b/packages/policy/testing/product_router.cpp
@@ -89,7 +89,8 @@
         - engines.begin());
     m_requests[action.request].engine = engine;
     m_requests[action.request].waitsAtEntry = false;
-    m_world.after(networkDelay, [this, engine, number = action.request] {
+    m_world.after(networkDelay, [this, engine, number = action.request,
+                                 expected = action.expectedFirstToken] {
         if (m_world.engines()[engine].crashed) {
             notRun(engine, number, result_code::connection_failed);
             return;
@@ -103,6 +104,7 @@
                                  .preemptible = kind.idempotent,
                                  .promptTokens = static_cast<std::uint32_t>(request.promptUnits),
                                  .firstTokenTarget = kind.firstTokenTarget,
+                                 .expectedFirstToken = expected,
                                  .waited = m_world.now() - request.at,
                                  .deadline = kind.deadline - (m_world.now() - request.at)},
                                 m_world.now(), actions);
@@ -245,6 +247,9 @@
 
 auto product_router::availabilityChanged(std::uint32_t engine) -> void
 {
+    auto &state = m_world.engines()[engine];
+    if (state.available && state.info.startsAt.count() > 0)
+        m_agents[engine] = endpoint_scheduler({.maxConcurrency = state.info.options.concurrency});
     for (auto &entry : m_entries)
         entry.setEndpoint(describe(engine), m_world.now());
 }
--- a/packages/policy/testing/simulation.cpp
+++ b/packages/policy/testing/simulation.cpp
@@ -38,11 +38,16 @@
 auto simulation::scheduleFaults() -> void
 {
     for (std::uint32_t index = 0; index < m_engines.size(); ++index) {
-        const auto coldFor = m_engines[index].info.coldFor;
-        if (coldFor.count() == 0)
+        const auto &info = m_engines[index].info;
+        if (info.startsAt.count() == 0)
             continue;
-        m_engines[index].engine.setCold(true, m_now);
-        at(m_now + coldFor, [this, index] {
+        m_engines[index].available = false;
+        at(time_point{} + info.startsAt, [this, index] {
+            m_engines[index].available = true;
+            m_engines[index].engine.setCold(true, m_now);
+            m_hooks.availabilityChanged(index);
+        });
+        at(time_point{} + info.startsAt + info.coldFor, [this, index] {
             m_engines[index].engine.setCold(false, m_now);
             schedule(index);
         });
--- a/packages/policy/testing/workload.cpp
+++ b/packages/policy/testing/workload.cpp
@@ -51,6 +51,7 @@
         engines.push_back({.id = "e" + std::to_string(index),
                            .dataCentre = dataCentres[index % dataCentres.size()],
                            .options = {},
+                           .startsAt = {},
                            .coldFor = {}});
     return engines;
 }
@@ -187,6 +188,13 @@
     cold.name += ":cold_turn";
     cold.faults.push_back({.kind = fault_kind::cold, .at = 25s, .until = 40s, .engine = 2});
     all.push_back(cold);
+    auto fresh = load;
+    fresh.name += ":fresh_endpoints";
+    for (std::size_t index = 0; index < fresh.engines.size(); index += 3) {
+        fresh.engines[index].startsAt = 20s;
+        fresh.engines[index].coldFor = 30s;
+    }
+    all.push_back(fresh);
     auto lag = load;
     lag.name += ":lagging";
     lag.reportLag = 2s;
--- a/packages/policy/testing/workload.h
+++ b/packages/policy/testing/workload.h
@@ -49,7 +49,8 @@
     std::string id;
     std::string dataCentre;
     fake_engine_options options;
-    // Turns warm after this long.
+    // It is started then, cold, and turns warm after `coldFor`; it runs from the beginning if zero.
+    duration startsAt{};
     duration coldFor{};
 };
 
