--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -16,6 +16,7 @@
 constexpr double targetPart = 0.9;
 constexpr std::uint32_t unknownTokens = 100;
 constexpr duration noEndpointRetry = std::chrono::seconds(2);
+constexpr std::uint32_t mostPassed = 16;
 constexpr duration sweepInterval = std::chrono::milliseconds(250);
 // A waiting request is urgent after this part of its first-token target.
 constexpr double urgentPart = 0.25;
@@ -454,18 +455,19 @@
     return lateness(row, {}, now) != result_code::ok;
 }
 
-// Refuses the late ones from `slot` on in the order of arrival; some that came back are kept.
+// Refuses the late ones from `slot` on. The order is that of arrival except for some that came back
+// and stand first, so the search goes on past a few that are in time.
 auto dispatcher::state::refuseLate(std::uint32_t slot, time_point now, dispatch_actions &actions)
     -> void
 {
-    while (slot != noIndex) {
+    std::uint32_t passed = 0;
+    while (slot != noIndex && passed < mostPassed) {
         const auto &row = requests.at(slot);
         const auto next = row.classLink.next;
-        const bool isKept = row.generatedTokens > 0;
-        if (!isKept && !isLate(slot, now))
-            return;
-        if (!isKept)
+        if (row.generatedTokens == 0 && isLate(slot, now))
             refuse(slot, result_code::overloaded, "late", now, actions);
+        else
+            ++passed;
         slot = next;
     }
 }
