--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -16,7 +16,7 @@
 constexpr double targetPart = 0.9;
 constexpr std::uint32_t unknownTokens = 100;
 constexpr duration noEndpointRetry = std::chrono::seconds(2);
-constexpr std::uint32_t mostPassed = 16;
+constexpr std::uint32_t mostPassed = 64;
 constexpr duration sweepInterval = std::chrono::milliseconds(250);
 // A waiting request is urgent after this part of its first-token target.
 constexpr double urgentPart = 0.25;
@@ -259,10 +259,11 @@
     -> placement_choice
 {
     const auto &row = requests.at(slot);
-    const placement_wish wish{.tier = row.tier,
-                              .warm = prefixes.find(row.prefixHash),
-                              .reserve = target.reserves[row.tier],
-                              .avoid = row.attempt > 0 ? row.endpoint : noIndex};
+    const placement_wish wish{
+        .tier = row.tier,
+        .warm = prefixes.find(row.prefixHash),
+        .reserve = target.queue.isTurnDue(row.queue, now) ? 0 : target.reserves[row.tier],
+        .avoid = row.attempt > 0 ? row.endpoint : noIndex};
     placement_choice choice;
     if (row.tier < target.fullTier) {
         choice = target.subset.choose(endpoints, wish, random, now);
@@ -464,7 +465,8 @@
     while (slot != noIndex && passed < mostPassed) {
         const auto &row = requests.at(slot);
         const auto next = row.classLink.next;
-        if (row.generatedTokens == 0 && isLate(slot, now))
+        const bool isYoung = (now - row.arrivedAt) * 2 < row.firstTokenTarget;
+        if (!isYoung && row.generatedTokens == 0 && isLate(slot, now))
             refuse(slot, result_code::overloaded, "late", now, actions);
         else
             ++passed;
--- a/packages/policy/target_queue.h
+++ b/packages/policy/target_queue.h
@@ -56,6 +56,11 @@
         -> void;
     auto finish(const request_row &row, std::uint32_t usedTokens) -> void;
 
+    // True if the class was passed over for so long that it has a turn.
+    [[nodiscard]] auto isTurnDue(std::uint32_t number, time_point now) const -> bool
+    {
+        return turnDue(m_classes[number], now);
+    }
     // Requests that would be placed before a new one of `account` in queue `number`.
     [[nodiscard]] auto ahead(std::uint32_t number, std::uint32_t account) const -> std::uint32_t;
     // True if a request of a lower tier than `tier` waits.
