--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -16,6 +16,7 @@
 constexpr double targetPart = 0.9;
 constexpr std::uint32_t unknownTokens = 100;
 constexpr duration noEndpointRetry = std::chrono::seconds(2);
+constexpr std::uint32_t mostPassed = 64;
 constexpr duration sweepInterval = std::chrono::milliseconds(250);
 // A waiting request is urgent after this part of its first-token target.
 constexpr double urgentPart = 0.25;
@@ -258,10 +259,11 @@
     -> placement_choice
 {
     const auto &row = requests.at(slot);
-    const placement_wish wish{.tier = row.tier,
-                              .warm = prefixes.find(row.prefixHash),
-                              .reserve = target.reserves[row.tier],
-                              .avoid = row.attempt > 0 ? row.endpoint : noIndex};
+    const placement_wish wish{
+        .tier = row.tier,
+        .warm = prefixes.find(row.prefixHash),
+        .reserve = target.queue.isTurnDue(row.queue, now) ? 0 : target.reserves[row.tier],
+        .avoid = row.attempt > 0 ? row.endpoint : noIndex};
     placement_choice choice;
     if (row.tier < target.fullTier) {
         choice = target.subset.choose(endpoints, wish, random, now);
@@ -335,12 +337,14 @@
     ++row.attempt;
     paceOf(row).started();
     ++placedCount;
-    actions.emplace_back(place_action{.request = row.request,
-                                      .endpoint = endpoints.at(choice.endpoint).id,
-                                      .attempt = row.attempt,
-                                      .resumeFrom = row.generatedTokens,
-                                      .reason = choice.reason,
-                                      .considered = describeConsidered(choice, now)});
+    actions.emplace_back(
+        place_action{.request = row.request,
+                     .endpoint = endpoints.at(choice.endpoint).id,
+                     .attempt = row.attempt,
+                     .resumeFrom = row.generatedTokens,
+                     .expectedFirstToken = fromSeconds(paceOf(row).fastFirstTokenSeconds()),
+                     .reason = choice.reason,
+                     .considered = describeConsidered(choice, now)});
     endpoints.placed(choice.endpoint, row.tier, now);
 }
 
@@ -434,14 +438,15 @@
     delayed.erase(due, delayed.end());
     for (const auto slot : ready) {
         auto &row = requests.at(slot);
+        auto &target = targets[row.target];
         row.state = request_state::waiting;
-        --targets[row.target].delayed[row.tier];
-        targets[row.target].queue.pushFront(requests, slot, now);
-    }
-    for (const auto slot : ready) {
-        if (requests.at(slot).state == request_state::waiting)
-            placeWaiting(targets[requests.at(slot).target], now, actions);
+        --target.delayed[row.tier];
+        target.queue.pushFront(requests, slot, now);
+        if (row.generatedTokens == 0 && isLate(slot, now) && !holdsLowerTier(target, row.tier))
+            refuse(slot, result_code::overloaded, "late", now, actions);
     }
+    for (auto &target : targets)
+        placeWaiting(target, now, actions);
 }
 
 // True for a request that would miss its target even if it were placed now.
@@ -451,18 +456,20 @@
     return lateness(row, {}, now) != result_code::ok;
 }
 
-// Refuses the late ones from `slot` on in the order of arrival; some that came back are kept.
+// Refuses the late ones from `slot` on. The order is that of arrival except for some that came back
+// and stand first, so the search goes on past a few that are in time.
 auto dispatcher::state::refuseLate(std::uint32_t slot, time_point now, dispatch_actions &actions)
     -> void
 {
-    while (slot != noIndex) {
+    std::uint32_t passed = 0;
+    while (slot != noIndex && passed < mostPassed) {
         const auto &row = requests.at(slot);
         const auto next = row.classLink.next;
-        const bool isKept = row.generatedTokens > 0;
-        if (!isKept && !isLate(slot, now))
-            return;
-        if (!isKept)
+        const bool isYoung = (now - row.arrivedAt) * 2 < row.firstTokenTarget;
+        if (!isYoung && row.generatedTokens == 0 && isLate(slot, now))
             refuse(slot, result_code::overloaded, "late", now, actions);
+        else
+            ++passed;
         slot = next;
     }
 }
