--- /dev/null
+++ b/packages/proofs/testing/session.cpp
@@ -0,0 +1,400 @@
+#include "proofs/testing/session.h"
+
+#include <algorithm>
+#include <set>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "base/hashing.h"
+#include "entry/key_text.h"
+
+namespace mustardline::proofs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Time within which a change must be in force everywhere.
+constexpr auto propagationTime = 4s;
+constexpr std::size_t keyIdDigits = 12;
+constexpr std::size_t requestIdDigits = 32;
+
+auto isNotRunCode(result_code code) -> bool
+{
+    switch (code) {
+    case result_code::ok:
+    case result_code::outcome_unknown:
+    case result_code::answer_cut:
+    case result_code::endpoint_failed:
+    case result_code::deadline_exceeded:
+    case result_code::cancelled:
+        return false;
+    default:
+        return true;
+    }
+}
+
+auto keyIdOfAccount(std::string_view clientAccount) -> std::string
+{
+    return fmt::format("{:016x}", fastHash(clientAccount)).substr(0, keyIdDigits);
+}
+
+} // namespace
+
+session::session(session_options options)
+    : m_options(std::move(options)), m_world(m_options.world)
+{
+    const auto dataCentreOf = [&](std::size_t index) {
+        return m_options.dataCentres[index % m_options.dataCentres.size()];
+    };
+    for (std::uint32_t i = 0; i < m_options.entries; ++i) {
+        m_entries.push_back(std::make_unique<session_entry>(
+            *this, fmt::format("entry-{}", i + 1), dataCentreOf(i)));
+    }
+    for (std::uint32_t i = 0; i < m_options.models + m_options.services; ++i) {
+        const auto kind
+            = i < m_options.models ? endpoint_kind::model : endpoint_kind::service;
+        const auto letter = kind == endpoint_kind::model ? 'm' : 's';
+        m_agents.push_back(std::make_unique<session_agent>(
+            *this, fmt::format("{}-{}{}", dataCentreOf(i), letter, i + 1), dataCentreOf(i), kind));
+        m_agents.back()->boot();
+    }
+    configure();
+}
+
+auto session::configure() -> void
+{
+    for (const auto &id : m_options.dataCentres) {
+        v1::Entity entity;
+        entity.mutable_data_centre()->set_id(id);
+        publish(entity);
+    }
+    for (const auto &item : m_options.classes) {
+        v1::Entity entity;
+        auto *requestClass = entity.mutable_request_class();
+        requestClass->set_id(item.id);
+        requestClass->set_priority(item.priority);
+        requestClass->set_first_token_ms(item.firstTokenMs);
+        requestClass->set_deadline_ms(item.deadlineMs);
+        publish(entity);
+    }
+    for (const auto &item : m_options.accounts) {
+        v1::Entity entity;
+        entity.mutable_client_account()->set_id(item.id);
+        entity.mutable_client_account()->set_tier(item.tier);
+        for (const auto &name : item.classes)
+            entity.mutable_client_account()->add_classes(name);
+        publish(entity);
+        v1::Entity key;
+        key.mutable_key()->set_id(keyIdOfAccount(item.id));
+        key.mutable_key()->set_client_account(item.id);
+        key.mutable_key()->set_hash(keyedHash(keySecret(), keyOf(item.id)));
+        publish(key);
+    }
+    v1::Entity chat;
+    chat.mutable_route()->set_id("/v1/chat/completions");
+    chat.mutable_route()->set_kind(v1::ROUTE_KIND_MODEL);
+    chat.mutable_route()->set_idempotent(true);
+    publish(chat);
+    v1::Entity booking;
+    booking.mutable_route()->set_id("/services/orders/");
+    booking.mutable_route()->set_kind(v1::ROUTE_KIND_SERVICE);
+    booking.mutable_route()->set_service("orders");
+    publish(booking);
+    for (const auto &agent : m_agents) {
+        v1::Entity entity;
+        auto *endpoint = entity.mutable_endpoint();
+        endpoint->set_id(agent->name());
+        endpoint->set_data_centre(agent->dataCentre());
+        endpoint->set_max_concurrency(m_options.maxConcurrency);
+        endpoint->add_serves(agent->name().find("-m") != std::string::npos ? "small" : "orders");
+        publish(entity);
+    }
+}
+
+auto session::publish(const v1::Entity &entity) -> void
+{
+    m_entries.front()->propose(fmt::format("c{}", ++m_lastChange), entity);
+}
+
+auto session::agent(std::string_view endpoint) -> session_agent *
+{
+    for (const auto &agent : m_agents) {
+        if (agent->name() == endpoint)
+            return agent.get();
+    }
+    return nullptr;
+}
+
+auto session::keyOf(std::string_view clientAccount) -> std::string
+{
+    return fmt::format("mk_{}_{:016x}{:016x}", keyIdOfAccount(clientAccount),
+                       fastHash(clientAccount, 1), fastHash(clientAccount, 2));
+}
+
+auto session::answerText(std::string_view requestId, std::uint32_t tokens) -> std::string
+{
+    return fmt::format("answer to {} in {} tokens", requestId, tokens);
+}
+
+auto session::call(const call_options &options) -> std::uint64_t
+{
+    const auto caller = m_rows.size() + 1;
+    auto &row = m_rows.emplace_back();
+    row.options = options;
+    row.id = fmt::format("{:0{}x}", caller, requestIdDigits);
+    const auto account
+        = std::ranges::find(m_options.accounts, options.clientAccount, &account_options::id);
+    row.tier = account->tier;
+    if (row.options.requestClass.empty())
+        row.options.requestClass = account->classes.front();
+    auto &entry = *m_entries.at(options.entry);
+    m_world.note("caller", fmt::format("call request={} account={} class={} {}via={}", caller,
+                                       options.clientAccount, row.options.requestClass,
+                                       options.booking ? "booking " : "", entry.name()));
+    if (entry.isDead()) {
+        row.ended = row.cut = true;
+        return caller;
+    }
+    m_world.send(entry, [this, caller, &entry] {
+        const auto &sent = m_rows[caller - 1];
+        const auto key = keyOf(sent.options.clientAccount);
+        const std::vector<http_header> headers{
+            {.name = "authorization", .value = "Bearer " + key},
+            {.name = "content-type", .value = "application/json"},
+            {.name = "mustardline-class", .value = sent.options.requestClass},
+            {.name = "idempotency-key", .value = sent.options.idempotencyKey}};
+        // The key stands in the body too, where it has no business.
+        const nlohmann::json body{{"model", "small"},
+                                  {"messages", {{{"role", "user"}, {"content", key}}}},
+                                  {"item", sent.options.idempotencyKey}};
+        entry.call(caller, sent.id,
+                   {.method = "POST",
+                    .path = sent.options.booking ? "/services/orders/book"
+                                                 : "/v1/chat/completions",
+                    .query = {},
+                    .headers = headers,
+                    .body = body.dump()},
+                   sent.options.tokens);
+    });
+    return caller;
+}
+
+auto session::burst(std::uint32_t count, duration time, const call_options &options) -> void
+{
+    for (std::uint32_t i = 0; i < count; ++i) {
+        auto chosen = options;
+        chosen.entry = m_world.random().below(m_options.entries);
+        if (!options.idempotencyKey.empty())
+            chosen.idempotencyKey = fmt::format("{}-{}", options.idempotencyKey, i);
+        m_world.after(time / 1000 * m_world.random().below(1000),
+                      [this, chosen] { call(chosen); });
+    }
+}
+
+auto session::changeDataCentre(const std::string &id, bool out, std::size_t entryIndex) -> void
+{
+    v1::Entity entity;
+    entity.mutable_data_centre()->set_id(id);
+    entity.mutable_data_centre()->set_out(out);
+    m_entries.at(entryIndex)->propose(fmt::format("c{}", ++m_lastChange), entity);
+}
+
+auto session::withdrawKey(const std::string &clientAccount, std::size_t entryIndex) -> void
+{
+    auto &entry = *m_entries.at(entryIndex);
+    v1::Entity entity;
+    *entity.mutable_key() = *entry.config().key(keyIdOfAccount(clientAccount));
+    entity.mutable_key()->set_withdrawn(true);
+    entry.propose(fmt::format("c{}", ++m_lastChange), entity);
+}
+
+auto session::changeTier(const std::string &clientAccount, std::uint32_t tier,
+                         std::size_t entryIndex) -> void
+{
+    auto &entry = *m_entries.at(entryIndex);
+    v1::Entity entity;
+    *entity.mutable_client_account() = *entry.config().clientAccount(clientAccount);
+    entity.mutable_client_account()->set_tier(tier);
+    entry.propose(fmt::format("c{}", ++m_lastChange), entity);
+}
+
+auto session::changeLeaving(const std::string &endpoint, bool leaving, std::size_t entryIndex)
+    -> void
+{
+    auto &entry = *m_entries.at(entryIndex);
+    v1::Entity entity;
+    *entity.mutable_endpoint() = *entry.config().endpoint(endpoint);
+    entity.mutable_endpoint()->set_leaving(leaving);
+    entry.propose(fmt::format("c{}", ++m_lastChange), entity);
+}
+
+auto session::killEntry(std::size_t index) -> void
+{
+    auto &entry = *m_entries.at(index);
+    m_world.kill(entry);
+    entry.closeAll();
+    for (auto &row : m_rows) {
+        if (!row.ended && row.options.entry == index)
+            row.ended = row.cut = true;
+    }
+}
+
+auto session::killAgent(std::size_t index) -> void
+{
+    m_world.kill(*m_agents.at(index));
+    for (const auto &entry : m_entries)
+        entry->agentGone(m_agents.at(index)->name());
+}
+
+auto session::restartAgent(std::size_t index) -> void
+{
+    m_world.restart(*m_agents.at(index));
+    m_agents.at(index)->boot();
+}
+
+auto session::started(std::uint64_t caller, const run_request &request, const std::string &body,
+                      const session_agent &agent) -> void
+{
+    auto &row = m_rows.at(caller - 1);
+    row.starts.push_back({.endpoint = agent.name(), .at = m_world.now()});
+    checkStart(row, request, agent);
+    const auto secret = keyOf(row.options.clientAccount);
+    auto seen = body + request.path + request.contentType + request.accept
+                + request.idempotencyKey + request.keyId;
+    m_world.check(!holdsKey(seen) && seen.find(secret) == std::string::npos, 4,
+                  fmt::format("{} carries a key to its endpoint", caller));
+}
+
+auto session::checkStart(const caller_row &row, const run_request &request,
+                         const session_agent &agent) -> void
+{
+    const auto what = fmt::format("request {} at {}", row.id.substr(28), agent.name());
+    m_world.check(request.clientAccount == row.options.clientAccount, 3, what);
+    m_world.check(!agent.isCold() || agent.runningCount() <= m_options.bearableCold, 8, what);
+    m_world.check(request.idempotent || row.starts.size() <= 1, 12, what);
+    const auto closed = [&](const std::string &entity) {
+        const auto found = m_closed.find(entity);
+        return found != m_closed.end() && m_world.now() - found->second > propagationTime;
+    };
+    m_world.check(!closed("key/" + request.keyId), 5, what);
+    m_world.check(!closed("data_centre/" + agent.dataCentre()), 9, what);
+    m_world.check(!closed("endpoint/" + agent.name()), 13, what);
+}
+
+auto session::answered(std::uint64_t caller, result_code code, std::string_view text) -> void
+{
+    auto &row = m_rows.at(caller - 1);
+    m_world.check(!row.ended, 10, fmt::format("{} was answered twice", caller));
+    row.ended = true;
+    row.code = code;
+    m_world.note("caller", fmt::format("answer request={} code={} {}", caller, describe(code).name,
+                                       text));
+    if (code == result_code::ok)
+        checkAnswer(row, text);
+    const auto mayHaveStarted = row.options.booking ? false : code != result_code::not_run;
+    m_world.check(!isNotRunCode(code) || mayHaveStarted || row.starts.empty(), 11,
+                  fmt::format("{} had started at {}", caller,
+                              row.starts.empty() ? "" : row.starts.front().endpoint));
+}
+
+auto session::checkAnswer(const caller_row &row, std::string_view text) -> void
+{
+    const auto isOwn = text == answerText(row.id, row.options.tokens);
+    const auto isRepeat = !row.options.idempotencyKey.empty()
+                          && std::ranges::any_of(m_rows, [&](const caller_row &other) {
+                                 return other.options.clientAccount == row.options.clientAccount
+                                        && other.options.idempotencyKey
+                                               == row.options.idempotencyKey
+                                        && text == answerText(other.id, other.options.tokens);
+                             });
+    m_world.check(isOwn || isRepeat, 10, fmt::format("{} has another's answer", row.id));
+}
+
+auto session::accepted(std::uint64_t offset, const v1::ConfigurationChange &change) -> void
+{
+    if (offset <= m_acceptedOffset)
+        return;
+    m_acceptedOffset = offset;
+    for (const auto &item : change.entities()) {
+        const auto &entity = item.entity();
+        const auto isClosed = entity.key().withdrawn() || entity.data_centre().out()
+                              || entity.endpoint().leaving();
+        const auto kind = entity.has_key() ? "key" : entity.has_endpoint() ? "endpoint" : "data_centre";
+        const auto name = fmt::format("{}/{}", kind, item.id());
+        if (isClosed)
+            m_closed.try_emplace(name, m_world.now());
+        else
+            m_closed.erase(name);
+    }
+}
+
+auto session::orderArrived(const std::string &sender, std::uint64_t fencing) -> void
+{
+    if (fencing != m_highestFencing)
+        m_world.note("platform", fmt::format("order by={} fencing={}", sender, fencing));
+    m_world.check(fencing >= m_highestFencing, 6,
+                  fmt::format("{} orders with {} after {}", sender, fencing, m_highestFencing));
+    m_highestFencing = std::max(m_highestFencing, fencing);
+    const auto holders = std::ranges::count_if(
+        m_entries, [](const auto &entry) { return !entry->isDead() && entry->holdsLease(); });
+    m_world.check(holders <= 1, 6, fmt::format("{} processes hold the lease", holders));
+}
+
+auto session::finish(duration time) -> void
+{
+    advance(time);
+    checkRows();
+    checkClasses();
+    checkConfigurations();
+    const auto &faults = m_world.faults;
+    m_world.note("session", fmt::format("requests={} lost_calls={} repeats={} freezes={} kills={} "
+                                        "outages={} violations={}",
+                                        m_rows.size(), faults.lostCalls, faults.repeats,
+                                        faults.freezes, faults.kills, faults.outages,
+                                        m_world.violations().size()));
+}
+
+auto session::checkRows() -> void
+{
+    std::map<std::pair<std::string, std::string>, std::size_t> starts;
+    for (const auto &row : m_rows) {
+        m_world.check(row.ended, 10, fmt::format("{} has no answer", row.id));
+        if (!row.options.idempotencyKey.empty())
+            starts[{row.options.clientAccount, row.options.idempotencyKey}] += row.starts.size();
+    }
+    for (const auto &[key, count] : starts)
+        m_world.check(count <= 1, 12, fmt::format("{} ran {} times", key.second, count));
+}
+
+auto session::checkClasses() -> void
+{
+    std::map<std::pair<std::uint32_t, std::string>, std::pair<int, int>> classes;
+    for (const auto &row : m_rows) {
+        auto &[sent, answered] = classes[{row.tier, row.options.requestClass}];
+        ++sent;
+        answered += row.code == result_code::ok && !row.cut ? 1 : 0;
+    }
+    for (const auto &[key, counts] : classes) {
+        m_world.note("session", fmt::format("tier={} class={} sent={} answered={}", key.first,
+                                            key.second, counts.first, counts.second));
+        m_world.check(counts.second > 0, 2, fmt::format("class {} starved", key.second));
+    }
+}
+
+auto session::checkConfigurations() -> void
+{
+    std::set<std::uint64_t> offsets;
+    for (const auto &entry : m_entries) {
+        if (!entry->isDead())
+            offsets.insert(entry->config().offset());
+    }
+    for (const auto &agent : m_agents) {
+        if (!agent->isDead())
+            offsets.insert(agent->config().offset());
+    }
+    m_world.check(offsets.size() == 1, 15, "configurations differ at the end");
+}
+
+} // namespace mustardline::proofs
--- /dev/null
+++ b/packages/proofs/testing/session_agent.cpp
@@ -0,0 +1,311 @@
+#include "proofs/testing/session_agent.h"
+
+#include <fmt/format.h>
+
+#include "base/hashing.h"
+#include "proofs/testing/session.h"
+
+namespace mustardline::proofs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto tickPeriod = 20ms;
+constexpr auto followPeriod = 100ms;
+constexpr auto configurationWait = 1s;
+constexpr auto coldTime = 5s;
+constexpr auto firstTokenTime = 60ms;
+constexpr auto tokenTime = 10ms;
+// How much an endpoint slows down while it is cold, and under more work than it bears.
+constexpr std::int64_t coldSlowness = 3;
+constexpr std::int64_t overrunSlowness = 8;
+
+} // namespace
+
+session_agent::session_agent(session &owner, std::string name, std::string dataCentre,
+                             endpoint_kind kind)
+    : session_node(name),
+      m_owner(owner),
+      m_identity{.endpoint = std::move(name), .kind = kind, .dataCentre = dataCentre},
+      m_dataCentre(std::move(dataCentre))
+{}
+
+auto session_agent::boot() -> void
+{
+    const auto isService = m_identity.kind == endpoint_kind::service;
+    m_config = std::make_unique<configuration>();
+    m_core = std::make_unique<endpoint_scheduler>(
+        endpoint_scheduler_options{.maxConcurrency = m_owner.options().maxConcurrency,
+                                   .timesWholeAnswer = isService});
+    m_table = std::make_unique<run_table>(run_table_options{});
+    m_live.clear();
+    m_actions.clear();
+    turnCold();
+    m_owner.world().every(*this, tickPeriod, [this] { tick(); });
+    m_owner.world().every(*this, followPeriod, [this] { follow(); });
+}
+
+auto session_agent::turnCold() -> void
+{
+    m_coldUntil = m_owner.world().now() + coldTime;
+}
+
+auto session_agent::isCold() const -> bool
+{
+    return m_owner.world().now() < m_coldUntil;
+}
+
+auto session_agent::run(const run_message &message) -> void
+{
+    const auto parsed = parseRunRequest(message.headers);
+    if (const auto *fault = failed(parsed)) {
+        m_owner.world().violate(10, "an agent cannot read a run: " + fault->message);
+        return;
+    }
+    const auto &request = std::get<run_request>(parsed);
+    note(fmt::format("run request={} attempt={}", message.caller, request.attempt));
+    const auto now = m_owner.world().now();
+    const auto verdict = m_table->begin(request, fastHash(message.body), now);
+    if (const auto *refused = std::get_if<refused_run>(&verdict)) {
+        answer(message, request.attempt, {.code = refused->code});
+        return;
+    }
+    if (const auto *repeated = std::get_if<repeated_run>(&verdict)) {
+        answer(message, request.attempt,
+               {.what = agent_answer::kind::whole, .text = repeated->outcome->body});
+        return;
+    }
+    const auto number = ++m_lastNumber;
+    m_live[number] = {.message = message, .request = request, .arrivedAt = now};
+    if (request.offset > m_config->offset()) {
+        auto &entry = *message.entry;
+        m_owner.world().send(entry, [this, &entry] {
+            m_owner.world().send(*this, [this, snapshot = entry.config().snapshot()] {
+                restore(snapshot);
+            });
+        });
+    }
+    admit(number);
+}
+
+auto session_agent::admit(std::uint64_t number) -> void
+{
+    auto &live = m_live.at(number);
+    const auto verdict = checkAdmission(*m_config, m_identity, live.request);
+    const auto behind = live.request.offset > m_config->offset();
+    const auto waited = m_owner.world().now() - live.arrivedAt;
+    live.awaitsConfiguration = behind && waited < configurationWait;
+    if (live.awaitsConfiguration)
+        return;
+    if (const auto *refusal = failed(verdict)) {
+        end(number, refusal->code, run_fate::not_run);
+        return;
+    }
+    m_core->arrive({.request = number,
+                    .tier = live.request.tier,
+                    .priority = live.request.priority,
+                    .preemptible = live.request.idempotent,
+                    .promptTokens = live.message.tokens,
+                    .firstTokenTarget = live.request.firstTokenTarget,
+                    .deadline = live.request.deadline - waited},
+                   m_owner.world().now(), m_actions);
+    carryOut();
+}
+
+auto session_agent::entryLeft(const std::shared_ptr<call_link> &link) -> void
+{
+    for (const auto &[number, live] : m_live) {
+        if (live.message.link != link || (live.running && !live.request.idempotent))
+            continue;
+        end(number, result_code::cancelled, live.running ? run_fate::failed : run_fate::not_run);
+        return;
+    }
+}
+
+auto session_agent::fate(const request_id &id, std::uint32_t attempt) -> told_fate
+{
+    return m_table->fate(id, m_owner.world().now(), attempt);
+}
+
+auto session_agent::restore(const v1::ConfigurationSnapshot &snapshot) -> void
+{
+    if (snapshot.offset() <= m_config->offset())
+        return;
+    m_config->restore(snapshot);
+    note(fmt::format("restored configuration={}", m_config->offset()));
+    recheck();
+}
+
+auto session_agent::follow() -> void
+{
+    const auto before = m_config->offset();
+    for (const auto &record : m_owner.world().read(*this, "configuration", before))
+        m_config->apply(m_config->offset() + 1, record);
+    if (m_config->offset() == before)
+        return;
+    note(fmt::format("configuration={}", m_config->offset()));
+    recheck();
+}
+
+// Refuses what waits and may no longer run, and stops what runs for a withdrawn key.
+auto session_agent::recheck() -> void
+{
+    std::vector<std::uint64_t> numbers;
+    for (const auto &[number, live] : m_live)
+        numbers.push_back(number);
+    for (const auto number : numbers) {
+        const auto found = m_live.find(number);
+        if (found == m_live.end())
+            continue;
+        const auto &live = found->second;
+        const auto key = checkKey(*m_config, live.request);
+        const auto admission = checkAdmission(*m_config, m_identity, live.request);
+        if (live.awaitsConfiguration)
+            admit(number);
+        else if (live.running && live.request.idempotent && failed(key) != nullptr)
+            end(number, failed(key)->code, run_fate::failed);
+        else if (!live.running && failed(admission) != nullptr)
+            end(number, failed(admission)->code, run_fate::not_run);
+    }
+}
+
+auto session_agent::tick() -> void
+{
+    m_core->tick(m_owner.world().now(), m_actions);
+    carryOut();
+    for (const auto &[number, live] : m_live) {
+        if (live.awaitsConfiguration
+            && m_owner.world().now() - live.arrivedAt >= configurationWait) {
+            admit(number);
+            return;
+        }
+    }
+}
+
+auto session_agent::carryOut() -> void
+{
+    if (std::exchange(m_carryingOut, true))
+        return;
+    for (std::size_t i = 0; i < m_actions.size(); ++i) {
+        const auto action = m_actions[i];
+        if (const auto *started = std::get_if<start_action>(&action)) {
+            start(started->request);
+        } else if (const auto *rejected = std::get_if<reject_action>(&action)) {
+            end(rejected->request, rejected->code, run_fate::not_run);
+        } else if (const auto *preempted = std::get_if<preempt_action>(&action)) {
+            const auto victim = m_live.find(preempted->request);
+            const auto winner = m_live.find(preempted->inFavourOf);
+            if (victim == m_live.end())
+                continue;
+            m_owner.world().check(winner == m_live.end()
+                                      || winner->second.request.tier < victim->second.request.tier,
+                                  1, "a request was preempted for one of no higher tier");
+            end(preempted->request, result_code::preempted, run_fate::failed);
+        }
+    }
+    m_actions.clear();
+    m_carryingOut = false;
+}
+
+auto session_agent::start(std::uint64_t number) -> void
+{
+    const auto found = m_live.find(number);
+    if (found == m_live.end())
+        return;
+    auto &live = found->second;
+    live.running = true;
+    m_table->started(live.request.id);
+    note(fmt::format("start request={} running={}/{}", live.message.caller, runningCount(),
+                     m_core->window()));
+    m_owner.started(live.message.caller, live.request, live.message.body, *this);
+    m_owner.world().after(firstTokenTime * slowness(), [this, number, boot = session_node::boot()] {
+        m_owner.world().deliver(*this, boot, [this, number] { endpointAnswers(number); });
+    });
+}
+
+auto session_agent::slowness() const -> std::int64_t
+{
+    const auto bearable
+        = isCold() ? m_owner.options().bearableCold : m_owner.options().maxConcurrency;
+    const auto cold = isCold() ? coldSlowness : 1;
+    return runningCount() > bearable ? cold * overrunSlowness : cold;
+}
+
+// The first token of the endpoint has come; the rest follows.
+auto session_agent::endpointAnswers(std::uint64_t number) -> void
+{
+    const auto found = m_live.find(number);
+    if (found == m_live.end())
+        return;
+    auto &live = found->second;
+    live.outputBegun = true;
+    if (m_identity.kind == endpoint_kind::model) {
+        m_core->firstToken(number, m_owner.world().now());
+        answer(live.message, live.request.attempt, {.what = agent_answer::kind::first_token});
+    }
+    const auto rest = tokenTime * slowness() * live.message.tokens;
+    m_owner.world().after(rest, [this, number, boot = session_node::boot()] {
+        m_owner.world().deliver(*this, boot, [this, number] {
+            if (m_live.contains(number))
+                end(number, result_code::ok, run_fate::done);
+            carryOut();
+        });
+    });
+}
+
+auto session_agent::end(std::uint64_t number, result_code code, run_fate fate) -> void
+{
+    const auto live = std::move(m_live.at(number));
+    m_live.erase(number);
+    const auto now = m_owner.world().now();
+    const auto text = session::answerText(toText(live.request.id), live.message.tokens);
+    m_table->finished(live.request.id,
+                      {.fate = fate,
+                       .httpStatus = 200,
+                       .contentType = "application/json",
+                       .body = text,
+                       .bodyKept = fate == run_fate::done},
+                      now);
+    if (live.running && code != result_code::cancelled)
+        m_core->finished(number, fate != run_fate::done, now, m_actions);
+    else
+        m_core->cancelled(number, now, m_actions);
+    note(fmt::format("end request={} code={} fate={}", live.message.caller, describe(code).name,
+                     fateName(fate)));
+    const auto isOpen = fate == run_fate::failed && !live.request.idempotent;
+    if (fate == run_fate::done) {
+        answer(live.message, live.request.attempt,
+               {.what = agent_answer::kind::whole, .text = text});
+    } else {
+        answer(live.message, live.request.attempt,
+               {.code = isOpen ? result_code::outcome_unknown : code});
+    }
+    carryOut();
+}
+
+auto session_agent::answer(const run_message &message, std::uint32_t attempt, agent_answer answer)
+    -> void
+{
+    answer.caller = message.caller;
+    answer.attempt = attempt;
+    answer.endpoint = name();
+    answer.boot = session_node::boot();
+    answer.configurationOffset = m_config->offset();
+    answer.load = {.running = m_core->runningCount(),
+                   .queued = m_core->queuedCount(),
+                   .window = m_core->window()};
+    const auto link = message.link;
+    auto &entry = *message.entry;
+    m_owner.world().sendInOrder(entry, link->order, [link, &entry, answer] {
+        if (link->open)
+            entry.answer(answer);
+    });
+}
+
+auto session_agent::note(std::string_view what) -> void
+{
+    m_owner.world().note(name(), what);
+}
+
+} // namespace mustardline::proofs
--- /dev/null
+++ b/packages/proofs/testing/session_entry.cpp
@@ -0,0 +1,586 @@
+#include "proofs/testing/session_entry.h"
+
+#include <fmt/format.h>
+
+#include "base/hashing.h"
+#include "proofs/testing/session.h"
+
+namespace mustardline::proofs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto tickPeriod = 20ms;
+constexpr auto followPeriod = 100ms;
+constexpr auto orderPeriod = 1s;
+constexpr auto fateRetryPause = 100ms;
+constexpr auto claimWait = 2s;
+constexpr auto lossNotice = 5ms;
+// A run that travels on after its connection was lost arrives this much later.
+constexpr auto strayDelay = 40ms;
+
+auto milliseconds(duration value) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+} // namespace
+
+session_entry::session_entry(session &owner, std::string name, std::string dataCentre)
+    : session_node(name),
+      m_owner(owner),
+      m_dataCentre(dataCentre),
+      m_lease({.duty = "orders", .holder = name, .term = 6s, .margin = 600ms, .renewAfter = 2s},
+              owner.world().now()),
+      m_core({.dataCentre = std::move(dataCentre),
+              .seed = fastHash(name),
+              .entryCount = owner.options().entries})
+{
+    m_config.onChange(
+        [this](v1::EntityKind kind, const std::string &id) { entityChanged(kind, id); });
+    auto &world = m_owner.world();
+    world.every(*this, tickPeriod, [this] { tick(); });
+    world.every(*this, followPeriod, [this] { follow(); });
+    world.every(*this, orderPeriod, [this] { sendOrder(); });
+}
+
+auto session_entry::call(std::uint64_t caller, const std::string &id,
+                         const caller_message &message, std::uint32_t tokens) -> void
+{
+    auto outcome = m_stopping ? error{.code = result_code::draining}
+                              : readCallerRequest(message, m_config, session::keySecret());
+    if (const auto *fault = failed(outcome)) {
+        m_owner.answered(caller, fault->code, "");
+        return;
+    }
+    auto &live = m_live[caller];
+    live = {.caller = caller,
+            .id = id,
+            .tokens = tokens,
+            .request = std::get<caller_request>(std::move(outcome)),
+            .arrivedAt = now()};
+    note(fmt::format("arrive request={} account={} class={} tier={}", caller,
+                     live.request.clientAccount, live.request.requestClass, live.request.tier));
+    if (live.request.idempotent || live.request.idempotencyKey.empty())
+        dispatch(live);
+    else
+        claim(live);
+}
+
+auto session_entry::claimOf(const live_call &live) -> v1::IdempotencyClaim
+{
+    const auto &request = live.request;
+    v1::IdempotencyClaim claim;
+    claim.set_client_account(request.clientAccount);
+    claim.set_key_hash(keyedHash(session::keySecret(), request.idempotencyKey));
+    claim.set_request_hash(
+        keyedHash(session::keySecret(), request.method + request.path + request.body));
+    claim.set_request_id(live.id);
+    return claim;
+}
+
+auto session_entry::claim(live_call &live) -> void
+{
+    live.claimedAt = now();
+    v1::LogRecord record;
+    *record.mutable_idempotency_claim() = claimOf(live);
+    m_owner.world().append(*this, "claims", record);
+}
+
+auto session_entry::decideClaims() -> void
+{
+    std::vector<std::uint64_t> waiting;
+    for (const auto &[caller, live] : m_live) {
+        if (live.claimedAt)
+            waiting.push_back(caller);
+    }
+    for (const auto caller : waiting) {
+        auto &live = m_live.at(caller);
+        const auto claim = claimOf(live);
+        const auto verdict = m_ledger.decide({.clientAccount = claim.client_account(),
+                                              .keyHash = claim.key_hash(),
+                                              .requestHash = claim.request_hash(),
+                                              .requestId = claim.request_id()});
+        if (verdict.kind == claim_kind::unknown) {
+            if (now() - *live.claimedAt < claimWait)
+                continue;
+            // The claim may still take effect, so it is given back.
+            live.ownsClaim = true;
+            end(caller, result_code::log_unavailable, "", true);
+            continue;
+        }
+        live.claimedAt.reset();
+        note(fmt::format("claim request={} verdict={}", caller, static_cast<int>(verdict.kind)));
+        if (verdict.kind == claim_kind::run) {
+            live.ownsClaim = true;
+            dispatch(live);
+        } else if (verdict.kind == claim_kind::finished) {
+            end(caller, result_code::ok, verdict.outcome->body, false);
+        } else {
+            end(caller,
+                verdict.kind == claim_kind::running ? result_code::idempotency_in_progress
+                                                    : result_code::idempotency_conflict,
+                "", false);
+        }
+    }
+}
+
+auto session_entry::dispatch(live_call &live) -> void
+{
+    const auto &request = live.request;
+    m_core.arrive({.request = live.caller,
+                   .clientAccount = request.clientAccount,
+                   .requestClass = request.requestClass,
+                   .target = request.target,
+                   .tier = request.tier,
+                   .priority = request.priority,
+                   .firstTokenTarget = request.firstTokenTarget,
+                   .betweenTokensTarget = request.betweenTokensTarget,
+                   .deadline = request.deadline,
+                   .idempotent = request.idempotent,
+                   .promptTokens = request.promptTokens,
+                   .prefixHash = request.prefixHash,
+                   .requestsPerSecond = request.requestsPerSecond,
+                   .concurrentRequests = request.concurrentRequests},
+                  now(), m_actions);
+    carryOut();
+}
+
+auto session_entry::carryOut() -> void
+{
+    if (std::exchange(m_carryingOut, true))
+        return;
+    while (!m_actions.empty()) {
+        const auto batch = std::exchange(m_actions, {});
+        for (const auto &action : batch) {
+            if (const auto *placed = std::get_if<place_action>(&action)) {
+                place(*placed);
+            } else if (const auto *refused = std::get_if<refuse_action>(&action)) {
+                refuse(*refused);
+            } else if (const auto *cancelled = std::get_if<cancel_action>(&action)) {
+                if (m_live.contains(cancelled->request)) {
+                    m_core.callerGone(cancelled->request);
+                    finish(cancelled->request, cancelled->code, "");
+                }
+            }
+        }
+    }
+    m_carryingOut = false;
+}
+
+auto session_entry::place(const place_action &action) -> void
+{
+    auto &live = m_live.at(action.request);
+    live.endpoint = action.endpoint;
+    live.attempt = action.attempt;
+    note(fmt::format("place request={} attempt={} endpoint={} reason={} considered={} waited={}ms",
+                     action.request, action.attempt, action.endpoint, action.reason,
+                     action.considered, milliseconds(now() - live.arrivedAt)));
+    send(live);
+}
+
+auto session_entry::refuse(const refuse_action &action) -> void
+{
+    const auto &refused = m_live.at(action.request).request;
+    note(fmt::format("refuse request={} code={} reason={} retry_after={}ms", action.request,
+                     describe(action.code).name, action.reason, milliseconds(action.retryAfter)));
+    const auto isShed
+        = action.code == result_code::overloaded || action.code == result_code::queue_full;
+    for (const auto &[caller, live] : m_live) {
+        const auto isLowerWaiting = isShed && live.endpoint.empty() && !live.claimedAt
+                                    && live.request.target == refused.target
+                                    && live.request.tier > refused.tier;
+        m_owner.world().check(!isLowerWaiting, 1,
+                              fmt::format("{} was shed while {} of a lower tier waits",
+                                          action.request, caller));
+    }
+    end(action.request, action.code, "", true);
+}
+
+auto session_entry::send(live_call &live) -> void
+{
+    auto *agent = m_owner.agent(live.endpoint);
+    auto headers = live.request.headers;
+    const auto add = [&](std::string name, std::string value) {
+        headers.push_back({.name = std::move(name), .value = std::move(value)});
+    };
+    const auto remaining = live.request.deadline - (now() - live.arrivedAt);
+    add("mustardline-request", live.id);
+    add("mustardline-attempt", std::to_string(live.attempt));
+    add("mustardline-account", live.request.clientAccount);
+    add("mustardline-key-id", live.request.keyId);
+    add("mustardline-class", live.request.requestClass);
+    add("mustardline-tier", std::to_string(live.request.tier));
+    add("mustardline-priority", std::to_string(live.request.priority));
+    add("mustardline-deadline-ms",
+        std::to_string(milliseconds(std::max<duration>(remaining, 1ms))));
+    add("mustardline-first-token-ms", std::to_string(milliseconds(live.request.firstTokenTarget)));
+    add("mustardline-idempotent", live.request.idempotent ? "1" : "0");
+    add("mustardline-route", live.request.route);
+    add("mustardline-method", live.request.method);
+    add("mustardline-path", live.request.path);
+    add("mustardline-endpoint", live.endpoint);
+    add("mustardline-offset", std::to_string(m_config.offset()));
+    if (!live.request.idempotencyKey.empty())
+        add("idempotency-key", live.request.idempotencyKey);
+    live.link = std::make_shared<call_link>();
+    live.bootAtSend = agent->session_node::boot();
+    live.resolving = false;
+    const run_message message{.caller = live.caller,
+                              .headers = std::move(headers),
+                              .body = live.request.body,
+                              .tokens = live.tokens,
+                              .entry = this,
+                              .link = live.link};
+    auto &world = m_owner.world();
+    const auto lost = world.losesCall();
+    if (agent->isDead() || lost) {
+        const auto sent = !agent->isDead();
+        world.faults.lostCalls += lost ? 1 : 0;
+        world.after(lossNotice, [this, caller = live.caller, attempt = live.attempt, sent,
+                                 boot = boot()] {
+            m_owner.world().deliver(*this, boot,
+                                    [=, this] { lose(caller, attempt, sent); });
+        });
+        if (sent)
+            world.send(*agent, [agent, message] { agent->run(message); }, strayDelay);
+        return;
+    }
+    world.send(*agent, [agent, message] { agent->run(message); });
+    if (world.repeats()) {
+        ++world.faults.repeats;
+        auto copy = message;
+        copy.link = std::make_shared<call_link>(call_link{.open = false});
+        world.send(*agent, [agent, copy] { agent->run(copy); }, strayDelay);
+    }
+}
+
+auto session_entry::answer(const agent_answer &answer) -> void
+{
+    m_boots[answer.endpoint] = answer.boot;
+    m_core.reportLoad(answer.endpoint, answer.load, now());
+    if (answer.configurationOffset > m_config.offset() && !std::exchange(m_askedForSnapshot, true)) {
+        auto *agent = m_owner.agent(answer.endpoint);
+        m_owner.world().send(*agent, [this, agent] {
+            m_owner.world().send(*this, [this, snapshot = agent->config().snapshot()] {
+                m_askedForSnapshot = false;
+                restore(snapshot);
+            });
+        });
+    }
+    const auto found = m_live.find(answer.caller);
+    if (found == m_live.end() || found->second.attempt != answer.attempt
+        || found->second.endpoint != answer.endpoint)
+        return;
+    auto &live = found->second;
+    if (answer.what == agent_answer::kind::first_token) {
+        live.streaming = true;
+        m_core.firstToken(answer.caller, now());
+    } else if (answer.what == agent_answer::kind::whole) {
+        m_core.finished(answer.caller, result_code::ok, live.tokens, now());
+        finish(answer.caller, result_code::ok, answer.text);
+    } else if (answer.code == result_code::outcome_unknown) {
+        m_core.finished(answer.caller, result_code::outcome_unknown, 0, now());
+        finish(answer.caller, result_code::outcome_unknown, "");
+    } else if (live.streaming) {
+        m_core.finished(answer.caller, result_code::answer_cut, 0, now());
+        finish(answer.caller, result_code::answer_cut, "");
+    } else {
+        retry(live, answer.code);
+    }
+    m_core.tick(now(), m_actions);
+    carryOut();
+}
+
+auto session_entry::agentGone(const std::string &endpoint) -> void
+{
+    for (const auto &[caller, live] : m_live) {
+        if (live.endpoint != endpoint || live.resolving)
+            continue;
+        live.link->open = false;
+        m_owner.world().send(*this, [this, caller = caller, attempt = live.attempt] {
+            lose(caller, attempt, true);
+        });
+    }
+}
+
+auto session_entry::lose(std::uint64_t caller, std::uint32_t attempt, bool sent) -> void
+{
+    const auto found = m_live.find(caller);
+    if (found == m_live.end() || found->second.attempt != attempt)
+        return;
+    auto &live = found->second;
+    live.link->open = false;
+    note(fmt::format("lost request={} attempt={} sent={}", caller, attempt, sent));
+    m_core.reportFailure(live.endpoint, now());
+    if (!sent) {
+        retry(live, result_code::connection_failed);
+    } else if (live.streaming) {
+        m_core.finished(caller, result_code::answer_cut, 0, now());
+        finish(caller, result_code::answer_cut, "");
+    } else if (live.request.idempotent) {
+        retry(live, result_code::connection_failed);
+    } else {
+        live.resolving = true;
+        resolveFate(caller);
+    }
+}
+
+auto session_entry::resolveFate(std::uint64_t caller) -> void
+{
+    const auto found = m_live.find(caller);
+    if (found == m_live.end())
+        return;
+    const auto &live = found->second;
+    auto *agent = m_owner.agent(live.endpoint);
+    if (now() - live.arrivedAt >= live.request.deadline) {
+        m_core.finished(caller, result_code::outcome_unknown, 0, now());
+        finish(caller, result_code::outcome_unknown, "");
+        return;
+    }
+    m_owner.world().send(*agent, [=, this, id = *parseRequestId(live.id),
+                                  attempt = live.attempt] {
+        const auto told = agent->fate(id, attempt);
+        m_owner.world().send(*this, [=, this, boot = agent->session_node::boot()] {
+            tellFate(caller, told, boot);
+        });
+    });
+    m_owner.world().after(fateRetryPause, [this, caller, boot = boot()] {
+        m_owner.world().deliver(*this, boot, [this, caller] {
+            const auto waiting = m_live.find(caller);
+            if (waiting != m_live.end() && waiting->second.resolving)
+                resolveFate(caller);
+        });
+    });
+}
+
+auto session_entry::tellFate(std::uint64_t caller, const told_fate &told, std::uint64_t boot)
+    -> void
+{
+    const auto found = m_live.find(caller);
+    if (found == m_live.end() || !found->second.resolving)
+        return;
+    auto &live = found->second;
+    note(fmt::format("fate request={} {}", caller, fateName(told.fate)));
+    if (boot != live.bootAtSend || told.unknown || told.fate == run_fate::failed) {
+        m_core.finished(caller, result_code::outcome_unknown, 0, now());
+        finish(caller, result_code::outcome_unknown, "");
+    } else if (told.fate == run_fate::not_run) {
+        live.resolving = false;
+        retry(live, result_code::not_run);
+    } else if (told.fate == run_fate::done) {
+        // The agent repeats the answer that it has kept.
+        send(live);
+    }
+}
+
+auto session_entry::retry(live_call &live, result_code code) -> void
+{
+    note(fmt::format("not_run request={} attempt={} code={}", live.caller, live.attempt,
+                     describe(code).name));
+    live.endpoint.clear();
+    m_core.notRun(live.caller, code, now(), m_actions);
+    carryOut();
+}
+
+auto session_entry::finish(std::uint64_t caller, result_code code, std::string_view text) -> void
+{
+    end(caller, code, text, false);
+}
+
+auto session_entry::end(std::uint64_t caller, result_code code, std::string_view text, bool notRun)
+    -> void
+{
+    const auto found = m_live.find(caller);
+    if (found == m_live.end())
+        return;
+    const auto live = std::move(found->second);
+    m_live.erase(found);
+    if (live.link && code != result_code::ok) {
+        live.link->open = false;
+        if (auto *agent = m_owner.agent(live.endpoint))
+            m_owner.world().send(*agent, [agent, link = live.link] { agent->entryLeft(link); });
+    }
+    if (live.ownsClaim && (notRun || code == result_code::ok)) {
+        v1::LogRecord record;
+        auto &outcome = *record.mutable_idempotency_outcome();
+        outcome.set_request_id(live.id);
+        outcome.set_result_code(number(code));
+        outcome.set_http_status(describe(code).httpStatus);
+        outcome.set_body(std::string(text));
+        outcome.set_not_run(notRun);
+        m_owner.world().append(*this, "claims", record);
+    }
+    m_owner.answered(caller, code, text);
+}
+
+auto session_entry::tick() -> void
+{
+    m_core.tick(now(), m_actions);
+    carryOut();
+    std::vector<std::uint64_t> expired;
+    for (const auto &[caller, live] : m_live) {
+        if (now() - live.arrivedAt >= live.request.deadline + 500ms)
+            expired.push_back(caller);
+    }
+    for (const auto caller : expired) {
+        const auto &live = m_live.at(caller);
+        const auto mayRun = !live.request.idempotent && !live.endpoint.empty();
+        m_core.callerGone(caller);
+        finish(caller, mayRun ? result_code::outcome_unknown : result_code::deadline_exceeded, "");
+    }
+}
+
+auto session_entry::follow() -> void
+{
+    auto &world = m_owner.world();
+    const auto before = m_config.offset();
+    for (const auto &record : world.read(*this, "configuration", before)) {
+        const auto offset = m_config.offset() + 1;
+        m_config.apply(offset, record);
+        const auto &change = record.configuration_change();
+        const auto decision = m_config.decision(change.change_id());
+        if (!decision || decision->offset != offset)
+            continue;
+        note(fmt::format("change={} offset={} {}", change.change_id(), offset,
+                         describe(decision->code).name));
+        if (decision->code == result_code::ok)
+            m_owner.accepted(offset, change);
+    }
+    for (const auto &record : world.read(*this, "claims", m_ledger.offset()))
+        m_ledger.apply(m_ledger.offset() + 1, record);
+    decideClaims();
+    keepLease();
+}
+
+auto session_entry::keepLease() -> void
+{
+    auto &world = m_owner.world();
+    const auto held = holdsLease();
+    for (const auto &record : world.read(*this, "leases", m_leases.offset()))
+        m_leases.apply(m_leases.offset() + 1, record);
+    m_lease.observe(m_leases, now());
+    if (const auto record = m_lease.tick(now()))
+        world.append(*this, "leases", *record);
+    if (held != holdsLease())
+        note(holdsLease() ? fmt::format("holds the lease fencing={}", m_lease.fencing())
+                          : "holds the lease no more");
+}
+
+auto session_entry::sendOrder() -> void
+{
+    if (!holdsLease())
+        return;
+    m_owner.world().after(5ms, [this, fencing = m_lease.fencing()] {
+        m_owner.orderArrived(name(), fencing);
+    });
+}
+
+auto session_entry::holdsLease() const -> bool
+{
+    return m_lease.holds(now());
+}
+
+auto session_entry::propose(const std::string &changeId, const v1::Entity &entity) -> void
+{
+    v1::LogRecord record;
+    auto &change = *record.mutable_configuration_change();
+    change.set_change_id(changeId);
+    change.set_operator_(name());
+    auto &item = *change.add_entities();
+    const auto *current = m_config.find(kindOf(entity), idOf(entity));
+    item.set_kind(kindOf(entity));
+    item.set_id(idOf(entity));
+    item.set_base_revision(current == nullptr ? 0 : current->revision());
+    *item.mutable_entity() = entity;
+    m_owner.world().append(*this, "configuration", record);
+}
+
+auto session_entry::restore(const v1::ConfigurationSnapshot &snapshot) -> void
+{
+    if (snapshot.offset() <= m_config.offset())
+        return;
+    m_config.restore(snapshot);
+    note(fmt::format("restored configuration={}", m_config.offset()));
+    for (const auto kind : {v1::ENTITY_KIND_ENDPOINT, v1::ENTITY_KIND_KEY}) {
+        for (const auto *item : m_config.entities(kind))
+            entityChanged(kind, std::string(idOf(item->entity())));
+    }
+}
+
+auto session_entry::entityChanged(v1::EntityKind kind, const std::string &id) -> void
+{
+    if (kind == v1::ENTITY_KIND_ENDPOINT) {
+        setEndpoint(*m_config.endpoint(id));
+    } else if (kind == v1::ENTITY_KIND_DATA_CENTRE) {
+        for (const auto *item : m_config.entities(v1::ENTITY_KIND_ENDPOINT)) {
+            if (item->entity().endpoint().data_centre() == id)
+                setEndpoint(item->entity().endpoint());
+        }
+    } else if (kind == v1::ENTITY_KIND_KEY && m_config.key(id)->withdrawn()) {
+        stopKey(id);
+    }
+}
+
+auto session_entry::setEndpoint(const v1::Endpoint &endpoint) -> void
+{
+    const auto *dataCentre = m_config.dataCentre(endpoint.data_centre());
+    m_core.setEndpoint({.id = endpoint.id(),
+                        .dataCentre = endpoint.data_centre(),
+                        .serves = {endpoint.serves().begin(), endpoint.serves().end()},
+                        .maxConcurrency = endpoint.max_concurrency(),
+                        .available = !endpoint.leaving() && dataCentre != nullptr
+                                     && !dataCentre->out()},
+                       now());
+}
+
+auto session_entry::stopKey(const std::string &keyId) -> void
+{
+    std::vector<std::uint64_t> affected;
+    for (const auto &[caller, live] : m_live) {
+        if (live.request.keyId == keyId && (live.endpoint.empty() || live.request.idempotent))
+            affected.push_back(caller);
+    }
+    for (const auto caller : affected) {
+        const auto waits = m_live.at(caller).endpoint.empty();
+        m_core.callerGone(caller);
+        end(caller, result_code::key_withdrawn, "", waits);
+    }
+}
+
+auto session_entry::stop() -> void
+{
+    note("planned stop");
+    m_stopping = true;
+    m_lease.release();
+}
+
+auto session_entry::isDrained() const -> bool
+{
+    return m_stopping && m_live.empty();
+}
+
+auto session_entry::closeAll() -> void
+{
+    for (const auto &[caller, live] : m_live) {
+        if (!live.link)
+            continue;
+        live.link->open = false;
+        if (auto *agent = m_owner.agent(live.endpoint))
+            m_owner.world().send(*agent, [agent, link = live.link] { agent->entryLeft(link); });
+    }
+    m_live.clear();
+}
+
+auto session_entry::note(std::string_view what) -> void
+{
+    m_owner.world().note(name(), what);
+}
+
+auto session_entry::now() const -> time_point
+{
+    return m_owner.world().now();
+}
+
+} // namespace mustardline::proofs
