--- a/packages/proofs/testing/session.cpp
+++ b/packages/proofs/testing/session.cpp
@@ -17,6 +17,7 @@
 
 // Time within which a change must be in force everywhere.
 constexpr auto propagationTime = 4s;
+constexpr std::uint32_t betweenTokensMs = 30;
 constexpr std::size_t keyIdDigits = 12;
 constexpr std::size_t requestIdDigits = 32;
 
@@ -35,6 +36,21 @@
     }
 }
 
+auto endpointEntity(const session_agent &agent, std::uint32_t maxConcurrency) -> v1::Entity
+{
+    v1::Entity entity;
+    auto *endpoint = entity.mutable_endpoint();
+    const auto isModel = agent.kind() == endpoint_kind::model;
+    endpoint->set_id(agent.name());
+    endpoint->set_data_centre(agent.dataCentre());
+    endpoint->set_kind(isModel ? v1::ENDPOINT_KIND_MODEL : v1::ENDPOINT_KIND_SERVICE);
+    endpoint->add_serves(isModel ? "small" : "orders");
+    endpoint->set_agent_address("127.0.0.1:1");
+    endpoint->set_control_address("127.0.0.1:2");
+    endpoint->set_max_concurrency(maxConcurrency);
+    return entity;
+}
+
 auto keyIdOfAccount(std::string_view clientAccount) -> std::string
 {
     return fmt::format("{:016x}", fastHash(clientAccount)).substr(0, keyIdDigits);
@@ -65,57 +81,44 @@
 
 auto session::configure() -> void
 {
-    for (const auto &id : m_options.dataCentres) {
-        v1::Entity entity;
-        entity.mutable_data_centre()->set_id(id);
-        publish(entity);
-    }
+    std::vector<v1::Entity> entities;
+    for (const auto &id : m_options.dataCentres)
+        entities.emplace_back().mutable_data_centre()->set_id(id);
     for (const auto &item : m_options.classes) {
-        v1::Entity entity;
-        auto *requestClass = entity.mutable_request_class();
+        auto *requestClass = entities.emplace_back().mutable_request_class();
         requestClass->set_id(item.id);
         requestClass->set_priority(item.priority);
         requestClass->set_first_token_ms(item.firstTokenMs);
+        requestClass->set_between_tokens_ms(betweenTokensMs);
         requestClass->set_deadline_ms(item.deadlineMs);
-        publish(entity);
     }
     for (const auto &item : m_options.accounts) {
-        v1::Entity entity;
-        entity.mutable_client_account()->set_id(item.id);
-        entity.mutable_client_account()->set_tier(item.tier);
+        auto *account = entities.emplace_back().mutable_client_account();
+        account->set_id(item.id);
+        account->set_tier(item.tier);
         for (const auto &name : item.classes)
-            entity.mutable_client_account()->add_classes(name);
-        publish(entity);
-        v1::Entity key;
-        key.mutable_key()->set_id(keyIdOfAccount(item.id));
-        key.mutable_key()->set_client_account(item.id);
-        key.mutable_key()->set_hash(keyedHash(keySecret(), keyOf(item.id)));
-        publish(key);
-    }
-    v1::Entity chat;
-    chat.mutable_route()->set_id("/v1/chat/completions");
-    chat.mutable_route()->set_kind(v1::ROUTE_KIND_MODEL);
-    chat.mutable_route()->set_idempotent(true);
-    publish(chat);
-    v1::Entity booking;
-    booking.mutable_route()->set_id("/services/orders/");
-    booking.mutable_route()->set_kind(v1::ROUTE_KIND_SERVICE);
-    booking.mutable_route()->set_service("orders");
-    publish(booking);
-    for (const auto &agent : m_agents) {
-        v1::Entity entity;
-        auto *endpoint = entity.mutable_endpoint();
-        endpoint->set_id(agent->name());
-        endpoint->set_data_centre(agent->dataCentre());
-        endpoint->set_max_concurrency(m_options.maxConcurrency);
-        endpoint->add_serves(agent->name().find("-m") != std::string::npos ? "small" : "orders");
-        publish(entity);
+            account->add_classes(name);
+        auto *key = entities.emplace_back().mutable_key();
+        key->set_id(keyIdOfAccount(item.id));
+        key->set_client_account(item.id);
+        key->set_hash(keyedHash(keySecret(), keyOf(item.id)));
     }
+    auto *chat = entities.emplace_back().mutable_route();
+    chat->set_id("/v1/chat/completions");
+    chat->set_kind(v1::ROUTE_KIND_MODEL);
+    chat->set_idempotent(true);
+    auto *orders = entities.emplace_back().mutable_route();
+    orders->set_id("/services/orders/");
+    orders->set_kind(v1::ROUTE_KIND_SERVICE);
+    orders->set_service("orders");
+    for (const auto &agent : m_agents)
+        entities.push_back(endpointEntity(*agent, m_options.maxConcurrency));
+    m_entries.front()->propose(fmt::format("c{}", ++m_lastChange), entities);
 }
 
-auto session::publish(const v1::Entity &entity) -> void
+auto session::propose(const v1::Entity &entity, std::size_t entryIndex) -> void
 {
-    m_entries.front()->propose(fmt::format("c{}", ++m_lastChange), entity);
+    m_entries.at(entryIndex)->propose(fmt::format("c{}", ++m_lastChange), {&entity, 1});
 }
 
 auto session::agent(std::string_view endpoint) -> session_agent *
@@ -198,7 +201,7 @@
     v1::Entity entity;
     entity.mutable_data_centre()->set_id(id);
     entity.mutable_data_centre()->set_out(out);
-    m_entries.at(entryIndex)->propose(fmt::format("c{}", ++m_lastChange), entity);
+    propose(entity, entryIndex);
 }
 
 auto session::withdrawKey(const std::string &clientAccount, std::size_t entryIndex) -> void
@@ -207,7 +210,7 @@
     v1::Entity entity;
     *entity.mutable_key() = *entry.config().key(keyIdOfAccount(clientAccount));
     entity.mutable_key()->set_withdrawn(true);
-    entry.propose(fmt::format("c{}", ++m_lastChange), entity);
+    propose(entity, entryIndex);
 }
 
 auto session::changeTier(const std::string &clientAccount, std::uint32_t tier,
@@ -217,7 +220,7 @@
     v1::Entity entity;
     *entity.mutable_client_account() = *entry.config().clientAccount(clientAccount);
     entity.mutable_client_account()->set_tier(tier);
-    entry.propose(fmt::format("c{}", ++m_lastChange), entity);
+    propose(entity, entryIndex);
 }
 
 auto session::changeLeaving(const std::string &endpoint, bool leaving, std::size_t entryIndex)
@@ -227,7 +230,7 @@
     v1::Entity entity;
     *entity.mutable_endpoint() = *entry.config().endpoint(endpoint);
     entity.mutable_endpoint()->set_leaving(leaving);
-    entry.propose(fmt::format("c{}", ++m_lastChange), entity);
+    propose(entity, entryIndex);
 }
 
 auto session::killEntry(std::size_t index) -> void
--- a/packages/proofs/testing/session.h
+++ b/packages/proofs/testing/session.h
@@ -137,7 +137,7 @@
 
 private:
     auto configure() -> void;
-    auto publish(const v1::Entity &entity) -> void;
+    auto propose(const v1::Entity &entity, std::size_t entryIndex) -> void;
     auto checkStart(const caller_row &row, const run_request &request,
                     const session_agent &agent) -> void;
     auto checkAnswer(const caller_row &row, std::string_view text) -> void;
--- a/packages/proofs/testing/session_agent.h
+++ b/packages/proofs/testing/session_agent.h
@@ -71,6 +71,7 @@
 
     [[nodiscard]] auto config() const -> const configuration & { return *m_config; }
     [[nodiscard]] auto dataCentre() const -> const std::string & { return m_dataCentre; }
+    [[nodiscard]] auto kind() const -> endpoint_kind { return m_identity.kind; }
     [[nodiscard]] auto runningCount() const -> std::uint32_t { return m_core->runningCount(); }
     [[nodiscard]] auto isCold() const -> bool;
     auto turnCold() -> void;
--- a/packages/proofs/testing/session_entry.cpp
+++ b/packages/proofs/testing/session_entry.cpp
@@ -482,18 +482,22 @@
     return m_lease.holds(now());
 }
 
-auto session_entry::propose(const std::string &changeId, const v1::Entity &entity) -> void
+auto session_entry::propose(const std::string &changeId, std::span<const v1::Entity> entities)
+    -> void
 {
     v1::LogRecord record;
+    record.set_base_offset(m_config.offset());
     auto &change = *record.mutable_configuration_change();
     change.set_change_id(changeId);
     change.set_operator_(name());
-    auto &item = *change.add_entities();
-    const auto *current = m_config.find(kindOf(entity), idOf(entity));
-    item.set_kind(kindOf(entity));
-    item.set_id(idOf(entity));
-    item.set_base_revision(current == nullptr ? 0 : current->revision());
-    *item.mutable_entity() = entity;
+    for (const auto &entity : entities) {
+        auto &item = *change.add_entities();
+        const auto *current = m_config.find(kindOf(entity), idOf(entity));
+        item.set_kind(kindOf(entity));
+        item.set_id(idOf(entity));
+        item.set_base_revision(current == nullptr ? 0 : current->revision());
+        *item.mutable_entity() = entity;
+    }
     m_owner.world().append(*this, "configuration", record);
 }
 
@@ -503,10 +507,6 @@
         return;
     m_config.restore(snapshot);
     note(fmt::format("restored configuration={}", m_config.offset()));
-    for (const auto kind : {v1::ENTITY_KIND_ENDPOINT, v1::ENTITY_KIND_KEY}) {
-        for (const auto *item : m_config.entities(kind))
-            entityChanged(kind, std::string(idOf(item->entity())));
-    }
 }
 
 auto session_entry::entityChanged(v1::EntityKind kind, const std::string &id) -> void
--- a/packages/proofs/testing/session_entry.h
+++ b/packages/proofs/testing/session_entry.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 
 #include "entry/caller_request.h"
@@ -30,7 +31,7 @@
     // The agent of `endpoint` is gone, with its connections.
     auto agentGone(const std::string &endpoint) -> void;
     // Proposes that the entities become as given; the log decides.
-    auto propose(const std::string &changeId, const v1::Entity &entity) -> void;
+    auto propose(const std::string &changeId, std::span<const v1::Entity> entities) -> void;
     auto restore(const v1::ConfigurationSnapshot &snapshot) -> void;
     // Ends cleanly: nothing new, all work to its end, the lease given back.
     auto stop() -> void;
