--- a/packages/proofs/testing/parser_test.cpp
+++ b/packages/proofs/testing/parser_test.cpp
@@ -1,5 +1,6 @@
 // The parsers that face callers, endpoints and the log, under seeded mutations of good input.
 
+#include <google/protobuf/stubs/logging.h>
 #include <gtest/gtest.h>
 
 #include "policy/random.h"
@@ -47,6 +48,8 @@
 {
     constexpr std::uint64_t seeds = 3000;
     constexpr auto mostMutations = 8;
+    // Malformed records are expected here, and protobuf reports each.
+    google::protobuf::SetLogHandler(nullptr);
     const parser_properties properties;
     ASSERT_EQ(properties.check(GetParam(), properties.sample(GetParam())), "");
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
--- a/packages/proofs/testing/session_world.h
+++ b/packages/proofs/testing/session_world.h
@@ -25,6 +25,13 @@
 
 namespace mustardline::proofs {
 
+// A promise that did not hold; `promise` is its number, 1 to 15.
+struct violation
+{
+    int promise = 0;
+    std::string what;
+};
+
 using session_action = std::function<auto()->void>;
 
 struct session_world_options
@@ -104,9 +111,9 @@
     auto note(std::string_view who, std::string_view what) -> void;
     [[nodiscard]] auto transcript() const -> const std::string & { return m_transcript; }
 
-    // Records a broken promise; `number` is that of the promise, 1 to 15.
+    // Records a broken promise.
     auto violate(int number, std::string_view what) -> void;
-    [[nodiscard]] auto violations() const -> const std::vector<std::string> &
+    [[nodiscard]] auto violations() const -> const std::vector<violation> &
     {
         return m_violations;
     }
@@ -140,7 +147,7 @@
     std::map<std::string, std::vector<v1::LogRecord>> m_streams;
     bool m_logDown = false;
     std::string m_transcript;
-    std::vector<std::string> m_violations;
+    std::vector<violation> m_violations;
 };
 
 } // namespace mustardline::proofs
