--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -8,9 +8,9 @@
 endfunction()
 
 # Declares a GoogleTest program whose cases ctest runs one by one under one label
-# (unit, golden, promise, e2e or bench).
+# (unit, golden, promise, e2e or bench), with further ctest PROPERTIES if given.
 function(mustardline_test name)
-  cmake_parse_arguments(ARG "" "LABEL;TIMEOUT" "SOURCES;LINK" ${ARGN})
+  cmake_parse_arguments(ARG "" "LABEL;TIMEOUT" "SOURCES;LINK;PROPERTIES" ${ARGN})
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 120)
   endif()
@@ -19,5 +19,5 @@
   target_compile_definitions(${name} PRIVATE MUSTARDLINE_SOURCE_DIR="${PROJECT_SOURCE_DIR}"
     MUSTARDLINE_BINARY_DIR="${PROJECT_BINARY_DIR}")
   gtest_discover_tests(${name} DISCOVERY_MODE PRE_TEST
-    PROPERTIES LABELS ${ARG_LABEL} TIMEOUT ${ARG_TIMEOUT})
+    PROPERTIES LABELS ${ARG_LABEL} TIMEOUT ${ARG_TIMEOUT} ${ARG_PROPERTIES})
 endfunction()
--- a/packages/proofs/testing/session.h
+++ b/packages/proofs/testing/session.h
@@ -40,6 +40,19 @@
     std::uint32_t deadlineMs = 20'000;
 };
 
+// Faults that sessions are played with to show that the checks find them.
+struct naive_variant
+{
+    // Agents run whatever arrives, also what they have run or called not run.
+    bool forgetsRuns = false;
+    // Entries take a lost connection for a request that was not run.
+    bool retriesUnknown = false;
+    // Agents and the second entry keep the first configuration that they read.
+    bool ignoresChanges = false;
+    // Who held the lease once goes on ordering.
+    bool trustsLease = false;
+};
+
 struct session_options
 {
     session_world_options world;
@@ -52,6 +65,7 @@
     // Requests that a warm and a cold endpoint bears.
     std::uint32_t maxConcurrency = 4;
     std::uint32_t bearableCold = 2;
+    naive_variant naive = {};
 };
 
 struct call_options
--- a/packages/proofs/testing/session_agent.h
+++ b/packages/proofs/testing/session_agent.h
@@ -97,6 +97,7 @@
     auto end(std::uint64_t number, result_code code, run_fate fate) -> void;
     auto answer(const run_message &message, std::uint32_t attempt, agent_answer answer) -> void;
     auto note(std::string_view what) -> void;
+    [[nodiscard]] auto keepsFirst() const -> bool;
     [[nodiscard]] auto slowness() const -> std::int64_t;
 
     session &m_owner;
--- a/packages/proofs/testing/session_entry.h
+++ b/packages/proofs/testing/session_entry.h
@@ -100,6 +100,8 @@
     bool m_carryingOut = false;
     bool m_stopping = false;
     bool m_askedForSnapshot = false;
+    bool m_heldOnce = false;
+    std::uint64_t m_orderFencing = 0;
 };
 
 } // namespace mustardline::proofs
