--- a/packages/proofs/testing/once_promise_test.cpp
+++ b/packages/proofs/testing/once_promise_test.cpp
@@ -13,7 +13,7 @@
     const auto request = order(createCaller(fleet), "killed-entry");
     fleet.control(fleet.service(0), "behaviour", {{"delay_ms", 1000}});
     const auto first = begin(fleet, fleet.entry(0).address, request);
-    fleet.service(0).instance().waitFor({.name = "executed"});
+    waitForLine(fleet, fleet.service(0), {.name = "executed"});
     // The caller repeats it through the other entry at once, and again after the crash.
     const auto atOnce = call(fleet, 1, request);
     EXPECT_TRUE(codeOf(atOnce) == result_code::idempotency_in_progress || atOnce.status == 200)
@@ -57,7 +57,7 @@
     const auto request = order(createCaller(fleet), "killed-agent");
     fleet.control(fleet.service(0), "behaviour", {{"delay_ms", 1000}});
     const auto first = begin(fleet, fleet.entry(0).address, request);
-    fleet.service(0).instance().waitFor({.name = "executed"});
+    waitForLine(fleet, fleet.service(0), {.name = "executed"});
     fleet.agent(0).instance().kill();
     ++tally().faults;
     finish(fleet, {first});
--- a/packages/proofs/testing/promise_fixture.h
+++ b/packages/proofs/testing/promise_fixture.h
@@ -72,6 +72,14 @@
         return call;
     }
 
+    // Waits for a line of a member while calls go on.
+    static auto waitForLine(fleet &fleet, standin::fleet_member &member,
+                            const standin::event_pattern &pattern) -> void
+    {
+        fleet.probe().runUntil([&] { return member.instance().count(pattern) > 0; },
+                               member.name() + " logs " + pattern.text());
+    }
+
     static auto finish(fleet &fleet, const std::vector<pending> &calls) -> void
     {
         fleet.probe().runUntil(
