platform: let the first read of a stream answer at once

Cause: a reader counts its log as reachable once a read has been answered, and the first read of an empty stream waited a whole long poll for an entry. For that second after its start an entry refused every order with an idempotency key as log_unavailable, though the log was there. Ruled out: the claims themselves (no append was sent) and the platform stand-in (it answers a read without wait at once). A reader that lost its log asks again in the same way, so it also notices the end of an outage without the wait.

--- a/packages/platform/log_client.cpp
+++ b/packages/platform/log_client.cpp
@@ -110,12 +110,14 @@
 auto log_client::read() -> void
 {
     m_readTimer = {};
+    // A read that waits says nothing of the log until it ends, so the first one does not wait.
+    const auto wait = m_reachable ? m_options.readWait : duration::zero();
     m_readCall = m_http.fetch(
         m_options.address,
         {.path = url("read")
                  + fmt::format("?from={}&max={}&wait_ms={}", m_next, m_options.maxEntriesPerRead,
-                               milliseconds(m_options.readWait)),
-         .idleTimeout = m_options.readWait + m_options.callTimeout},
+                               milliseconds(wait)),
+         .idleTimeout = wait + m_options.callTimeout},
         [this](const http_outcome &outcome, const http_answer &answer, const std::string &body) {
             readAnswered(outcome, answer, body);
         });
