entry: keep a key's hash when an operator edits the key

Cause: List leaves out the hashes of keys, and the operators' command edits what it has listed, so 'key withdraw' published a key without its hash. The fold now refuses a changed hash, so no key could be withdrawn from the command line (before those rules the withdrawal emptied the stored hash). Ruled out: the command (it sends what it read) and the rule (a hash must never change). Before: PromiseTest.p5AWithdrawnKeyStopsWhereTheLogIsOutOfReach: 'key withdraw: status 1, CHANGE_OUTCOME_INVALID, the hash of key is not 64 hexadecimal digits' (ctest -L promise). Conclusion: the entry that takes the change puts the stored hash back where none was sent.

--- a/packages/entry/operator_service.cpp
+++ b/packages/entry/operator_service.cpp
@@ -150,10 +150,21 @@
         return;
     auto change = request.change();
     change.set_operator_(operatorName);
+    restoreHashes(change);
     submit(std::move(change),
            [exchange](const v1::ApplyResponse &response) { encode(exchange, response); });
 }
 
+// Keys are listed without their hashes, so an edited key comes back without its own.
+auto operator_service::restoreHashes(v1::ConfigurationChange &change) const -> void
+{
+    for (auto &item : *change.mutable_entities()) {
+        const auto *current = item.entity().has_key() ? m_config.key(item.id()) : nullptr;
+        if (current != nullptr && item.entity().key().hash().empty())
+            item.mutable_entity()->mutable_key()->set_hash(current->hash());
+    }
+}
+
 auto operator_service::createKey(const std::shared_ptr<http_exchange> &exchange,
                                  const std::string &operatorName) -> void
 {
--- a/packages/entry/operator_service.h
+++ b/packages/entry/operator_service.h
@@ -56,6 +56,7 @@
     [[nodiscard]] auto authorise(const http_exchange &exchange) const -> std::string;
     auto apply(const std::shared_ptr<http_exchange> &exchange, const std::string &operatorName)
         -> void;
+    auto restoreHashes(v1::ConfigurationChange &change) const -> void;
     auto createKey(const std::shared_ptr<http_exchange> &exchange, const std::string &operatorName)
         -> void;
     auto getChange(const std::shared_ptr<http_exchange> &exchange) -> void;
