entry: refuse a percent-escaped key in a chat body too

Cause: the search for keys behind escapes was left out for the bodies of model requests. Ruled out: header, query, path, JSON escapes and service bodies, which the same test covers and which were clean before. Before: PromiseTest.p4NoEndpointSeesAKeyInAnyForm found the caller's key in the bytes that the engine received, after decoding percent escapes. Conclusion: mended.

--- a/packages/entry/caller_request.cpp
+++ b/packages/entry/caller_request.cpp
@@ -174,7 +174,7 @@
     for (auto &item : request.headers)
         redactKeys(item.value);
     // What is left can hold a key only behind escapes, which no honest caller writes.
-    const auto hidden = holdsKey(request.path) || (!request.isModel && holdsKey(request.body));
+    const auto hidden = holdsKey(request.path) || holdsKey(request.body);
     if (hidden)
         return fault(result_code::bad_request, "the request carries a key outside its header");
     return std::monostate();
