agent: take a model's document for whole only when its last brace has come

Cause: a whole answer counted as whole when HTTP ended in order; an engine that ends early in good order (a proxy's or engine's last chunk after half a document) gave the caller a cut answer with status 200. Ruled out: the entry (it passes on what the agent calls whole), streams (they need their last event, green before), engines that die (the connection breaks, green before). Before: PromiseTest.p10ACutAnswerNeverLooksWhole red for close_without_end without streaming, report 'cut 1'. After: green, report 'cut 0'. Conclusion: mended; brackets are counted outside texts, byte by byte, so a division of the answer does not matter.

--- a/packages/agent/live_run.cpp
+++ b/packages/agent/live_run.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr std::string_view eventStream = "text/event-stream";
+constexpr std::string_view jsonDocument = "application/json";
+constexpr int lowestSuccess = 200;
+constexpr int highestSuccess = 299;
 constexpr int noContent = 204;
 constexpr int notModified = 304;
 
@@ -25,6 +28,8 @@
         m_stream.emplace();
     else
         m_whole.emplace();
+    m_isDocument = m_whole && m_status >= lowestSuccess && m_status <= highestSuccess
+                   && findHeader(answer.headers, "content-type").starts_with(jsonDocument);
 }
 
 auto run_answer::feed(std::string_view data, std::size_t keepBytes) -> void
@@ -47,7 +52,9 @@
 
 auto run_answer::isWhole() const -> bool
 {
-    return m_stream ? m_stream->isEnded() : m_isFramed;
+    if (m_stream)
+        return m_stream->isEnded();
+    return m_isFramed && (!m_isDocument || m_whole->isClosed());
 }
 
 auto run_answer::metered() const -> token_usage
--- a/packages/agent/live_run.h
+++ b/packages/agent/live_run.h
@@ -39,7 +39,8 @@
     // Whether a model's stream came to its end, whatever becomes of the connection after it.
     [[nodiscard]] auto isEndedStream() const -> bool { return m_stream && m_stream->isEnded(); }
 
-    // Whether an answer whose connection ended in order is whole. A stream needs its last event; an
+    // Whether an answer whose connection ended in order is whole. A stream needs its last event, and
+    // a model's document its last brace, since an engine may end either early and in good order; an
     // answer without a length or chunks cannot be told from a cut one.
     [[nodiscard]] auto isWhole() const -> bool;
 
@@ -53,6 +54,8 @@
     int m_status = 0;
     std::vector<http_header> m_headers;
     bool m_isFramed = false;
+    // A model's successful answer in one JSON document.
+    bool m_isDocument = false;
     std::optional<sse_scanner> m_stream;
     std::optional<answer_scanner> m_whole;
     std::string m_body;
--- a/packages/agent/sse_scanner.cpp
+++ b/packages/agent/sse_scanner.cpp
@@ -138,8 +138,28 @@
     return m_usage.value_or(token_usage{.completionTokens = m_contentEvents});
 }
 
+auto answer_scanner::countBrackets(std::string_view data) -> void
+{
+    for (const auto letter : data) {
+        if (m_escaped) {
+            m_escaped = false;
+        } else if (m_inText) {
+            m_escaped = letter == '\\';
+            m_inText = letter != '"';
+        } else if (letter == '"') {
+            m_inText = true;
+        } else if (letter == '{' || letter == '[') {
+            m_begun = true;
+            ++m_depth;
+        } else if (letter == '}' || letter == ']') {
+            --m_depth;
+        }
+    }
+}
+
 auto answer_scanner::feed(std::string_view data) -> void
 {
+    countBrackets(data);
     m_kept += data;
     if (m_kept.size() <= maxAnswerBytes)
         return;
--- a/packages/agent/sse_scanner.h
+++ b/packages/agent/sse_scanner.h
@@ -61,12 +61,22 @@
 public:
     auto feed(std::string_view data) -> void;
 
+    // Whether the document that began has come to its end: every brace and bracket is closed.
+    [[nodiscard]] auto isClosed() const -> bool { return m_begun && m_depth == 0; }
+
     // The usage of the answer; call it once all is fed.
     [[nodiscard]] auto usage() const -> std::optional<token_usage>;
 
 private:
+    auto countBrackets(std::string_view data) -> void;
+
     std::string m_kept;
     bool m_startDropped = false;
+    // Open braces and brackets, and whether the bytes stand in a text or behind a backslash there.
+    std::int64_t m_depth = 0;
+    bool m_begun = false;
+    bool m_inText = false;
+    bool m_escaped = false;
 };
 
 } // namespace mustardline
