--- a/packages/proofs/testing/session.cpp
+++ b/packages/proofs/testing/session.cpp
@@ -152,14 +152,16 @@
     row.tier = account->tier;
     if (row.options.requestClass.empty())
         row.options.requestClass = account->classes.front();
-    auto &entry = *m_entries.at(options.entry);
+    // The balancer sends nobody to an entry that has ended.
+    const auto isLive = [](const auto &item) { return !item->isDead(); };
+    if (m_entries.at(options.entry)->isDead() && std::ranges::any_of(m_entries, isLive)) {
+        const auto other = std::ranges::find_if(m_entries, isLive);
+        row.options.entry = static_cast<std::size_t>(other - m_entries.begin());
+    }
+    auto &entry = *m_entries.at(row.options.entry);
     m_world.note("caller", fmt::format("call request={} account={} class={} {}via={}", caller,
                                        options.clientAccount, row.options.requestClass,
                                        options.booking ? "booking " : "", entry.name()));
-    if (entry.isDead()) {
-        row.ended = row.cut = true;
-        return caller;
-    }
     m_world.send(entry, [this, caller, &entry] {
         const auto &sent = m_rows[caller - 1];
         const auto key = keyOf(sent.options.clientAccount);
