--- a/packages/platform/testing/lease_promise_test.cpp
+++ b/packages/platform/testing/lease_promise_test.cpp
@@ -1,9 +1,9 @@
 #include <random>
-#include <set>
 
 #include <gtest/gtest.h>
 
 #include "platform/testing/lease_world.h"
+#include "platform/testing/state_search.h"
 
 namespace mustardline {
 namespace {
@@ -96,40 +96,31 @@
 auto search(const World &start, int depth, std::size_t maxRecords) -> search_outcome
 {
     search_outcome outcome;
-    std::set<World> seen{start};
-    std::vector<World> front{start};
-    for (int level = 0; level < depth && !outcome.twoHeld; ++level) {
-        std::vector<World> next;
-        const auto visit = [&](World world) {
-            if (!seen.insert(world).second)
-                return;
-            const auto holders = world.holders();
-            outcome.someoneHeld = outcome.someoneHeld || holders > 0;
-            outcome.successorHeld
-                = outcome.successorHeld
-                  || (holders > 0 && world.log.front().holder != world.log.back().holder);
-            outcome.twoHeld = outcome.twoHeld || holders > 1;
-            next.push_back(std::move(world));
-        };
-        for (const auto &world : front) {
-            for (std::size_t i = 0; i < world.contenders.size(); ++i) {
-                auto after = world;
-                after.step(i);
-                visit(std::move(after));
-            }
-            for (std::size_t i = 0; i < world.inFlight.size() && world.log.size() < maxRecords;
-                 ++i) {
-                auto after = world;
-                after.deliver(i);
-                visit(std::move(after));
-            }
-            auto later = world;
-            later.now = later.now + seconds(1);
-            visit(std::move(later));
+    const auto expand = [&](const World &world, const auto &visit) {
+        for (std::size_t i = 0; i < world.contenders.size(); ++i) {
+            auto after = world;
+            after.step(i);
+            visit(std::move(after));
         }
-        front = std::move(next);
-    }
-    outcome.states = seen.size();
+        for (std::size_t i = 0; i < world.inFlight.size() && world.log.size() < maxRecords; ++i) {
+            auto after = world;
+            after.deliver(i);
+            visit(std::move(after));
+        }
+        auto later = world;
+        later.now = later.now + seconds(1);
+        visit(std::move(later));
+    };
+    const auto check = [&](const World &world) {
+        const auto holders = world.holders();
+        outcome.someoneHeld = outcome.someoneHeld || holders > 0;
+        outcome.successorHeld
+            = outcome.successorHeld
+              || (holders > 0 && world.log.front().holder != world.log.back().holder);
+        outcome.twoHeld = outcome.twoHeld || holders > 1;
+        return !outcome.twoHeld;
+    };
+    outcome.states = searchStates(start, depth, expand, check);
     return outcome;
 }
 
--- a/packages/platform/testing/order_promise_test.cpp
+++ b/packages/platform/testing/order_promise_test.cpp
@@ -1,10 +1,10 @@
 #include <random>
-#include <set>
 
 #include <gtest/gtest.h>
 
 #include "platform/orders_client.h"
 #include "platform/testing/fake_orders.h"
+#include "platform/testing/state_search.h"
 
 namespace mustardline {
 namespace {
@@ -193,7 +193,6 @@
 struct order_search
 {
     int doubled = 0;
-    bool started = false;
     bool startedAfterHandOver = false;
     std::size_t states = 0;
 };
@@ -202,39 +201,29 @@
 auto search(const World &start, int depth) -> order_search
 {
     order_search outcome;
-    std::set<World> seen{start};
-    std::vector<World> front{start};
-    for (int level = 0; level < depth && outcome.doubled == 0; ++level) {
-        std::vector<World> next;
-        const auto visit = [&](World world) {
-            if (!seen.insert(world).second)
-                return;
-            outcome.doubled = std::max(outcome.doubled, world.platform.doubled);
-            outcome.started = outcome.started || world.platform.effects > 0;
-            outcome.startedAfterHandOver
-                = outcome.startedAfterHandOver || (world.tenures > 1 && world.platform.effects > 0);
-            next.push_back(std::move(world));
-        };
-        const auto then = [&](const World &world, const auto &event) {
+    const auto expand = [](const World &world, const auto &visit) {
+        const auto then = [&](const auto &event) {
             auto after = world;
             event(after);
             visit(std::move(after));
         };
-        for (const auto &world : front) {
-            then(world, [](World &it) { it.step(); });
-            then(world, [](World &it) { it.now = it.now + seconds(5); });
-            if (world.tenures < 3)
-                then(world, [](World &it) { it.handOver(); });
-            for (std::size_t i = 0; i < world.appends.size(); ++i)
-                then(world, [i](World &it) { it.land(i); });
-            for (std::size_t i = 0; i < world.inFlight.size(); ++i) {
-                then(world, [i](World &it) { it.arrive(i, true); });
-                then(world, [i](World &it) { it.arrive(i, false); });
-            }
+        then([](World &it) { it.step(); });
+        then([](World &it) { it.now = it.now + seconds(5); });
+        if (world.tenures < 3)
+            then([](World &it) { it.handOver(); });
+        for (std::size_t i = 0; i < world.appends.size(); ++i)
+            then([i](World &it) { it.land(i); });
+        for (std::size_t i = 0; i < world.inFlight.size(); ++i) {
+            then([i](World &it) { it.arrive(i, true); });
+            then([i](World &it) { it.arrive(i, false); });
         }
-        front = std::move(next);
-    }
-    outcome.states = seen.size();
+    };
+    outcome.states = searchStates(start, depth, expand, [&](const World &world) {
+        outcome.doubled = std::max(outcome.doubled, world.platform.doubled);
+        outcome.startedAfterHandOver
+            = outcome.startedAfterHandOver || (world.tenures > 1 && world.platform.effects > 0);
+        return outcome.doubled == 0;
+    });
     return outcome;
 }
 
--- a/packages/platform/testing/usage_promise_test.cpp
+++ b/packages/platform/testing/usage_promise_test.cpp
@@ -1,9 +1,9 @@
 #include <random>
-#include <set>
 
 #include <gtest/gtest.h>
 
 #include "platform/lease_holder.h"
+#include "platform/testing/state_search.h"
 #include "platform/testing/usage_records.h"
 #include "platform/usage_reporter.h"
 
@@ -104,6 +104,20 @@
             it.unanswered.push_back(report);
         }
     }
+
+    auto answer(std::size_t index) -> void
+    {
+        auto &it = members[index];
+        it.reporter.answered(it.unanswered.front(), true);
+        it.unanswered.erase(it.unanswered.begin());
+    }
+
+    auto land(std::size_t index) -> void
+    {
+        log.push_back(inFlight[index].record);
+        if (--inFlight[index].copies == 0)
+            inFlight.erase(inFlight.begin() + static_cast<std::ptrdiff_t>(index));
+    }
 };
 
 template<class Reporter>
@@ -154,49 +168,28 @@
 {
     usage_search outcome;
     const auto usage = arrivingUsage();
-    std::set<World> seen{start};
-    std::vector<World> front{start};
-    for (int level = 0; level < depth && !outcome.differed; ++level) {
-        std::vector<World> next;
-        const auto visit = [&](World world) {
-            if (!seen.insert(world).second)
-                return;
-            check(world, outcome);
-            next.push_back(std::move(world));
+    const auto expand = [&](const World &world, const auto &visit) {
+        const auto then = [&](const auto &event) {
+            auto after = world;
+            event(after);
+            visit(std::move(after));
         };
-        for (const auto &world : front) {
-            const auto hasRoom = world.log.size() < maxRecords;
-            auto later = world;
-            later.now = later.now + usage_reporter_options().retryAfter;
-            visit(std::move(later));
-            if (world.usageTaken < usage.size() && hasRoom) {
-                auto after = world;
-                after.log.push_back(usage[after.usageTaken++].SerializeAsString());
-                visit(std::move(after));
-            }
-            for (std::size_t i = 0; i < world.members.size(); ++i) {
-                auto after = world;
-                after.step(i);
-                visit(std::move(after));
-                if (world.members[i].unanswered.empty())
-                    continue;
-                after = world;
-                auto &member = after.members[i];
-                member.reporter.answered(member.unanswered.front(), true);
-                member.unanswered.erase(member.unanswered.begin());
-                visit(std::move(after));
-            }
-            for (std::size_t i = 0; i < world.inFlight.size() && hasRoom; ++i) {
-                auto after = world;
-                after.log.push_back(after.inFlight[i].record);
-                if (--after.inFlight[i].copies == 0)
-                    after.inFlight.erase(after.inFlight.begin() + static_cast<std::ptrdiff_t>(i));
-                visit(std::move(after));
-            }
+        then([](World &it) { it.now = it.now + usage_reporter_options().retryAfter; });
+        const auto hasRoom = world.log.size() < maxRecords;
+        if (world.usageTaken < usage.size() && hasRoom)
+            then([&](World &it) { it.log.push_back(usage[it.usageTaken++].SerializeAsString()); });
+        for (std::size_t i = 0; i < world.members.size(); ++i) {
+            then([i](World &it) { it.step(i); });
+            if (!world.members[i].unanswered.empty())
+                then([i](World &it) { it.answer(i); });
         }
-        front = std::move(next);
-    }
-    outcome.states = seen.size();
+        for (std::size_t i = 0; i < world.inFlight.size() && hasRoom; ++i)
+            then([i](World &it) { it.land(i); });
+    };
+    outcome.states = searchStates(start, depth, expand, [&](const World &world) {
+        check(world, outcome);
+        return !outcome.differed;
+    });
     return outcome;
 }
 
