--- /dev/null
+++ b/packages/policy/testing/policy_modules_test.cpp
@@ -0,0 +1,318 @@
+// The modules behind the dispatcher, one by one.
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+#include <gtest/gtest.h>
+
+#include "policy/account_limits.h"
+#include "policy/class_queue.h"
+#include "policy/concurrency_window.h"
+#include "policy/drain_estimate.h"
+#include "policy/placement.h"
+#include "policy/prefix_index.h"
+#include "policy/retry_budget.h"
+#include "policy/scaler.h"
+#include "policy/size_estimator.h"
+
+namespace mustardline {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST(IndexedHeapTest, agreesWithASortedReference)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        random_source random(seed);
+        std::vector<std::uint32_t> keys(30);
+        const auto before = [&](std::uint32_t a, std::uint32_t b) { return keys[a] < keys[b]; };
+        indexed_heap heap;
+        for (int step = 0; step < 500; ++step) {
+            const auto item = random.below(30);
+            const bool isIn = heap.contains(item);
+            if (isIn && random.below(3) == 0) {
+                heap.remove(item, before);
+            } else {
+                keys[item] = random.below(1000);
+                isIn ? heap.update(item, before) : heap.push(item, before);
+            }
+            auto least = UINT32_MAX;
+            for (std::uint32_t other = 0; other < keys.size(); ++other)
+                least = heap.contains(other) ? std::min(least, keys[other]) : least;
+            ASSERT_EQ(heap.empty(), least == UINT32_MAX);
+            if (!heap.empty()) {
+                ASSERT_EQ(keys[heap.top()], least);
+            }
+        }
+    }
+}
+
+// Every order of six arrivals and ends of two accounts with two places: while both wait, neither
+// gets a place when it holds more than the other.
+TEST(ClassQueueTest, sharesPlacesBetweenAccountsInEveryOrder)
+{
+    for (std::uint32_t code = 0; code < 729; ++code) {
+        request_table requests;
+        class_queue queue({});
+        std::vector<std::uint32_t> running;
+        std::array<std::uint32_t, 2> inFlight{};
+        std::array<std::uint32_t, 2> waiting{};
+        auto left = code;
+        for (std::uint64_t step = 0; step < 6; ++step, left /= 3) {
+            if (left % 3 < 2) {
+                const auto slot = requests.add(step);
+                requests.at(slot).account = left % 3;
+                queue.push(requests, slot);
+                ++waiting[left % 3];
+            } else if (!running.empty()) {
+                const auto account = requests.at(running.front()).account;
+                queue.finish(account, 10, 10);
+                --inFlight[account];
+                running.erase(running.begin());
+            }
+            while (!queue.empty() && running.size() < 2) {
+                const auto slot = queue.front();
+                const auto account = requests.at(slot).account;
+                if (waiting[1 - account] > 0) {
+                    ASSERT_LE(inFlight[account], inFlight[1 - account]) << "order " << code;
+                }
+                queue.start(requests, slot, 10);
+                --waiting[account];
+                ++inFlight[account];
+                running.push_back(slot);
+            }
+        }
+    }
+}
+
+TEST(ClassQueueTest, anIdleAccountGetsItsShareAtOnce)
+{
+    request_table requests;
+    class_queue queue({});
+    const auto add = [&](std::uint64_t number, std::uint32_t account) {
+        const auto slot = requests.add(number);
+        requests.at(slot).account = account;
+        queue.push(requests, slot);
+    };
+    for (std::uint64_t number = 0; number < 100; ++number)
+        add(number, 0);
+    for (int count = 0; count < 50; ++count)
+        queue.start(requests, queue.front(), 100);
+    add(1000, 1);
+    EXPECT_EQ(queue.aheadOf(2), 0U);
+    EXPECT_EQ(requests.at(queue.front()).account, 1U);
+    EXPECT_EQ(requests.at(queue.newestOfLargest()).account, 0U);
+}
+
+TEST(AccountLimitsTest, holdOverAllEntries)
+{
+    struct limit_case
+    {
+        std::uint32_t entries;
+        std::uint32_t concurrent;
+    };
+    for (const auto &item : {limit_case{1, 7}, limit_case{3, 30}, limit_case{8, 5}}) {
+        std::uint32_t admitted = 0;
+        for (std::uint32_t entry = 0; entry < item.entries; ++entry) {
+            account_limits limits;
+            limits.setEntryCount(item.entries);
+            for (int count = 0; count < 100; ++count) {
+                const auto code = limits.admit(0, {.concurrentRequests = item.concurrent}, {}).code;
+                admitted += code == result_code::ok ? 1 : 0;
+            }
+        }
+        EXPECT_GE(admitted, item.concurrent);
+        // An uneven spread is borne; at worst each entry grants one and a square root more.
+        const auto share = static_cast<double>(item.concurrent) / item.entries;
+        const auto slack = item.entries == 1 ? 0 : item.entries * (1 + std::sqrt(share));
+        EXPECT_LE(admitted, item.concurrent + slack);
+    }
+}
+
+TEST(AccountLimitsTest, ratePassesItsShareAndTellsWhenToReturn)
+{
+    account_limits limits;
+    limits.setEntryCount(2);
+    time_point now{};
+    std::uint32_t admitted = 0;
+    for (int step = 0; step < 1000; ++step, now = now + 10ms) {
+        const auto verdict = limits.admit(0, {.requestsPerSecond = 20}, now);
+        admitted += verdict.code == result_code::ok ? 1 : 0;
+        if (verdict.code != result_code::ok) {
+            EXPECT_EQ(verdict.code, result_code::rate_limited);
+            EXPECT_LE(verdict.retryAfter, 100ms);
+        }
+    }
+    EXPECT_NEAR(admitted, 100 + 10, 1);
+}
+
+TEST(SizeEstimatorTest, learnsByAccountAndCorrectsWhileTokensArrive)
+{
+    size_estimator sizes;
+    EXPECT_EQ(sizes.quantile(0, 0, 0.9), 0U);
+    for (int count = 0; count < 100; ++count) {
+        sizes.learn(0, 0, 40);
+        sizes.learn(0, 1, 1000);
+    }
+    EXPECT_GE(sizes.quantile(0, 0, 0.9), 40U);
+    EXPECT_LE(sizes.quantile(0, 0, 0.9), 64U);
+    EXPECT_GE(sizes.quantile(0, 1, 0.5), 1000U);
+    // An account that is not known yet has the distribution of the class.
+    EXPECT_GE(sizes.quantile(0, 2, 0.9), 1000U);
+    EXPECT_LE(sizes.quantile(0, 2, 0.4), 64U);
+    EXPECT_GE(sizes.quantile(0, 2, 0.4, 100), 1000U);
+}
+
+TEST(ConcurrencyWindowTest, growsWhileFastAndShrinksAtOnceWhenCold)
+{
+    concurrency_window window({.initial = 2, .highest = 16});
+    time_point now{};
+    for (int count = 0; count < 40; ++count, now = now + 10ms)
+        window.succeeded({.latency = 100ms, .target = 700ms}, window.size(), now);
+    EXPECT_EQ(window.size(), 16U);
+    // Still outstanding after four times the baseline and half the target.
+    window.outstanding({.latency = 380ms, .target = 700ms}, now);
+    EXPECT_EQ(window.size(), 16U);
+    window.outstanding({.latency = 450ms, .target = 700ms}, now);
+    EXPECT_EQ(window.size(), 1U);
+    // It stays small as long as the endpoint is slow.
+    for (int count = 0; count < 100; ++count, now = now + 1s)
+        window.succeeded({.latency = 600ms, .target = 700ms}, 1, now);
+    EXPECT_LE(window.size(), 2U);
+}
+
+TEST(ReturnScheduleTest, spreadsRefusedCallersOverTheDrain)
+{
+    return_schedule returns;
+    random_source random(1);
+    std::vector<duration> told;
+    for (int count = 0; count < 200; ++count)
+        told.push_back(returns.retryAfter(1s, 10, random, {}));
+    std::ranges::sort(told);
+    EXPECT_GE(told.front(), 750ms);
+    // 200 callers at 10 places a second: no second is given to more than about twice its places.
+    for (duration from{}; from < 20s; from += 1s) {
+        const auto count = std::ranges::count_if(
+            told, [&](duration value) { return value >= from && value < from + 1s; });
+        EXPECT_LE(count, 25) << from.count();
+    }
+}
+
+TEST(RetryBudgetTest, boundsRetriesWhenEverythingFails)
+{
+    retry_budget budget;
+    std::uint32_t retries = 0;
+    for (int count = 0; count < 1000; ++count) {
+        budget.requested();
+        retries += budget.take() ? 1 : 0;
+    }
+    EXPECT_LE(retries, 211U);
+}
+
+TEST(RetryBudgetTest, backoffDoublesAndIsSpread)
+{
+    random_source random(1);
+    for (std::uint32_t attempt = 1; attempt < 10; ++attempt) {
+        const auto pause = retryBackoff(attempt, random);
+        const auto longest = 10ms * (1 << std::min(attempt, 6U));
+        EXPECT_GE(pause, longest / 2);
+        EXPECT_LE(pause, longest);
+    }
+}
+
+TEST(EndpointTableTest, leavesAFailedEndpointAndTriesItCarefully)
+{
+    endpoint_table endpoints(1);
+    const auto index = endpoints.set({.id = "e", .maxConcurrency = 8}, {0});
+    time_point now{};
+    endpoints.reportLoad(index, {.window = 8}, now);
+    EXPECT_TRUE(endpoints.isUsable(index, now));
+    endpoints.failed(index, now);
+    EXPECT_FALSE(endpoints.isUsable(index, now + 300ms));
+    now = now + 700ms;
+    EXPECT_TRUE(endpoints.isUsable(index, now));
+    // One at a time until one is answered.
+    endpoints.placed(index, 1, now);
+    EXPECT_FALSE(endpoints.isUsable(index, now));
+    endpoints.firstToken(index, 100ms, now + 100ms);
+    EXPECT_TRUE(endpoints.isUsable(index, now + 100ms));
+    // No first token for long is a stall.
+    endpoints.placed(index, 1, now + 200ms);
+    EXPECT_FALSE(endpoints.isUsable(index, now + 2s));
+}
+
+TEST(EndpointSubsetTest, isStableAndPrefersTheOwnDataCentre)
+{
+    endpoint_table endpoints(1);
+    endpoint_subset subset({.size = 8, .dataCentre = "a", .seed = 3});
+    const auto set = [&](std::uint32_t number, bool available) {
+        const auto index = endpoints.set({.id = "e" + std::to_string(number),
+                                          .dataCentre = number % 2 == 0 ? "a" : "b",
+                                          .available = available},
+                                         {0});
+        endpoints.reportLoad(index, {}, {});
+        return index;
+    };
+    for (std::uint32_t number = 0; number < 100; ++number)
+        subset.add(endpoints, set(number, true));
+    EXPECT_EQ(subset.size(), 8U);
+    endpoint_subset again({.size = 8, .dataCentre = "a", .seed = 3});
+    again.rebuild(endpoints, 0);
+    random_source random(1);
+    for (std::uint32_t index = 0; index < 100; ++index)
+        EXPECT_EQ(subset.contains(index), again.contains(index));
+    EXPECT_EQ(subset.choose(endpoints, {}, random, {}).reason, "own_data_centre");
+    for (std::uint32_t number = 0; number < 100; number += 2)
+        set(number, false);
+    subset.rebuild(endpoints, 0);
+    EXPECT_EQ(subset.size(), 8U);
+    EXPECT_EQ(subset.choose(endpoints, {}, random, {}).reason, "other_data_centre");
+}
+
+TEST(PrefixIndexTest, isBoundedAndForgetsOnlyWhatItHolds)
+{
+    prefix_index prefixes(8);
+    prefixes.stored(5, 1);
+    EXPECT_EQ(prefixes.find(5), 1U);
+    prefixes.removed(5, 2);
+    EXPECT_EQ(prefixes.find(5), 1U);
+    prefixes.stored(13, 2);
+    EXPECT_EQ(prefixes.find(5), noIndex);
+    EXPECT_EQ(prefixes.find(0), noIndex);
+}
+
+TEST(ScalerTest, startsWithinTheStoreRateAndDrainsBeforeItStops)
+{
+    scaler core({.placesPerEndpoint = 10, .targetUse = 1, .startsAtOnce = 2, .surplusTime = 30s});
+    core.setDataCentre("a", true);
+    core.setDataCentre("b", true);
+    std::vector<scaled_endpoint> endpoints{{.id = "e1", .dataCentre = "a", .load = 10}};
+    std::vector<scale_action> actions;
+    core.observe({.inFlight = 10, .waiting = 40}, {});
+    core.decide(endpoints, {}, actions);
+    ASSERT_EQ(actions.size(), 2U);
+    EXPECT_EQ(std::get<start_endpoint_action>(actions[0]).dataCentre, "b");
+    EXPECT_EQ(std::get<start_endpoint_action>(actions[1]).dataCentre, "a");
+
+    actions.clear();
+    endpoints.push_back({.id = "e2", .dataCentre = "b", .load = 1});
+    core.setDataCentre("b", false);
+    core.decide(endpoints, {}, actions);
+    EXPECT_EQ(std::get<drain_endpoint_action>(actions[0]).id, "e2");
+    endpoints[1].phase = endpoint_phase::draining;
+    actions.clear();
+    core.decide(endpoints, {}, actions);
+    EXPECT_TRUE(std::ranges::none_of(actions, [](const scale_action &action) {
+        return std::holds_alternative<stop_endpoint_action>(action);
+    }));
+    endpoints[1].load = 0;
+    actions.clear();
+    core.decide(endpoints, {}, actions);
+    EXPECT_EQ(std::get<stop_endpoint_action>(actions[0]).id, "e2");
+}
+
+} // namespace
+
+} // namespace mustardline
