--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -83,6 +83,18 @@
         m_state->endpoints.failed(index, now);
 }
 
+auto dispatcher::prefixCached(std::string_view endpoint, std::uint64_t prefixHash, bool isCached)
+    -> void
+{
+    const auto index = m_state->endpoints.find(endpoint);
+    if (index == noIndex)
+        return;
+    if (isCached)
+        m_state->prefixes.stored(prefixHash, index);
+    else
+        m_state->prefixes.removed(prefixHash, index);
+}
+
 auto dispatcher::arrive(const request_arrival &arrival, time_point now,
                         std::vector<dispatch_action> &actions) -> void
 {
--- a/packages/policy/dispatcher.h
+++ b/packages/policy/dispatcher.h
@@ -147,6 +147,10 @@
     // The agent could not be reached or did not answer.
     auto reportFailure(std::string_view endpoint, time_point now) -> void;
 
+    // An endpoint's cache event: it holds the prompt prefix of that hash, or does so no longer.
+    // Events may be late or missing.
+    auto prefixCached(std::string_view endpoint, std::uint64_t prefixHash, bool isCached) -> void;
+
     // Requests.
     auto arrive(const request_arrival &arrival, time_point now,
                 std::vector<dispatch_action> &actions) -> void;
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -404,7 +404,7 @@
     }
     // An endpoint without room or a preemption is no failure: nothing was tried in vain.
     const bool isFailure = code != result_code::not_run && code != result_code::preempted;
-    if (isFailure && !accountBudgets[row.account].take()) {
+    if (isFailure && !(accountBudgets[row.account].take() && endpoints.takeRetry(row.endpoint))) {
         refuse(slot, result_code::retry_budget_exhausted, "retry_budget", now, actions);
         return;
     }
--- a/packages/policy/endpoint_table.cpp
+++ b/packages/policy/endpoint_table.cpp
@@ -133,6 +133,7 @@
     ++row.own;
     ++row.ownByTier[tier];
     row.newestByTier[tier] = now;
+    row.retries.requested();
     if (row.owing == 0)
         row.owingSince = now;
     ++row.owing;
--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -25,6 +25,7 @@
 #include "policy/durations.h"
 #include "policy/name_table.h"
 #include "policy/random.h"
+#include "policy/retry_budget.h"
 
 namespace mustardline {
 
@@ -60,6 +61,8 @@
     time_point owingSince{};
 
     std::uint32_t failures = 0;
+    // Retries that its failures may cause.
+    retry_budget retries;
     time_point ejectedUntil{};
     // It refused a request for want of room; it is left alone until then.
     time_point busyUntil{};
@@ -79,6 +82,8 @@
     auto failed(std::uint32_t index, time_point now) -> void;
     auto busy(std::uint32_t index, time_point now) -> void;
     auto answered(std::uint32_t index) -> void;
+    // True if a failure of this endpoint may be retried elsewhere; counts it.
+    auto takeRetry(std::uint32_t index) -> bool { return m_rows[index].retries.take(); }
 
     auto placed(std::uint32_t index, std::uint32_t tier, time_point now) -> void;
     auto firstToken(std::uint32_t index, duration latency, time_point now) -> void;
--- a/packages/policy/retry_budget.h
+++ b/packages/policy/retry_budget.h
@@ -33,7 +33,7 @@
 
 private:
     static constexpr float perRequest = 0.2F;
-    static constexpr float highest = 20;
+    static constexpr float highest = 50;
     float m_left = 10;
 };
 
