--- a/packages/standin/testing/process.cpp
+++ b/packages/standin/testing/process.cpp
@@ -1,5 +1,6 @@
 #include "standin/testing/process.h"
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 #include <utility>
@@ -57,10 +58,9 @@
     // The launcher asks the kernel to kill the process when this one dies, then becomes it.
     std::vector<std::string> line{"/usr/bin/setpriv", "--pdeathsig", "KILL", options.program};
     line.insert(line.end(), options.arguments.begin(), options.arguments.end());
-    std::vector<char *> words;
-    for (auto &word : line)
-        words.push_back(word.data());
-    words.push_back(nullptr);
+    // The last place stays null, as the end of the list.
+    std::vector<char *> words(line.size() + 1);
+    std::ranges::transform(line, words.begin(), [](auto &word) { return word.data(); });
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
