--- a/packages/agent/live_run.h
+++ b/packages/agent/live_run.h
@@ -39,9 +39,9 @@
     // Whether a model's stream came to its end, whatever becomes of the connection after it.
     [[nodiscard]] auto isEndedStream() const -> bool { return m_stream && m_stream->isEnded(); }
 
-    // Whether an answer whose connection ended in order is whole. A stream needs its last event, and
-    // a model's document its last brace, since an engine may end either early and in good order; an
-    // answer without a length or chunks cannot be told from a cut one.
+    // Whether an answer whose connection ended in order is whole. A stream needs its last event,
+    // and a model's document its last brace, since an engine may end either early and in good
+    // order; an answer without a length or chunks cannot be told from a cut one.
     [[nodiscard]] auto isWhole() const -> bool;
 
     [[nodiscard]] auto metered() const -> token_usage;
--- a/packages/platform/log_client.cpp
+++ b/packages/platform/log_client.cpp
@@ -112,15 +112,14 @@
     m_readTimer = {};
     // A read that waits says nothing of the log until it ends, so the first one does not wait.
     const auto wait = m_reachable ? m_options.readWait : duration::zero();
-    m_readCall = m_http.fetch(
-        m_options.address,
-        {.path = url("read")
-                 + fmt::format("?from={}&max={}&wait_ms={}", m_next, m_options.maxEntriesPerRead,
-                               milliseconds(wait)),
-         .idleTimeout = wait + m_options.callTimeout},
-        [this](const http_outcome &outcome, const http_answer &answer, const std::string &body) {
-            readAnswered(outcome, answer, body);
-        });
+    m_readCall
+        = m_http.fetch(m_options.address,
+                       {.path = url("read")
+                                + fmt::format("?from={}&max={}&wait_ms={}", m_next,
+                                              m_options.maxEntriesPerRead, milliseconds(wait)),
+                        .idleTimeout = wait + m_options.callTimeout},
+                       [this](const http_outcome &outcome, const http_answer &answer,
+                              const std::string &body) { readAnswered(outcome, answer, body); });
 }
 
 auto log_client::readAnswered(const http_outcome &outcome, const http_answer &answer,
--- a/packages/proofs/testing/golden_test.cpp
+++ b/packages/proofs/testing/golden_test.cpp
@@ -33,10 +33,7 @@
 
 auto feiraSul(std::uint64_t seed) -> session_options
 {
-    return {.world = {.seed = seed,
-                      .longestDelay = 12ms,
-                      .lossPerMille = 30,
-                      .repeatPerMille = 60},
+    return {.world = {.seed = seed, .longestDelay = 12ms, .lossPerMille = 30, .repeatPerMille = 60},
             .dataCentres = {"porto-alegre", "curitiba", "florianopolis"},
             .classes = {{.id = "booth-fit", .priority = 0, .firstTokenMs = 400},
                         {.id = "review", .priority = 2, .deadlineMs = 30'000},
@@ -60,9 +57,11 @@
     session.advance(2s);
     session.burst(8, 6s, {.clientAccount = "bulk", .tokens = 40});
     session.burst(14, 8s, {.clientAccount = "large-shop", .tokens = 6});
-    session.burst(5, 6s, {.clientAccount = "large-shop", .requestClass = "catalogue", .tokens = 50});
+    session.burst(5, 6s,
+                  {.clientAccount = "large-shop", .requestClass = "catalogue", .tokens = 50});
     session.burst(8, 8s, {.clientAccount = "corner-shop", .requestClass = "stock"});
-    session.burst(6, 8s, {.clientAccount = "corner-shop", .booking = true, .idempotencyKey = "box"});
+    session.burst(6, 8s,
+                  {.clientAccount = "corner-shop", .booking = true, .idempotencyKey = "box"});
 }
 
 // A panel in session: notes first, fees exactly once though callers repeat them elsewhere.
@@ -74,7 +73,10 @@
     session.burst(8, 6s, {.clientAccount = "artisans", .tokens = 3});
     for (const auto *fee : {"fee-1", "fee-2", "fee-3", "fee-4"}) {
         for (const std::size_t entry : {0U, 1U, 0U})
-            session.call({.clientAccount = "artisans", .booking = true, .idempotencyKey = fee, .entry = entry});
+            session.call({.clientAccount = "artisans",
+                          .booking = true,
+                          .idempotencyKey = fee,
+                          .entry = entry});
         session.advance(700ms);
     }
     session.killAgent(3);
@@ -234,8 +236,8 @@
     const auto &golden = GetParam();
     session session(golden.options);
     EXPECT_THAT(play(golden, session), testing::IsEmpty());
-    const auto file = std::string(MUSTARDLINE_SOURCE_DIR "/packages/proofs/golden/") + golden.name
-                      + ".txt";
+    const auto file
+        = std::string(MUSTARDLINE_SOURCE_DIR "/packages/proofs/golden/") + golden.name + ".txt";
     if (std::getenv("MUSTARDLINE_REGENERATE_GOLDEN") != nullptr) {
         std::ofstream(file) << session.world().transcript();
         return;
@@ -259,9 +261,8 @@
     for (auto seed = firstSeed; seed < firstSeed + seedCount; ++seed) {
         const auto golden = harder(GetParam(), seed);
         session session(golden.options);
-        ASSERT_THAT(play(golden, session), testing::IsEmpty())
-            << "seed " << seed << "\n"
-            << session.world().transcript();
+        ASSERT_THAT(play(golden, session), testing::IsEmpty()) << "seed " << seed << "\n"
+                                                               << session.world().transcript();
     }
 }
 
--- a/packages/proofs/testing/parser_properties.cpp
+++ b/packages/proofs/testing/parser_properties.cpp
@@ -115,8 +115,7 @@
 
 } // namespace
 
-parser_properties::parser_properties()
-    : m_key(fmt::format("mk_{}_{}", keyId, std::string(32, 'a')))
+parser_properties::parser_properties() : m_key(fmt::format("mk_{}_{}", keyId, std::string(32, 'a')))
 {
     auto key = keyOf(std::string(keyId), "shop");
     key.mutable_key()->set_hash(keyedHash(secret, m_key));
@@ -138,12 +137,9 @@
     const auto path = takeUntil(bytes, "\n");
     const auto query = takeUntil(bytes, "\n");
     const auto headers = takeHeaders(bytes);
-    const auto outcome = readCallerRequest({.method = method,
-                                            .path = path,
-                                            .query = query,
-                                            .headers = headers,
-                                            .body = bytes},
-                                           m_config, secret);
+    const auto outcome = readCallerRequest(
+        {.method = method, .path = path, .query = query, .headers = headers, .body = bytes},
+        m_config, secret);
     const auto *request = std::get_if<caller_request>(&outcome);
     if (request == nullptr)
         return "";
@@ -205,8 +201,8 @@
     all_folds first;
     all_folds second;
     while (bytes.size() >= 2) {
-        const auto length = (static_cast<std::uint8_t>(bytes[0]) << 8U)
-                            | static_cast<std::uint8_t>(bytes[1]);
+        const auto length
+            = (static_cast<std::uint8_t>(bytes[0]) << 8U) | static_cast<std::uint8_t>(bytes[1]);
         const auto encoded = bytes.substr(2, static_cast<std::size_t>(length));
         bytes.remove_prefix(2 + encoded.size());
         v1::LogRecord record;
--- a/packages/proofs/testing/parser_test.cpp
+++ b/packages/proofs/testing/parser_test.cpp
@@ -29,7 +29,8 @@
         bytes.erase(at, length);
         break;
     case 3:
-        bytes.insert(at, bytes.substr(random.below(static_cast<std::uint32_t>(bytes.size())), length));
+        bytes.insert(at,
+                     bytes.substr(random.below(static_cast<std::uint32_t>(bytes.size())), length));
         break;
     case 4:
         bytes.insert(at, 1, telling[random.below(telling.size())]);
--- a/packages/proofs/testing/promise_fixture.h
+++ b/packages/proofs/testing/promise_fixture.h
@@ -83,7 +83,9 @@
     static auto finish(fleet &fleet, const std::vector<pending> &calls) -> void
     {
         fleet.probe().runUntil(
-            [&] { return std::ranges::all_of(calls, [](const auto &call) { return call->ended; }); },
+            [&] {
+                return std::ranges::all_of(calls, [](const auto &call) { return call->ended; });
+            },
             "all calls end");
     }
 
@@ -139,8 +141,7 @@
 
     static auto expectWhole(const pending &call, const http_request &request, bool stream) -> void
     {
-        const auto expected
-            = standin::answerText(*standin::parseChatRequest(request.body, {}));
+        const auto expected = standin::answerText(*standin::parseChatRequest(request.body, {}));
         const auto whole = call->answer.whole && call->answer.status == 200
                            && standin::receivedText(call->answer.body, stream) == expected;
         tally().cut += whole ? 0 : 1;
--- a/packages/proofs/testing/promise_report_test.cpp
+++ b/packages/proofs/testing/promise_report_test.cpp
@@ -23,10 +23,9 @@
         sum.cut += counts.cut;
         sum.wronglyRefused += counts.wronglyRefused;
     }
-    std::cout << "programs " << programs << ", faults injected " << sum.faults
-              << ", requests sent " << sum.sent << ", lost " << sum.lost << ", doubled "
-              << sum.doubled << ", cut " << sum.cut << ", wrongly refused " << sum.wronglyRefused
-              << std::endl;
+    std::cout << "programs " << programs << ", faults injected " << sum.faults << ", requests sent "
+              << sum.sent << ", lost " << sum.lost << ", doubled " << sum.doubled << ", cut "
+              << sum.cut << ", wrongly refused " << sum.wronglyRefused << std::endl;
     EXPECT_GT(programs, 0);
     EXPECT_EQ(sum.lost, 0U);
     EXPECT_EQ(sum.doubled, 0U);
--- a/packages/proofs/testing/session.cpp
+++ b/packages/proofs/testing/session.cpp
@@ -58,19 +58,17 @@
 
 } // namespace
 
-session::session(session_options options)
-    : m_options(std::move(options)), m_world(m_options.world)
+session::session(session_options options) : m_options(std::move(options)), m_world(m_options.world)
 {
     const auto dataCentreOf = [&](std::size_t index) {
         return m_options.dataCentres[index % m_options.dataCentres.size()];
     };
     for (std::uint32_t i = 0; i < m_options.entries; ++i) {
-        m_entries.push_back(std::make_unique<session_entry>(
-            *this, fmt::format("entry-{}", i + 1), dataCentreOf(i)));
+        m_entries.push_back(std::make_unique<session_entry>(*this, fmt::format("entry-{}", i + 1),
+                                                            dataCentreOf(i)));
     }
     for (std::uint32_t i = 0; i < m_options.models + m_options.services; ++i) {
-        const auto kind
-            = i < m_options.models ? endpoint_kind::model : endpoint_kind::service;
+        const auto kind = i < m_options.models ? endpoint_kind::model : endpoint_kind::service;
         const auto letter = kind == endpoint_kind::model ? 'm' : 's';
         m_agents.push_back(std::make_unique<session_agent>(
             *this, fmt::format("{}-{}{}", dataCentreOf(i), letter, i + 1), dataCentreOf(i), kind));
@@ -176,8 +174,7 @@
                                   {"item", sent.options.idempotencyKey}};
         entry.call(caller, sent.id,
                    {.method = "POST",
-                    .path = sent.options.booking ? "/services/orders/book"
-                                                 : "/v1/chat/completions",
+                    .path = sent.options.booking ? "/services/orders/book" : "/v1/chat/completions",
                     .query = {},
                     .headers = headers,
                     .body = body.dump()},
@@ -193,8 +190,7 @@
         chosen.entry = m_world.random().below(m_options.entries);
         if (!options.idempotencyKey.empty())
             chosen.idempotencyKey = fmt::format("{}-{}", options.idempotencyKey, i);
-        m_world.after(time / 1000 * m_world.random().below(1000),
-                      [this, chosen] { call(chosen); });
+        m_world.after(time / 1000 * m_world.random().below(1000), [this, chosen] { call(chosen); });
     }
 }
 
@@ -266,8 +262,8 @@
     row.starts.push_back({.endpoint = agent.name(), .at = m_world.now()});
     checkStart(row, request, agent);
     const auto secret = keyOf(row.options.clientAccount);
-    auto seen = body + request.path + request.contentType + request.accept
-                + request.idempotencyKey + request.keyId;
+    auto seen = body + request.path + request.contentType + request.accept + request.idempotencyKey
+                + request.keyId;
     m_world.check(!holdsKey(seen) && seen.find(secret) == std::string::npos, 4,
                   fmt::format("{} carries a key to its endpoint", caller));
 }
@@ -296,8 +292,8 @@
     m_world.check(!row.ended, 10, fmt::format("{} was answered twice", caller));
     row.ended = true;
     row.code = code;
-    m_world.note("caller", fmt::format("answer request={} code={} {}", caller, describe(code).name,
-                                       text));
+    m_world.note("caller",
+                 fmt::format("answer request={} code={} {}", caller, describe(code).name, text));
     if (code == result_code::ok)
         checkAnswer(row, text);
     const auto mayHaveStarted = row.options.booking ? false : code != result_code::not_run;
@@ -309,13 +305,13 @@
 auto session::checkAnswer(const caller_row &row, std::string_view text) -> void
 {
     const auto isOwn = text == answerText(row.id, row.options.tokens);
-    const auto isRepeat = !row.options.idempotencyKey.empty()
-                          && std::ranges::any_of(m_rows, [&](const caller_row &other) {
-                                 return other.options.clientAccount == row.options.clientAccount
-                                        && other.options.idempotencyKey
-                                               == row.options.idempotencyKey
-                                        && text == answerText(other.id, other.options.tokens);
-                             });
+    const auto isRepeat
+        = !row.options.idempotencyKey.empty()
+          && std::ranges::any_of(m_rows, [&](const caller_row &other) {
+                 return other.options.clientAccount == row.options.clientAccount
+                        && other.options.idempotencyKey == row.options.idempotencyKey
+                        && text == answerText(other.id, other.options.tokens);
+             });
     m_world.check(isOwn || isRepeat, 10, fmt::format("{} has another's answer", row.id));
 }
 
@@ -326,9 +322,11 @@
     m_acceptedOffset = offset;
     for (const auto &item : change.entities()) {
         const auto &entity = item.entity();
-        const auto isClosed = entity.key().withdrawn() || entity.data_centre().out()
-                              || entity.endpoint().leaving();
-        const auto kind = entity.has_key() ? "key" : entity.has_endpoint() ? "endpoint" : "data_centre";
+        const auto isClosed
+            = entity.key().withdrawn() || entity.data_centre().out() || entity.endpoint().leaving();
+        const auto kind = entity.has_key()        ? "key"
+                          : entity.has_endpoint() ? "endpoint"
+                                                  : "data_centre";
         const auto name = fmt::format("{}/{}", kind, item.id());
         if (isClosed)
             m_closed.try_emplace(name, m_world.now());
--- a/packages/proofs/testing/session.h
+++ b/packages/proofs/testing/session.h
@@ -152,8 +152,8 @@
 private:
     auto configure() -> void;
     auto propose(const v1::Entity &entity, std::size_t entryIndex) -> void;
-    auto checkStart(const caller_row &row, const run_request &request,
-                    const session_agent &agent) -> void;
+    auto checkStart(const caller_row &row, const run_request &request, const session_agent &agent)
+        -> void;
     auto checkAnswer(const caller_row &row, std::string_view text) -> void;
     auto checkRows() -> void;
     auto checkClasses() -> void;
--- a/packages/proofs/testing/session_agent.cpp
+++ b/packages/proofs/testing/session_agent.cpp
@@ -35,9 +35,8 @@
 {
     const auto isService = m_identity.kind == endpoint_kind::service;
     m_config = std::make_unique<configuration>();
-    m_core = std::make_unique<endpoint_scheduler>(
-        endpoint_scheduler_options{.maxConcurrency = m_owner.options().maxConcurrency,
-                                   .timesWholeAnswer = isService});
+    m_core = std::make_unique<endpoint_scheduler>(endpoint_scheduler_options{
+        .maxConcurrency = m_owner.options().maxConcurrency, .timesWholeAnswer = isService});
     m_table = std::make_unique<run_table>(run_table_options{});
     m_live.clear();
     m_actions.clear();
@@ -83,9 +82,8 @@
     if (request.offset > m_config->offset()) {
         auto &entry = *message.entry;
         m_owner.world().send(entry, [this, &entry] {
-            m_owner.world().send(*this, [this, snapshot = entry.config().snapshot()] {
-                restore(snapshot);
-            });
+            m_owner.world().send(
+                *this, [this, snapshot = entry.config().snapshot()] { restore(snapshot); });
         });
     }
     admit(number);
--- a/packages/proofs/testing/session_entry.cpp
+++ b/packages/proofs/testing/session_entry.cpp
@@ -45,8 +45,8 @@
     world.every(*this, orderPeriod, [this] { sendOrder(); });
 }
 
-auto session_entry::call(std::uint64_t caller, const std::string &id,
-                         const caller_message &message, std::uint32_t tokens) -> void
+auto session_entry::call(std::uint64_t caller, const std::string &id, const caller_message &message,
+                         std::uint32_t tokens) -> void
 {
     auto outcome = m_stopping ? error{.code = result_code::draining}
                               : readCallerRequest(message, m_config, session::keySecret());
@@ -191,9 +191,9 @@
         const auto isLowerWaiting = isShed && live.endpoint.empty() && !live.claimedAt
                                     && live.request.target == refused.target
                                     && live.request.tier > refused.tier;
-        m_owner.world().check(!isLowerWaiting, 1,
-                              fmt::format("{} was shed while {} of a lower tier waits",
-                                          action.request, caller));
+        m_owner.world().check(
+            !isLowerWaiting, 1,
+            fmt::format("{} was shed while {} of a lower tier waits", action.request, caller));
     }
     end(action.request, action.code, "", true);
 }
@@ -238,13 +238,13 @@
     if (agent->isDead() || lost) {
         const auto sent = !agent->isDead();
         world.faults.lostCalls += lost ? 1 : 0;
-        world.after(lossNotice, [this, caller = live.caller, attempt = live.attempt, sent,
-                                 boot = boot()] {
-            m_owner.world().deliver(*this, boot,
-                                    [=, this] { lose(caller, attempt, sent); });
-        });
+        world.after(
+            lossNotice, [this, caller = live.caller, attempt = live.attempt, sent, boot = boot()] {
+                m_owner.world().deliver(*this, boot, [=, this] { lose(caller, attempt, sent); });
+            });
         if (sent)
-            world.send(*agent, [agent, message] { agent->run(message); }, strayDelay);
+            world.send(
+                *agent, [agent, message] { agent->run(message); }, strayDelay);
         return;
     }
     world.send(*agent, [agent, message] { agent->run(message); });
@@ -252,7 +252,8 @@
         ++world.faults.repeats;
         auto copy = message;
         copy.link = std::make_shared<call_link>(call_link{.open = false});
-        world.send(*agent, [agent, copy] { agent->run(copy); }, strayDelay);
+        world.send(
+            *agent, [agent, copy] { agent->run(copy); }, strayDelay);
     }
 }
 
@@ -260,7 +261,8 @@
 {
     m_boots[answer.endpoint] = answer.boot;
     m_core.reportLoad(answer.endpoint, answer.load, now());
-    if (answer.configurationOffset > m_config.offset() && !std::exchange(m_askedForSnapshot, true)) {
+    if (answer.configurationOffset > m_config.offset()
+        && !std::exchange(m_askedForSnapshot, true)) {
         auto *agent = m_owner.agent(answer.endpoint);
         m_owner.world().send(*agent, [this, agent] {
             m_owner.world().send(*this, [this, snapshot = agent->config().snapshot()] {
@@ -339,12 +341,10 @@
         finish(caller, result_code::outcome_unknown, "");
         return;
     }
-    m_owner.world().send(*agent, [=, this, id = *parseRequestId(live.id),
-                                  attempt = live.attempt] {
+    m_owner.world().send(*agent, [=, this, id = *parseRequestId(live.id), attempt = live.attempt] {
         const auto told = agent->fate(id, attempt);
-        m_owner.world().send(*this, [=, this, boot = agent->session_node::boot()] {
-            tellFate(caller, told, boot);
-        });
+        m_owner.world().send(
+            *this, [=, this, boot = agent->session_node::boot()] { tellFate(caller, told, boot); });
     });
     m_owner.world().after(fateRetryPause, [this, caller, boot = boot()] {
         m_owner.world().deliver(*this, boot, [this, caller] {
@@ -480,9 +480,8 @@
     }
     if (!holdsLease() && !(m_owner.options().naive.trustsLease && m_heldOnce))
         return;
-    m_owner.world().after(5ms, [this, fencing = m_orderFencing] {
-        m_owner.orderArrived(name(), fencing);
-    });
+    m_owner.world().after(
+        5ms, [this, fencing = m_orderFencing] { m_owner.orderArrived(name(), fencing); });
 }
 
 auto session_entry::holdsLease() const -> bool
@@ -534,13 +533,13 @@
 auto session_entry::setEndpoint(const v1::Endpoint &endpoint) -> void
 {
     const auto *dataCentre = m_config.dataCentre(endpoint.data_centre());
-    m_core.setEndpoint({.id = endpoint.id(),
-                        .dataCentre = endpoint.data_centre(),
-                        .serves = {endpoint.serves().begin(), endpoint.serves().end()},
-                        .maxConcurrency = endpoint.max_concurrency(),
-                        .available = !endpoint.leaving() && dataCentre != nullptr
-                                     && !dataCentre->out()},
-                       now());
+    m_core.setEndpoint(
+        {.id = endpoint.id(),
+         .dataCentre = endpoint.data_centre(),
+         .serves = {endpoint.serves().begin(), endpoint.serves().end()},
+         .maxConcurrency = endpoint.max_concurrency(),
+         .available = !endpoint.leaving() && dataCentre != nullptr && !dataCentre->out()},
+        now());
 }
 
 auto session_entry::stopKey(const std::string &keyId) -> void
--- a/packages/proofs/testing/session_world.cpp
+++ b/packages/proofs/testing/session_world.cpp
@@ -65,17 +65,15 @@
 
 auto session_world::send(session_node &to, session_action action, duration extraDelay) -> void
 {
-    after(delay() + extraDelay, [this, &to, boot = to.m_boot, action = std::move(action)] {
-        deliver(to, boot, action);
-    });
+    after(delay() + extraDelay,
+          [this, &to, boot = to.m_boot, action = std::move(action)] { deliver(to, boot, action); });
 }
 
 auto session_world::sendInOrder(session_node &to, time_point &order, session_action action) -> void
 {
     order = std::max(now() + delay(), order + std::chrono::microseconds(1));
-    after(order - now(), [this, &to, boot = to.m_boot, action = std::move(action)] {
-        deliver(to, boot, action);
-    });
+    after(order - now(),
+          [this, &to, boot = to.m_boot, action = std::move(action)] { deliver(to, boot, action); });
 }
 
 auto session_world::deliver(session_node &to, std::uint64_t boot, session_action action) -> void
@@ -149,8 +147,8 @@
         }
         auto &records = m_streams[stream];
         records.push_back(record);
-        note("platform", fmt::format("appended {}/{} {}", stream, records.size(),
-                                     describeRecord(record)));
+        note("platform",
+             fmt::format("appended {}/{} {}", stream, records.size(), describeRecord(record)));
         if (repeats()) {
             // The answer was lost, so the writer appends again.
             ++faults.repeats;
@@ -163,8 +161,7 @@
                          std::size_t from) const -> std::vector<v1::LogRecord>
 {
     const auto found = m_streams.find(stream);
-    if (m_logDown || !reader.reachesLog || found == m_streams.end()
-        || from >= found->second.size())
+    if (m_logDown || !reader.reachesLog || found == m_streams.end() || from >= found->second.size())
         return {};
     return {found->second.begin() + static_cast<std::ptrdiff_t>(from), found->second.end()};
 }
--- a/packages/proofs/testing/session_world.h
+++ b/packages/proofs/testing/session_world.h
@@ -113,10 +113,7 @@
 
     // Records a broken promise.
     auto violate(int number, std::string_view what) -> void;
-    [[nodiscard]] auto violations() const -> const std::vector<violation> &
-    {
-        return m_violations;
-    }
+    [[nodiscard]] auto violations() const -> const std::vector<violation> & { return m_violations; }
     auto check(bool holds, int number, std::string_view what) -> void
     {
         if (!holds)
--- a/packages/proofs/testing/traffic_promise_test.cpp
+++ b/packages/proofs/testing/traffic_promise_test.cpp
@@ -31,21 +31,22 @@
     const auto keyId = keyIdOf(fleet.key());
     createCaller(fleet);
     const auto headersFor = [&](const std::string &account, const std::string &tier) {
-        std::vector<http_header> headers{{.name = "mustardline-request", .value = std::string(32, 'a')},
-                                         {.name = "mustardline-attempt", .value = "1"},
-                                         {.name = "mustardline-account", .value = account},
-                                         {.name = "mustardline-key-id", .value = keyId},
-                                         {.name = "mustardline-class", .value = "short"},
-                                         {.name = "mustardline-tier", .value = tier},
-                                         {.name = "mustardline-priority", .value = "0"},
-                                         {.name = "mustardline-deadline-ms", .value = "1000"},
-                                         {.name = "mustardline-first-token-ms", .value = "100"},
-                                         {.name = "mustardline-idempotent", .value = "0"},
-                                         {.name = "mustardline-route", .value = "/v1/chat/completions"},
-                                         {.name = "mustardline-method", .value = "POST"},
-                                         {.name = "mustardline-path", .value = "/v1/chat/completions"},
-                                         {.name = "mustardline-endpoint", .value = "engine-0"},
-                                         {.name = "mustardline-offset", .value = "1"}};
+        std::vector<http_header> headers{
+            {.name = "mustardline-request", .value = std::string(32, 'a')},
+            {.name = "mustardline-attempt", .value = "1"},
+            {.name = "mustardline-account", .value = account},
+            {.name = "mustardline-key-id", .value = keyId},
+            {.name = "mustardline-class", .value = "short"},
+            {.name = "mustardline-tier", .value = tier},
+            {.name = "mustardline-priority", .value = "0"},
+            {.name = "mustardline-deadline-ms", .value = "1000"},
+            {.name = "mustardline-first-token-ms", .value = "100"},
+            {.name = "mustardline-idempotent", .value = "0"},
+            {.name = "mustardline-route", .value = "/v1/chat/completions"},
+            {.name = "mustardline-method", .value = "POST"},
+            {.name = "mustardline-path", .value = "/v1/chat/completions"},
+            {.name = "mustardline-endpoint", .value = "engine-0"},
+            {.name = "mustardline-offset", .value = "1"}};
         return headers;
     };
     // Once it has served, the agent knows the endpoint and the key.
@@ -169,8 +170,11 @@
     fleet fleet({.services = 0});
     for (std::size_t engine = 0; engine < 2; ++engine) {
         fleet.control(fleet.engine(engine), "behaviour",
-                      {{"cold", true}, {"bearable", bearable}, {"capacity", 16},
-                       {"first_token_ms", 100}, {"token_ms", 10}});
+                      {{"cold", true},
+                       {"bearable", bearable},
+                       {"capacity", 16},
+                       {"first_token_ms", 100},
+                       {"token_ms", 10}});
     }
     std::vector<pending> calls;
     const auto request = fleet.chat(fleet.key(), "load", {.tokens = 10, .stream = true});
@@ -238,13 +242,12 @@
             ++tally().faults;
             const auto cut = begin(fleet, fleet.entry(0).address, request);
             finish(fleet, {cut});
-            const auto looksWhole
-                = stream ? cut->answer.body.find("[DONE]") != std::string::npos
-                         : cut->answer.status == 200 && cut->answer.whole;
+            const auto looksWhole = stream ? cut->answer.body.find("[DONE]") != std::string::npos
+                                           : cut->answer.status == 200 && cut->answer.whole;
             tally().cut += looksWhole ? 1 : 0;
             EXPECT_FALSE(looksWhole) << cut->answer.body;
-            const auto said = !cut->answer.whole
-                              || cut->answer.body.find("error") != std::string::npos;
+            const auto said
+                = !cut->answer.whole || cut->answer.body.find("error") != std::string::npos;
             EXPECT_TRUE(said) << cut->answer.body;
             if (dies)
                 fleet.restart(fleet.engine(0));
@@ -370,8 +373,7 @@
             if (calls[entry]->answer.body.find("ACCEPTED") != std::string::npos)
                 winners.push_back(entry);
         }
-        ASSERT_EQ(winners.size(), 1U)
-            << calls[0]->answer.body << " " << calls[1]->answer.body;
+        ASSERT_EQ(winners.size(), 1U) << calls[0]->answer.body << " " << calls[1]->answer.body;
         const auto decided = calls[winners.front()]->answer.json();
         newest = std::stoull(decided["revision"].get<std::string>());
         for (std::size_t entry = 0; entry < 2; ++entry) {
