--- a/packages/proofs/testing/session.h
+++ b/packages/proofs/testing/session.h
@@ -51,6 +51,10 @@
     bool ignoresChanges = false;
     // Who held the lease once goes on ordering.
     bool trustsLease = false;
+    // Agents answer with whatever is ready.
+    bool mixesAnswers = false;
+    // A planned stop ends the process at once.
+    bool stopsAtOnce = false;
 };
 
 struct session_options
@@ -152,8 +156,8 @@
 private:
     auto configure() -> void;
     auto propose(const v1::Entity &entity, std::size_t entryIndex) -> void;
-    auto checkStart(const caller_row &row, const run_request &request,
-                    const session_agent &agent) -> void;
+    auto checkStart(const caller_row &row, const run_request &request, const session_agent &agent)
+        -> void;
     auto checkAnswer(const caller_row &row, std::string_view text) -> void;
     auto checkRows() -> void;
     auto checkClasses() -> void;
