Bound the answers that the idempotency ledger keeps in all

Before: 100,000 claims could keep 8 KB each, 800 MB. After: 32 MB in all; the oldest answers go, their claims stay.

--- a/packages/platform/idempotency_ledger.cpp
+++ b/packages/platform/idempotency_ledger.cpp
@@ -64,19 +64,45 @@
             remember(outcome.request_id(), {});
         return;
     }
-    const auto claim = m_claims.find(request->second);
-    const auto isOwner = claim != m_claims.end() && claim->second.requestId == outcome.request_id();
-    if (!isOwner || claim->second.outcome)
+    auto *claim = claimOf(outcome.request_id());
+    if (claim == nullptr || claim->outcome)
         return;
     if (outcome.not_run()) {
-        m_claims.erase(claim);
+        m_claims.erase(request->second);
         return;
     }
     const auto tooLong = outcome.body().size() > m_options.maxBodyBytes;
-    claim->second.outcome = claim_outcome{.resultCode = outcome.result_code(),
-                                          .httpStatus = outcome.http_status(),
-                                          .body = tooLong ? std::string() : outcome.body(),
-                                          .bodyOmitted = tooLong};
+    claim->outcome = claim_outcome{.resultCode = outcome.result_code(),
+                                   .httpStatus = outcome.http_status(),
+                                   .body = tooLong ? std::string() : outcome.body(),
+                                   .bodyOmitted = tooLong};
+    if (claim->outcome->body.empty())
+        return;
+    m_bodyBytes += claim->outcome->body.size();
+    m_withBody.push_back(outcome.request_id());
+    while (m_bodyBytes > m_options.maxBodyBytesInAll)
+        dropOldestBody();
+}
+
+auto idempotency_ledger::claimOf(const std::string &requestId) -> claim_state *
+{
+    const auto request = m_requests.find(requestId);
+    if (request == m_requests.end())
+        return nullptr;
+    const auto claim = m_claims.find(request->second);
+    const auto isOwner = claim != m_claims.end() && claim->second.requestId == requestId;
+    return isOwner ? &claim->second : nullptr;
+}
+
+auto idempotency_ledger::dropOldestBody() -> void
+{
+    auto *claim = claimOf(m_withBody.front());
+    m_withBody.pop_front();
+    if (claim == nullptr)
+        return;
+    m_bodyBytes -= claim->outcome->body.size();
+    claim->outcome->body = std::string();
+    claim->outcome->bodyOmitted = true;
 }
 
 auto idempotency_ledger::remember(const std::string &requestId, std::string key) -> void
@@ -85,12 +111,19 @@
     m_order.push_back(requestId);
     if (m_order.size() <= m_options.maxClaims)
         return;
-    const auto oldest = m_requests.find(m_order.front());
-    const auto claim = m_claims.find(oldest->second);
-    if (claim != m_claims.end() && claim->second.requestId == oldest->first)
-        m_claims.erase(claim);
-    m_requests.erase(oldest);
+    forget(m_order.front());
     m_order.pop_front();
+    while (!m_withBody.empty() && claimOf(m_withBody.front()) == nullptr)
+        m_withBody.pop_front();
+}
+
+auto idempotency_ledger::forget(const std::string &requestId) -> void
+{
+    if (const auto *claim = claimOf(requestId)) {
+        m_bodyBytes -= claim->outcome ? claim->outcome->body.size() : 0;
+        m_claims.erase(m_requests.at(requestId));
+    }
+    m_requests.erase(requestId);
 }
 
 } // namespace mustardline
--- a/packages/platform/idempotency_ledger.h
+++ b/packages/platform/idempotency_ledger.h
@@ -39,6 +39,8 @@
     std::size_t maxClaims = 100'000;
     // A longer answer is not kept; a repeat then learns only that the request has run.
     std::size_t maxBodyBytes = 8U << 10U;
+    // Kept answers together; beyond it the oldest are given up, though not their claims.
+    std::size_t maxBodyBytesInAll = 32U << 20U;
 };
 
 // The attempt that asks, as in its claim.
@@ -68,7 +70,7 @@
     std::uint32_t resultCode = 0;
     std::uint32_t httpStatus = 0;
     std::string body;
-    // The answer was too long to be kept.
+    // The answer was too long to be kept, or too many came after it.
     bool bodyOmitted = false;
 };
 
@@ -108,6 +110,9 @@
     auto applyClaim(const v1::IdempotencyClaim &claim) -> void;
     auto applyOutcome(const v1::IdempotencyOutcome &outcome) -> void;
     auto remember(const std::string &requestId, std::string key) -> void;
+    auto forget(const std::string &requestId) -> void;
+    auto dropOldestBody() -> void;
+    [[nodiscard]] auto claimOf(const std::string &requestId) -> claim_state *;
 
     idempotency_ledger_options m_options;
     std::uint64_t m_offset = 0;
@@ -116,6 +121,9 @@
     std::unordered_map<std::string, std::string> m_requests;
     // Remembered requests, oldest first.
     std::deque<std::string> m_order;
+    // Requests whose answers are kept, in the order of their outcomes.
+    std::deque<std::string> m_withBody;
+    std::size_t m_bodyBytes = 0;
 };
 
 } // namespace mustardline
--- a/packages/platform/testing/idempotency_ledger_test.cpp
+++ b/packages/platform/testing/idempotency_ledger_test.cpp
@@ -96,6 +96,21 @@
     EXPECT_EQ(ask(ledger, "x", "k6").kind, claim_kind::running);
 }
 
+TEST(IdempotencyLedgerTest, givesUpTheOldestAnswersBeyondTheirBound)
+{
+    std::vector<v1::LogRecord> records;
+    for (int i = 0; i < 6; ++i) {
+        records.push_back(claimOf("r" + std::to_string(i), "k" + std::to_string(i)));
+        records.push_back(outcomeOf("r" + std::to_string(i), false, "body"));
+    }
+    const auto ledger = fold(records, {.maxClaims = 5, .maxBodyBytesInAll = 10});
+    EXPECT_EQ(ask(ledger, "x", "k0").kind, claim_kind::unknown);
+    EXPECT_EQ(ask(ledger, "x", "k1").kind, claim_kind::finished);
+    EXPECT_TRUE(ask(ledger, "x", "k3").outcome->bodyOmitted);
+    EXPECT_EQ(ask(ledger, "x", "k4").outcome->body, "body");
+    EXPECT_EQ(ask(ledger, "x", "k5").outcome->body, "body");
+}
+
 // P12: every order of two attempts' claims and of the first one's outcome, each record in the log
 // once or twice, and every reader at every position: one attempt at most runs at any time, and a
 // second one only after the first was given back as not run.
