--- a/packages/agent/testing/run_service_test.cpp
+++ b/packages/agent/testing/run_service_test.cpp
@@ -156,6 +156,7 @@
     v1::Entity key;
     key.mutable_key()->set_id("k3");
     key.mutable_key()->set_client_account("acme");
+    key.mutable_key()->set_hash(std::string(64, '0'));
     change(key);
     untilReceived(1);
     m_received[0]->reply(200, {}, "{}");
--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -49,6 +49,8 @@
                    .closeDelay = m_settings.usageCloseDelay,
                    .shards = m_settings.usageShards}),
       m_usage(m_log, m_usageDuty.stream(), m_usageDuty.ledger(), {.entryName = m_settings.name}),
+      m_orders(m_loop, m_http, m_log, m_leases, m_config,
+               {.entryName = m_settings.name, .ordersAddress = m_settings.orders}),
       m_claims(m_loop, m_http, m_log, {.entryName = m_settings.name, .logAddress = m_settings.log}),
       m_router(m_loop, m_http, m_log, m_metrics, m_config, m_claims,
                {.dataCentre = m_settings.dataCentre,
@@ -69,8 +71,12 @@
 {
     m_config.onChange([this](v1::EntityKind kind, const std::string &id) {
         m_router.configurationChanged(kind, id);
+        m_orders.configurationChanged(kind, id);
     });
     m_follower.onFolded = [this] { m_operators.folded(); };
+    m_leases.onRecord = [this](std::uint64_t offset, const v1::LogRecord &record) {
+        m_orders.fold(offset, record);
+    };
     m_operators.onUsage = [this](const v1::UsageRequest &request, v1::UsageResponse &response) {
         m_usageDuty.describe(request, response);
     };
@@ -170,6 +176,7 @@
     m_leases.tick();
     m_follower.tick();
     m_usageDuty.tick();
+    m_orders.tick();
 }
 
 auto entry_process::drain() -> void
--- a/packages/entry/entry_process.h
+++ b/packages/entry/entry_process.h
@@ -13,6 +13,7 @@
 #include "entry/configuration_follower.h"
 #include "entry/duty_leases.h"
 #include "entry/operator_service.h"
+#include "entry/order_duty.h"
 #include "entry/request_router.h"
 #include "entry/settings.h"
 #include "entry/usage_collector.h"
@@ -54,6 +55,7 @@
     configuration_follower m_follower;
     usage_duty m_usageDuty;
     usage_collector m_usage;
+    order_duty m_orders;
     claim_keeper m_claims;
     request_router m_router;
     operator_service m_operators;
--- a/packages/entry/operator_commands.cpp
+++ b/packages/entry/operator_commands.cpp
@@ -329,9 +329,12 @@
                          context.line);
     TCLAP::SwitchArg fencing("f", "checks-fencing", "It refuses old fencing numbers itself.",
                              context.line);
+    TCLAP::SwitchArg managed("o", "managed", "Started and stopped by mustardline's orders.",
+                             context.line);
     context.line.parse(words);
     v1::Entity entity;
     auto &endpoint = *entity.mutable_endpoint();
+    endpoint.set_managed(managed.getValue());
     endpoint.set_id(id.getValue());
     endpoint.set_data_centre(dataCentre.getValue());
     endpoint.set_kind(service.getValue() ? v1::ENDPOINT_KIND_SERVICE : v1::ENDPOINT_KIND_MODEL);
--- a/packages/standin/testing/fleet.cpp
+++ b/packages/standin/testing/fleet.cpp
@@ -168,7 +168,9 @@
         {"key_secret_file", m_keySecretFile},
         {"operator_tokens_file", m_tokensFile},
         {"entry_count", m_entries.size()},
-        {"usage_window_s", 1}};
+        {"usage_window_s", 1},
+        {"usage_close_delay_ms", 200},
+        {"lease_term_ms", 1000}};
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
         if (i != index)
             settings["peers"].push_back(textOf(m_entries[i].control));
