--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -153,7 +154,7 @@
 {
     const auto &row = m_rows[index];
     const auto age = now - row.reportedAt;
-    const auto others = static_cast<std::uint32_t>(row.others + 0.5);
+    const auto others = static_cast<std::uint32_t>(std::lround(row.others));
     if (age < reportFreshness)
         return row.own + others;
     if (age < reportFreshness * 2)
