Continue a stream at another endpoint, compared event by event

Cause: a stream whose engine died or that was stopped for a higher tier ended in an error although the request was idempotent. The next attempt must repeat what the caller has; its events are compared by their choices and not passed on twice. If they differ the stream ends in an explicit error. Ruled out: trusting the engine to resume from a token count (no published interface says so); passing on half events (the two attempts could not be joined).

--- a/packages/agent/live_run.h
+++ b/packages/agent/live_run.h
@@ -36,6 +36,8 @@
     [[nodiscard]] auto contentType() const -> std::string;
     [[nodiscard]] auto isServerFault() const -> bool { return m_status >= lowestServerFault; }
 
+    [[nodiscard]] auto isEventStream() const -> bool { return m_stream.has_value(); }
+
     // Whether a model's stream came to its end, whatever becomes of the connection after it.
     [[nodiscard]] auto isEndedStream() const -> bool { return m_stream && m_stream->isEnded(); }
 
--- a/packages/agent/run_service.cpp
+++ b/packages/agent/run_service.cpp
@@ -366,6 +366,10 @@
         exchange.reply(live.answer.status(), headers, "");
     } else if (ending.code == result_code::ok) {
         exchange.endStream();
+    } else if (live.outputBegun && live.answer.isEventStream()) {
+        // A comment tells the entry why; the event before it may be incomplete.
+        exchange.sendChunk(fmt::format("\n: mustardline-result {}\n\n", number(ending.code)));
+        exchange.endStream();
     } else if (live.outputBegun) {
         exchange.abort();
     } else {
--- a/packages/entry/live_request.h
+++ b/packages/entry/live_request.h
@@ -14,6 +14,7 @@
 #include "base/clock.h"
 #include "entry/agent_call.h"
 #include "entry/caller_request.h"
+#include "entry/stream_relay.h"
 #include "net/http_error.h"
 #include "net/http_server.h"
 
@@ -54,6 +55,9 @@
     answer_start start;
     std::string collected;
     bool streaming = false;
+    stream_relay relay;
+    // The agent stopped the stream for this reason.
+    std::optional<result_code> streamStopped;
     // The endpoint is held back, because the caller reads slowly.
     bool held = false;
     bool firstTokenSeen = false;
--- a/packages/entry/request_router.cpp
+++ b/packages/entry/request_router.cpp
@@ -22,15 +22,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
 
-// Server-sent events that carry a token each; close enough for the size estimates.
-auto countEvents(std::string_view data) -> std::uint32_t
-{
-    std::uint32_t count = 0;
-    for (auto at = data.find("\n\n"); at != std::string_view::npos; at = data.find("\n\n", at + 2))
-        ++count;
-    return count;
-}
-
 } // namespace
 
 request_router::request_router(event_loop &loop, http_client &http, logger &log, counters &metrics,
@@ -339,25 +330,36 @@
     if (live == nullptr)
         return;
     live->start = start;
-    if (start.contentType.starts_with(eventStream))
+    const auto isEvents = start.contentType.starts_with(eventStream);
+    if (live->streaming && !isEvents)
+        live->streamStopped = result_code::answer_cut;
+    else if (!live->streaming && isEvents)
         startStream(*live);
 }
 
 auto request_router::received(std::uint64_t number, std::string_view data) -> void
 {
     auto *live = find(number);
-    if (live == nullptr)
+    if (live == nullptr || live->streamStopped)
         return;
     if (!live->streaming) {
         live->collected += data;
         return;
     }
+    const auto part = live->relay.take(data);
+    if (part.differs) {
+        live->call.cancel();
+        failPlaced(*live, result_code::answer_cut);
+        return;
+    }
+    live->streamStopped = part.stopped;
+    if (part.events == 0)
+        return;
     if (!std::exchange(live->firstTokenSeen, true))
         m_dispatcher.firstToken(number, m_clock.now());
-    const auto events = countEvents(data);
-    live->tokens += events;
-    m_dispatcher.progressed(number, events);
-    live->exchange->sendChunk(data);
+    live->tokens += part.events;
+    m_dispatcher.progressed(number, part.events);
+    live->exchange->sendChunk(part.pass);
 }
 
 auto request_router::ended(std::uint64_t number, const agent_call_end &end) -> void
@@ -366,7 +368,11 @@
     if (live == nullptr)
         return;
     live->call = {};
-    if (std::holds_alternative<answered>(end)) {
+    if (live->streamStopped) {
+        const auto code = *std::exchange(live->streamStopped, std::nullopt);
+        endedLost(*live,
+                  {.reason = {.code = code, .message = "the stream was stopped"}, .told = true});
+    } else if (std::holds_alternative<answered>(end)) {
         endedWhole(*live);
     } else if (const auto *refusal = std::get_if<not_run>(&end)) {
         retry(*live, refusal->code);
@@ -404,16 +410,24 @@
         m_dispatcher.reportFailure(live.endpoint, m_clock.now());
     if (!loss.sent)
         retry(live, result_code::connection_failed);
-    else if (live.streaming)
-        failPlaced(live, result_code::answer_cut);
-    else if (live.request.idempotent)
+    else if (live.request.idempotent && mayGoOn(live, loss.reason.code))
         retry(live, loss.reason.code);
+    else if (live.streaming || live.request.idempotent)
+        failPlaced(live, loss.told ? loss.reason.code : result_code::answer_cut);
     else if (loss.told)
         failPlaced(live, result_code::outcome_unknown);
     else
         resolveFate(live.number);
 }
 
+auto request_router::mayGoOn(live_request &live, result_code code) -> bool
+{
+    // Another attempt would meet the same end.
+    const auto isFinal
+        = code == result_code::deadline_exceeded || code == result_code::answer_too_large;
+    return !isFinal && (!live.streaming || live.relay.restart());
+}
+
 auto request_router::resolveFate(std::uint64_t number) -> void
 {
     auto *live = find(number);
--- a/packages/entry/request_router.h
+++ b/packages/entry/request_router.h
@@ -84,6 +84,8 @@
     auto ended(std::uint64_t number, const agent_call_end &end) -> void;
     auto endedWhole(live_request &live) -> void;
     auto endedLost(live_request &live, const lost &loss) -> void;
+    // Whether another attempt may follow, and if a stream has begun, continue it.
+    [[nodiscard]] static auto mayGoOn(live_request &live, result_code code) -> bool;
     auto resolveFate(std::uint64_t number) -> void;
     auto settleFate(live_request &live, const socket_address &agent, const fate_answer &answer)
         -> void;
