--- a/packages/agent/run_request.cpp
+++ b/packages/agent/run_request.cpp
@@ -59,6 +59,14 @@
         }
     }
 
+    // A span of time in milliseconds; zero if the header is absent.
+    auto optionalDuration(std::string_view name) -> duration
+    {
+        if (findHeader(m_headers, name).empty())
+            return {};
+        return std::chrono::milliseconds(integer(name, 0, maxDeadlineMilliseconds));
+    }
+
     [[nodiscard]] auto fault() const -> const std::optional<error> & { return m_fault; }
 
 private:
@@ -117,6 +125,8 @@
         reader.integer("mustardline-deadline-ms", 0, maxDeadlineMilliseconds));
     request.firstTokenTarget = std::chrono::milliseconds(
         reader.integer("mustardline-first-token-ms", 0, maxDeadlineMilliseconds));
+    request.expectedFirstToken = reader.optionalDuration("mustardline-expected-first-token-ms");
+    request.waited = reader.optionalDuration("mustardline-waited-ms");
     request.idempotent = reader.integer("mustardline-idempotent", 0, 1) == 1;
     request.route = reader.requiredText("mustardline-route");
     request.method = reader.requiredText("mustardline-method");
--- a/packages/agent/run_request.h
+++ b/packages/agent/run_request.h
@@ -46,6 +46,10 @@
     // Time left until the whole answer is due.
     duration deadline{};
     duration firstTokenTarget{};
+    // Usual time to the first token at the endpoints that the entry knows; zero if not told.
+    duration expectedFirstToken{};
+    // Time since the request arrived at the entry.
+    duration waited{};
     bool idempotent = false;
     std::string route;
     std::string method;
--- a/packages/agent/run_service.cpp
+++ b/packages/agent/run_service.cpp
@@ -179,6 +179,8 @@
          .preemptible = live.request.idempotent,
          .promptTokens = static_cast<std::uint32_t>(live.forwarded.body.size() / bytesPerToken),
          .firstTokenTarget = live.request.firstTokenTarget,
+         .expectedFirstToken = live.request.expectedFirstToken,
+         .waited = live.request.waited + waited,
          .deadline = live.request.deadline - waited},
         m_clock.now(), m_actions);
     carryOut();
--- a/packages/entry/agent_call.cpp
+++ b/packages/entry/agent_call.cpp
@@ -73,6 +73,9 @@
     add("mustardline-priority", std::to_string(request.priority));
     add("mustardline-deadline-ms", std::to_string(toMilliseconds(options.deadline)));
     add("mustardline-first-token-ms", std::to_string(toMilliseconds(request.firstTokenTarget)));
+    add("mustardline-expected-first-token-ms",
+        std::to_string(toMilliseconds(options.expectedFirstToken)));
+    add("mustardline-waited-ms", std::to_string(toMilliseconds(options.waited)));
     add("mustardline-idempotent", request.idempotent ? "1" : "0");
     add("mustardline-route", request.route);
     add("mustardline-method", request.method);
--- a/packages/entry/agent_call.h
+++ b/packages/entry/agent_call.h
@@ -31,6 +31,10 @@
     std::uint64_t configurationOffset = 0;
     // Time left until the whole answer is due.
     duration deadline{};
+    // Usual time to the first token at all endpoints; zero if not known.
+    duration expectedFirstToken{};
+    // Time since the request arrived.
+    duration waited{};
 };
 
 // What every answer of an agent says of itself.
--- a/packages/entry/live_request.h
+++ b/packages/entry/live_request.h
@@ -44,6 +44,7 @@
 
     std::string endpoint;
     std::uint32_t attempt = 0;
+    duration expectedFirstToken{};
     // Boot of the agent when the attempt was sent; empty if not known.
     std::string bootAtSend;
     http_call call;
--- a/packages/entry/request_router.cpp
+++ b/packages/entry/request_router.cpp
@@ -242,6 +242,7 @@
     live->phase = live_phase::placed;
     live->endpoint = action.endpoint;
     live->attempt = action.attempt;
+    live->expectedFirstToken = action.expectedFirstToken;
     m_log.write(requestPlaced, field("request", live->id), field("attempt", action.attempt),
                 field("account", live->request.clientAccount),
                 field("class", live->request.requestClass), field("tier", live->request.tier),
