--- a/packages/entry/request_router.cpp
+++ b/packages/entry/request_router.cpp
@@ -290,7 +290,9 @@
          .attempt = live.attempt,
          .configurationOffset = m_config.offset(),
          .deadline
-         = std::max<duration>(live.request.deadline - passed, std::chrono::milliseconds(1))},
+         = std::max<duration>(live.request.deadline - passed, std::chrono::milliseconds(1)),
+         .expectedFirstToken = live.expectedFirstToken,
+         .waited = passed},
         live.request,
         {.onReport =
              [this, endpoint = live.endpoint](const agent_report &report) {
