--- a/packages/base/clock.h
+++ b/packages/base/clock.h
@@ -46,6 +46,12 @@
     }
 };
 
+// Whole milliseconds of a duration, for messages and log lines.
+[[nodiscard]] constexpr auto toMilliseconds(duration value) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 // Milliseconds since the Unix epoch.
 using unix_milliseconds = std::int64_t;
 
--- a/packages/entry/agent_call.cpp
+++ b/packages/entry/agent_call.cpp
@@ -14,11 +14,6 @@
 constexpr auto silenceMargin = std::chrono::seconds(5);
 constexpr auto askTimeout = std::chrono::seconds(1);
 
-auto toMilliseconds(duration value) -> std::int64_t
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 template<class Number>
 auto readNumber(std::string_view text) -> std::optional<Number>
 {
--- /dev/null
+++ b/packages/entry/operator_call.h
@@ -0,0 +1,54 @@
+#pragma once
+
+// What the operators' commands share: their common options, the calls they make and how they print
+// the answers.
+//
+//     command_context context("Creates a data centre.");
+//     TCLAP::ValueArg<std::string> region(..., context.line);
+//     context.line.parse(words);
+//     return createEntity(context, entity);
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <tclap/CmdLine.h>
+
+#include "base/result.h"
+#include "entry/operator_client.h"
+
+namespace mustardline {
+
+using text_argument = TCLAP::ValueArg<std::string>;
+using number_argument = TCLAP::ValueArg<std::uint32_t>;
+
+// The options that every command has, and the client they lead to.
+struct command_context
+{
+    TCLAP::CmdLine line;
+    text_argument entry{"e", "entry", "Operators' address of any entry.", true, "", "IP:PORT"};
+    text_argument tokenFile{"t", "token-file", "File with the operator's token.", true, "", "FILE"};
+    TCLAP::SwitchArg json{"j", "json", "Print JSON instead of a table."};
+
+    explicit command_context(const std::string &description);
+
+    [[nodiscard]] auto client() -> result<operator_client>;
+};
+
+// Explains a fault on standard error and returns the exit status for it.
+[[nodiscard]] auto explain(const error &fault) -> int;
+
+auto printJson(const google::protobuf::Message &message) -> void;
+
+// The exit status that tells the outcome of a change.
+[[nodiscard]] auto exitStatusOf(const v1::ApplyResponse &response) -> int;
+
+// Creates the entity, which must not exist yet; returns the exit status.
+[[nodiscard]] auto createEntity(command_context &context, const v1::Entity &entity) -> int;
+
+// Reads the entity, lets `edit` alter it and publishes it on the revision that was read; without
+// `edit`, removes it. Returns the exit status.
+[[nodiscard]] auto editEntity(command_context &context, v1::EntityKind kind, const std::string &id,
+                              const std::function<auto(v1::Entity &)->void> &edit) -> int;
+
+} // namespace mustardline
--- a/packages/entry/request_router.cpp
+++ b/packages/entry/request_router.cpp
@@ -11,17 +11,10 @@
 
 namespace {
 
-constexpr std::string_view eventStream = "text/event-stream";
-constexpr auto fateRetryPause = std::chrono::milliseconds(100);
 // The agent enforces the deadline itself; the entry steps in only past this margin.
 constexpr auto deadlineMargin = std::chrono::milliseconds(500);
 constexpr auto drainRetryAfter = std::chrono::seconds(1);
 
-auto milliseconds(duration value) -> std::int64_t
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 } // namespace
 
 request_router::request_router(event_loop &loop, http_client &http, logger &log, counters &metrics,
@@ -248,7 +241,7 @@
                 field("class", live->request.requestClass), field("tier", live->request.tier),
                 field("target", live->request.target), field("endpoint", action.endpoint),
                 field("reason", action.reason), field("considered", action.considered),
-                field("waited_ms", milliseconds(m_clock.now() - live->arrivedAt)));
+                field("waited_ms", toMilliseconds(m_clock.now() - live->arrivedAt)));
     if (endpoint == nullptr) {
         retry(*live, result_code::no_endpoint);
         return;
@@ -317,7 +310,7 @@
         requestRefused, field("request", live->id), field("account", live->request.clientAccount),
         field("class", live->request.requestClass), field("tier", live->request.tier),
         field("target", live->request.target), field("code", number(action.code)),
-        field("reason", action.reason), field("retry_after_ms", milliseconds(action.retryAfter)));
+        field("reason", action.reason), field("retry_after_ms", toMilliseconds(action.retryAfter)));
     fail(*live, {.code = action.code, .retryAfter = action.retryAfter});
 }
 
@@ -327,161 +320,6 @@
         stop(*live, action.code);
 }
 
-auto request_router::started(std::uint64_t number, const answer_start &start) -> void
-{
-    auto *live = find(number);
-    if (live == nullptr)
-        return;
-    live->start = start;
-    const auto isEvents = start.contentType.starts_with(eventStream);
-    if (live->streaming && !isEvents)
-        live->streamStopped = result_code::answer_cut;
-    else if (!live->streaming && isEvents)
-        startStream(*live);
-}
-
-auto request_router::received(std::uint64_t number, std::string_view data) -> void
-{
-    auto *live = find(number);
-    if (live == nullptr || live->streamStopped)
-        return;
-    if (!live->streaming) {
-        live->collected += data;
-        return;
-    }
-    const auto part = live->relay.take(data);
-    if (part.differs) {
-        live->call.cancel();
-        failPlaced(*live, result_code::answer_cut);
-        return;
-    }
-    live->streamStopped = part.stopped;
-    if (part.events == 0)
-        return;
-    if (!std::exchange(live->firstTokenSeen, true))
-        m_dispatcher.firstToken(number, m_clock.now());
-    live->tokens += part.events;
-    m_dispatcher.progressed(number, part.events);
-    live->exchange->sendChunk(part.pass);
-}
-
-auto request_router::ended(std::uint64_t number, const agent_call_end &end) -> void
-{
-    auto *live = find(number);
-    if (live == nullptr)
-        return;
-    live->call = {};
-    if (live->streamStopped) {
-        const auto code = *std::exchange(live->streamStopped, std::nullopt);
-        endedLost(*live,
-                  {.reason = {.code = code, .message = "the stream was stopped"}, .told = true});
-    } else if (std::holds_alternative<answered>(end)) {
-        endedWhole(*live);
-    } else if (const auto *refusal = std::get_if<not_run>(&end)) {
-        retry(*live, refusal->code);
-    } else {
-        endedLost(*live, std::get<lost>(end));
-    }
-    m_dispatcher.tick(m_clock.now(), m_actions);
-    carryOut();
-}
-
-auto request_router::endedWhole(live_request &live) -> void
-{
-    const auto now = m_clock.now();
-    m_dispatcher.finished(live.number, result_code::ok, live.tokens, now);
-    m_log.write(requestFinished, field("request", live.id), field("attempt", live.attempt),
-                field("endpoint", live.endpoint), field("status", live.start.status),
-                field("tokens", live.tokens),
-                field("total_ms", milliseconds(now - live.arrivedAt)));
-    countResult(live.request.tier, result_code::ok);
-    if (live.claimed)
-        m_claims.finished(live);
-    replyWhole(live);
-    forget(live.number);
-}
-
-auto request_router::endedLost(live_request &live, const lost &loss) -> void
-{
-    m_log.write(requestLost, field("request", live.id), field("attempt", live.attempt),
-                field("endpoint", live.endpoint), field("code", number(loss.reason.code)),
-                field("sent", loss.sent), field("told", loss.told),
-                field("reason", loss.reason.message));
-    const auto endpointFailed = loss.reason.code == result_code::endpoint_failed
-                                || loss.reason.code == result_code::answer_cut;
-    if (!loss.told || endpointFailed)
-        m_dispatcher.reportFailure(live.endpoint, m_clock.now());
-    if (!loss.sent)
-        retry(live, result_code::connection_failed);
-    else if (live.request.idempotent && mayGoOn(live, loss.reason.code))
-        retry(live, loss.reason.code);
-    else if (live.streaming || live.request.idempotent)
-        failPlaced(live, loss.told ? loss.reason.code : result_code::answer_cut);
-    else if (loss.told)
-        failPlaced(live, result_code::outcome_unknown);
-    else
-        resolveFate(live.number);
-}
-
-auto request_router::mayGoOn(live_request &live, result_code code) -> bool
-{
-    // Another attempt would meet the same end.
-    const auto isFinal
-        = code == result_code::deadline_exceeded || code == result_code::answer_too_large;
-    return !isFinal && (!live.streaming || live.relay.restart());
-}
-
-auto request_router::resolveFate(std::uint64_t number) -> void
-{
-    auto *live = find(number);
-    if (live == nullptr)
-        return;
-    const auto *endpoint = m_config.endpoint(live->endpoint);
-    const auto expired = m_clock.now() - live->arrivedAt >= live->request.deadline;
-    if (endpoint == nullptr || expired || live->bootAtSend.empty()) {
-        failPlaced(*live, result_code::outcome_unknown);
-        return;
-    }
-    const auto agent = parseAddress(endpoint->agent_address());
-    askFate(m_http, agent, live->id, live->attempt,
-            [this, number, agent](const fate_answer &answer) {
-                if (auto *waiting = find(number))
-                    settleFate(*waiting, agent, answer);
-                carryOut();
-            });
-}
-
-auto request_router::settleFate(live_request &live, const socket_address &agent,
-                                const fate_answer &answer) -> void
-{
-    const auto replaced = !answer.boot.empty() && answer.boot != live.bootAtSend;
-    if (replaced || answer.fate == request_fate::failed) {
-        failPlaced(live, result_code::outcome_unknown);
-    } else if (answer.fate == request_fate::not_run) {
-        retry(live, result_code::not_run);
-    } else if (answer.fate == request_fate::done) {
-        // The agent repeats the answer of a request that it has run, and does not run it again.
-        send(live, agent);
-    } else {
-        live.retryTimer
-            = m_loop.after(fateRetryPause, [this, number = live.number] { resolveFate(number); });
-    }
-}
-
-auto request_router::retry(live_request &live, result_code code) -> void
-{
-    m_log.write(requestNotRun, field("request", live.id), field("attempt", live.attempt),
-                field("endpoint", live.endpoint), field("code", number(code)));
-    if (live.phase == live_phase::fetching) {
-        failPlaced(live, result_code::outcome_unknown);
-        return;
-    }
-    live.phase = live_phase::queued;
-    live.mayHaveRun = false;
-    m_dispatcher.notRun(live.number, code, m_clock.now(), m_actions);
-    carryOut();
-}
-
 auto request_router::callerGone(std::uint64_t number) -> void
 {
     auto *live = find(number);
--- /dev/null
+++ b/packages/entry/request_router_answers.cpp
@@ -0,0 +1,172 @@
+// What comes back from agents: answers, refusals and losses. The other half of the router, with
+// what goes out to them, is in request_router.cpp.
+
+#include "entry/request_router.h"
+
+#include "entry/events.h"
+
+namespace mustardline {
+
+namespace {
+
+constexpr std::string_view eventStream = "text/event-stream";
+constexpr auto fateRetryPause = std::chrono::milliseconds(100);
+
+} // namespace
+
+auto request_router::started(std::uint64_t number, const answer_start &start) -> void
+{
+    auto *live = find(number);
+    if (live == nullptr)
+        return;
+    live->start = start;
+    const auto isEvents = start.contentType.starts_with(eventStream);
+    if (live->streaming && !isEvents)
+        live->streamStopped = result_code::answer_cut;
+    else if (!live->streaming && isEvents)
+        startStream(*live);
+}
+
+auto request_router::received(std::uint64_t number, std::string_view data) -> void
+{
+    auto *live = find(number);
+    if (live == nullptr || live->streamStopped)
+        return;
+    if (!live->streaming) {
+        live->collected += data;
+        return;
+    }
+    const auto part = live->relay.take(data);
+    if (part.differs) {
+        live->call.cancel();
+        failPlaced(*live, result_code::answer_cut);
+        return;
+    }
+    live->streamStopped = part.stopped;
+    if (part.events == 0)
+        return;
+    if (!std::exchange(live->firstTokenSeen, true))
+        m_dispatcher.firstToken(number, m_clock.now());
+    live->tokens += part.events;
+    m_dispatcher.progressed(number, part.events);
+    live->exchange->sendChunk(part.pass);
+}
+
+auto request_router::ended(std::uint64_t number, const agent_call_end &end) -> void
+{
+    auto *live = find(number);
+    if (live == nullptr)
+        return;
+    live->call = {};
+    if (live->streamStopped) {
+        const auto code = *std::exchange(live->streamStopped, std::nullopt);
+        endedLost(*live,
+                  {.reason = {.code = code, .message = "the stream was stopped"}, .told = true});
+    } else if (std::holds_alternative<answered>(end)) {
+        endedWhole(*live);
+    } else if (const auto *refusal = std::get_if<not_run>(&end)) {
+        retry(*live, refusal->code);
+    } else {
+        endedLost(*live, std::get<lost>(end));
+    }
+    m_dispatcher.tick(m_clock.now(), m_actions);
+    carryOut();
+}
+
+auto request_router::endedWhole(live_request &live) -> void
+{
+    const auto now = m_clock.now();
+    m_dispatcher.finished(live.number, result_code::ok, live.tokens, now);
+    m_log.write(requestFinished, field("request", live.id), field("attempt", live.attempt),
+                field("endpoint", live.endpoint), field("status", live.start.status),
+                field("tokens", live.tokens),
+                field("total_ms", toMilliseconds(now - live.arrivedAt)));
+    countResult(live.request.tier, result_code::ok);
+    if (live.claimed)
+        m_claims.finished(live);
+    replyWhole(live);
+    forget(live.number);
+}
+
+auto request_router::endedLost(live_request &live, const lost &loss) -> void
+{
+    m_log.write(requestLost, field("request", live.id), field("attempt", live.attempt),
+                field("endpoint", live.endpoint), field("code", number(loss.reason.code)),
+                field("sent", loss.sent), field("told", loss.told),
+                field("reason", loss.reason.message));
+    const auto endpointFailed = loss.reason.code == result_code::endpoint_failed
+                                || loss.reason.code == result_code::answer_cut;
+    if (!loss.told || endpointFailed)
+        m_dispatcher.reportFailure(live.endpoint, m_clock.now());
+    if (!loss.sent)
+        retry(live, result_code::connection_failed);
+    else if (live.request.idempotent && mayGoOn(live, loss.reason.code))
+        retry(live, loss.reason.code);
+    else if (live.streaming || live.request.idempotent)
+        failPlaced(live, loss.told ? loss.reason.code : result_code::answer_cut);
+    else if (loss.told)
+        failPlaced(live, result_code::outcome_unknown);
+    else
+        resolveFate(live.number);
+}
+
+auto request_router::mayGoOn(live_request &live, result_code code) -> bool
+{
+    // Another attempt would meet the same end.
+    const auto isFinal
+        = code == result_code::deadline_exceeded || code == result_code::answer_too_large;
+    return !isFinal && (!live.streaming || live.relay.restart());
+}
+
+auto request_router::resolveFate(std::uint64_t number) -> void
+{
+    auto *live = find(number);
+    if (live == nullptr)
+        return;
+    const auto *endpoint = m_config.endpoint(live->endpoint);
+    const auto expired = m_clock.now() - live->arrivedAt >= live->request.deadline;
+    if (endpoint == nullptr || expired || live->bootAtSend.empty()) {
+        failPlaced(*live, result_code::outcome_unknown);
+        return;
+    }
+    const auto agent = parseAddress(endpoint->agent_address());
+    askFate(m_http, agent, live->id, live->attempt,
+            [this, number, agent](const fate_answer &answer) {
+                if (auto *waiting = find(number))
+                    settleFate(*waiting, agent, answer);
+                carryOut();
+            });
+}
+
+auto request_router::settleFate(live_request &live, const socket_address &agent,
+                                const fate_answer &answer) -> void
+{
+    const auto replaced = !answer.boot.empty() && answer.boot != live.bootAtSend;
+    if (replaced || answer.fate == request_fate::failed) {
+        failPlaced(live, result_code::outcome_unknown);
+    } else if (answer.fate == request_fate::not_run) {
+        retry(live, result_code::not_run);
+    } else if (answer.fate == request_fate::done) {
+        // The agent repeats the answer of a request that it has run, and does not run it again.
+        send(live, agent);
+    } else {
+        live.retryTimer
+            = m_loop.after(fateRetryPause, [this, number = live.number] { resolveFate(number); });
+    }
+}
+
+auto request_router::retry(live_request &live, result_code code) -> void
+{
+    m_log.write(requestNotRun, field("request", live.id), field("attempt", live.attempt),
+                field("endpoint", live.endpoint), field("code", number(code)));
+    if (live.phase == live_phase::fetching) {
+        failPlaced(live, result_code::outcome_unknown);
+        return;
+    }
+    live.phase = live_phase::queued;
+    live.mayHaveRun = false;
+    m_dispatcher.notRun(live.number, code, m_clock.now(), m_actions);
+    carryOut();
+}
+
+} // namespace mustardline
--- a/packages/platform/log_client.cpp
+++ b/packages/platform/log_client.cpp
@@ -16,11 +16,6 @@
     return std::holds_alternative<std::monostate>(outcome) && answer.status == status;
 }
 
-auto milliseconds(duration value) -> std::int64_t
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 } // namespace
 
 log_client::log_client(event_loop &loop, http_client &http, log_client_options options)
@@ -116,7 +111,7 @@
         = m_http.fetch(m_options.address,
                        {.path = url("read")
                                 + fmt::format("?from={}&max={}&wait_ms={}", m_next,
-                                              m_options.maxEntriesPerRead, milliseconds(wait)),
+                                              m_options.maxEntriesPerRead, toMilliseconds(wait)),
                         .idleTimeout = wait + m_options.callTimeout},
                        [this](const http_outcome &outcome, const http_answer &answer,
                               const std::string &body) { readAnswered(outcome, answer, body); });
