--- a/packages/policy/account_limits.h
+++ b/packages/policy/account_limits.h
@@ -45,9 +45,6 @@
 
     [[nodiscard]] auto open(std::uint32_t account) const -> std::uint32_t;
 
-    // Bytes held for each account, for the capacity figures.
-    [[nodiscard]] static constexpr auto bytesPerAccount() -> std::size_t { return sizeof(row); }
-
 private:
     struct row
     {
--- a/packages/policy/class_queue.h
+++ b/packages/policy/class_queue.h
@@ -63,12 +63,6 @@
     [[nodiscard]] auto empty() const -> bool { return m_size == 0; }
     [[nodiscard]] auto options() const -> const class_queue_options & { return m_options; }
 
-    // Bytes held for each account seen, for the capacity figures.
-    [[nodiscard]] static constexpr auto bytesPerAccount() -> std::size_t
-    {
-        return sizeof(flow) + sizeof(std::uint32_t) * 5;
-    }
-
 private:
     // The line of one account.
     struct flow
--- a/packages/policy/drain_estimate.h
+++ b/packages/policy/drain_estimate.h
@@ -61,7 +61,6 @@
     {
         return m_holdSeconds == 0 ? 0 : std::max<double>(m_inFlight, m_load) / m_holdSeconds;
     }
-    [[nodiscard]] auto holdSeconds() const -> double { return m_holdSeconds; }
     // Mean time to the first token and between tokens; 0 if not known.
     [[nodiscard]] auto firstTokenSeconds() const -> double { return m_firstTokenSeconds; }
     // What the fastest part of the requests needs, without waiting at the endpoint.
--- a/packages/policy/size_estimator.h
+++ b/packages/policy/size_estimator.h
@@ -50,12 +50,6 @@
     [[nodiscard]] auto mean(std::uint32_t requestClass, std::uint32_t account) const
         -> std::uint32_t;
 
-    // Bytes held for each account and class, for the capacity figures.
-    [[nodiscard]] static constexpr auto bytesPerAccount() -> std::size_t
-    {
-        return sizeof(std::pair<const std::uint64_t, length_histogram>) + 2 * sizeof(void *);
-    }
-
 private:
     [[nodiscard]] auto histogramFor(std::uint32_t requestClass, std::uint32_t account) const
         -> const length_histogram *;
--- a/packages/policy/testing/run_report.cpp
+++ b/packages/policy/testing/run_report.cpp
@@ -26,9 +26,9 @@
 {
     auto lines = fmt::format(
         "{} {} goodput={:.0f} used_places={:.3f} wasted={:.4f} worst_share={:.3f} preemptions={} "
-        "inversions={} cold_load={:.2f} endpoint_seconds={:.0f}/{:.0f}\n",
+        "inversions={} cold_load={:.2f}\n",
         workload, router, goodput, usedPlaces, wasted, worstShare(), preemptions, inversions,
-        coldLoad, endpointSeconds, leastEndpointSeconds);
+        coldLoad);
     for (const auto &row : classes)
         lines += fmt::format(
             "    tier={} class={} offered={} attainment={:.4f} answered={} "
--- a/packages/policy/testing/run_report.h
+++ b/packages/policy/testing/run_report.h
@@ -47,9 +47,6 @@
     std::uint64_t inversions = 0;
     // Most that a cold engine was made to run at once, over what it can bear; 1 is at the limit.
     double coldLoad = 0;
-    // Slots of endpoints paid for, and the least that the work done needs.
-    double endpointSeconds = 0;
-    double leastEndpointSeconds = 0;
 
     [[nodiscard]] auto find(std::string_view name) const -> const class_report *;
     [[nodiscard]] auto worstShare() const -> double;
--- a/packages/policy/token_bucket.h
+++ b/packages/policy/token_bucket.h
@@ -44,9 +44,6 @@
         return true;
     }
 
-    // Gives back a token that was taken for nothing.
-    auto giveBack() -> void { m_tokens = std::min(m_options.burst, m_tokens + 1); }
-
     // Time until one token is there.
     [[nodiscard]] auto timeToNext() const -> duration
     {
