Count usage as durable by answered appends, and let an entry do without duties

An agent's push begins after the last delta that it was told is durable, so answered appends leave no gap. A request whose agent tells of a conflicting idempotency key is no longer retried as not run.

--- a/packages/entry/agent_call.cpp
+++ b/packages/entry/agent_call.cpp
@@ -137,6 +137,7 @@
         case result_code::deadline_exceeded:
         case result_code::answer_too_large:
         case result_code::cancelled:
+        case result_code::idempotency_conflict:
         case result_code::timeout:
         case result_code::connection_failed:
         case result_code::internal:
--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -48,7 +48,7 @@
                    .window = m_settings.usageWindow,
                    .closeDelay = m_settings.usageCloseDelay,
                    .shards = m_settings.usageShards}),
-      m_usage(m_log, m_usageDuty.stream(), m_usageDuty.ledger(), {.entryName = m_settings.name}),
+      m_usage(m_log, m_usageDuty.stream(), {.entryName = m_settings.name}),
       m_orders(m_loop, m_http, m_log, m_leases, m_config,
                {.entryName = m_settings.name, .ordersAddress = m_settings.orders}),
       m_claims(m_loop, m_http, m_log, {.entryName = m_settings.name, .logAddress = m_settings.log}),
@@ -103,8 +103,10 @@
     m_dutyTimer = m_loop.every(dutyPeriod, [this] { tickDuties(); });
     m_follower.start();
     m_claims.start();
-    m_leases.start();
-    m_usageDuty.start();
+    if (m_settings.duties) {
+        m_leases.start();
+        m_usageDuty.start();
+    }
     m_loop.run();
     m_log.write(entryStopped, field("live", m_router.liveCount()));
     return m_exitStatus;
@@ -173,8 +175,10 @@
 
 auto entry_process::tickDuties() -> void
 {
-    m_leases.tick();
     m_follower.tick();
+    if (!m_settings.duties)
+        return;
+    m_leases.tick();
     m_usageDuty.tick();
     m_orders.tick();
 }
--- a/packages/entry/request_router_answers.cpp
+++ b/packages/entry/request_router_answers.cpp
@@ -105,7 +105,9 @@
     else if (live.streaming || live.request.idempotent)
         failPlaced(live, loss.told ? loss.reason.code : result_code::answer_cut);
     else if (loss.told)
-        failPlaced(live, result_code::outcome_unknown);
+        failPlaced(live, loss.reason.code == result_code::idempotency_conflict
+                             ? loss.reason.code
+                             : result_code::outcome_unknown);
     else
         resolveFate(live.number);
 }
