--- a/packages/platform/testing/log_client_test.cpp
+++ b/packages/platform/testing/log_client_test.cpp
@@ -21,6 +21,13 @@
                 .longestBackoff = milliseconds(5)};
     }
 
+    // Lets the loop finish what a client that has just gone left to it.
+    auto TearDown() -> void override
+    {
+        m_loop.post([this] { m_loop.stop(); });
+        m_loop.run();
+    }
+
     // Runs the loop until the condition holds; a hang is ended by the test's own time limit.
     auto runUntil(const std::function<auto()->bool> &condition) -> void
     {
