--- a/packages/policy/testing/dispatcher_test.cpp
+++ b/packages/policy/testing/dispatcher_test.cpp
@@ -11,7 +11,7 @@
 class DispatcherTest : public testing::Test
 {
 protected:
-    auto addEndpoint(std::string id, std::uint32_t window) -> void
+    auto addEndpoint(const std::string &id, std::uint32_t window) -> void
     {
         m_core.setEndpoint(
             {.id = id, .dataCentre = "tuzla", .serves = {"model"}, .maxConcurrency = window},
--- a/packages/policy/testing/policy_modules_test.cpp
+++ b/packages/policy/testing/policy_modules_test.cpp
@@ -188,6 +188,7 @@
     return_schedule returns;
     random_source random(1);
     std::vector<duration> told;
+    told.reserve(200);
     for (int count = 0; count < 200; ++count)
         told.push_back(returns.retryAfter(1s, 10, random, {}));
     std::ranges::sort(told);
