--- a/packages/policy/testing/policy_bench.cpp
+++ b/packages/policy/testing/policy_bench.cpp
@@ -1,6 +1,8 @@
 // Prints what the product and the baselines reach on the seeded workloads.
 //
-//     policy_bench [SEEDS [WORKLOAD]]
+//     policy_bench [SEEDS [WORKLOAD [no-resume]]]
+//
+// With no-resume a stopped answer starts again from nothing.
 
 #include <cstdlib>
 #include <string_view>
@@ -40,8 +42,10 @@
     using namespace mustardline;
     const auto seeds = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
     const std::string_view wanted = argc > 2 ? argv[2] : "";
+    const bool isWithoutResume = argc > 3 && std::string_view(argv[3]) == "no-resume";
     for (const auto &base : {kartkalkanNight(), feiraSulReviews()}) {
-        for (const auto &load : withFaults(base)) {
+        for (auto &load : withFaults(base)) {
+            load.resumes = !isWithoutResume;
             if (!wanted.empty() && load.name != wanted)
                 continue;
             for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
