Round the load of other entries once for each report

Cause: policy_cost_full failed with 6388 to 6575 instructions after the linter's lround went into endpoint_table::load, which a choice calls for every member. After (ctest -R policy_cost): 4059 to 4244 with room, 5670 to 5797 full, both pass.

--- a/packages/policy/endpoint_table.cpp
+++ b/packages/policy/endpoint_table.cpp
@@ -1,6 +1,7 @@
 #include "policy/endpoint_table.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "policy/durations.h"
 
@@ -79,6 +80,7 @@
     // What others had long ago says little of now; their mean says more.
     const auto weight = load.age > freshAge ? staleWeight : 1;
     row.others += (others - row.others) * weight;
+    row.othersCount = static_cast<std::uint32_t>(std::lround(row.others));
     row.window = load.window + (load.age > freshAge ? staleSlack : 0);
     row.reportedAt = now;
     if (total < load.window && load.age <= freshAge)
--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -15,7 +15,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -49,6 +48,8 @@
     std::array<time_point, lowestTier + 1> newestByTier{};
     // Requests of other entries there, by the reports; their mean over old reports.
     double others = 0;
+    // The same as a whole number.
+    std::uint32_t othersCount = 0;
     // The highest `own` in each of the last spans of time, to set against an old report.
     std::array<std::uint16_t, 16> ownHistory{};
     std::int64_t historySpan = 0;
@@ -154,7 +155,7 @@
 {
     const auto &row = m_rows[index];
     const auto age = now - row.reportedAt;
-    const auto others = static_cast<std::uint32_t>(std::lround(row.others));
+    const auto others = row.othersCount;
     if (age < reportFreshness)
         return row.own + others;
     if (age < reportFreshness * 2)
