Read a stopped stream as its entry does in the agent's tests

Cause: a stopped event stream now ends in good order with a comment that names the result, so that the entry knows why; three tests took the order of its end for wholeness. Wholeness is now what the entry makes of it: an end in order and no such comment. No expectation was changed.

--- a/packages/agent/testing/agent_fixture.h
+++ b/packages/agent/testing/agent_fixture.h
@@ -93,7 +93,10 @@
              .onDone =
                  [seen](const http_outcome &outcome) {
                      seen->ended = true;
-                     seen->whole = std::holds_alternative<std::monostate>(outcome);
+                     // An event stream that the agent stopped says so in a comment instead.
+                     const auto isStopped
+                         = seen->body.find("\n: mustardline-result ") != std::string::npos;
+                     seen->whole = std::holds_alternative<std::monostate>(outcome) && !isStopped;
                  }});
         return seen;
     }
