--- a/packages/policy/concurrency_window.cpp
+++ b/packages/policy/concurrency_window.cpp
@@ -16,7 +16,11 @@
 constexpr double typicalWeight = 0.2;  // of a new sample
 constexpr double congestedShrink = 0.8;
 constexpr double failedShrink = 0.5;
-constexpr double growFillRatio = 0.5; // of the window that must have been in use
+// Part of the window that must have been in use for it to grow. Until the endpoint is known to be
+// warm all of it must; otherwise two answers at once would grow it twice, on the evidence of the
+// smaller window.
+constexpr double warmFillRatio = 0.5;
+constexpr double freshFillRatio = 1.0;
 // Below this a first token is never taken as late; timers and scheduling dominate.
 constexpr duration noticeable = std::chrono::milliseconds(5);
 constexpr duration shortestShrinkGap = std::chrono::milliseconds(50);
@@ -54,10 +58,15 @@
         shrink(0, now);
     else if (late)
         shrink(congestedShrink, now);
-    else if (!mayBeCold(sample, now) && static_cast<double>(running) >= m_size * growFillRatio)
+    else if (!mayBeCold(sample, now) && static_cast<double>(running) >= m_size * fillRatio())
         grow();
 }
 
+auto concurrency_window::fillRatio() const -> double
+{
+    return m_isWarm ? warmFillRatio : freshFillRatio;
+}
+
 auto concurrency_window::outstanding(const first_token_sample &sample, time_point now) -> void
 {
     if (collapsed(sample))
--- a/packages/policy/concurrency_window.h
+++ b/packages/policy/concurrency_window.h
@@ -65,6 +65,7 @@
     [[nodiscard]] auto typicalLatency(std::uint32_t promptTokens) const -> duration;
 
 private:
+    [[nodiscard]] auto fillRatio() const -> double;
     [[nodiscard]] auto mayBeCold(const first_token_sample &sample, time_point now) -> bool;
     [[nodiscard]] auto congested(const first_token_sample &sample) const -> bool;
     [[nodiscard]] auto collapsed(const first_token_sample &sample) const -> bool;
--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -116,7 +116,7 @@
     const auto latency = now - row.placedAt;
     m_state->endpoints.firstToken(row.endpoint, latency, now);
     m_state->prefixes.stored(row.prefixHash, row.endpoint);
-    m_state->paceOf(row).firstToken(latency);
+    m_state->paceOf(row).firstToken(latency, now);
 }
 
 auto dispatcher::progressed(std::uint64_t request, std::uint32_t tokens) -> void
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -342,7 +342,7 @@
                      .endpoint = endpoints.at(choice.endpoint).id,
                      .attempt = row.attempt,
                      .resumeFrom = row.generatedTokens,
-                     .expectedFirstToken = fromSeconds(paceOf(row).fastFirstTokenSeconds()),
+                     .expectedFirstToken = fromSeconds(paceOf(row).fastFirstTokenSeconds(now)),
                      .reason = choice.reason,
                      .considered = describeConsidered(choice, now)});
     endpoints.placed(choice.endpoint, row.tier, now);
--- a/packages/policy/drain_estimate.h
+++ b/packages/policy/drain_estimate.h
@@ -41,9 +41,11 @@
 
     // A request was answered after holding its place for `held`.
     auto answered(duration held) -> void { follow(m_holdSeconds, toSeconds(held), weight); }
-    auto firstToken(duration latency) -> void
+    auto firstToken(duration latency, time_point now) -> void
     {
         const auto sample = toSeconds(latency);
+        if (m_firstTokenSeconds == 0)
+            m_measuredSince = now;
         follow(m_firstTokenSeconds, sample, weight);
         follow(m_fastFirstTokenSeconds, sample,
                sample < m_fastFirstTokenSeconds ? fallWeight : riseWeight);
@@ -64,7 +66,11 @@
     // Mean time to the first token and between tokens; 0 if not known.
     [[nodiscard]] auto firstTokenSeconds() const -> double { return m_firstTokenSeconds; }
     // What the fastest part of the requests needs, without waiting at the endpoint.
-    [[nodiscard]] auto fastFirstTokenSeconds() const -> double { return m_fastFirstTokenSeconds; }
+    // 0 for the first while, when every endpoint may be as fresh as the next.
+    [[nodiscard]] auto fastFirstTokenSeconds(time_point now) const -> double
+    {
+        return now - m_measuredSince < settleTime ? 0 : m_fastFirstTokenSeconds;
+    }
     [[nodiscard]] auto tokenSeconds() const -> double { return m_tokenSeconds; }
 
 private:
@@ -72,12 +78,14 @@
     // A fall is followed faster than a rise, which leaves about the fastest.
     static constexpr double fallWeight = 0.5;
     static constexpr double riseWeight = 0.01;
+    static constexpr duration settleTime = std::chrono::seconds(10);
 
     std::uint32_t m_inFlight = 0;
     double m_load = 0;
     double m_holdSeconds = 0;
     double m_firstTokenSeconds = 0;
     double m_fastFirstTokenSeconds = 0;
+    time_point m_measuredSince{};
     double m_tokenSeconds = 0;
 };
 
--- a/packages/proofs/testing/session_agent.cpp
+++ b/packages/proofs/testing/session_agent.cpp
@@ -108,6 +108,8 @@
                     .preemptible = live.request.idempotent,
                     .promptTokens = live.message.tokens,
                     .firstTokenTarget = live.request.firstTokenTarget,
+                    .expectedFirstToken = live.request.expectedFirstToken,
+                    .waited = live.request.waited + waited,
                     .deadline = live.request.deadline - waited},
                    m_owner.world().now(), m_actions);
     carryOut();
--- a/packages/proofs/testing/session_entry.cpp
+++ b/packages/proofs/testing/session_entry.cpp
@@ -174,6 +174,7 @@
     auto &live = m_live.at(action.request);
     live.endpoint = action.endpoint;
     live.attempt = action.attempt;
+    live.expectedFirstToken = action.expectedFirstToken;
     note(fmt::format("place request={} attempt={} endpoint={} reason={} considered={} waited={}ms",
                      action.request, action.attempt, action.endpoint, action.reason,
                      action.considered, milliseconds(now() - live.arrivedAt)));
@@ -216,6 +217,9 @@
     add("mustardline-deadline-ms",
         std::to_string(milliseconds(std::max<duration>(remaining, 1ms))));
     add("mustardline-first-token-ms", std::to_string(milliseconds(live.request.firstTokenTarget)));
+    add("mustardline-expected-first-token-ms",
+        std::to_string(milliseconds(live.expectedFirstToken)));
+    add("mustardline-waited-ms", std::to_string(milliseconds(now() - live.arrivedAt)));
     add("mustardline-idempotent", live.request.idempotent ? "1" : "0");
     add("mustardline-route", live.request.route);
     add("mustardline-method", live.request.method);
--- a/packages/proofs/testing/session_entry.h
+++ b/packages/proofs/testing/session_entry.h
@@ -53,6 +53,7 @@
         time_point arrivedAt;
         std::string endpoint;
         std::uint32_t attempt = 0;
+        duration expectedFirstToken{};
         std::uint64_t bootAtSend = 0;
         std::shared_ptr<call_link> link;
         bool streaming = false;
