--- a/packages/agent/agent_settings.cpp
+++ b/packages/agent/agent_settings.cpp
@@ -29,6 +29,8 @@
     {"listen.port", integer, "", 0, maxPort, "0", "Its port; 0 lets the kernel choose."},
     {"control.address", text, "", 0, 0, "127.0.0.1", "IP address for control messages."},
     {"control.port", integer, "", 0, maxPort, "0", "Its port; 0 lets the kernel choose."},
+    {"control.period_ms", integer, "", 20, maxMilliseconds, "12000",
+     "Pause between two questions to an entry when nothing presses."},
     {"endpoint_address", text, "", 0, 0, "", "Where the endpoint listens, as IP:PORT."},
     {"entries", texts, "", 0, 0, "none", "Control addresses of a few entries, as IP:PORT."},
     {"log.format", text, "key_value, json", 0, 0, "key_value", "Form of a log line."},
@@ -183,6 +185,7 @@
     auto control = reader.object("control");
     settings.controlAddress = readText(control, "control.address");
     settings.controlPort = static_cast<std::uint16_t>(readInteger(control, "control.port"));
+    settings.controlPeriod = readDuration(control, "control.period_ms");
     reader.absorb(control);
 
     const auto endpointAddress = readText(reader, "endpoint_address");
--- a/packages/agent/agent_settings.h
+++ b/packages/agent/agent_settings.h
@@ -58,6 +58,7 @@
     std::uint16_t listenPort = 0;
     std::string controlAddress;
     std::uint16_t controlPort = 0;
+    duration controlPeriod{};
     socket_address endpointAddress;
     // Control addresses of a few entries.
     std::vector<socket_address> entries;
--- a/packages/agent/control_link.cpp
+++ b/packages/agent/control_link.cpp
@@ -8,6 +8,13 @@
 
 namespace mustardline {
 
+namespace {
+
+// An agent is asked for the configuration by nobody but an entry that has lost it.
+constexpr std::size_t keptRecordBytes = 64U << 10U;
+
+} // namespace
+
 peer_channel::peer_channel(event_loop &loop, std::span<const socket_address> peers,
                            duration timeout)
 {
@@ -39,6 +46,7 @@
                            control_link_options options)
     : m_loop(loop),
       m_config(config),
+      m_feed(config, {.maxKeptBytes = keptRecordBytes}),
       m_usage(usage),
       m_log(log),
       m_options(std::move(options)),
@@ -63,7 +71,7 @@
     if (m_askAgain)
         return;
     auto request = makeRequest();
-    request.mutable_catch_up()->set_after_offset(m_config.offset());
+    *request.mutable_catch_up() = m_feed.request();
     m_catchUpPeer.send(request, [this](const result<v1::ControlReply> &reply) { caughtUp(reply); });
 }
 
@@ -99,33 +107,20 @@
             catchUp();
         return;
     }
-    const auto &answered = std::get<v1::ControlReply>(reply);
     const auto before = m_config.offset();
-    fold(answered.catch_up());
+    const auto &answered = std::get<v1::ControlReply>(reply).catch_up();
+    const auto moved = m_feed.take(answered);
     if (before == 0 && m_config.offset() > 0)
         m_log.write(event::configurationLoaded, field("offset", m_config.offset()));
-    if (m_askAgain || (answered.catch_up().more() && m_config.offset() > before))
+    // Further records follow, or the next part of a snapshot, or the records after it.
+    if (m_askAgain || (moved && (answered.more() || answered.has_part())))
         catchUp();
+    else if (m_config.offset() == 0)
+        m_startTimer = m_loop.after(m_options.startPeriod, [this] { catchUp(); });
     if (m_config.offset() > before && m_onConfiguration)
         m_onConfiguration();
 }
 
-auto control_link::fold(const v1::CatchUpReply &reply) -> void
-{
-    if (reply.has_snapshot())
-        m_config.restore(reply.snapshot());
-    for (const auto &entry : reply.records()) {
-        if (entry.offset() <= m_config.offset())
-            continue;
-        v1::LogRecord record;
-        const auto follows = entry.offset() == m_config.offset() + 1;
-        // Beyond a gap, or a record that does not decode, nothing can be folded.
-        if (!follows || !record.ParseFromString(entry.record()))
-            return;
-        m_config.apply(entry.offset(), record);
-    }
-}
-
 auto control_link::usageAnswered(const result<v1::ControlReply> &reply) -> void
 {
     const auto *fault = failed(reply);
@@ -157,12 +152,8 @@
         catchUp();
     if (request.has_load())
         *reply.mutable_load() = load;
-    if (request.has_catch_up()) {
-        auto *answered = reply.mutable_catch_up();
-        // An agent keeps no records, so whoever is behind gets everything.
-        if (request.catch_up().after_offset() < m_config.offset())
-            *answered->mutable_snapshot() = m_config.snapshot();
-    }
+    if (request.has_catch_up())
+        *reply.mutable_catch_up() = m_feed.answer(request.catch_up());
     return reply.SerializeAsString();
 }
 
--- a/packages/agent/control_link.h
+++ b/packages/agent/control_link.h
@@ -26,6 +26,7 @@
 #include "net/control_socket.h"
 #include "net/event_loop.h"
 #include "platform/configuration.h"
+#include "platform/configuration_feed.h"
 
 namespace mustardline {
 
@@ -36,7 +37,11 @@
     // Endpoint id and boot of this agent.
     std::string sender;
     std::uint64_t boot = 0;
-    duration period = std::chrono::seconds(1);
+    // Pause between two questions when nothing presses: a request that names a newer configuration
+    // is reason to ask at once.
+    duration period = std::chrono::seconds(12);
+    // The same while there is no configuration yet.
+    duration startPeriod = std::chrono::seconds(1);
     duration timeout = std::chrono::seconds(1);
     // Time for the connections to be made before the first request.
     duration startDelay = std::chrono::milliseconds(50);
@@ -94,11 +99,11 @@
 private:
     [[nodiscard]] auto makeRequest() const -> v1::ControlRequest;
     auto caughtUp(const result<v1::ControlReply> &reply) -> void;
-    auto fold(const v1::CatchUpReply &reply) -> void;
     auto usageAnswered(const result<v1::ControlReply> &reply) -> void;
 
     event_loop &m_loop;
     configuration &m_config;
+    configuration_feed m_feed;
     usage_meter &m_usage;
     logger &m_log;
     control_link_options m_options;
--- a/packages/agent/testing/control_link_test.cpp
+++ b/packages/agent/testing/control_link_test.cpp
@@ -119,6 +119,21 @@
     EXPECT_EQ(m_offsets, (std::vector<std::uint64_t>{8, 9}));
 }
 
+TEST_F(ControlLinkTest, fetchesALargeSnapshotInParts)
+{
+    configuration_feed feed(m_published, {.snapshotSplit = {.maxPartBytes = 64}});
+    auto asked = 0;
+    fake_entry entry(m_loop);
+    entry.answer = [&](const v1::ControlRequest &request, v1::ControlReply &reply) {
+        ++asked;
+        *reply.mutable_catch_up() = feed.answer(request.catch_up());
+    };
+    start({addressOf(entry)});
+    until([&] { return m_config.offset() == 8; });
+    EXPECT_GT(asked, 5);
+    EXPECT_EQ(m_config.snapshot().SerializeAsString(), m_published.snapshot().SerializeAsString());
+}
+
 TEST_F(ControlLinkTest, foldsNothingBeyondAGapAndNeverGoesBack)
 {
     fake_entry entry(m_loop);
@@ -195,10 +210,16 @@
     EXPECT_EQ(ask(request).load().window(), 5U);
     EXPECT_EQ(ask(request).configuration_offset(), 8U);
     request.mutable_catch_up()->set_after_offset(3);
-    EXPECT_EQ(ask(request).catch_up().snapshot().offset(), 8U);
+    const auto part = ask(request).catch_up().part();
+    EXPECT_EQ(part.covers_offset(), 8U);
+    EXPECT_EQ(part.parts(), 1U);
+    v1::ConfigurationSnapshot snapshot;
+    ASSERT_TRUE(snapshot.ParseFromString(part.data()));
+    EXPECT_EQ(snapshot.offset(), 8U);
     request.mutable_catch_up()->set_after_offset(8);
     EXPECT_TRUE(ask(request).has_catch_up());
     EXPECT_FALSE(ask(request).catch_up().has_snapshot());
+    EXPECT_FALSE(ask(request).catch_up().has_part());
     v1::ControlReply reply;
     reply.ParseFromString(m_link->answer("not a message", {}));
     EXPECT_EQ(reply.configuration_offset(), 8U);
--- a/packages/entry/configuration_follower.cpp
+++ b/packages/entry/configuration_follower.cpp
@@ -7,6 +7,13 @@
 
 namespace mustardline {
 
+namespace {
+
+// Long enough for a peer to fetch all parts of one snapshot.
+constexpr auto snapshotKeepTime = std::chrono::seconds(10);
+
+} // namespace
+
 configuration_follower::configuration_follower(event_loop &loop, http_client &http, logger &log,
                                                configuration &config, duty_leases &leases,
                                                configuration_follower_options options)
@@ -98,8 +105,12 @@
 
 auto configuration_follower::writeSnapshotIfDue() -> void
 {
-    m_feed.dropSnapshot();
-    if (!m_snapshotLease.holds(m_clock.now()) || !m_snapshots.isDue(m_config.offset()))
+    const auto now = m_clock.now();
+    if (now >= m_dropSnapshotAt) {
+        m_feed.dropSnapshot();
+        m_dropSnapshotAt = now + snapshotKeepTime;
+    }
+    if (!m_snapshotLease.holds(now) || !m_snapshots.isDue(m_config.offset()))
         return;
     m_snapshots.started(m_config.offset());
     const auto data = m_config.snapshot().SerializeAsString();
--- a/packages/entry/configuration_follower.h
+++ b/packages/entry/configuration_follower.h
@@ -89,6 +89,7 @@
     configuration_gossip m_gossip;
     record_namer m_namer;
     snapshot_schedule m_snapshots{{}};
+    time_point m_dropSnapshotAt{};
     const lease_holder &m_snapshotLease;
     std::map<std::string, std::unique_ptr<control_client>> m_peers;
     stream_follower m_stream;
--- a/packages/standin/testing/fleet.cpp
+++ b/packages/standin/testing/fleet.cpp
@@ -192,6 +192,7 @@
                   {"entries", json::array()}};
     for (const auto &entry : m_entries)
         settings["entries"].push_back(textOf(entry.control));
+    settings["control"]["period_ms"] = 200;
     settings.merge_patch(m_options.agentSettings);
     return settings;
 }
