--- a/packages/proofs/testing/parser_fuzzer.cpp
+++ b/packages/proofs/testing/parser_fuzzer.cpp
@@ -7,6 +7,7 @@
 
 #include "proofs/testing/parser_properties.h"
 
+// The name is libFuzzer's. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size) -> int
 {
     using mustardline::proofs::parser_properties;
