Write a chat body once, and look for hidden keys only behind escapes

Cause: by callgrind half of what the entry spends on reading a request was writing the messages twice, and a tenth undoing percent escapes that were not there.

--- a/packages/entry/caller_request.cpp
+++ b/packages/entry/caller_request.cpp
@@ -120,12 +120,17 @@
     return parsed;
 }
 
+auto written(const nlohmann::json &value) -> std::string
+{
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 auto readModelBody(const caller_message &message, caller_request &request) -> status
 {
     auto outcome = normaliseJson(message.body);
     if (const auto *refused = failed(outcome))
         return *refused;
-    const auto &body = std::get<nlohmann::json>(outcome);
+    auto &body = std::get<nlohmann::json>(outcome);
     const auto isObject = body.is_object();
     if (!isObject || !body.contains("model") || !body["model"].is_string())
         return fault(result_code::bad_request, "the body must be an object that names a model");
@@ -135,11 +140,14 @@
         return fault(result_code::bad_request, "stream must be true or false");
     request.target = body["model"].get<std::string>();
     request.streamed = body.value("stream", false);
-    const auto prompt
-        = body["messages"].dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const auto prompt = written(body["messages"]);
     request.promptTokens = static_cast<std::uint32_t>(prompt.size() / bytesPerToken);
     request.prefixHash = fastHash(std::string_view(prompt).substr(0, prefixBytes));
-    request.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    // The messages are most of the body, and are not written a second time.
+    body.erase("messages");
+    request.body = written(body);
+    request.body.pop_back();
+    request.body += fmt::format(",\"messages\":{}}}", prompt);
     return std::monostate();
 }
 
@@ -149,8 +157,7 @@
         auto outcome = normaliseJson(message.body);
         if (const auto *refused = failed(outcome))
             return *refused;
-        request.body = std::get<nlohmann::json>(outcome).dump(
-            -1, ' ', false, nlohmann::json::error_handler_t::replace);
+        request.body = written(std::get<nlohmann::json>(outcome));
         return std::monostate();
     }
     request.body = message.body;
--- a/packages/entry/key_text.cpp
+++ b/packages/entry/key_text.cpp
@@ -59,8 +59,12 @@
 auto holdsKey(std::string_view text) -> bool
 {
     auto plain = std::string(text);
+    if (redactKeys(plain) > 0)
+        return true;
+    if (text.find('%') == std::string_view::npos)
+        return false;
     auto decoded = percentDecoded(text);
-    return redactKeys(plain) > 0 || redactKeys(decoded) > 0;
+    return redactKeys(decoded) > 0;
 }
 
 } // namespace mustardline
