--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr auto tickPeriod = std::chrono::milliseconds(5);
+constexpr auto tickPeriod = std::chrono::milliseconds(10);
 constexpr auto sweepPeriod = std::chrono::milliseconds(50);
 constexpr auto dutyPeriod = std::chrono::milliseconds(100);
 constexpr auto drainPoll = std::chrono::milliseconds(20);
