Mend two faults that the sanitizers found in the parsers

Cause: memmem was called on an empty view, which may hold a null pointer; and a header's number out of range was refused but still converted, overflowing nanoseconds. After: ParserTest passes under both sanitizers.

--- a/packages/agent/run_request.cpp
+++ b/packages/agent/run_request.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t idDigits = 32;
 constexpr int hexadecimal = 16;
 constexpr std::uint32_t lowestTier = 6;
+// A day, the longest deadline that a class may have.
 constexpr std::uint64_t maxDeadlineMilliseconds = 24ULL * 3600 * 1000;
 constexpr std::size_t maxIdempotencyKeyLength = 255;
 
@@ -46,8 +47,10 @@
         std::uint64_t number = 0;
         const auto *end = value.data() + value.size();
         const auto parsed = std::from_chars(value.data(), end, number);
-        if (parsed.ec != std::errc() || parsed.ptr != end || number < lowest || number > highest)
+        if (parsed.ec != std::errc() || parsed.ptr != end || number < lowest || number > highest) {
             fail(name, value);
+            return lowest;
+        }
         return number;
     }
 
--- a/packages/agent/sse_scanner.cpp
+++ b/packages/agent/sse_scanner.cpp
@@ -33,6 +33,9 @@
 // Where `name` stands in `text`. memmem beats string_view::find, which stops at every quote.
 auto findName(std::string_view text, std::string_view name) -> std::size_t
 {
+    // memmem takes no null pointer, which an empty view may hold.
+    if (text.empty())
+        return std::string_view::npos;
     const auto *found = memmem(text.data(), text.size(), name.data(), name.size());
     if (found == nullptr)
         return std::string_view::npos;
