--- a/packages/agent/testing/agent_slopes.cpp
+++ b/packages/agent/testing/agent_slopes.cpp
@@ -4,7 +4,7 @@
 //     agent_slopes requests N      carries N runs through every decision, for use under callgrind
 //     agent_slopes chunks N        reads a model's stream of N events, for use under callgrind
 //
-// agent_slopes.cmake runs the last two at two sizes and prints the instructions of one more.
+// cmake/check_slopes.cmake runs the last two at two sizes and prints the instructions of one more.
 
 #include <algorithm>
 #include <cstdlib>
--- a/packages/entry/agent_call.cpp
+++ b/packages/entry/agent_call.cpp
@@ -52,36 +52,6 @@
     return report;
 }
 
-auto runHeaders(const agent_call_options &options, const caller_request &request)
-    -> std::vector<http_header>
-{
-    auto headers = request.headers;
-    const auto add = [&](std::string_view name, std::string value) {
-        headers.push_back({.name = std::string(name), .value = std::move(value)});
-    };
-    add("mustardline-request", options.requestId);
-    add("mustardline-attempt", std::to_string(options.attempt));
-    add("mustardline-account", request.clientAccount);
-    add("mustardline-key-id", request.keyId);
-    add("mustardline-class", request.requestClass);
-    add("mustardline-tier", std::to_string(request.tier));
-    add("mustardline-priority", std::to_string(request.priority));
-    add("mustardline-deadline-ms", std::to_string(toMilliseconds(options.deadline)));
-    add("mustardline-first-token-ms", std::to_string(toMilliseconds(request.firstTokenTarget)));
-    add("mustardline-expected-first-token-ms",
-        std::to_string(toMilliseconds(options.expectedFirstToken)));
-    add("mustardline-waited-ms", std::to_string(toMilliseconds(options.waited)));
-    add("mustardline-idempotent", request.idempotent ? "1" : "0");
-    add("mustardline-route", request.route);
-    add("mustardline-method", request.method);
-    add("mustardline-path", request.path);
-    add("mustardline-endpoint", options.endpoint);
-    add("mustardline-offset", std::to_string(options.configurationOffset));
-    if (!request.idempotencyKey.empty())
-        add("idempotency-key", request.idempotencyKey);
-    return headers;
-}
-
 // Follows one call from its headers to its end.
 struct call_progress
 {
@@ -172,6 +142,36 @@
 
 } // namespace
 
+auto runHeaders(const agent_call_options &options, const caller_request &request)
+    -> std::vector<http_header>
+{
+    auto headers = request.headers;
+    const auto add = [&](std::string_view name, std::string value) {
+        headers.push_back({.name = std::string(name), .value = std::move(value)});
+    };
+    add("mustardline-request", options.requestId);
+    add("mustardline-attempt", std::to_string(options.attempt));
+    add("mustardline-account", request.clientAccount);
+    add("mustardline-key-id", request.keyId);
+    add("mustardline-class", request.requestClass);
+    add("mustardline-tier", std::to_string(request.tier));
+    add("mustardline-priority", std::to_string(request.priority));
+    add("mustardline-deadline-ms", std::to_string(toMilliseconds(options.deadline)));
+    add("mustardline-first-token-ms", std::to_string(toMilliseconds(request.firstTokenTarget)));
+    add("mustardline-expected-first-token-ms",
+        std::to_string(toMilliseconds(options.expectedFirstToken)));
+    add("mustardline-waited-ms", std::to_string(toMilliseconds(options.waited)));
+    add("mustardline-idempotent", request.idempotent ? "1" : "0");
+    add("mustardline-route", request.route);
+    add("mustardline-method", request.method);
+    add("mustardline-path", request.path);
+    add("mustardline-endpoint", options.endpoint);
+    add("mustardline-offset", std::to_string(options.configurationOffset));
+    if (!request.idempotencyKey.empty())
+        add("idempotency-key", request.idempotencyKey);
+    return headers;
+}
+
 auto startAgentCall(http_client &http, const agent_call_options &options,
                     const caller_request &request, agent_call_callbacks callbacks) -> http_call
 {
--- a/packages/entry/agent_call.h
+++ b/packages/entry/agent_call.h
@@ -84,6 +84,10 @@
     std::function<auto(const agent_call_end &)->void> onEnd;
 };
 
+// The headers of a run, those for the endpoint included.
+[[nodiscard]] auto runHeaders(const agent_call_options &options, const caller_request &request)
+    -> std::vector<http_header>;
+
 [[nodiscard]] auto startAgentCall(http_client &http, const agent_call_options &options,
                                   const caller_request &request, agent_call_callbacks callbacks)
     -> http_call;
--- a/packages/entry/live_request.cpp
+++ b/packages/entry/live_request.cpp
@@ -4,6 +4,24 @@
 
 namespace mustardline {
 
+auto arrivalOf(std::uint64_t number, const caller_request &request) -> request_arrival
+{
+    return {.request = number,
+            .clientAccount = request.clientAccount,
+            .requestClass = request.requestClass,
+            .target = request.target,
+            .tier = request.tier,
+            .priority = request.priority,
+            .firstTokenTarget = request.firstTokenTarget,
+            .betweenTokensTarget = request.betweenTokensTarget,
+            .deadline = request.deadline,
+            .idempotent = request.idempotent,
+            .promptTokens = request.promptTokens,
+            .prefixHash = request.prefixHash,
+            .requestsPerSecond = request.requestsPerSecond,
+            .concurrentRequests = request.concurrentRequests};
+}
+
 auto startStream(live_request &live) -> void
 {
     live.streaming = true;
--- a/packages/entry/live_request.h
+++ b/packages/entry/live_request.h
@@ -68,6 +68,10 @@
     bool claimed = false;
 };
 
+// What the dispatcher is told of a request when it arrives; the views are into `request`.
+[[nodiscard]] auto arrivalOf(std::uint64_t number, const caller_request &request)
+    -> request_arrival;
+
 // Begins to stream the endpoint's answer.
 auto startStream(live_request &live) -> void;
 
--- a/packages/entry/request_router.cpp
+++ b/packages/entry/request_router.cpp
@@ -102,22 +102,7 @@
 auto request_router::queue(live_request &live) -> void
 {
     live.phase = live_phase::queued;
-    const auto &request = live.request;
-    m_dispatcher.arrive({.request = live.number,
-                         .clientAccount = request.clientAccount,
-                         .requestClass = request.requestClass,
-                         .target = request.target,
-                         .tier = request.tier,
-                         .priority = request.priority,
-                         .firstTokenTarget = request.firstTokenTarget,
-                         .betweenTokensTarget = request.betweenTokensTarget,
-                         .deadline = request.deadline,
-                         .idempotent = request.idempotent,
-                         .promptTokens = request.promptTokens,
-                         .prefixHash = request.prefixHash,
-                         .requestsPerSecond = request.requestsPerSecond,
-                         .concurrentRequests = request.concurrentRequests},
-                        live.arrivedAt, m_actions);
+    m_dispatcher.arrive(arrivalOf(live.number, live.request), live.arrivedAt, m_actions);
     carryOut();
 }
 
--- a/packages/proofs/testing/session_entry.cpp
+++ b/packages/proofs/testing/session_entry.cpp
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 
 #include "base/hashing.h"
+#include "entry/agent_call.h"
+#include "entry/live_request.h"
 #include "proofs/testing/session.h"
 
 namespace mustardline::proofs {
@@ -20,14 +22,9 @@
 // A run that travels on after its connection was lost arrives this much later.
 constexpr auto strayDelay = 40ms;
 
-auto milliseconds(duration value) -> std::int64_t
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 } // namespace
 
-session_entry::session_entry(session &owner, std::string name, std::string dataCentre)
+session_entry::session_entry(session &owner, const std::string &name, std::string dataCentre)
     : session_node(name),
       m_owner(owner),
       m_dataCentre(dataCentre),
@@ -128,22 +125,7 @@
 
 auto session_entry::dispatch(live_call &live) -> void
 {
-    const auto &request = live.request;
-    m_core.arrive({.request = live.caller,
-                   .clientAccount = request.clientAccount,
-                   .requestClass = request.requestClass,
-                   .target = request.target,
-                   .tier = request.tier,
-                   .priority = request.priority,
-                   .firstTokenTarget = request.firstTokenTarget,
-                   .betweenTokensTarget = request.betweenTokensTarget,
-                   .deadline = request.deadline,
-                   .idempotent = request.idempotent,
-                   .promptTokens = request.promptTokens,
-                   .prefixHash = request.prefixHash,
-                   .requestsPerSecond = request.requestsPerSecond,
-                   .concurrentRequests = request.concurrentRequests},
-                  now(), m_actions);
+    m_core.arrive(arrivalOf(live.caller, live.request), now(), m_actions);
     carryOut();
 }
 
@@ -177,7 +159,7 @@
     live.expectedFirstToken = action.expectedFirstToken;
     note(fmt::format("place request={} attempt={} endpoint={} reason={} considered={} waited={}ms",
                      action.request, action.attempt, action.endpoint, action.reason,
-                     action.considered, milliseconds(now() - live.arrivedAt)));
+                     action.considered, toMilliseconds(now() - live.arrivedAt)));
     send(live);
 }
 
@@ -185,7 +167,7 @@
 {
     const auto &refused = m_live.at(action.request).request;
     note(fmt::format("refuse request={} code={} reason={} retry_after={}ms", action.request,
-                     describe(action.code).name, action.reason, milliseconds(action.retryAfter)));
+                     describe(action.code).name, action.reason, toMilliseconds(action.retryAfter)));
     const auto isShed
         = action.code == result_code::overloaded || action.code == result_code::queue_full;
     for (const auto &[caller, live] : m_live) {
@@ -202,32 +184,15 @@
 auto session_entry::send(live_call &live) -> void
 {
     auto *agent = m_owner.agent(live.endpoint);
-    auto headers = live.request.headers;
-    const auto add = [&](std::string name, std::string value) {
-        headers.push_back({.name = std::move(name), .value = std::move(value)});
-    };
-    const auto remaining = live.request.deadline - (now() - live.arrivedAt);
-    add("mustardline-request", live.id);
-    add("mustardline-attempt", std::to_string(live.attempt));
-    add("mustardline-account", live.request.clientAccount);
-    add("mustardline-key-id", live.request.keyId);
-    add("mustardline-class", live.request.requestClass);
-    add("mustardline-tier", std::to_string(live.request.tier));
-    add("mustardline-priority", std::to_string(live.request.priority));
-    add("mustardline-deadline-ms",
-        std::to_string(milliseconds(std::max<duration>(remaining, 1ms))));
-    add("mustardline-first-token-ms", std::to_string(milliseconds(live.request.firstTokenTarget)));
-    add("mustardline-expected-first-token-ms",
-        std::to_string(milliseconds(live.expectedFirstToken)));
-    add("mustardline-waited-ms", std::to_string(milliseconds(now() - live.arrivedAt)));
-    add("mustardline-idempotent", live.request.idempotent ? "1" : "0");
-    add("mustardline-route", live.request.route);
-    add("mustardline-method", live.request.method);
-    add("mustardline-path", live.request.path);
-    add("mustardline-endpoint", live.endpoint);
-    add("mustardline-offset", std::to_string(m_config.offset()));
-    if (!live.request.idempotencyKey.empty())
-        add("idempotency-key", live.request.idempotencyKey);
+    const auto waited = now() - live.arrivedAt;
+    auto headers = runHeaders({.endpoint = live.endpoint,
+                               .requestId = live.id,
+                               .attempt = live.attempt,
+                               .configurationOffset = m_config.offset(),
+                               .deadline = std::max<duration>(live.request.deadline - waited, 1ms),
+                               .expectedFirstToken = live.expectedFirstToken,
+                               .waited = waited},
+                              live.request);
     live.link = std::make_shared<call_link>();
     live.bootAtSend = agent->session_node::boot();
     live.resolving = false;
@@ -320,13 +285,12 @@
     live.link->open = false;
     note(fmt::format("lost request={} attempt={} sent={}", caller, attempt, sent));
     m_core.reportFailure(live.endpoint, now());
-    if (!sent) {
+    const auto isRepeatable = live.request.idempotent || m_owner.options().naive.retriesUnknown;
+    if (!sent || (!live.streaming && isRepeatable)) {
         retry(live, result_code::connection_failed);
     } else if (live.streaming) {
         m_core.finished(caller, result_code::answer_cut, 0, now());
         finish(caller, result_code::answer_cut, "");
-    } else if (live.request.idempotent || m_owner.options().naive.retriesUnknown) {
-        retry(live, result_code::connection_failed);
     } else {
         live.resolving = true;
         resolveFate(caller);
