--- a/packages/proofs/testing/session_entry.h
+++ b/packages/proofs/testing/session_entry.h
@@ -21,7 +21,7 @@
 class session_entry : public session_node
 {
 public:
-    session_entry(session &owner, std::string name, std::string dataCentre);
+    session_entry(session &owner, const std::string &name, std::string dataCentre);
 
     // A caller's request arrives.
     auto call(std::uint64_t caller, const std::string &id, const caller_message &message,
