--- a/packages/proofs/testing/traffic_promise_test.cpp
+++ b/packages/proofs/testing/traffic_promise_test.cpp
@@ -84,12 +84,12 @@
         requests.push_back(order(key, "form"));
         requests.back().headers.push_back({.name = name, .value = key});
     }
-    for (const auto &text : {key, percent, key + key, "mk_" + key, key + "_" + key}) {
+    for (const auto &text : {key, percent, key + key, "mk_" + key, fmt::format("{0}_{0}", key)}) {
         requests.push_back(fleet.chat(key, text));
         requests.push_back(fleet.chat(key, "hello"));
         requests.back().path += "?api_key=" + text;
         requests.push_back(order(key, "form"));
-        requests.back().path += "/" + text + "?key=" + text;
+        requests.back().path += fmt::format("/{0}?key={0}", text);
         requests.push_back(order(key, "form"));
         requests.back().body = text;
     }
