Keep the load tool from sending more requests than it was asked for

Cause: each answer posted another send when fewer than the requested number had gone out, and the check was made before the post, so that answers ending together each sent one more. The surplus calls were still open at exit, which LeakSanitizer reported; its text came before the tool's own output and LoadToolTest.drivesAnEngineAndChecksEveryAnswer failed. Ruled out: a leak in http_client's pool (all ended calls had given their connection back) and in event_loop (posted functions run in its destructor).

--- a/packages/standin/load_run.cpp
+++ b/packages/standin/load_run.cpp
@@ -111,9 +111,12 @@
     if (m_ended == m_options.requests) {
         m_figures.elapsed = m_clock.now() - m_startedAt;
         m_done();
-    } else if (m_options.rate == 0 && m_sent < m_options.requests) {
+    } else if (m_options.rate == 0) {
         // Not from within the client's callback, or a refusing target would deepen the stack.
-        m_loop.post([this] { sendNext(); });
+        m_loop.post([this] {
+            if (m_sent < m_options.requests)
+                sendNext();
+        });
     }
 }
 
--- a/packages/standin/testing/load_test.cpp
+++ b/packages/standin/testing/load_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "standin/process_time.h"
+#include "standin/testing/http_probe.h"
 #include "standin/testing/process.h"
 
 namespace mustardline::standin {
@@ -51,6 +52,11 @@
     const auto refused = run({"--model", "none"});
     EXPECT_NE(refused.first, 0);
     EXPECT_TRUE(refused.second.starts_with("whole 0\nrefused 40\n"));
+    // No run may send more than it was asked to, also when many answers end at once.
+    http_probe probe;
+    const auto received = probe.get(parseAddress(target), "/control/received").json();
+    constexpr std::size_t sent = 3 * 40;
+    EXPECT_EQ(received["count"], sent);
 }
 
 TEST(LoadToolTest, drivesLoopbackOnly)
