Move an agent's log lines and counters, and its answers to entries, out of run_service

The report is a class of its own now, which takes the load that each decision was made under; the answers stand in run_service_answers.cpp.

--- a/packages/agent/run_service.cpp
+++ b/packages/agent/run_service.cpp
@@ -1,11 +1,8 @@
 #include "agent/run_service.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
-#include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include "agent/endpoint_request.h"
 #include "agent/events.h"
@@ -21,11 +18,6 @@
 constexpr auto backlogPollPeriod = std::chrono::milliseconds(5);
 constexpr std::size_t bytesPerToken = 4;
 
-auto milliseconds(duration value) -> std::int64_t
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 auto hashOf(const run_request &request, std::string_view body) -> std::uint64_t
 {
     const auto head = fastHash(request.method + ' ' + request.path);
@@ -34,51 +26,6 @@
 
 } // namespace
 
-struct run_service::run_counters
-{
-    explicit run_counters(counters &metrics)
-        : admitted(metrics.add({.name = "mustardline_agent_runs_admitted_total",
-                                .help = "Runs that passed the checks."})),
-          refused(metrics.add({.name = "mustardline_agent_runs_refused_total",
-                               .help = "Runs refused before they reached the endpoint."})),
-          done(metrics.add({.name = "mustardline_agent_runs_done_total",
-                            .help = "Runs whose whole answer arrived."})),
-          failed(metrics.add({.name = "mustardline_agent_runs_failed_total",
-                              .help = "Runs whose whole answer did not arrive."})),
-          repeated(metrics.add({.name = "mustardline_agent_runs_repeated_total",
-                                .help = "Runs answered from a kept outcome."})),
-          preempted(metrics.add({.name = "mustardline_agent_runs_preempted_total",
-                                 .help = "Runs stopped in favour of a higher tier."})),
-          running(metrics.add({.name = "mustardline_agent_running",
-                               .help = "Runs at the endpoint.",
-                               .kind = counter_kind::gauge})),
-          queued(metrics.add({.name = "mustardline_agent_queued",
-                              .help = "Runs that wait.",
-                              .kind = counter_kind::gauge})),
-          window(metrics.add({.name = "mustardline_agent_window",
-                              .help = "Runs that the endpoint may have at once.",
-                              .kind = counter_kind::gauge})),
-          kept(metrics.add({.name = "mustardline_agent_kept_runs",
-                            .help = "Runs remembered.",
-                            .kind = counter_kind::gauge})),
-          usageDeltas(metrics.add({.name = "mustardline_agent_usage_deltas",
-                                   .help = "Usage deltas that are not known to be durable.",
-                                   .kind = counter_kind::gauge}))
-    {}
-
-    counter &admitted;
-    counter &refused;
-    counter &done;
-    counter &failed;
-    counter &repeated;
-    counter &preempted;
-    counter &running;
-    counter &queued;
-    counter &window;
-    counter &kept;
-    counter &usageDeltas;
-};
-
 run_service::run_service(event_loop &loop, http_client &http, const configuration &config,
                          usage_meter &usage, logger &log, counters &metrics,
                          run_service_options options)
@@ -86,9 +33,8 @@
       m_http(http),
       m_config(config),
       m_usage(usage),
-      m_log(log),
       m_options(std::move(options)),
-      m_counters(std::make_unique<run_counters>(metrics)),
+      m_report(log, metrics),
       m_table({.maxKept = m_options.limits.maxKeptRuns,
                .retention = m_options.limits.runRetention,
                .maxOutcomeBytes = m_options.limits.maxOutcomeBytes,
@@ -169,9 +115,7 @@
     live.phase = run_phase::queued;
     const auto number = live.number;
     const auto waited = m_clock.now() - live.arrivedAt;
-    m_counters->admitted.increment();
-    logRun(event::runAdmitted, live.request, "checks passed",
-           field("class", live.request.requestClass), field("attempt", live.request.attempt));
+    m_report.admitted(live.request, load());
     m_scheduler->arrive(
         {.request = number,
          .tier = live.request.tier,
@@ -186,7 +130,7 @@
     carryOut();
     if (const auto *waiting = find(number);
         waiting != nullptr && waiting->phase == run_phase::queued)
-        logRun(event::runQueued, waiting->request, "the window is full");
+        m_report.decided(event::runQueued, waiting->request, "the window is full", load());
 }
 
 // Carries out what the scheduler decided; each step may make it decide more.
@@ -222,8 +166,8 @@
     live.phase = run_phase::running;
     live.startedAt = m_clock.now();
     m_table.started(live.request.id);
-    logRun(event::runStarted, live.request, "placed",
-           field("waited_ms", milliseconds(live.startedAt - live.arrivedAt)));
+    m_report.decided(event::runStarted, live.request, "placed", load(),
+                     field("waited_ms", toMilliseconds(live.startedAt - live.arrivedAt)));
     const auto number = live.number;
     const auto onLive = [this, number](auto step) {
         if (auto *current = find(number))
@@ -353,39 +297,15 @@
     } else if (m_scheduler) {
         m_scheduler->cancelled(live.number, now, m_actions);
     }
-    logEnd(live, ending);
+    m_report.ended(live.request, ending,
+                   {.httpStatus = live.answer.status(),
+                    .used = live.answer.metered(),
+                    .ran = now - live.startedAt},
+                   load());
     answerEnd(live, ending);
     m_unread.push_back(live.exchange);
 }
 
-auto run_service::answerEnd(live_run &live, const run_ending &ending) -> void
-{
-    auto &exchange = *live.exchange;
-    exchange.onGone(nullptr);
-    if (ending.code == result_code::ok && !live.outputBegun) {
-        auto headers = resultHeaders(live.request, result_code::ok);
-        std::ranges::copy(live.answer.headers(), std::back_inserter(headers));
-        exchange.reply(live.answer.status(), headers, "");
-    } else if (ending.code == result_code::ok) {
-        exchange.endStream();
-    } else if (live.outputBegun && live.answer.isEventStream()) {
-        // A comment tells the entry why; the event before it may be incomplete.
-        exchange.sendChunk(fmt::format("\n: mustardline-result {}\n\n", number(ending.code)));
-        exchange.endStream();
-    } else if (live.outputBegun) {
-        exchange.abort();
-    } else {
-        // After a start, only an idempotent request may be said to have failed for certain.
-        const auto isOpen = ending.fate == run_fate::failed && !live.request.idempotent;
-        const auto code = isOpen ? result_code::outcome_unknown : ending.code;
-        auto headers = resultHeaders(live.request, code);
-        headers.push_back({.name = "mustardline-retry-after-ms",
-                           .value = std::to_string(milliseconds(ending.retryAfter))});
-        exchange.reply(describe(code).httpStatus, headers,
-                       errorBody({.code = code, .message = ending.reason}));
-    }
-}
-
 auto run_service::meter(const live_run &live, const run_ending &ending) -> void
 {
     // A server's fault without output is nobody's usage; neither is a run that was never sent.
@@ -402,62 +322,6 @@
                     .completionTokens = used.completionTokens});
 }
 
-auto run_service::logEnd(const live_run &live, const run_ending &ending) -> void
-{
-    const auto code = field("code", number(ending.code));
-    if (ending.code == result_code::preempted) {
-        m_counters->preempted.increment();
-        logRun(event::runPreempted, live.request, ending.reason, code);
-    } else if (ending.code == result_code::cancelled) {
-        logRun(event::runCancelled, live.request, ending.reason, code,
-               field("fate", fateName(ending.fate)));
-    } else if (ending.fate == run_fate::not_run) {
-        m_counters->refused.increment();
-        logRun(event::runRefused, live.request, ending.reason, code);
-    } else {
-        const auto used = live.answer.metered();
-        (ending.fate == run_fate::done ? m_counters->done : m_counters->failed).increment();
-        logRun(event::runFinished, live.request, ending.reason, code,
-               field("fate", fateName(ending.fate)), field("status", live.answer.status()),
-               field("prompt_tokens", used.promptTokens),
-               field("completion_tokens", used.completionTokens),
-               field("ran_ms", milliseconds(m_clock.now() - live.startedAt)));
-    }
-}
-
-auto run_service::answerVerdict(http_exchange &exchange, const run_request &request,
-                                const run_verdict &verdict) -> void
-{
-    if (const auto *repeated = std::get_if<repeated_run>(&verdict)) {
-        m_counters->repeated.increment();
-        logRun(event::runRepeated, request, "the outcome is kept");
-        auto headers = resultHeaders(request, result_code::ok);
-        headers.push_back({.name = "content-type", .value = repeated->outcome->contentType});
-        exchange.reply(repeated->outcome->httpStatus, headers, repeated->outcome->body);
-        return;
-    }
-    const auto code = std::get<refused_run>(verdict).code;
-    if (code == result_code::overloaded)
-        m_log.write(event::runTableFull, field("kept", m_table.size()));
-    m_counters->refused.increment();
-    logRun(event::runRefused, request, "decided by an earlier run of this id or key",
-           field("code", number(code)));
-    exchange.reply(describe(code).httpStatus, resultHeaders(request, code),
-                   errorBody({.code = code}));
-}
-
-auto run_service::tellFate(http_exchange &exchange, std::string_view id) -> void
-{
-    const auto parsed = parseRequestId(id);
-    if (!parsed) {
-        exchange.reply(
-            describe(result_code::bad_request).httpStatus, ownHeaders(),
-            errorBody({.code = result_code::bad_request, .message = "not a request id"}));
-        return;
-    }
-    replyFate(exchange, *parsed);
-}
-
 auto run_service::cancel(http_exchange &exchange, std::string_view id) -> void
 {
     const auto parsed = parseRequestId(id);
@@ -472,29 +336,6 @@
     tellFate(exchange, id);
 }
 
-auto run_service::replyFate(http_exchange &exchange, const request_id &id) -> void
-{
-    const auto attempt = exchange.parameter("attempt");
-    auto through = everyAttempt;
-    if (!attempt.empty())
-        std::from_chars(attempt.data(), attempt.data() + attempt.size(), through);
-    const auto told = m_table.fate(id, m_clock.now(), through);
-    if (told.unknown) {
-        m_log.write(event::runTableFull, field("kept", m_table.size()));
-        exchange.reply(describe(result_code::overloaded).httpStatus, ownHeaders(),
-                       errorBody({.code = result_code::overloaded,
-                                  .message = "no further id can be remembered"}));
-        return;
-    }
-    const nlohmann::json body = {{"request", toText(id)},
-                                 {"fate", fateName(told.fate)},
-                                 {"boot", std::to_string(m_options.boot)},
-                                 {"http_status", told.httpStatus}};
-    auto headers = ownHeaders();
-    headers.push_back({.name = "content-type", .value = "application/json"});
-    exchange.reply(describe(result_code::ok).httpStatus, headers, body.dump());
-}
-
 auto run_service::configurationChanged() -> void
 {
     renewScheduler();
@@ -544,12 +385,7 @@
     }
     carryOut();
     std::erase_if(m_unread, [](const auto &exchange) { return exchange->backlogBytes() == 0; });
-    const auto current = load();
-    m_counters->running.set(current.running);
-    m_counters->queued.set(current.queued);
-    m_counters->window.set(current.window);
-    m_counters->kept.set(static_cast<std::int64_t>(m_table.size()));
-    m_counters->usageDeltas.set(static_cast<std::int64_t>(m_usage.size()));
+    m_report.loaded(load(), m_table.size(), m_usage.size());
 }
 
 // The scheduler is made for the endpoint's configured concurrency, and made anew for another one
@@ -583,36 +419,6 @@
             .firstToken = m_scheduler->firstTokenLatency()};
 }
 
-auto run_service::ownHeaders() const -> std::vector<http_header>
-{
-    const auto current = load();
-    return {{.name = "mustardline-boot", .value = std::to_string(m_options.boot)},
-            {.name = "mustardline-offset", .value = std::to_string(m_config.offset())},
-            {.name = "mustardline-load",
-             .value = fmt::format("{}/{}/{}", current.running, current.queued, current.window)}};
-}
-
-auto run_service::resultHeaders(const run_request &request, result_code code) const
-    -> std::vector<http_header>
-{
-    auto headers = ownHeaders();
-    headers.push_back({.name = "mustardline-request", .value = toText(request.id)});
-    headers.push_back({.name = "mustardline-attempt", .value = std::to_string(request.attempt)});
-    headers.push_back({.name = "mustardline-result", .value = std::to_string(number(code))});
-    return headers;
-}
-
-template<class... Fields>
-auto run_service::logRun(const log_event &event, const run_request &request,
-                         std::string_view reason, const Fields &...fields) -> void
-{
-    const auto current = load();
-    m_log.write(event, field("request", toText(request.id)),
-                field("account", request.clientAccount), field("tier", request.tier),
-                field("reason", reason), fields..., field("window", current.window),
-                field("running", current.running), field("queued", current.queued));
-}
-
 auto run_service::find(std::uint64_t number) -> live_run *
 {
     const auto found = m_live.find(number);
--- a/packages/agent/run_service.h
+++ b/packages/agent/run_service.h
@@ -24,6 +24,7 @@
 
 #include "agent/admission_check.h"
 #include "agent/agent_settings.h"
+#include "agent/run_report.h"
 #include "agent/run_request.h"
 #include "agent/run_table.h"
 #include "agent/usage_meter.h"
@@ -45,15 +46,6 @@
     std::uint64_t boot = 0;
 };
 
-// What an answer or a probe tells about the endpoint.
-struct agent_load
-{
-    std::uint32_t running = 0;
-    std::uint32_t queued = 0;
-    std::uint32_t window = 0;
-    duration firstToken{};
-};
-
 class run_service
 {
 public:
@@ -90,16 +82,6 @@
 
 private:
     struct live_run;
-    struct run_counters;
-
-    // How a run ends towards the entry and in the table.
-    struct run_ending
-    {
-        result_code code = result_code::ok;
-        run_fate fate = run_fate::failed;
-        std::string reason;
-        duration retryAfter{};
-    };
 
     auto admit(live_run &live) -> void;
     auto schedule(live_run &live) -> void;
@@ -115,7 +97,6 @@
     auto end(live_run &live, const run_ending &ending) -> void;
     auto answerEnd(live_run &live, const run_ending &ending) -> void;
     auto meter(const live_run &live, const run_ending &ending) -> void;
-    auto logEnd(const live_run &live, const run_ending &ending) -> void;
     auto answerVerdict(http_exchange &exchange, const run_request &request,
                        const run_verdict &verdict) -> void;
     auto tick() -> void;
@@ -123,9 +104,6 @@
     auto resultHeaders(const run_request &request, result_code code) const
         -> std::vector<http_header>;
     auto replyFate(http_exchange &exchange, const request_id &id) -> void;
-    template<class... Fields>
-    auto logRun(const log_event &event, const run_request &request, std::string_view reason,
-                const Fields &...fields) -> void;
     [[nodiscard]] auto find(std::uint64_t number) -> live_run *;
     [[nodiscard]] auto find(const request_id &id) -> live_run *;
 
@@ -133,9 +111,8 @@
     http_client &m_http;
     const configuration &m_config;
     usage_meter &m_usage;
-    logger &m_log;
     run_service_options m_options;
-    std::unique_ptr<run_counters> m_counters;
+    run_report m_report;
     system_runtime_clock m_clock;
     run_table m_table;
     std::optional<endpoint_scheduler> m_scheduler;
