--- a/packages/standin/process_time.cpp
+++ b/packages/standin/process_time.cpp
@@ -25,7 +25,7 @@
     if (fields.size() <= systemField)
         return {};
     const auto ticks = std::stoll(fields[userField]) + std::stoll(fields[systemField]);
-    return std::chrono::seconds(1) * ticks / sysconf(_SC_CLK_TCK);
+    return duration(std::chrono::seconds(1)) * ticks / sysconf(_SC_CLK_TCK);
 }
 
 } // namespace mustardline::standin
--- a/packages/standin/testing/load_test.cpp
+++ b/packages/standin/testing/load_test.cpp
@@ -28,6 +28,7 @@
     while (processTime(getpid()) == before)
         ++sum;
     EXPECT_GT(processTime(getpid()), before);
+    EXPECT_LT(processTime(getpid()) - before, std::chrono::seconds(1));
     EXPECT_EQ(processTime(0), duration(0));
 }
 
