Gather the changes of what epoll watches once a turn of the loop

Cause: a stream's write adds and removes its descriptor at each token; perf shows the relay's time in the kernel, flat, with do_epoll_ctl among it. Ruled out: time of our own code (no function of it over 2 in 100 of the samples). The flag forbids duplicated descriptors; the loop watches none.

--- a/packages/agent/run_service.cpp
+++ b/packages/agent/run_service.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-
 #include "agent/endpoint_request.h"
 #include "agent/events.h"
 #include "agent/live_run.h"
--- a/packages/net/event_loop.cpp
+++ b/packages/net/event_loop.cpp
@@ -1,6 +1,7 @@
 #include "net/event_loop.h"
 
 #include <csignal>
+#include <memory>
 #include <utility>
 
 #include <event2/event.h>
@@ -34,9 +35,20 @@
             .tv_usec = microseconds % microsecondsPerSecond};
 }
 
+// Changes of what epoll watches are gathered and made once a turn of the loop; a stream's write
+// otherwise adds and removes its descriptor at each token. No descriptor of ours is duplicated,
+// which is what libevent asks for with this flag.
+auto makeBase() -> event_base *
+{
+    const std::unique_ptr<event_config, void (*)(event_config *)> config(event_config_new(),
+                                                                         event_config_free);
+    event_config_set_flag(config.get(), EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+    return event_base_new_with_config(config.get());
+}
+
 } // namespace
 
-event_loop::event_loop() : m_base(event_base_new())
+event_loop::event_loop() : m_base(makeBase())
 {
     const auto dispatch = [](evutil_socket_t, short, void *argument) {
         static_cast<event_loop *>(argument)->runPosted();
--- a/packages/standin/testing/load_test.cpp
+++ b/packages/standin/testing/load_test.cpp
@@ -56,7 +56,7 @@
     // No run may send more than it was asked to, also when many answers end at once.
     http_probe probe;
     const auto received = probe.get(parseAddress(target), "/control/received").json();
-    constexpr std::size_t sent = 3 * 40;
+    constexpr std::size_t sent = 120;
     EXPECT_EQ(received["count"], sent);
 }
 
