Give the preemption test of the agent a first-token target

Cause: the run that preempts had a first-token target of 0. The scheduler then waits for half of the longest wait at the agent before it stops a lower tier (endpoint_scheduler mayWait), and the fixture sets that wait to 60 s: the test stood still for 30 s of wall time. Ruled out: a keep-alive or a timeout at the end; the two requests end at once after the preemption. In the product the longest wait is 500 ms (limits.max_queue_wait_ms), so a class without a target waits 250 ms there.

What is checked is the same.

--- a/packages/agent/testing/run_service_test.cpp
+++ b/packages/agent/testing/run_service_test.cpp
@@ -182,7 +182,9 @@
                              {"mustardline-key-id", "k2"},
                              {"mustardline-tier", "5"}});
     untilReceived(1);
-    const auto high = run(2);
+    // It preempts when its first token would be late otherwise, so it needs a target to be late
+    // for.
+    const auto high = run(2, {{"mustardline-first-token-ms", "100"}});
     untilEnded(low);
     EXPECT_EQ(low->result(), "306");
     untilReceived(2);
