--- a/packages/proofs/testing/golden_test.cpp
+++ b/packages/proofs/testing/golden_test.cpp
@@ -294,11 +294,12 @@
 class NaiveTest : public testing::TestWithParam<naive_case>
 {};
 
-TEST_P(NaiveTest, theChecksFindTheFault)
+// The promises that a session with the variant breaks under any seed.
+auto brokenBy(const std::string &name, const naive_variant &naive) -> std::set<int>
 {
     const auto cases = goldenCases();
-    auto golden = *std::ranges::find(cases, GetParam().session, &golden_case::name);
-    golden.options.naive = GetParam().naive;
+    auto golden = *std::ranges::find(cases, name, &golden_case::name);
+    golden.options.naive = naive;
     // A second service, so that a request may be tried elsewhere.
     golden.options.services = 2;
     std::set<int> broken;
@@ -309,12 +310,29 @@
         for (const auto &item : session.world().violations())
             broken.insert(item.promise);
     }
-    EXPECT_THAT(broken, testing::Contains(GetParam().promise));
+    return broken;
+}
+
+TEST_P(NaiveTest, theChecksFindTheFault)
+{
+    EXPECT_THAT(brokenBy(GetParam().session, GetParam().naive),
+                testing::Contains(GetParam().promise));
+}
+
+// The account that an entry names is not enough: the agents look at whose key it is.
+TEST(SessionTest, p3AgentsRefuseWhatEntriesNameWrongly)
+{
+    EXPECT_THAT(brokenBy("zone-out-and-back", {.mixesAccounts = true}),
+                testing::Not(testing::Contains(3)));
 }
 
 INSTANTIATE_TEST_SUITE_P(
     Variants, NaiveTest,
     testing::Values(
+        naive_case{"p3_account_trusted",
+                   "zone-out-and-back",
+                   {.mixesAccounts = true, .trustsAccount = true},
+                   3},
         naive_case{"p12_agents_forget", "panel-at-feira-sul", {.forgetsRuns = true}, 12},
         naive_case{"p12_entries_retry", "panel-at-feira-sul", {.retriesUnknown = true}, 12},
         naive_case{"p5_changes_ignored", "key-withdrawal", {.ignoresChanges = true}, 5},
--- a/packages/proofs/testing/session.cpp
+++ b/packages/proofs/testing/session.cpp
@@ -255,6 +255,19 @@
     m_agents.at(index)->boot();
 }
 
+auto session::mixAccount(run_request &request) const -> void
+{
+    if (!m_options.naive.mixesAccounts)
+        return;
+    const auto &accounts = m_options.accounts;
+    const auto &other
+        = accounts.front().id == request.clientAccount ? accounts.back() : accounts.front();
+    request.clientAccount = other.id;
+    request.tier = other.tier;
+    if (m_options.naive.trustsAccount)
+        request.keyId = keyIdOfAccount(other.id);
+}
+
 auto session::started(std::uint64_t caller, const run_request &request, const std::string &body,
                       const session_agent &agent) -> void
 {
--- a/packages/proofs/testing/session.h
+++ b/packages/proofs/testing/session.h
@@ -55,6 +55,10 @@
     bool mixesAnswers = false;
     // A planned stop ends the process at once.
     bool stopsAtOnce = false;
+    // A fault of entries, not yet a broken promise: they name another account than the key's.
+    bool mixesAccounts = false;
+    // Agents take the account that an entry names, whosever key came with the request.
+    bool trustsAccount = false;
 };
 
 struct session_options
@@ -139,6 +143,9 @@
     // Runs on, stops what is left, and checks what holds over the whole session.
     auto finish(duration time) -> void;
 
+    // What an entry at fault would have written into a run's headers.
+    auto mixAccount(run_request &request) const -> void;
+
     // Told by entries and agents.
     auto started(std::uint64_t caller, const run_request &request, const std::string &body,
                  const session_agent &agent) -> void;
--- a/packages/proofs/testing/session_agent.cpp
+++ b/packages/proofs/testing/session_agent.cpp
@@ -62,7 +62,8 @@
         m_owner.world().violate(10, "an agent cannot read a run: " + fault->message);
         return;
     }
-    const auto &request = std::get<run_request>(parsed);
+    auto request = std::get<run_request>(parsed);
+    m_owner.mixAccount(request);
     note(fmt::format("run request={} attempt={}", message.caller, request.attempt));
     const auto now = m_owner.world().now();
     auto verdict = m_table->begin(request, fastHash(message.body), now);
