Allow a fresh endpoint one request too many only after it answered under as many as it bears

Cause: the check of P8 allowed one request more than a cold endpoint bears at any time. The endpoint bears exactly the initial window, every endpoint is cold, and so nothing tells a cold one that bears two from a slow one that bears four: it is learnt by the one request more, and never by two (highest running 3).

So the allowance stays, but it must be earned: the endpoint has answered, in this boot, a request that was started as one of as many as it bears.

Before: a window that opens with one place too many was not found (trial: p8_window_opens_wide fails under the old check).

--- a/packages/proofs/testing/golden_test.cpp
+++ b/packages/proofs/testing/golden_test.cpp
@@ -333,6 +333,7 @@
                    "zone-out-and-back",
                    {.mixesAccounts = true, .trustsAccount = true},
                    3},
+        naive_case{"p8_window_opens_wide", "overload", {.opensWide = true}, 8},
         naive_case{"p12_agents_forget", "panel-at-feira-sul", {.forgetsRuns = true}, 12},
         naive_case{"p12_entries_retry", "panel-at-feira-sul", {.retriesUnknown = true}, 12},
         naive_case{"p5_changes_ignored", "key-withdrawal", {.ignoresChanges = true}, 5},
--- a/packages/proofs/testing/session.cpp
+++ b/packages/proofs/testing/session.cpp
@@ -286,8 +286,10 @@
 {
     const auto what = fmt::format("request {} at {}", row.id.substr(28), agent.name());
     m_world.check(request.clientAccount == row.options.clientAccount, 3, what);
-    // What an endpoint bears is learnt by trying one request more.
-    m_world.check(!agent.isCold() || agent.runningCount() <= m_options.bearableCold + 1, 8,
+    // What an endpoint bears is learnt by trying one request more, but only once it has answered
+    // under as many as it bears.
+    const auto bearable = m_options.bearableCold + (agent.provenCount() >= m_options.bearableCold);
+    m_world.check(!agent.isCold() || agent.runningCount() <= bearable, 8,
                   fmt::format("{} runs {}", what, agent.runningCount()));
     m_world.check(request.idempotent || row.starts.size() <= 1, 12, what);
     const auto closed = [&](const std::string &entity) {
--- a/packages/proofs/testing/session.h
+++ b/packages/proofs/testing/session.h
@@ -55,6 +55,8 @@
     bool mixesAnswers = false;
     // A planned stop ends the process at once.
     bool stopsAtOnce = false;
+    // A fresh agent starts with room for one request more than its endpoint bears.
+    bool opensWide = false;
     // A fault of entries, not yet a broken promise: they name another account than the key's.
     bool mixesAccounts = false;
     // Agents take the account that an entry names, whosever key came with the request.
--- a/packages/proofs/testing/session_agent.cpp
+++ b/packages/proofs/testing/session_agent.cpp
@@ -36,10 +36,15 @@
     const auto isService = m_identity.kind == endpoint_kind::service;
     m_config = std::make_unique<configuration>();
     m_core = std::make_unique<endpoint_scheduler>(endpoint_scheduler_options{
-        .maxConcurrency = m_owner.options().maxConcurrency, .timesWholeAnswer = isService});
+        .maxConcurrency = m_owner.options().maxConcurrency,
+        .initialWindow = m_owner.options().naive.opensWide
+                             ? m_owner.options().bearableCold + 1
+                             : endpoint_scheduler_options().initialWindow,
+        .timesWholeAnswer = isService});
     m_table = std::make_unique<run_table>(run_table_options{});
     m_live.clear();
     m_actions.clear();
+    m_provenCount = 0;
     turnCold();
     m_owner.world().every(*this, tickPeriod, [this] { tick(); });
     m_owner.world().every(*this, followPeriod, [this] { follow(); });
@@ -225,6 +230,7 @@
         return;
     auto &live = found->second;
     live.running = true;
+    live.runningAtStart = runningCount();
     m_table->started(live.request.id);
     note(fmt::format("start request={} running={}/{}", live.message.caller, runningCount(),
                      m_core->window()));
@@ -250,6 +256,7 @@
         return;
     auto &live = found->second;
     live.outputBegun = true;
+    m_provenCount = std::max(m_provenCount, live.runningAtStart);
     if (m_identity.kind == endpoint_kind::model) {
         m_core->firstToken(number, m_owner.world().now());
         answer(live.message, live.request.attempt, {.what = agent_answer::kind::first_token});
--- a/packages/proofs/testing/session_agent.h
+++ b/packages/proofs/testing/session_agent.h
@@ -74,6 +74,9 @@
     [[nodiscard]] auto kind() const -> endpoint_kind { return m_identity.kind; }
     [[nodiscard]] auto runningCount() const -> std::uint32_t { return m_core->runningCount(); }
     [[nodiscard]] auto isCold() const -> bool;
+    // The most requests at once, a new one among them, of which the endpoint has answered the new
+    // one in this boot.
+    [[nodiscard]] auto provenCount() const -> std::uint32_t { return m_provenCount; }
     auto turnCold() -> void;
 
 private:
@@ -85,6 +88,8 @@
         bool awaitsConfiguration = false;
         bool running = false;
         bool outputBegun = false;
+        // Requests that ran once it was started, itself among them.
+        std::uint32_t runningAtStart = 0;
     };
 
     auto tick() -> void;
@@ -111,6 +116,7 @@
     std::vector<schedule_action> m_actions;
     bool m_carryingOut = false;
     time_point m_coldUntil;
+    std::uint32_t m_provenCount = 0;
 };
 
 } // namespace mustardline::proofs
