Give a class's turn to a request that was never placed

Change: a turn goes to a request that was never placed, of the account that is next if it has one. Those that came back still go first wherever the class has a place without a turn.

--- a/packages/policy/class_queue.cpp
+++ b/packages/policy/class_queue.cpp
@@ -65,6 +65,10 @@
         = slot;
     (row.classLink.next == noIndex ? m_newest : requests.at(row.classLink.next).classLink.previous)
         = slot;
+    if (!atFront && line.firstNew == noIndex)
+        line.firstNew = slot;
+    if (!atFront && m_oldestNew == noIndex)
+        m_oldestNew = slot;
     ++m_size;
     ++line.waiting;
     joined(number);
@@ -100,6 +104,10 @@
         = row.classLink.next;
     (row.classLink.next == noIndex ? m_newest : requests.at(row.classLink.next).classLink.previous)
         = row.classLink.previous;
+    if (line.firstNew == slot)
+        line.firstNew = row.flowLink.next;
+    if (m_oldestNew == slot)
+        m_oldestNew = row.classLink.next;
     --m_size;
     --line.waiting;
     reorder(number);
@@ -126,6 +134,14 @@
     return m_flows[m_byShare.top()].first;
 }
 
+auto class_queue::turnFront() const -> std::uint32_t
+{
+    const auto &line = m_flows[m_byShare.top()];
+    if (line.firstNew != noIndex)
+        return line.firstNew;
+    return m_oldestNew != noIndex ? m_oldestNew : line.first;
+}
+
 auto class_queue::start(request_table &requests, std::uint32_t slot, std::uint32_t tokens) -> void
 {
     auto &line = m_flows[flowOf(requests.at(slot).account)];
--- a/packages/policy/class_queue.h
+++ b/packages/policy/class_queue.h
@@ -42,6 +42,10 @@
 
     // The request to place next; the queue must not be empty.
     [[nodiscard]] auto front() const -> std::uint32_t;
+    // The request to place in a turn of the class: one that was never placed, of the account that
+    // is next if it has any. Those that came back stand first in their lines and were begun
+    // already; while places are short they would use up every turn. The queue must not be empty.
+    [[nodiscard]] auto turnFront() const -> std::uint32_t;
     // Removes the request and counts it in flight, at a cost of `tokens`.
     auto start(request_table &requests, std::uint32_t slot, std::uint32_t tokens) -> void;
     // Counts it out of flight and corrects the cost.
@@ -69,6 +73,8 @@
     {
         std::uint32_t first = noIndex;
         std::uint32_t last = noIndex;
+        // The first that was never placed; all after it are of that kind too.
+        std::uint32_t firstNew = noIndex;
         std::uint32_t waiting = 0;
         std::uint32_t inFlight = 0;
         // Virtual time at which its next request may start.
@@ -96,6 +102,8 @@
     std::uint32_t m_inFlight = 0;
     std::uint32_t m_oldest = noIndex;
     std::uint32_t m_newest = noIndex;
+    // The oldest that was never placed.
+    std::uint32_t m_oldestNew = noIndex;
 };
 
 } // namespace mustardline
--- a/packages/policy/target_queue.cpp
+++ b/packages/policy/target_queue.cpp
@@ -101,7 +101,7 @@
         if (first == noIndex)
             first = number;
         else if (turnDue(row, now))
-            return row.queue.front();
+            return row.queue.turnFront();
         if (!mayYield(requests, row, now))
             break;
     }
--- a/packages/policy/testing/policy_modules_test.cpp
+++ b/packages/policy/testing/policy_modules_test.cpp
@@ -106,6 +106,33 @@
     EXPECT_EQ(requests.at(queue.newestOfLargest()).account, 0U);
 }
 
+TEST(ClassQueueTest, givesItsTurnToOneThatWasNeverPlaced)
+{
+    request_table requests;
+    class_queue queue({});
+    const auto add = [&](std::uint32_t account) {
+        const auto slot = requests.add(account);
+        requests.at(slot).account = account;
+        queue.push(requests, slot);
+        return slot;
+    };
+    const auto back = add(0);
+    const auto next = add(0);
+    queue.start(requests, back, 10);
+    queue.finish(0, 10, 0);
+    queue.pushFront(requests, back);
+    EXPECT_EQ(queue.front(), back);
+    EXPECT_EQ(queue.turnFront(), next);
+
+    // The account that is next has none: another's goes.
+    queue.remove(requests, next);
+    EXPECT_EQ(queue.turnFront(), back);
+    queue.start(requests, add(1), 100);
+    const auto other = add(1);
+    EXPECT_EQ(queue.front(), back);
+    EXPECT_EQ(queue.turnFront(), other);
+}
+
 TEST(AccountLimitsTest, holdOverAllEntries)
 {
     struct limit_case
--- a/packages/policy/testing/product_router.cpp
+++ b/packages/policy/testing/product_router.cpp
@@ -234,12 +234,11 @@
         m_world.record(job.request).isPlaced = false;
         std::vector<schedule_action> actions;
         m_agents[engine].finished(job.request, true, m_world.now(), actions);
-        for (const auto &item : actions) {
-            if (const auto *started = std::get_if<start_action>(&item)) {
-                m_agents[engine].cancelled(started->request, m_world.now(), actions);
-                notRun(engine, started->request, result_code::endpoint_failed);
-                break;
-            }
+        // Each that is taken back may let the next one start, which lengthens the list.
+        for (std::size_t at = 0; at < actions.size(); ++at) {
+            const auto started = std::get<start_action>(actions[at]).request;
+            m_agents[engine].cancelled(started, m_world.now(), actions);
+            notRun(engine, started, result_code::endpoint_failed);
         }
         notRun(engine, job.request, result_code::endpoint_failed);
     }
