--- a/packages/agent/agent_process.cpp
+++ b/packages/agent/agent_process.cpp
@@ -193,8 +193,7 @@
     reply.set_running(load.running);
     reply.set_queued(load.queued);
     reply.set_window(load.window);
-    reply.set_first_token_ms(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(load.firstToken).count()));
+    reply.set_first_token_ms(static_cast<std::uint32_t>(toMilliseconds(load.firstToken)));
     return reply;
 }
 
--- a/packages/net/event_loop.cpp
+++ b/packages/net/event_loop.cpp
@@ -6,6 +6,8 @@
 
 #include <event2/event.h>
 
+#include "net/timeval.h"
+
 namespace mustardline {
 
 struct event_handle::state
@@ -26,15 +28,6 @@
 
 namespace {
 
-constexpr std::int64_t microsecondsPerSecond = 1'000'000;
-
-auto toTimeval(duration delay) -> timeval
-{
-    const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(delay).count();
-    return {.tv_sec = microseconds / microsecondsPerSecond,
-            .tv_usec = microseconds % microsecondsPerSecond};
-}
-
 // Changes of what epoll watches are gathered and made once a turn of the loop; a stream's write
 // otherwise adds and removes its descriptor at each token. No descriptor of ours is duplicated,
 // which is what libevent asks for with this flag.
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -11,6 +11,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "net/timeval.h"
+
 namespace mustardline {
 
 namespace {
@@ -32,14 +34,6 @@
     return EVHTTP_REQ_GET;
 }
 
-auto toTimeval(duration delay) -> timeval
-{
-    constexpr std::int64_t microsecondsPerSecond = 1'000'000;
-    const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(delay).count();
-    return {.tv_sec = microseconds / microsecondsPerSecond,
-            .tv_usec = microseconds % microsecondsPerSecond};
-}
-
 auto answerOf(evhttp_request *request) -> http_answer
 {
     http_answer answer{.status = evhttp_request_get_response_code(request)};
--- a/packages/platform/lease_holder.cpp
+++ b/packages/platform/lease_holder.cpp
@@ -72,8 +72,7 @@
     claim.set_duty(m_duty);
     claim.set_holder(m_holder);
     claim.set_previous_offset(m_newestRecord);
-    claim.set_term_ms(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(m_term).count()));
+    claim.set_term_ms(static_cast<std::uint32_t>(toMilliseconds(m_term)));
     if (isMine())
         claim.set_fencing(m_seen.fencing);
     return record;
--- a/packages/platform/usage_ledger.cpp
+++ b/packages/platform/usage_ledger.cpp
@@ -85,7 +85,7 @@
 
 auto usage_ledger::windowLength() const -> unix_milliseconds
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(m_options.window).count();
+    return toMilliseconds(m_options.window);
 }
 
 auto usage_ledger::windowOf(unix_milliseconds instant) const -> unix_milliseconds
--- a/packages/platform/usage_reporter.cpp
+++ b/packages/platform/usage_reporter.cpp
@@ -44,8 +44,7 @@
                               const usage_ledger &ledger, const usage_tick &tick,
                               usage_actions &actions) -> void
 {
-    const auto closeDelay
-        = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.closeDelay).count();
+    const auto closeDelay = toMilliseconds(m_options.closeDelay);
     const auto closedBefore = std::min(tick.unixNow, tick.caughtUpUnix) - closeDelay;
     const auto newestClosed = ledger.windowOf(closedBefore) - ledger.windowLength();
     auto start = newestClosed;
