Report demand through the log, fold it, and agree on limits of scaling

Cause: no process sums demand over entries, so the scaler could not be carried by one. Records: DemandReport in the lease stream, ModelScaling as an entity of the configuration, scaled_down as a mark on a leaving endpoint. demand_table folds the reports. Ruled out: the usage stream (10 MB a second at the designed size, for a reader that needs 57 records a second); ordering boots by a list of replaced ones: the randomised test showed that a late record of a boot never seen before hid the running boot for good. The time of writing orders them now. The scaler learns how many endpoints a data centre can have; before, a small one that was full kept all further starts for itself.

--- a/packages/platform/configuration.cpp
+++ b/packages/platform/configuration.cpp
@@ -35,6 +35,8 @@
         return v1::ENTITY_KIND_ROUTE;
     case v1::Entity::kEndpoint:
         return v1::ENTITY_KIND_ENDPOINT;
+    case v1::Entity::kModelScaling:
+        return v1::ENTITY_KIND_MODEL_SCALING;
     case v1::Entity::ENTITY_NOT_SET:
         return v1::ENTITY_KIND_UNSPECIFIED;
     }
@@ -57,6 +59,8 @@
         return entity.route().id();
     case v1::Entity::kEndpoint:
         return entity.endpoint().id();
+    case v1::Entity::kModelScaling:
+        return entity.model_scaling().id();
     case v1::Entity::ENTITY_NOT_SET:
         return none;
     }
@@ -215,6 +219,12 @@
     return found == nullptr ? nullptr : &found->entity().endpoint();
 }
 
+auto configuration::modelScaling(std::string_view id) const -> const v1::ModelScaling *
+{
+    const auto *found = find(v1::ENTITY_KIND_MODEL_SCALING, id);
+    return found == nullptr ? nullptr : &found->entity().model_scaling();
+}
+
 auto configuration::routeFor(std::string_view path) const -> const v1::Route *
 {
     const auto *routes = table(v1::ENTITY_KIND_ROUTE);
--- a/packages/platform/configuration.h
+++ b/packages/platform/configuration.h
@@ -81,6 +81,7 @@
     [[nodiscard]] auto requestClass(std::string_view id) const -> const v1::RequestClass *;
     [[nodiscard]] auto route(std::string_view id) const -> const v1::Route *;
     [[nodiscard]] auto endpoint(std::string_view id) const -> const v1::Endpoint *;
+    [[nodiscard]] auto modelScaling(std::string_view id) const -> const v1::ModelScaling *;
 
     // The route with the longest id that is a prefix of `path`.
     [[nodiscard]] auto routeFor(std::string_view path) const -> const v1::Route *;
--- a/packages/platform/configuration_rules.cpp
+++ b/packages/platform/configuration_rules.cpp
@@ -20,6 +20,9 @@
 constexpr std::uint32_t largestPriority = 1'000;
 constexpr std::uint32_t largestLimit = 1'000'000;
 constexpr std::uint32_t largestConcurrency = 100'000;
+constexpr std::uint32_t mostEndpoints = 10'000;
+constexpr std::uint32_t longestStartMs = 3'600'000;
+constexpr std::uint32_t wholePercent = 100;
 
 constexpr std::string_view idCharacters
     = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
@@ -116,14 +119,39 @@
     if (endpoint.max_concurrency() < 1 || endpoint.max_concurrency() > largestConcurrency)
         return invalid(fmt::format("max_concurrency of endpoint \"{}\" is not between 1 and {}",
                                    endpoint.id(), largestConcurrency));
+    if (endpoint.scaled_down() && !(endpoint.leaving() && endpoint.managed()))
+        return invalid(fmt::format("endpoint \"{}\" is scaled down, but not managed and leaving",
+                                   endpoint.id()));
+    return std::monostate();
+}
+
+auto validateScaling(const v1::ModelScaling &scaling) -> status
+{
+    if (scaling.most() < 1 || scaling.most() > mostEndpoints || scaling.least() > scaling.most())
+        return invalid(fmt::format("the limits {} to {} of scaling \"{}\" are not in order or not "
+                                   "between 1 and {}",
+                                   scaling.least(), scaling.most(), scaling.id(), mostEndpoints));
+    const auto places = scaling.places_per_endpoint();
+    if (places < 1 || places > largestConcurrency)
+        return invalid(fmt::format("the places per endpoint of scaling \"{}\" are not between 1 "
+                                   "and {}",
+                                   scaling.id(), largestConcurrency));
+    if (scaling.start_time_ms() < 1 || scaling.start_time_ms() > longestStartMs)
+        return invalid(fmt::format("the start time of scaling \"{}\" is not between 1 ms and an "
+                                   "hour",
+                                   scaling.id()));
+    if (scaling.lowest_tier_percent() > wholePercent)
+        return invalid(
+            fmt::format("scaling \"{}\" pays for over 100 percent of a tier", scaling.id()));
     return std::monostate();
 }
 
 auto validateId(const v1::Entity &entity) -> status
 {
     const auto &id = idOf(entity);
+    const auto allowed = entity.has_model_scaling() ? nameCharacters : idCharacters;
     const auto isValid = entity.has_route() ? id.starts_with('/') && consistsOf(id, nameCharacters)
-                                            : consistsOf(id, idCharacters);
+                                            : consistsOf(id, allowed);
     if (!isValid)
         return invalid(fmt::format("the id \"{}\" is empty, too long or has characters that are "
                                    "not allowed",
@@ -230,6 +258,8 @@
         return validateRoute(entity.route());
     case v1::Entity::kEndpoint:
         return validateEndpoint(entity.endpoint());
+    case v1::Entity::kModelScaling:
+        return validateScaling(entity.model_scaling());
     case v1::Entity::kDataCentre:
     case v1::Entity::ENTITY_NOT_SET:
         break;
--- a/packages/platform/configuration_rules.h
+++ b/packages/platform/configuration_rules.h
@@ -17,7 +17,10 @@
 //     route            a service route names its service, a model route none; an open route names
 //                      the existing client account that its requests are counted on
 //     endpoint         its data centre exists; addresses are IP:PORT; serves something, a service
-//                      endpoint exactly one service
+//                      endpoint exactly one service; scaled down only if leaving and managed
+//     model scaling    1 to 10,000 at most and no fewer than the least, 1 to 100,000 places, a
+//     start
+//                      of 1 ms to an hour, up to 100 percent of the lowest tier
 
 #include <string_view>
 #include <vector>
--- /dev/null
+++ b/packages/platform/demand_table.cpp
@@ -0,0 +1,89 @@
+#include "platform/demand_table.h"
+
+#include <algorithm>
+
+namespace mustardline {
+
+namespace {
+
+constexpr duration shortestInterval = std::chrono::milliseconds(100);
+
+auto add(const tier_demand &from, tier_demand &to) -> void
+{
+    to.inFlight += from.inFlight;
+    to.waiting += from.waiting;
+    to.refused += from.refused;
+    to.finished += from.finished;
+}
+
+auto read(const v1::TierDemand &told) -> tier_demand
+{
+    // A figure that is no number would spoil the sum for ever; this leaves it out.
+    return {.inFlight = told.in_flight() > 0 ? told.in_flight() : 0,
+            .waiting = told.waiting() > 0 ? told.waiting() : 0,
+            .refused = told.refused(),
+            .finished = told.finished()};
+}
+
+} // namespace
+
+auto demand_table::apply(std::uint64_t offset, const v1::LogRecord &record, time_point now) -> void
+{
+    if (offset <= m_offset)
+        return;
+    m_offset = offset;
+    if (!record.has_demand_report())
+        return;
+    forgetSilent(now);
+    auto &row = m_entries[record.writer()];
+    if (!isNewer(row, record))
+        return;
+    const auto &report = record.demand_report();
+    row.boot = record.boot();
+    row.sequence = record.sequence();
+    row.writtenAt = record.written_unix_ms();
+    row.heardAt = now;
+    row.interval = std::clamp<duration>(std::chrono::milliseconds(report.interval_ms()),
+                                        shortestInterval, longestInterval);
+    row.models.clear();
+    for (const auto &item : report.models())
+        row.models[item.model()]
+            = {.paid = read(item.paid()), .lowestTier = read(item.lowest_tier())};
+}
+
+auto demand_table::sum(std::string_view model, time_point now) const -> model_demand
+{
+    model_demand total;
+    for (const auto &[entry, row] : m_entries) {
+        const auto found = row.models.find(model);
+        if (!row.counts(now) || found == row.models.end())
+            continue;
+        add(found->second.paid, total.paid);
+        add(found->second.lowestTier, total.lowestTier);
+    }
+    return total;
+}
+
+auto demand_table::entryCount(time_point now) const -> std::size_t
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_entries, [now](const auto &item) { return item.second.counts(now); }));
+}
+
+auto demand_table::isNewer(const entry_row &row, const v1::LogRecord &record) -> bool
+{
+    if (record.boot() == row.boot)
+        return record.sequence() > row.sequence;
+    return record.written_unix_ms() > row.writtenAt;
+}
+
+auto demand_table::forgetSilent(time_point now) -> void
+{
+    if (now < m_forgetAt)
+        return;
+    m_forgetAt = now + longestInterval;
+    std::erase_if(m_entries,
+                  [now](const auto &item) { return now - item.second.heardAt >= rowLifetime; });
+}
+
+} // namespace mustardline
--- a/packages/platform/testing/configuration_records.h
+++ b/packages/platform/testing/configuration_records.h
@@ -68,6 +68,25 @@
     return entity;
 }
 
+struct scaling_limits
+{
+    std::uint32_t least = 1;
+    std::uint32_t most = 10;
+};
+
+// A model whose endpoints have 10 places and start within a minute.
+inline auto scalingOf(const std::string &model, const scaling_limits &limits = {}) -> v1::Entity
+{
+    v1::Entity entity;
+    auto &scaling = *entity.mutable_model_scaling();
+    scaling.set_id(model);
+    scaling.set_least(limits.least);
+    scaling.set_most(limits.most);
+    scaling.set_places_per_endpoint(10);
+    scaling.set_start_time_ms(60'000);
+    return entity;
+}
+
 inline auto modelRouteOf(const std::string &id) -> v1::Entity
 {
     v1::Entity entity;
--- a/packages/platform/testing/configuration_test.cpp
+++ b/packages/platform/testing/configuration_test.cpp
@@ -173,6 +173,11 @@
     service.mutable_route()->set_kind(v1::ROUTE_KIND_SERVICE);
     service.mutable_route()->set_service("s");
     const auto endpoint = endpointOf("e", "dc");
+    auto scaledDown = endpoint;
+    scaledDown.mutable_endpoint()->set_managed(true);
+    scaledDown.mutable_endpoint()->set_leaving(true);
+    scaledDown.mutable_endpoint()->set_scaled_down(true);
+    const auto scaling = scalingOf("org/large", {.least = 1, .most = 4});
     const std::vector<rule_case> cases = {
         {"empty id", [](auto &e) { e.mutable_data_centre()->clear_id(); }, dataCentreOf("dc")},
         {"odd id", [](auto &e) { e.mutable_data_centre()->set_id("a b"); }, dataCentreOf("dc")},
@@ -210,6 +215,18 @@
         {"no address", [](auto &e) { e.mutable_endpoint()->clear_agent_address(); }, endpoint},
         {"odd address", [](auto &e) { e.mutable_endpoint()->set_control_address("x"); }, endpoint},
         {"no concurrency", [](auto &e) { e.mutable_endpoint()->set_max_concurrency(0); }, endpoint},
+        {"scaled down and not leaving", [](auto &e) { e.mutable_endpoint()->set_leaving(false); },
+         scaledDown},
+        {"scaled down and not managed", [](auto &e) { e.mutable_endpoint()->set_managed(false); },
+         scaledDown},
+        {"none may run", [](auto &e) { e.mutable_model_scaling()->set_most(0); }, scaling},
+        {"least over most", [](auto &e) { e.mutable_model_scaling()->set_least(5); }, scaling},
+        {"no places", [](auto &e) { e.mutable_model_scaling()->set_places_per_endpoint(0); },
+         scaling},
+        {"no start time", [](auto &e) { e.mutable_model_scaling()->set_start_time_ms(0); },
+         scaling},
+        {"over 100 percent",
+         [](auto &e) { e.mutable_model_scaling()->set_lowest_tier_percent(101); }, scaling},
     };
     for (const auto &it : cases) {
         auto entity = it.entity;
--- a/packages/policy/scaler.cpp
+++ b/packages/policy/scaler.cpp
@@ -16,13 +16,15 @@
 
 } // namespace
 
-auto scaler::setDataCentre(std::string_view name, bool isIn) -> void
+auto scaler::setDataCentre(std::string_view name, bool isIn, std::uint32_t room) -> void
 {
     const auto row = std::ranges::find(m_dataCentres, name, &data_centre_row::name);
-    if (row != m_dataCentres.end())
-        row->isIn = isIn;
-    else
-        m_dataCentres.push_back({.name = std::string(name), .isIn = isIn});
+    if (row == m_dataCentres.end()) {
+        m_dataCentres.push_back({.name = std::string(name), .isIn = isIn, .room = room});
+        return;
+    }
+    row->isIn = isIn;
+    row->room = room;
 }
 
 auto scaler::isIn(std::string_view dataCentre) const -> bool
@@ -139,12 +141,7 @@
     const auto room = m_options.startsAtOnce - std::min(starting, m_options.startsAtOnce);
     auto perDataCentre = counts(endpoints);
     for (std::uint32_t order = 0; order < std::min(missing, room); ++order) {
-        auto fewest = m_dataCentres.size();
-        for (std::size_t index = 0; index < m_dataCentres.size(); ++index) {
-            if (m_dataCentres[index].isIn
-                && (fewest == m_dataCentres.size() || perDataCentre[index] < perDataCentre[fewest]))
-                fewest = index;
-        }
+        const auto fewest = emptiest(perDataCentre);
         if (fewest == m_dataCentres.size())
             return;
         actions.emplace_back(start_endpoint_action{.dataCentre = m_dataCentres[fewest].name});
@@ -152,6 +149,19 @@
     }
 }
 
+auto scaler::emptiest(std::span<const std::uint32_t> perDataCentre) const -> std::size_t
+{
+    auto fewest = m_dataCentres.size();
+    for (std::size_t index = 0; index < m_dataCentres.size(); ++index) {
+        const auto &row = m_dataCentres[index];
+        const auto isOpen = row.isIn && perDataCentre[index] < row.room;
+        if (isOpen
+            && (fewest == m_dataCentres.size() || perDataCentre[index] < perDataCentre[fewest]))
+            fewest = index;
+    }
+    return fewest;
+}
+
 // Drains the least loaded endpoint of the data centre that has most.
 auto scaler::shrink(std::span<const scaled_endpoint> endpoints,
                     std::vector<scale_action> &actions) const -> void
--- a/packages/policy/scaler.h
+++ b/packages/policy/scaler.h
@@ -19,6 +19,7 @@
 // An order that has no effect yet is given again under the same terms.
 
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <string>
 #include <string_view>
@@ -94,10 +95,14 @@
 class scaler
 {
 public:
+    static constexpr std::uint32_t unlimitedRoom = std::numeric_limits<std::uint32_t>::max();
+
     explicit scaler(scaler_options options) : m_options(options) {}
 
-    // Declares a data centre, or takes it out or back in.
-    auto setDataCentre(std::string_view name, bool isIn) -> void;
+    // Declares a data centre, or takes it out or back in. `room` is how many endpoints of the model
+    // it can have, started or not; where all have been started, another data centre is tried.
+    auto setDataCentre(std::string_view name, bool isIn, std::uint32_t room = unlimitedRoom)
+        -> void;
 
     auto observe(const demand_observation &demand, time_point now) -> void;
 
@@ -113,9 +118,12 @@
     {
         std::string name;
         bool isIn = true;
+        std::uint32_t room = unlimitedRoom;
     };
 
     [[nodiscard]] auto isIn(std::string_view dataCentre) const -> bool;
+    // The data centre with room that has fewest endpoints; the number of rows if there is none.
+    [[nodiscard]] auto emptiest(std::span<const std::uint32_t> perDataCentre) const -> std::size_t;
     auto leaveDataCentresOut(std::span<const scaled_endpoint> endpoints,
                              std::vector<scale_action> &actions) const -> void;
     auto stopEmpty(std::span<const scaled_endpoint> endpoints,
--- a/packages/policy/testing/policy_modules_test.cpp
+++ b/packages/policy/testing/policy_modules_test.cpp
@@ -314,6 +314,26 @@
     EXPECT_EQ(std::get<stop_endpoint_action>(actions[0]).id, "e2");
 }
 
+TEST(ScalerTest, startsElsewhereOnceADataCentreHasNoRoom)
+{
+    scaler core({.placesPerEndpoint = 10, .targetUse = 1, .startsAtOnce = 3});
+    core.setDataCentre("a", true, 1);
+    core.setDataCentre("b", true, 2);
+    std::vector<scale_action> actions;
+    core.observe({.inFlight = 90}, {});
+    core.decide({}, {}, actions);
+    ASSERT_EQ(actions.size(), 3U);
+    EXPECT_EQ(std::get<start_endpoint_action>(actions[0]).dataCentre, "a");
+    EXPECT_EQ(std::get<start_endpoint_action>(actions[1]).dataCentre, "b");
+    EXPECT_EQ(std::get<start_endpoint_action>(actions[2]).dataCentre, "b");
+    const std::vector<scaled_endpoint> all{{.id = "e1", .dataCentre = "a"},
+                                           {.id = "e2", .dataCentre = "b"},
+                                           {.id = "e3", .dataCentre = "b"}};
+    actions.clear();
+    core.decide(all, {}, actions);
+    EXPECT_TRUE(actions.empty());
+}
+
 } // namespace
 
 } // namespace mustardline
