Let demand decide in the process which managed endpoints run

Each entry measures and reports its demand for models with limits (demand_meter), duty holders fold the reports and decide (scaling_duty), and mark endpoints in the configuration as leaving and scaled down or take the marks away. The order duty starts and stops as before. The look for empty endpoints is a class without I/O now (drain_watch), so that it can be tested on a paused clock. Ruled out: a record of its own for drained endpoints (entries without duties do not read the lease stream, and agents would need it too); passing endpoints that are down to the scaler (two holders know different loads, would choose different data centres and could wait for one another). Stricter than before: an endpoint counts as empty after two answers 5 s apart; until now one answer followed by 5 s of silence sufficed.

--- /dev/null
+++ b/packages/entry/drain_watch.cpp
@@ -0,0 +1,56 @@
+#include "entry/drain_watch.h"
+
+namespace mustardline {
+
+auto drain_watch::dueLooks(time_point now, const mine_test &isMine) -> std::vector<std::string>
+{
+    std::vector<std::string> due;
+    for (auto &[id, item] : m_endpoints) {
+        if (now < item.nextLookAt)
+            continue;
+        if (isMine(id))
+            due.push_back(id);
+        else
+            item = {.heardAt = now};
+        item.nextLookAt = now + m_options.lookPause;
+    }
+    return due;
+}
+
+auto drain_watch::heard(const std::string &endpoint, std::uint32_t load, time_point now) -> void
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end())
+        return;
+    auto &item = found->second;
+    item.heardAt = now;
+    item.load = load;
+    if (load > 0) {
+        item.emptySince.reset();
+        item.isEmpty = false;
+        return;
+    }
+    if (!item.emptySince)
+        item.emptySince = now;
+    item.isEmpty = now - *item.emptySince >= m_options.settleTime;
+}
+
+auto drain_watch::takeEmpty(time_point now) -> std::vector<std::string>
+{
+    std::vector<std::string> empty;
+    for (const auto &[id, item] : m_endpoints) {
+        if (item.isEmpty || now - item.heardAt >= m_options.silenceLimit)
+            empty.push_back(id);
+    }
+    for (const auto &id : empty)
+        m_endpoints.erase(id);
+    return empty;
+}
+
+auto drain_watch::load(std::string_view endpoint) const -> std::uint32_t
+{
+    const auto found = m_endpoints.find(endpoint);
+    return found == m_endpoints.end() ? 0 : found->second.load;
+}
+
+} // namespace mustardline
--- a/packages/entry/duty_leases.h
+++ b/packages/entry/duty_leases.h
@@ -51,6 +51,8 @@
     auto release() -> void;
     [[nodiscard]] auto isReleased() const -> bool;
     [[nodiscard]] auto isReachable() const -> bool { return m_stream.isReachable(); }
+    // Whether the stream is read to its head, as far as this process can tell.
+    [[nodiscard]] auto isAtHead() const -> bool { return m_stream.isCaughtUp() && isReachable(); }
 
     [[nodiscard]] auto table() const -> const lease_table & { return m_table; }
 
--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -12,6 +12,7 @@
 constexpr auto tickPeriod = std::chrono::milliseconds(10);
 constexpr auto sweepPeriod = std::chrono::milliseconds(50);
 constexpr auto dutyPeriod = std::chrono::milliseconds(100);
+constexpr auto demandPeriod = std::chrono::milliseconds(250);
 constexpr auto drainPoll = std::chrono::milliseconds(20);
 constexpr int exitCut = 1;
 constexpr int exitListenFailed = 3;
@@ -51,6 +52,9 @@
       m_usage(m_log, m_usageDuty.stream(), {.entryName = m_settings.name}),
       m_orders(m_loop, m_http, m_log, m_leases, m_config,
                {.entryName = m_settings.name, .ordersAddress = m_settings.orders}),
+      m_scaling(m_config, [this](const v1::Endpoint &endpoint) { return m_orders.sight(endpoint); },
+                {.entryName = m_settings.name, .reportInterval = m_settings.demandReportInterval}),
+      m_demand(m_config, {.interval = m_settings.demandReportInterval}),
       m_claims(m_loop, m_http, m_log, {.entryName = m_settings.name, .logAddress = m_settings.log}),
       m_router(m_loop, m_http, m_log, m_metrics, m_config, m_claims,
                {.dataCentre = m_settings.dataCentre,
@@ -76,6 +80,10 @@
     m_follower.onFolded = [this] { m_operators.folded(); };
     m_leases.onRecord = [this](std::uint64_t offset, const v1::LogRecord &record) {
         m_orders.fold(offset, record);
+        m_scaling.fold(offset, record, system_runtime_clock().now());
+    };
+    m_router.onEnded = [this](const caller_request &request, result_code code) {
+        m_demand.sawEnd(request.target, request.tier, code);
     };
     m_operators.onUsage = [this](const v1::UsageRequest &request, v1::UsageResponse &response) {
         m_usageDuty.describe(request, response);
@@ -101,6 +109,7 @@
     m_tickTimer = m_loop.every(tickPeriod, [this] { tick(); });
     m_sweepTimer = m_loop.every(sweepPeriod, [this] { m_router.sweep(); });
     m_dutyTimer = m_loop.every(dutyPeriod, [this] { tickDuties(); });
+    m_demandTimer = m_loop.every(demandPeriod, [this] { measureDemand(); });
     m_follower.start();
     m_claims.start();
     if (m_settings.duties) {
@@ -181,6 +190,26 @@
     m_leases.tick();
     m_usageDuty.tick();
     m_orders.tick();
+    tickScaling();
+}
+
+auto entry_process::tickScaling() -> void
+{
+    for (auto &item : m_scaling.tick(system_runtime_clock().now(), m_leases.isAtHead())) {
+        m_log.write(scalingDecided, field("model", item.model), field("action", item.action),
+                    field("endpoint", item.endpoint), field("data_centre", item.dataCentre),
+                    field("reason", item.reason), field("demand", item.demand),
+                    field("running", item.running), field("wanted", item.wanted),
+                    field("alternatives", item.alternatives));
+        m_follower.append(std::move(item.record));
+    }
+}
+
+auto entry_process::measureDemand() -> void
+{
+    m_router.measure(m_demand);
+    if (auto record = m_demand.report(system_runtime_clock().now()))
+        m_leases.append(std::move(*record));
 }
 
 auto entry_process::drain() -> void
@@ -204,6 +233,8 @@
 {
     if (m_router.liveCount() > 0)
         return;
+    if (auto record = m_demand.endReport())
+        m_leases.append(std::move(*record));
     // Duties are held to the last request, so that its usage still finds its way.
     m_leases.release();
     const auto flushed = !m_usage.isBusy() && m_claims.pendingCount() == 0;
--- a/packages/entry/entry_process.h
+++ b/packages/entry/entry_process.h
@@ -11,10 +11,12 @@
 #include "base/log.h"
 #include "entry/claim_keeper.h"
 #include "entry/configuration_follower.h"
+#include "entry/demand_meter.h"
 #include "entry/duty_leases.h"
 #include "entry/operator_service.h"
 #include "entry/order_duty.h"
 #include "entry/request_router.h"
+#include "entry/scaling_duty.h"
 #include "entry/settings.h"
 #include "entry/usage_collector.h"
 #include "entry/usage_duty.h"
@@ -40,6 +42,8 @@
     auto serveControl(std::string_view message) -> std::string;
     auto tick() -> void;
     auto tickDuties() -> void;
+    auto tickScaling() -> void;
+    auto measureDemand() -> void;
     auto drain() -> void;
     auto finishIfIdle() -> void;
     auto fillStatus(v1::StatusResponse &response) -> void;
@@ -56,6 +60,8 @@
     usage_duty m_usageDuty;
     usage_collector m_usage;
     order_duty m_orders;
+    scaling_duty m_scaling;
+    demand_meter m_demand;
     claim_keeper m_claims;
     request_router m_router;
     operator_service m_operators;
@@ -65,6 +71,7 @@
     event_handle m_tickTimer;
     event_handle m_sweepTimer;
     event_handle m_dutyTimer;
+    event_handle m_demandTimer;
     event_handle m_drainTimer;
     bool m_ready = false;
     bool m_draining = false;
--- a/packages/entry/events.h
+++ b/packages/entry/events.h
@@ -75,12 +75,16 @@
 inline constexpr log_event orderAnswered{2051, "order_answered", log_level::info,
                                          "The platform answered an endpoint order."};
 
+inline constexpr log_event scalingDecided{
+    2052, "scaling_decided", log_level::info,
+    "Demand wants an endpoint to run, or not to run any more."};
+
 inline constexpr auto entryEvents = std::to_array<log_event>(
     {entryListening,   entryReady,        entryDraining,   entryStopped,  entryFailed,
      requestPlaced,    requestRefused,    requestFinished, requestNotRun, requestLost,
      requestCancelled, requestRejected,   claimDecided,    claimGivenUp,  ownerResolved,
      entityChanged,    changeDecided,     operatorRefused, usageAppended, usageDelayed,
      usageReported,    usageReportFailed, leaseTaken,      leaseLost,     streamTruncated,
-     snapshotWritten,  orderSent,         orderAnswered});
+     snapshotWritten,  orderSent,         orderAnswered,   scalingDecided});
 
 } // namespace mustardline
--- a/packages/entry/operator_commands.cpp
+++ b/packages/entry/operator_commands.cpp
@@ -179,10 +179,14 @@
                              context.line);
     TCLAP::SwitchArg managed("o", "managed", "Started and stopped by mustardline's orders.",
                              context.line);
+    TCLAP::SwitchArg down("x", "scaled-down", "Managed, and not started before demand wants it.",
+                          context.line);
     context.line.parse(words);
     v1::Entity entity;
     auto &endpoint = *entity.mutable_endpoint();
-    endpoint.set_managed(managed.getValue());
+    endpoint.set_managed(managed.getValue() || down.getValue());
+    endpoint.set_leaving(down.getValue());
+    endpoint.set_scaled_down(down.getValue());
     endpoint.set_id(id.getValue());
     endpoint.set_data_centre(dataCentre.getValue());
     endpoint.set_kind(service.getValue() ? v1::ENDPOINT_KIND_SERVICE : v1::ENDPOINT_KIND_MODEL);
@@ -200,8 +204,39 @@
     command_context context("Marks an endpoint as leaving: it receives no new work.");
     id_argument id(context, "endpoint");
     context.line.parse(words);
-    return editEntity(context, v1::ENTITY_KIND_ENDPOINT, id.getValue(),
-                      [](v1::Entity &entity) { entity.mutable_endpoint()->set_leaving(true); });
+    return editEntity(context, v1::ENTITY_KIND_ENDPOINT, id.getValue(), [](v1::Entity &entity) {
+        entity.mutable_endpoint()->set_leaving(true);
+        // It is its operators' from now on; scaling does not bring it back.
+        entity.mutable_endpoint()->set_scaled_down(false);
+    });
+}
+
+auto createScaling(std::vector<std::string> &words) -> int
+{
+    command_context context("Lets demand decide how many managed endpoints of a model run.");
+    id_argument id(context, "model");
+    number_argument least("l", "least", "Endpoints that always run.", true, 0, "N", context.line);
+    number_argument most("m", "most", "Endpoints that may run at once.", true, 0, "N",
+                         context.line);
+    number_argument places("p", "places", "Requests that one endpoint runs at once.", true, 0, "N",
+                           context.line);
+    number_argument start("s", "start-ms", "From the order to full speed.", true, 0, "MS",
+                          context.line);
+    number_argument lowest("w", "lowest-tier-percent", "Part of tier 6 that is paid for.", false, 0,
+                           "N", context.line);
+    number_argument atOnce("a", "starts-at-once", "Starts under way at once; 0 for 2.", false, 0,
+                           "N", context.line);
+    context.line.parse(words);
+    v1::Entity entity;
+    auto &scaling = *entity.mutable_model_scaling();
+    scaling.set_id(id.getValue());
+    scaling.set_least(least.getValue());
+    scaling.set_most(most.getValue());
+    scaling.set_places_per_endpoint(places.getValue());
+    scaling.set_start_time_ms(start.getValue());
+    scaling.set_lowest_tier_percent(lowest.getValue());
+    scaling.set_starts_at_once(atOnce.getValue());
+    return createEntity(context, entity);
 }
 
 auto removeEntity(std::vector<std::string> &words, v1::EntityKind kind) -> int
@@ -348,6 +383,10 @@
     {"endpoint", "leave", "give it no new work", setEndpointLeaving},
     {"endpoint", "list", "list endpoints", listOf<v1::ENTITY_KIND_ENDPOINT>},
     {"endpoint", "remove", "remove an endpoint", removeOf<v1::ENTITY_KIND_ENDPOINT>},
+    {"scaling", "create", "let demand decide how many endpoints run", createScaling},
+    {"scaling", "list", "list the models that are scaled", listOf<v1::ENTITY_KIND_MODEL_SCALING>},
+    {"scaling", "remove", "let all endpoints of a model run",
+     removeOf<v1::ENTITY_KIND_MODEL_SCALING>},
     {"status", "", "show the state of an entry", showStatus},
     {"usage", "", "show the usage windows of an account", showUsage},
 });
--- a/packages/entry/order_duty.cpp
+++ b/packages/entry/order_duty.cpp
@@ -7,12 +7,6 @@
 
 namespace mustardline {
 
-namespace {
-
-constexpr auto lookPause = std::chrono::seconds(1);
-
-} // namespace
-
 order_duty::order_duty(event_loop &loop, http_client &http, logger &log, duty_leases &leases,
                        const configuration &config, order_duty_options options)
     : m_loop(loop),
@@ -20,7 +14,8 @@
       m_leases(leases),
       m_config(config),
       m_options(std::move(options)),
-      m_client(http, m_options.ordersAddress)
+      m_client(http, m_options.ordersAddress),
+      m_drains(m_options.drains)
 {}
 
 auto order_duty::configurationChanged(v1::EntityKind kind, const std::string &id) -> void
@@ -33,7 +28,7 @@
 
 auto order_duty::tick() -> void
 {
-    lookAtDrained(m_clock.now());
+    lookAtDrained();
     for (auto &[id, orders] : m_dataCentres)
         tickDataCentre(id, orders);
 }
@@ -52,7 +47,8 @@
 
 auto order_duty::wish(const std::string &endpointId) -> void
 {
-    m_drained.erase(endpointId);
+    m_drains.forget(endpointId);
+    m_agents.erase(endpointId);
     const auto *endpoint = m_config.endpoint(endpointId);
     if (endpoint == nullptr || !endpoint->managed()) {
         for (auto &[id, orders] : m_dataCentres)
@@ -63,11 +59,7 @@
         desire(*endpoint, true);
         return;
     }
-    auto &drained = m_drained[endpointId];
-    drained.dataCentre = endpoint->data_centre();
-    drained.agent = std::make_unique<control_client>(
-        m_loop, parseAddress(endpoint->control_address()), control_client_options());
-    drained.heardAt = m_clock.now();
+    m_drains.watch(endpointId, m_clock.now());
 }
 
 auto order_duty::desire(const v1::Endpoint &endpoint, bool running) -> void
@@ -106,52 +98,63 @@
         });
 }
 
-auto order_duty::lookAtDrained(time_point now) -> void
+auto order_duty::isMine(std::string_view dataCentre) const -> bool
 {
-    std::vector<std::string> empty;
-    for (auto &[id, drained] : m_drained) {
-        const auto settled
-            = drained.emptySince && now - *drained.emptySince >= m_options.settleTime;
-        if (settled || now - drained.heardAt >= m_options.silenceLimit) {
-            empty.push_back(id);
-            continue;
-        }
-        const auto orders = m_dataCentres.find(drained.dataCentre);
-        const auto isMine = orders != m_dataCentres.end() && orders->second.lease.holds(now);
-        if (!isMine)
-            drained.heardAt = now;
-        if (!isMine || now < drained.nextLookAt || drained.agent->isBusy())
-            continue;
-        drained.nextLookAt = now + lookPause;
-        v1::ControlRequest request;
-        request.set_sender(m_options.entryName);
-        request.set_configuration_offset(m_config.offset());
-        request.mutable_load();
-        drained.agent->send(
-            request.SerializeAsString(),
-            [this, name = id](const result<std::string> &reply) { loadTold(name, reply); });
-    }
-    for (const auto &id : empty) {
-        m_drained.erase(id);
+    const auto orders = m_dataCentres.find(dataCentre);
+    return orders != m_dataCentres.end() && orders->second.lease.holds(m_clock.now());
+}
+
+auto order_duty::sight(const v1::Endpoint &endpoint) const -> endpoint_sight
+{
+    if (!isMine(endpoint.data_centre()))
+        return {};
+    const auto &book = m_dataCentres.find(endpoint.data_centre())->second.book;
+    return {.isMine = true,
+            .isUp = book.isListedUp(endpoint.id()),
+            .load = m_drains.load(endpoint.id())};
+}
+
+auto order_duty::lookAtDrained() -> void
+{
+    const auto now = m_clock.now();
+    for (const auto &id : m_drains.takeEmpty(now)) {
+        m_agents.erase(id);
         if (const auto *endpoint = m_config.endpoint(id))
             desire(*endpoint, false);
     }
+    const auto due = m_drains.dueLooks(now, [this](const std::string &id) {
+        const auto *endpoint = m_config.endpoint(id);
+        return endpoint != nullptr && isMine(endpoint->data_centre());
+    });
+    for (const auto &id : due)
+        look(*m_config.endpoint(id));
+}
+
+auto order_duty::look(const v1::Endpoint &endpoint) -> void
+{
+    auto &agent = m_agents[endpoint.id()];
+    if (agent == nullptr)
+        agent = std::make_unique<control_client>(m_loop, parseAddress(endpoint.control_address()),
+                                                 control_client_options());
+    if (agent->isBusy())
+        return;
+    v1::ControlRequest request;
+    request.set_sender(m_options.entryName);
+    request.set_configuration_offset(m_config.offset());
+    request.mutable_load();
+    agent->send(
+        request.SerializeAsString(),
+        [this, name = endpoint.id()](const result<std::string> &reply) { loadTold(name, reply); });
 }
 
 auto order_duty::loadTold(const std::string &endpointId, const result<std::string> &reply) -> void
 {
-    const auto found = m_drained.find(endpointId);
     v1::ControlReply message;
     const auto *bytes = std::get_if<std::string>(&reply);
-    const auto told = bytes != nullptr && message.ParseFromString(*bytes) && message.has_load();
-    if (found == m_drained.end() || !told)
+    if (bytes == nullptr || !message.ParseFromString(*bytes) || !message.has_load())
         return;
-    const auto now = m_clock.now();
-    found->second.heardAt = now;
-    if (message.load().running() + message.load().queued() > 0)
-        found->second.emptySince.reset();
-    else if (!found->second.emptySince)
-        found->second.emptySince = now;
+    const auto load = message.load().running() + message.load().queued();
+    m_drains.heard(endpointId, load, m_clock.now());
 }
 
 } // namespace mustardline
--- a/packages/entry/order_duty.h
+++ b/packages/entry/order_duty.h
@@ -7,19 +7,20 @@
 //     orders.configurationChanged(kind, id);
 //     orders.tick();                                  // some times a second
 //
-// A managed endpoint should run unless it is leaving. A leaving one is stopped only once its agent
-// says that it has no work, at two looks that are further apart than a change of configuration
-// takes to reach every entry; so no entry can still send it any. An agent that does not answer for
-// long is taken for gone.
+// A managed endpoint should run unless it is leaving, be it by its operators' word or because
+// scaling does not want it (scaling_duty.h). A leaving one is stopped only once it has no work any
+// more (drain_watch.h).
 
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
+#include <string_view>
 
 #include "base/log.h"
+#include "entry/drain_watch.h"
 #include "entry/duty_leases.h"
+#include "entry/scaling_duty.h"
 #include "net/control_socket.h"
 #include "platform/configuration.h"
 #include "platform/order_book.h"
@@ -32,10 +33,7 @@
 {
     std::string entryName;
     socket_address ordersAddress;
-    // Least time between the two looks that find a leaving endpoint empty.
-    duration settleTime = std::chrono::seconds(5);
-    // An agent silent for so long is taken for gone.
-    duration silenceLimit = std::chrono::seconds(60);
+    drain_watch_options drains = {};
 };
 
 class order_duty
@@ -55,6 +53,9 @@
     // Orders what is due.
     auto tick() -> void;
 
+    // What scaling needs to know to choose among the endpoints of a data centre.
+    [[nodiscard]] auto sight(const v1::Endpoint &endpoint) const -> endpoint_sight;
+
 private:
     struct data_centre_orders
     {
@@ -62,21 +63,13 @@
         const lease_holder &lease;
     };
 
-    // A leaving endpoint that is not known to be empty yet.
-    struct drained_endpoint
-    {
-        std::string dataCentre;
-        std::unique_ptr<control_client> agent;
-        time_point heardAt;
-        time_point nextLookAt;
-        std::optional<time_point> emptySince;
-    };
-
     auto addDataCentre(const std::string &id) -> void;
     auto wish(const std::string &endpointId) -> void;
     auto desire(const v1::Endpoint &endpoint, bool running) -> void;
     auto tickDataCentre(const std::string &id, data_centre_orders &orders) -> void;
-    auto lookAtDrained(time_point now) -> void;
+    [[nodiscard]] auto isMine(std::string_view dataCentre) const -> bool;
+    auto lookAtDrained() -> void;
+    auto look(const v1::Endpoint &endpoint) -> void;
     auto loadTold(const std::string &endpointId, const result<std::string> &reply) -> void;
 
     event_loop &m_loop;
@@ -87,8 +80,10 @@
     system_runtime_clock m_clock;
     orders_client m_client;
     order_ledger m_ledger;
-    std::map<std::string, data_centre_orders> m_dataCentres;
-    std::map<std::string, drained_endpoint> m_drained;
+    std::map<std::string, data_centre_orders, std::less<>> m_dataCentres;
+    drain_watch m_drains;
+    // Of the leaving endpoints that were looked at.
+    std::map<std::string, std::unique_ptr<control_client>> m_agents;
 };
 
 } // namespace mustardline
--- a/packages/entry/request_router.cpp
+++ b/packages/entry/request_router.cpp
@@ -115,7 +115,7 @@
                                            outcome.httpStatus)});
         return;
     }
-    countResult(live.request.tier, result_code::ok);
+    countEnd(live, result_code::ok);
     replyRepeated(live, static_cast<int>(outcome.httpStatus), outcome.body);
     forget(live.number);
 }
@@ -340,7 +340,7 @@
 {
     if (live.claimed && !live.mayHaveRun)
         m_claims.notRun(live);
-    countResult(live.request.tier, fault.code);
+    countEnd(live, fault.code);
     replyError(live, fault);
     forget(live.number);
 }
@@ -392,6 +392,20 @@
         stop(*find(number), result_code::key_withdrawn);
 }
 
+auto request_router::measure(demand_meter &meter) const -> void
+{
+    meter.beginLook();
+    for (const auto &[number, live] : m_requests)
+        meter.sawLive(live.request.target, live.request.tier, live.phase == live_phase::queued);
+}
+
+auto request_router::countEnd(const live_request &live, result_code code) -> void
+{
+    countResult(live.request.tier, code);
+    if (onEnded)
+        onEnded(live.request, code);
+}
+
 auto request_router::countResult(std::uint32_t tier, result_code code) -> void
 {
     m_metrics
--- a/packages/entry/request_router.h
+++ b/packages/entry/request_router.h
@@ -20,6 +20,7 @@
 #include "entry/agent_call.h"
 #include "entry/caller_request.h"
 #include "entry/claim_flow.h"
+#include "entry/demand_meter.h"
 #include "entry/live_request.h"
 #include "net/http_error.h"
 #include "net/http_server.h"
@@ -64,6 +65,12 @@
     [[nodiscard]] auto liveCount() const -> std::size_t { return m_requests.size(); }
     [[nodiscard]] auto queuedCount() const -> std::size_t { return m_dispatcher.queuedCount(); }
 
+    // Tells the meter of every live request.
+    auto measure(demand_meter &meter) const -> void;
+
+    // Called with the result of each request that was admitted.
+    std::function<auto(const caller_request &request, result_code code)->void> onEnded;
+
     // Called when an agent names a configuration newer than ours.
     std::function<auto(std::uint64_t offset)->void> onNewerConfiguration;
 
@@ -103,6 +110,7 @@
     auto reject(const std::shared_ptr<http_exchange> &exchange, const http_error &fault) -> void;
     auto setEndpoint(const v1::Endpoint &endpoint) -> void;
     auto stopKey(const std::string &keyId) -> void;
+    auto countEnd(const live_request &live, result_code code) -> void;
     auto countResult(std::uint32_t tier, result_code code) -> void;
 
     event_loop &m_loop;
--- a/packages/entry/request_router_answers.cpp
+++ b/packages/entry/request_router_answers.cpp
@@ -81,7 +81,7 @@
                 field("endpoint", live.endpoint), field("status", live.start.status),
                 field("tokens", live.tokens),
                 field("total_ms", toMilliseconds(now - live.arrivedAt)));
-    countResult(live.request.tier, result_code::ok);
+    countEnd(live, result_code::ok);
     if (live.claimed)
         m_claims.finished(live);
     replyWhole(live);
--- a/packages/entry/settings.cpp
+++ b/packages/entry/settings.cpp
@@ -166,6 +166,8 @@
         reader.integer("usage_shards", {.lowest = 1, .highest = 64, .fallback = 1}));
     settings.leaseTerm = std::chrono::milliseconds(
         reader.integer("lease_term_ms", {.lowest = 500, .highest = 600000, .fallback = 10000}));
+    settings.demandReportInterval = std::chrono::milliseconds(
+        reader.integer("demand_report_ms", {.lowest = 100, .highest = 60000, .fallback = 15000}));
     settings.duties = reader.boolean("duties", true);
     secret_files files{.keySecret = reader.text("key_secret_file"),
                        .operatorTokens = reader.text("operator_tokens_file")};
--- a/packages/entry/settings.h
+++ b/packages/entry/settings.h
@@ -63,6 +63,8 @@
     duration usageCloseDelay = std::chrono::seconds(120);
     std::uint32_t usageShards = 1;
     duration leaseTerm = std::chrono::seconds(10);
+    // How often this entry reports its demand for scaled models. The same in the whole fleet.
+    duration demandReportInterval = std::chrono::seconds(15);
     // Whether this entry contends for duties and reads the streams that they need.
     bool duties = true;
     log_format format = log_format::key_value;
--- /dev/null
+++ b/packages/entry/testing/scaling_world.h
@@ -0,0 +1,255 @@
+#pragma once
+
+// A fleet in memory on a paused clock: two possible holders of the order leases of two data
+// centres, one log, a platform that starts and stops, and agents with a settable load.
+
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "entry/drain_watch.h"
+#include "entry/scaling_duty.h"
+#include "platform/testing/configuration_records.h"
+#include "platform/testing/fake_orders.h"
+
+namespace mustardline {
+
+class scaling_world
+{
+public:
+    static constexpr std::size_t nobody = 2;
+
+    // Three endpoints of the model "large" in each data centre, `t1` to `t3` and `g1` to `g3`, all
+    // scaled down; holder 0 holds both leases.
+    scaling_world()
+    {
+        for (auto &holder : m_holders)
+            holder = std::make_unique<holder_state>(*this);
+        for (const auto *name : {"tuzla", "gebze"}) {
+            change(dataCentreOf(name));
+            setOwner(name, 0);
+            for (const auto *number : {"1", "2", "3"})
+                change(spareOf(std::string(1, name[0]) + number, name));
+        }
+    }
+
+    auto change(const v1::Entity &entity, bool removes = false) -> void
+    {
+        const auto *current = config.find(kindOf(entity), idOf(entity));
+        const auto base = current == nullptr ? 0 : current->revision();
+        publish(changeOf({{.entity = entity, .base = base, .removes = removes}},
+                         {.changeId = fmt::format("change-{}", m_configOffset)}));
+    }
+
+    auto setOwner(const std::string &dataCentre, std::size_t owner) -> void
+    {
+        m_owner[dataCentre] = owner;
+        v1::LogRecord record;
+        auto &claim = *record.mutable_lease_claim();
+        claim.set_duty(orderDuty(dataCentre));
+        claim.set_holder(fmt::format("holder-{}", owner));
+        claim.set_previous_offset(m_leaseOffset);
+        m_fencing[dataCentre] = append(record);
+    }
+
+    // Lets time pass; every 15 s an entry reports the demand.
+    auto run(duration length) -> void
+    {
+        for (const auto until = now + length; now < until; now = now + step)
+            tick();
+    }
+
+    // Endpoints that the platform runs.
+    [[nodiscard]] auto running() const -> std::set<std::string>
+    {
+        std::set<std::string> names;
+        for (const auto &[id, item] : platform.endpoints)
+            names.insert(id);
+        return names;
+    }
+
+    [[nodiscard]] auto wantedCount() const -> int
+    {
+        int count = 0;
+        for (const auto *item : config.entities(v1::ENTITY_KIND_ENDPOINT))
+            count += item->entity().endpoint().leaving() ? 0 : 1;
+        return count;
+    }
+
+    static constexpr duration step = std::chrono::milliseconds(500);
+
+    time_point now = time_point{} + std::chrono::hours(1);
+    // Requests in flight over all entries, and how they change per second.
+    double demand = 0;
+    double slope = 0;
+    bool isReporting = true;
+    // Whether the holders read the lease stream to its head.
+    bool isAtHead = true;
+    // Load by endpoint, as agents tell it.
+    std::map<std::string, std::uint32_t> loads;
+    configuration config;
+    fake_orders platform;
+    std::vector<scaling_decision> decisions;
+    // Endpoints that were stopped although they had work.
+    std::vector<std::string> stoppedAtWork;
+
+private:
+    struct holder_state
+    {
+        explicit holder_state(scaling_world &owner)
+            : world(owner),
+              scaling(world.config,
+                      [this](const v1::Endpoint &endpoint) { return sight(endpoint); },
+                      {.entryName = "entry"})
+        {}
+
+        [[nodiscard]] auto owns(const std::string &dataCentre) const -> bool
+        {
+            const auto owner = world.m_owner.find(dataCentre);
+            return owner != world.m_owner.end() && owner->second < world.m_holders.size()
+                   && world.m_holders[owner->second].get() == this;
+        }
+
+        [[nodiscard]] auto sight(const v1::Endpoint &endpoint) -> endpoint_sight
+        {
+            return {.isMine = owns(endpoint.data_centre()),
+                    .isUp = bookOf(endpoint.data_centre()).isListedUp(endpoint.id()),
+                    .load = drains.load(endpoint.id())};
+        }
+
+        auto bookOf(const std::string &dataCentre) -> order_book &
+        {
+            return books.try_emplace(dataCentre, order_book_options{.dataCentre = dataCentre})
+                .first->second;
+        }
+
+        auto desire(const v1::Endpoint &endpoint, bool isRunning) -> void
+        {
+            bookOf(endpoint.data_centre())
+                .desire({.endpoint = endpoint.id(), .model = "large", .running = isRunning});
+        }
+
+        // As order_duty::wish.
+        auto wish(const v1::Endpoint &endpoint) -> void
+        {
+            drains.forget(endpoint.id());
+            if (endpoint.leaving())
+                drains.watch(endpoint.id(), world.now);
+            else
+                desire(endpoint, true);
+        }
+
+        scaling_world &world;
+        scaling_duty scaling;
+        drain_watch drains{{}};
+        std::map<std::string, order_book> books;
+    };
+
+    static auto spareOf(const std::string &id, const std::string &dataCentre) -> v1::Entity
+    {
+        auto entity = endpointOf(id, dataCentre);
+        entity.mutable_endpoint()->set_managed(true);
+        entity.mutable_endpoint()->set_leaving(true);
+        entity.mutable_endpoint()->set_scaled_down(true);
+        return entity;
+    }
+
+    auto publish(v1::LogRecord record) -> void
+    {
+        record.set_sequence(++m_configOffset);
+        config.apply(m_configOffset, record);
+        for (const auto &item : record.configuration_change().entities()) {
+            const auto *endpoint = config.endpoint(item.id());
+            for (auto &holder : m_holders) {
+                if (endpoint != nullptr)
+                    holder->wish(*endpoint);
+            }
+        }
+    }
+
+    auto append(const v1::LogRecord &record) -> std::uint64_t
+    {
+        m_leases.apply(++m_leaseOffset, record);
+        m_ledger.apply(m_leaseOffset, record, m_leases);
+        for (auto &holder : m_holders)
+            holder->scaling.fold(m_leaseOffset, record, now);
+        return m_leaseOffset;
+    }
+
+    auto tick() -> void
+    {
+        demand += slope * std::chrono::duration<double>(step).count();
+        if (isReporting && now >= m_reportAt)
+            report();
+        for (auto &holder : m_holders)
+            tickHolder(*holder);
+    }
+
+    auto report() -> void
+    {
+        m_reportAt = now + std::chrono::seconds(15);
+        v1::LogRecord record;
+        record.set_writer("entry-1");
+        record.set_boot(1);
+        record.set_sequence(++m_reports);
+        record.mutable_demand_report()->set_interval_ms(15'000);
+        auto &model = *record.mutable_demand_report()->add_models();
+        model.set_model("large");
+        model.mutable_paid()->set_in_flight(demand);
+        append(record);
+    }
+
+    auto tickHolder(holder_state &holder) -> void
+    {
+        for (const auto &id : holder.drains.takeEmpty(now))
+            holder.desire(*config.endpoint(id), false);
+        const auto isMine = [&](const std::string &id) {
+            return holder.owns(config.endpoint(id)->data_centre());
+        };
+        for (const auto &id : holder.drains.dueLooks(now, isMine))
+            holder.drains.heard(id, loads[id], now);
+        for (auto &[dataCentre, book] : holder.books)
+            tickBook(dataCentre, book, holder.owns(dataCentre));
+        for (auto &decision : holder.scaling.tick(now, isAtHead)) {
+            publish(decision.record);
+            decisions.push_back(std::move(decision));
+        }
+    }
+
+    auto tickBook(const std::string &dataCentre, order_book &book, bool isMine) -> void
+    {
+        auto actions = book.tick(
+            m_ledger, {.now = now, .holdsLease = isMine, .fencing = m_fencing[dataCentre]});
+        for (const auto &record : actions.records)
+            append(record);
+        for (const auto &order : actions.orders) {
+            if (order.action == order_action::stop && loads[order.endpoint] > 0)
+                stoppedAtWork.push_back(order.endpoint);
+            platform.take(order);
+            book.answered(order.orderId, true);
+        }
+        if (!actions.list)
+            return;
+        std::vector<listed_endpoint> listed;
+        for (const auto &item : platform.list()) {
+            if (config.endpoint(item.endpoint)->data_centre() == dataCentre)
+                listed.push_back(item);
+        }
+        book.listed(*actions.list, listed);
+    }
+
+    std::uint64_t m_configOffset = 0;
+    std::uint64_t m_leaseOffset = 0;
+    std::uint64_t m_reports = 0;
+    time_point m_reportAt{};
+    lease_table m_leases;
+    order_ledger m_ledger;
+    std::map<std::string, std::size_t> m_owner;
+    std::map<std::string, std::uint64_t> m_fencing;
+    std::array<std::unique_ptr<holder_state>, 2> m_holders;
+};
+
+} // namespace mustardline
--- a/packages/platform/demand_table.cpp
+++ b/packages/platform/demand_table.cpp
@@ -74,7 +74,8 @@
 {
     if (record.boot() == row.boot)
         return record.sequence() > row.sequence;
-    return record.written_unix_ms() > row.writtenAt;
+    const auto isFirst = row.sequence == 0;
+    return isFirst || record.written_unix_ms() > row.writtenAt;
 }
 
 auto demand_table::forgetSilent(time_point now) -> void
--- a/packages/platform/order_book.cpp
+++ b/packages/platform/order_book.cpp
@@ -59,11 +59,15 @@
         m_desired, [this](const auto &item) { return differs(item.second); }));
 }
 
+auto order_book::isListedUp(const std::string &endpoint) const -> bool
+{
+    const auto found = m_listed.find(endpoint);
+    return found != m_listed.end() && found->second.state != endpoint_state::stopping;
+}
+
 auto order_book::differs(const desired_endpoint &wish) const -> bool
 {
-    const auto found = m_listed.find(wish.endpoint);
-    const auto isUp = found != m_listed.end() && found->second.state != endpoint_state::stopping;
-    return isUp != wish.running;
+    return isListedUp(wish.endpoint) != wish.running;
 }
 
 auto order_book::startsUnderWay(const order_ledger &orders) const -> std::size_t
--- a/packages/platform/order_book.h
+++ b/packages/platform/order_book.h
@@ -123,6 +123,9 @@
     // Takes the answer to an order; a failed one may have taken effect.
     auto answered(const std::string &orderId, bool accepted) -> void;
 
+    // Whether the newest list of this tenure shows the endpoint, and not as stopping.
+    [[nodiscard]] auto isListedUp(const std::string &endpoint) const -> bool;
+
     // Endpoints that differ from what is desired, by the newest list.
     [[nodiscard]] auto openCount() const -> std::size_t;
 
