--- a/packages/entry/drain_watch.cpp
+++ b/packages/entry/drain_watch.cpp
@@ -1,18 +1,31 @@
 #include "entry/drain_watch.h"
 
+#include <algorithm>
+
+#include "policy/durations.h"
+
 namespace mustardline {
 
+namespace {
+
+constexpr std::uint32_t mostDoublings = 10;
+
+} // namespace
+
 auto drain_watch::dueLooks(time_point now, const mine_test &isMine) -> std::vector<std::string>
 {
     std::vector<std::string> due;
     for (auto &[id, item] : m_endpoints) {
         if (now < item.nextLookAt)
             continue;
-        if (isMine(id))
-            due.push_back(id);
-        else
-            item = {.heardAt = now};
-        item.nextLookAt = now + m_options.lookPause;
+        if (!isMine(id)) {
+            item = {.silence = item.silence, .heardAt = now};
+            item.nextLookAt = now + m_options.lookPause;
+            continue;
+        }
+        due.push_back(id);
+        const auto pause = doubled(m_options.lookPause, item.unanswered++, mostDoublings);
+        item.nextLookAt = now + std::min(pause, m_options.longestLookPause);
     }
     return due;
 }
@@ -24,6 +37,8 @@
         return;
     auto &item = found->second;
     item.heardAt = now;
+    item.unanswered = 0;
+    item.nextLookAt = std::min(item.nextLookAt, now + m_options.lookPause);
     item.load = load;
     if (load > 0) {
         item.emptySince.reset();
@@ -39,7 +54,9 @@
 {
     std::vector<std::string> empty;
     for (const auto &[id, item] : m_endpoints) {
-        if (item.isEmpty || now - item.heardAt >= m_options.silenceLimit)
+        const auto isGone
+            = item.silence == silence_meaning::gone && now - item.heardAt >= m_options.silenceLimit;
+        if (item.isEmpty || isGone)
             empty.push_back(id);
     }
     for (const auto &id : empty)
--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -199,8 +199,8 @@
         m_log.write(scalingDecided, field("model", item.model), field("action", item.action),
                     field("endpoint", item.endpoint), field("data_centre", item.dataCentre),
                     field("reason", item.reason), field("demand", item.demand),
-                    field("running", item.running), field("wanted", item.wanted),
-                    field("alternatives", item.alternatives));
+                    field("entries", item.entries), field("running", item.running),
+                    field("wanted", item.wanted), field("alternatives", item.alternatives));
         m_follower.append(std::move(item.record));
     }
 }
--- a/packages/entry/operator_commands.cpp
+++ b/packages/entry/operator_commands.cpp
@@ -211,9 +211,11 @@
     });
 }
 
-auto createScaling(std::vector<std::string> &words) -> int
+auto setScaling(std::vector<std::string> &words, bool changes) -> int
 {
-    command_context context("Lets demand decide how many managed endpoints of a model run.");
+    command_context context(changes ? "Replaces the limits of a scaled model."
+                                    : "Lets demand decide how many managed endpoints of a model "
+                                      "run.");
     id_argument id(context, "model");
     number_argument least("l", "least", "Endpoints that always run.", true, 0, "N", context.line);
     number_argument most("m", "most", "Endpoints that may run at once.", true, 0, "N",
@@ -227,15 +229,20 @@
     number_argument atOnce("a", "starts-at-once", "Starts under way at once; 0 for 2.", false, 0,
                            "N", context.line);
     context.line.parse(words);
+    const auto fill = [&](v1::Entity &entity) {
+        auto &scaling = *entity.mutable_model_scaling();
+        scaling.set_id(id.getValue());
+        scaling.set_least(least.getValue());
+        scaling.set_most(most.getValue());
+        scaling.set_places_per_endpoint(places.getValue());
+        scaling.set_start_time_ms(start.getValue());
+        scaling.set_lowest_tier_percent(lowest.getValue());
+        scaling.set_starts_at_once(atOnce.getValue());
+    };
+    if (changes)
+        return editEntity(context, v1::ENTITY_KIND_MODEL_SCALING, id.getValue(), fill);
     v1::Entity entity;
-    auto &scaling = *entity.mutable_model_scaling();
-    scaling.set_id(id.getValue());
-    scaling.set_least(least.getValue());
-    scaling.set_most(most.getValue());
-    scaling.set_places_per_endpoint(places.getValue());
-    scaling.set_start_time_ms(start.getValue());
-    scaling.set_lowest_tier_percent(lowest.getValue());
-    scaling.set_starts_at_once(atOnce.getValue());
+    fill(entity);
     return createEntity(context, entity);
 }
 
@@ -383,7 +390,10 @@
     {"endpoint", "leave", "give it no new work", setEndpointLeaving},
     {"endpoint", "list", "list endpoints", listOf<v1::ENTITY_KIND_ENDPOINT>},
     {"endpoint", "remove", "remove an endpoint", removeOf<v1::ENTITY_KIND_ENDPOINT>},
-    {"scaling", "create", "let demand decide how many endpoints run", createScaling},
+    {"scaling", "create", "let demand decide how many endpoints run",
+     [](std::vector<std::string> &words) { return setScaling(words, false); }},
+    {"scaling", "change", "replace the limits of a scaled model",
+     [](std::vector<std::string> &words) { return setScaling(words, true); }},
     {"scaling", "list", "list the models that are scaled", listOf<v1::ENTITY_KIND_MODEL_SCALING>},
     {"scaling", "remove", "let all endpoints of a model run",
      removeOf<v1::ENTITY_KIND_MODEL_SCALING>},
--- a/packages/entry/order_duty.cpp
+++ b/packages/entry/order_duty.cpp
@@ -50,16 +50,17 @@
     m_drains.forget(endpointId);
     m_agents.erase(endpointId);
     const auto *endpoint = m_config.endpoint(endpointId);
-    if (endpoint == nullptr || !endpoint->managed()) {
-        for (auto &[id, orders] : m_dataCentres)
-            orders.book.forget(endpointId);
-        return;
-    }
-    if (!endpoint->leaving()) {
+    if (endpoint != nullptr && endpoint->managed() && !endpoint->leaving()) {
         desire(*endpoint, true);
         return;
     }
-    m_drains.watch(endpointId, m_clock.now());
+    // A leaving endpoint that ends by itself before it is found empty is not started again.
+    for (auto &[id, orders] : m_dataCentres)
+        orders.book.forget(endpointId);
+    if (endpoint == nullptr || !endpoint->managed())
+        return;
+    const auto silence = endpoint->scaled_down() ? silence_meaning::unknown : silence_meaning::gone;
+    m_drains.watch(endpointId, silence, m_clock.now());
 }
 
 auto order_duty::desire(const v1::Endpoint &endpoint, bool running) -> void
--- a/packages/entry/scaling_duty.cpp
+++ b/packages/entry/scaling_duty.cpp
@@ -13,6 +13,7 @@
 
 constexpr double percent = 0.01;
 constexpr std::uint32_t usualStartsAtOnce = 2;
+constexpr int decisionsPerInterval = 3;
 
 // Requests that places are needed for. A refused one would have stayed for as long as those that
 // were served: by Little's law in flight times interval / finished, so its part of the mean in
@@ -33,7 +34,9 @@
     options.startTime = std::chrono::milliseconds(scaling.start_time_ms()) + reportInterval;
     options.startsAtOnce
         = scaling.starts_at_once() == 0 ? usualStartsAtOnce : scaling.starts_at_once();
-    options.surplusTime = std::max<duration>(options.surplusTime, reportInterval * 2);
+    // What is cheap to start again is soon drained; but not by one report alone.
+    const duration start = std::chrono::milliseconds(scaling.start_time_ms());
+    options.surplusTime = std::max(start / 2, reportInterval * 2);
     options.least = scaling.least();
     options.most = scaling.most();
     return options;
@@ -45,7 +48,7 @@
 {
     if (!isReady(now, isAtHead) || now < m_decideAt)
         return {};
-    m_decideAt = now + m_options.decideEvery;
+    m_decideAt = now + m_options.reportInterval / decisionsPerInterval;
     decision_round round{.now = now};
     auto fleets = survey(now);
     giveBack(fleets, round);
@@ -156,6 +159,7 @@
     scaling_decision decision{
         .model = scaling.id(),
         .demand = places,
+        .entries = m_demand.entryCount(round.now),
         .running = static_cast<std::uint32_t>(running.size()),
         .wanted = row.core.needed(optionsOf(scaling, m_options.reportInterval).startTime)};
     for (const auto &action : actions)
--- a/packages/entry/scaling_duty.h
+++ b/packages/entry/scaling_duty.h
@@ -45,7 +45,6 @@
     std::string entryName;
     // The interval at which entries report their demand.
     duration reportInterval = std::chrono::seconds(15);
-    duration decideEvery = std::chrono::seconds(5);
     // After so long a change that was not read back is taken for lost.
     duration retryAfter = std::chrono::seconds(5);
     // Decisions at once; the others follow at the next time.
@@ -78,6 +77,8 @@
     std::string alternatives;
     // Requests that endpoints are to be paid for, and endpoints that run and that are wanted.
     double demand = 0;
+    // Entries whose reports the demand is the sum of.
+    std::size_t entries = 0;
     std::uint32_t running = 0;
     std::uint32_t wanted = 0;
 };
@@ -100,8 +101,6 @@
     // Decides what is due. `isAtHead` says whether the lease stream is read to its end.
     [[nodiscard]] auto tick(time_point now, bool isAtHead) -> std::vector<scaling_decision>;
 
-    [[nodiscard]] auto demand() const -> const demand_table & { return m_demand; }
-
 private:
     // A change that was not read back yet.
     struct pending_change
