Start an endpoint for what is refused where none runs

Cause: with least 0 and nothing served, the mean in flight is 0, and so was the demand worked out from refusals: a model scaled to nothing never came back.

--- a/packages/entry/scaling_duty.cpp
+++ b/packages/entry/scaling_duty.cpp
@@ -14,16 +14,20 @@
 constexpr double percent = 0.01;
 constexpr std::uint32_t usualStartsAtOnce = 2;
 constexpr int decisionsPerInterval = 3;
+constexpr std::size_t alternativesListed = 8;
 
 // Requests that places are needed for. A refused one would have stayed for as long as those that
 // were served: by Little's law in flight times interval / finished, so its part of the mean in
-// flight is in flight / finished.
+// flight is in flight / finished. Where none was served, one place shows how long they take.
 auto placesOf(const tier_demand &demand) -> double
 {
+    auto places = demand.inFlight + demand.waiting;
+    if (demand.refused == 0)
+        return places;
+    const auto refused = static_cast<double>(demand.refused);
     const auto finished = static_cast<double>(std::max<std::uint64_t>(demand.finished, 1));
-    const auto turnedAway = static_cast<double>(demand.refused) * demand.inFlight / finished;
-    const auto mostTurnedAway = static_cast<double>(demand.refused);
-    return demand.inFlight + demand.waiting + std::min(turnedAway, mostTurnedAway);
+    places += std::clamp(refused * demand.inFlight / finished, 1.0, refused);
+    return places;
 }
 
 auto optionsOf(const v1::ModelScaling &scaling, duration reportInterval) -> scaler_options
@@ -208,12 +212,16 @@
     candidate *chosen = nullptr;
     endpoint_sight chosenSight;
     decision.alternatives = describe(fleet);
+    std::size_t listed = 0;
     for (auto &item : fleet.candidates) {
-        const auto sight = m_sight(*item.endpoint);
-        if (!item.isDown || !sight.isMine || item.endpoint->data_centre() != dataCentre)
+        if (!item.isDown || item.endpoint->data_centre() != dataCentre)
             continue;
-        fmt::format_to(std::back_inserter(decision.alternatives), " {}:{}", item.endpoint->id(),
-                       sight.load);
+        const auto sight = m_sight(*item.endpoint);
+        if (!sight.isMine)
+            return;
+        if (listed++ < alternativesListed)
+            fmt::format_to(std::back_inserter(decision.alternatives), " {}:{}", item.endpoint->id(),
+                           sight.load);
         if (chosen != nullptr
             && std::tuple(sight.load, sight.isUp) <= std::tuple(chosenSight.load, chosenSight.isUp))
             continue;
--- a/packages/entry/testing/scaling_test.cpp
+++ b/packages/entry/testing/scaling_test.cpp
@@ -61,6 +61,30 @@
     EXPECT_EQ(m_world.decisions.back().reason, "demand");
 }
 
+TEST_F(ScalingTest, startsOneForWhatIsRefusedWhereNoneRuns)
+{
+    m_world.change(scalingOf("large", {.least = 0, .most = 6}));
+    m_world.run(2min);
+    EXPECT_EQ(m_world.running().size(), 0);
+    m_world.refused = 3;
+    m_world.run(1min);
+    EXPECT_EQ(m_world.running().size(), 1);
+}
+
+TEST_F(ScalingTest, paysForTheLowestTierInPartAndCountsWhatOperatorsRun)
+{
+    auto scaling = scalingOf("large", {.least = 1, .most = 6});
+    scaling.mutable_model_scaling()->set_lowest_tier_percent(50);
+    m_world.change(scaling);
+    m_world.demand = 16;
+    m_world.lowestTier = 18;
+    m_world.run(10min);
+    EXPECT_EQ(m_world.running().size(), 3);
+    m_world.change(endpointOf("theirs", "tuzla"));
+    m_world.run(10min);
+    EXPECT_EQ(m_world.running().size(), 2);
+}
+
 TEST_F(ScalingTest, drainsASurplusAndStopsWhatIsEmpty)
 {
     settleAt(4);
--- a/packages/entry/testing/scaling_world.h
+++ b/packages/entry/testing/scaling_world.h
@@ -85,6 +85,9 @@
     // Requests in flight over all entries, and how they change per second.
     double demand = 0;
     double slope = 0;
+    // In flight of the lowest tier, and requests refused in each interval.
+    double lowestTier = 0;
+    std::uint64_t refused = 0;
     bool isReporting = true;
     // Whether the holders read the lease stream to its head.
     bool isAtHead = true;
@@ -139,6 +142,8 @@
         {
             drains.forget(endpoint.id());
             bookOf(endpoint.data_centre()).forget(endpoint.id());
+            if (!endpoint.managed())
+                return;
             if (endpoint.leaving())
                 drains.watch(endpoint.id(),
                              endpoint.scaled_down() ? silence_meaning::unknown
@@ -205,6 +210,8 @@
         auto &model = *record.mutable_demand_report()->add_models();
         model.set_model("large");
         model.mutable_paid()->set_in_flight(demand);
+        model.mutable_paid()->set_refused(refused);
+        model.mutable_lowest_tier()->set_in_flight(lowestTier);
         append(record);
     }
 
