Forecast over the whole delay of a report, with decisions read back late in the tests

The forecast reached one interval beyond the start; a mean is half an interval old, its report up to one, the decision up to a third and the log takes its time. It reaches two now. A change that the log did not take is decided again (test).

--- a/packages/entry/scaling_duty.cpp
+++ b/packages/entry/scaling_duty.cpp
@@ -34,8 +34,10 @@
 {
     scaler_options options;
     options.placesPerEndpoint = scaling.places_per_endpoint();
-    // A report is up to an interval old, so the forecast must reach that much further.
-    options.startTime = std::chrono::milliseconds(scaling.start_time_ms()) + reportInterval;
+    // What is decided on is late: a mean by half an interval, its report by up to one, the decision
+    // by a third, and the change by the time that the log takes. The forecast reaches that much
+    // further.
+    options.startTime = std::chrono::milliseconds(scaling.start_time_ms()) + reportInterval * 2;
     options.startsAtOnce
         = scaling.starts_at_once() == 0 ? usualStartsAtOnce : scaling.starts_at_once();
     // What is cheap to start again is soon drained; but not by one report alone.
--- a/packages/entry/testing/scaling_test.cpp
+++ b/packages/entry/testing/scaling_test.cpp
@@ -153,6 +153,14 @@
     EXPECT_EQ(m_world.platform.effects, 9);
 }
 
+TEST_F(ScalingTest, decidesAgainWhatTheLogDidNotTake)
+{
+    m_world.changesLost = 2;
+    m_world.run(2min);
+    EXPECT_EQ(m_world.running().size(), 1);
+    EXPECT_EQ(m_world.decisions.size(), 3);
+}
+
 TEST_F(ScalingTest, agreesBetweenTheHoldersOfTwoDataCentres)
 {
     m_world.setOwner("gebze", 1);
--- a/packages/entry/testing/scaling_world.h
+++ b/packages/entry/testing/scaling_world.h
@@ -4,6 +4,7 @@
 // centres, one log, a platform that starts and stops, and agents with a settable load.
 
 #include <array>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -80,6 +81,8 @@
     }
 
     static constexpr duration step = std::chrono::milliseconds(500);
+    // Until a decision is read back from the log; longer than the pause between decisions.
+    static constexpr duration readBackTime = std::chrono::seconds(4);
 
     time_point now = time_point{} + std::chrono::hours(1);
     // Requests in flight over all entries, and how they change per second.
@@ -91,6 +94,8 @@
     bool isReporting = true;
     // Whether the holders read the lease stream to its head.
     bool isAtHead = true;
+    // How many of the next decisions do not reach the log.
+    int changesLost = 0;
     // Load by endpoint, as agents tell it.
     std::map<std::string, std::uint32_t> loads;
     // Whether agents can be reached.
@@ -192,6 +197,10 @@
 
     auto tick() -> void
     {
+        while (!m_underWay.empty() && m_underWay.front().first <= now) {
+            publish(m_underWay.front().second);
+            m_underWay.pop_front();
+        }
         demand += slope * std::chrono::duration<double>(step).count();
         if (isReporting && now >= m_reportAt)
             report();
@@ -229,7 +238,10 @@
         for (auto &[dataCentre, book] : holder.books)
             tickBook(dataCentre, book, holder.owns(dataCentre));
         for (auto &decision : holder.scaling.tick(now, isAtHead)) {
-            publish(decision.record);
+            if (changesLost > 0)
+                --changesLost;
+            else
+                m_underWay.emplace_back(now + readBackTime, decision.record);
             decisions.push_back(std::move(decision));
         }
     }
@@ -256,6 +268,8 @@
         book.listed(*actions.list, listed);
     }
 
+    // Decisions on their way through the log.
+    std::deque<std::pair<time_point, v1::LogRecord>> m_underWay;
     std::uint64_t m_configOffset = 0;
     std::uint64_t m_leaseOffset = 0;
     std::uint64_t m_reports = 0;
