--- a/packages/entry/testing/scaling_test.cpp
+++ b/packages/entry/testing/scaling_test.cpp
@@ -104,10 +104,11 @@
 
 TEST_F(ScalingTest, resumesWhatIsStillAtWorkBeforeItStartsAnother)
 {
-    settleAt(2);
-    setLoads(3);
+    settleAt(6);
+    m_world.loads["g2"] = 3;
     m_world.demand = 3;
-    m_world.run(3min);
+    m_world.run(10min);
+    ASSERT_EQ(m_world.running(), names({"g2", "t3"}));
     ASSERT_EQ(m_world.wantedCount(), 1);
     const auto decided = m_world.decisions.size();
     const auto effects = m_world.platform.effects;
@@ -117,8 +118,8 @@
         m_world.run(scaling_world::step);
     ASSERT_GT(m_world.decisions.size(), decided);
     EXPECT_EQ(m_world.decisions[decided].action, "resume");
+    EXPECT_EQ(m_world.decisions[decided].endpoint, "g2");
     EXPECT_EQ(m_world.platform.effects, effects);
-    EXPECT_EQ(m_world.running().size(), 2);
     m_world.run(10min);
     EXPECT_EQ(m_world.wantedCount(), 2);
 }
@@ -168,8 +169,9 @@
     m_world.demand = 16;
     m_world.run(5min);
     EXPECT_EQ(m_world.running().size(), 2);
-    // Five starts and three stops: neither undid what the other did.
+    // Five starts and three stops: neither undid, nor decided, what was the other's.
     EXPECT_EQ(m_world.platform.effects, 8);
+    EXPECT_EQ(m_world.decisions.size(), 8);
 }
 
 TEST_F(ScalingTest, takesNothingAwayWhileReportsCannotBeRead)
@@ -209,6 +211,21 @@
     EXPECT_EQ(m_world.running().size(), 1);
 }
 
+TEST_F(ScalingTest, countsNothingThatItsOperatorsLetLeaveAndNeverBringsItBack)
+{
+    settleAt(2);
+    const auto left = *m_world.running().begin();
+    auto theirs = m_world.config.find(v1::ENTITY_KIND_ENDPOINT, left)->entity();
+    theirs.mutable_endpoint()->set_leaving(true);
+    m_world.change(theirs);
+    m_world.run(5min);
+    EXPECT_EQ(m_world.running().size(), 2);
+    m_world.demand = 100;
+    m_world.run(10min);
+    EXPECT_EQ(m_world.running().size(), 5);
+    EXPECT_FALSE(m_world.running().contains(left));
+}
+
 TEST_F(ScalingTest, givesBackWhatItScaledDownAndLeavesAloneWhatOperatorsTakeAway)
 {
     m_world.run(2min);
