--- a/packages/entry/testing/scaling_world.h
+++ b/packages/entry/testing/scaling_world.h
@@ -82,7 +82,7 @@
 
     static constexpr duration step = std::chrono::milliseconds(500);
     // Until a decision is read back from the log; longer than the pause between decisions.
-    static constexpr duration readBackTime = std::chrono::seconds(4);
+    static constexpr duration readBackTime = std::chrono::seconds(7);
 
     time_point now = time_point{} + std::chrono::hours(1);
     // Requests in flight over all entries, and how they change per second.
