Judge whole answers by their time per token, not as first tokens

Cause: an answer that is not streamed reached the agent's window as one late first token, also while it was outstanding, so its whole time was set against the first-token target.

Change: scheduled_request says whether the answer is streamed. One that is not gives no first token and is not watched as owing one; at its end its time per token is compared with the least of whole answers of about its prompt and length. An engine that reports no usage gives no evidence.

Ruled out: no sample at all (a fleet with whole answers only would stay at its first window).

--- a/packages/agent/endpoint_request.cpp
+++ b/packages/agent/endpoint_request.cpp
@@ -105,6 +105,12 @@
     return forwarded;
 }
 
+// The body was written without spaces, and quotes inside its texts are escaped.
+auto asksForStream(std::string_view forwardedBody) -> bool
+{
+    return forwardedBody.find(R"("stream":true)") != std::string_view::npos;
+}
+
 auto passedAnswerHeaders(std::span<const http_header> headers) -> std::vector<http_header>
 {
     std::vector<http_header> passed;
--- a/packages/agent/endpoint_request.h
+++ b/packages/agent/endpoint_request.h
@@ -28,6 +28,10 @@
                                        std::string_view body, std::span<const std::string> served)
     -> result<http_request>;
 
+// Whether the body of a model's forwarded request asks for a stream. A member `stream` inside one
+// of the request's schemas may be taken for it.
+[[nodiscard]] auto asksForStream(std::string_view forwardedBody) -> bool;
+
 // The headers of the endpoint's answer that go back to the entry.
 [[nodiscard]] auto passedAnswerHeaders(std::span<const http_header> headers)
     -> std::vector<http_header>;
--- a/packages/agent/run_service.cpp
+++ b/packages/agent/run_service.cpp
@@ -180,6 +180,8 @@
          .promptTokens = static_cast<std::uint32_t>(live.forwarded.body.size() / bytesPerToken),
          .firstTokenTarget = live.request.firstTokenTarget,
          .expectedFirstToken = live.request.expectedFirstToken,
+         .streamed
+         = m_options.identity.kind == endpoint_kind::service || asksForStream(live.forwarded.body),
          .waited = live.request.waited + waited,
          .deadline = live.request.deadline - waited},
         m_clock.now(), m_actions);
@@ -349,6 +351,10 @@
     meter(live, ending);
     if (m_scheduler && live.phase == run_phase::running && ending.code != result_code::cancelled) {
         const auto endpointFailed = ending.fate != run_fate::done || live.answer.isServerFault();
+        if (!endpointFailed)
+            m_scheduler->answeredWhole(
+                live.number, static_cast<std::uint32_t>(live.answer.metered().completionTokens),
+                now);
         m_scheduler->finished(live.number, endpointFailed, now, m_actions);
     } else if (m_scheduler) {
         m_scheduler->cancelled(live.number, now, m_actions);
--- a/packages/agent/testing/pure_parts_test.cpp
+++ b/packages/agent/testing/pure_parts_test.cpp
@@ -247,6 +247,17 @@
     EXPECT_EQ(codeOf("{"), result_code::malformed_json);
 }
 
+TEST(EndpointRequestTest, tellsWhetherAStreamIsAskedFor)
+{
+    const auto asks = [](std::string_view body) {
+        const auto made = makeEndpointRequest(model, sampleRun(1, model), body, {});
+        return asksForStream(std::get<http_request>(made).body);
+    };
+    EXPECT_TRUE(asks(R"({"model": "m", "stream" : true})"));
+    EXPECT_FALSE(asks(R"({"model": "m", "stream": false})"));
+    EXPECT_FALSE(asks(R"({"model": "m", "messages": [{"content": "\"stream\":true"}]})"));
+}
+
 TEST(FencingGateTest, refusesOlderNumbersPerDuty)
 {
     fencing_gate gate({.maxDuties = 2});
--- a/packages/policy/concurrency_window.cpp
+++ b/packages/policy/concurrency_window.cpp
@@ -25,10 +25,16 @@
 constexpr duration noticeable = std::chrono::milliseconds(5);
 constexpr duration shortestShrinkGap = std::chrono::milliseconds(50);
 
-// Prompts of one octave of length share a baseline.
-auto octaveOf(std::uint32_t promptTokens) -> std::size_t
+// Prompts or answers of one octave of length share a baseline.
+auto octaveOf(std::uint32_t tokens) -> std::size_t
 {
-    return std::min<std::size_t>(std::bit_width(promptTokens), 23);
+    return std::min<std::size_t>(std::bit_width(tokens), 23);
+}
+
+// A baseline is the fastest sample seen and rises slowly, so that it forgets.
+auto followBaseline(duration &baseline, duration sample) -> void
+{
+    baseline = baseline.count() == 0 ? sample : std::min(sample, scaled(baseline, baselineRise));
 }
 
 // Moves a mean towards a sample; a mean of zero takes the sample over.
@@ -49,16 +55,39 @@
     const bool late = congested(sample);
     const bool fallen = collapsed(sample);
     auto &octave = m_octaves[octaveOf(sample.promptTokens)];
-    octave.baseline = octave.baseline.count() == 0
-                          ? sample.latency
-                          : std::min(sample.latency, scaled(octave.baseline, baselineRise));
+    followBaseline(octave.baseline, sample.latency);
     follow(octave.typical, sample.latency);
     follow(m_typical, sample.latency);
     if (fallen)
         shrink(0, now);
     else if (late)
         shrink(congestedShrink, now);
-    else if (!mayBeCold(sample, now) && static_cast<double>(running) >= m_size * fillRatio())
+    else
+        growIfFull(sample, running, now);
+}
+
+auto concurrency_window::answeredWhole(const first_token_sample &sample, std::uint32_t tokens,
+                                       std::uint32_t running, time_point now) -> void
+{
+    if (tokens == 0)
+        return;
+    const auto perToken = sample.latency / tokens;
+    auto &baseline = m_wholeBaselines[octaveOf(sample.promptTokens)][octaveOf(tokens)];
+    const auto isOver
+        = [&](double ratio) { return baseline.count() > 0 && perToken > scaled(baseline, ratio); };
+    if (isOver(collapsedRatio))
+        shrink(0, now);
+    else if (isOver(congestedRatio))
+        shrink(congestedShrink, now);
+    else
+        growIfFull(sample, running, now);
+    followBaseline(baseline, perToken);
+}
+
+auto concurrency_window::growIfFull(const first_token_sample &sample, std::uint32_t running,
+                                    time_point now) -> void
+{
+    if (!mayBeCold(sample, now) && static_cast<double>(running) >= m_size * fillRatio())
         grow();
 }
 
--- a/packages/policy/concurrency_window.h
+++ b/packages/policy/concurrency_window.h
@@ -11,6 +11,12 @@
 //     window.succeeded({.latency = latency, .target = target, .promptTokens = 800}, running, now);
 //     window.outstanding({.latency = now - startedAt, .target = target}, now);
 //
+// An answer that comes as a whole shows no first token. Its time for each of its tokens is compared
+// with that of answers of about its size, so that a long answer is not taken for a late first
+// token:
+//
+//     window.answeredWhole({.latency = latency, .promptTokens = 800}, 200, running, now);
+//
 // A new endpoint does not grow while it is slower than others usually are, because it cannot be
 // told from a cold one. The baseline is the fastest first token seen for prompts of that size,
 // rising slowly so that it forgets. A first token later than its target never lets the window grow,
@@ -51,6 +57,11 @@
     // The first token came of a request that was started as one of `running`.
     auto succeeded(const first_token_sample &sample, std::uint32_t running, time_point now) -> void;
 
+    // A whole answer of `tokens` came after `sample.latency`. The first-token target does not
+    // count.
+    auto answeredWhole(const first_token_sample &sample, std::uint32_t tokens,
+                       std::uint32_t running, time_point now) -> void;
+
     // A running request still has no first token.
     auto outstanding(const first_token_sample &sample, time_point now) -> void;
 
@@ -69,6 +80,8 @@
     [[nodiscard]] auto mayBeCold(const first_token_sample &sample, time_point now) -> bool;
     [[nodiscard]] auto congested(const first_token_sample &sample) const -> bool;
     [[nodiscard]] auto collapsed(const first_token_sample &sample) const -> bool;
+    auto growIfFull(const first_token_sample &sample, std::uint32_t running, time_point now)
+        -> void;
     auto grow() -> void;
     auto shrink(double factor, time_point now) -> void;
 
@@ -86,7 +99,10 @@
         duration typical{};
     };
 
-    std::array<octave_row, 24> m_octaves{};
+    static constexpr std::size_t octaveCount = 24;
+    std::array<octave_row, octaveCount> m_octaves{};
+    // The least time per token of whole answers, by the octaves of their prompts and lengths.
+    std::array<std::array<duration, octaveCount>, octaveCount> m_wholeBaselines{};
     duration m_typical{};
     // Shrinks are spaced, so that one slow batch counts once.
     time_point m_nextShrink{};
--- a/packages/policy/endpoint_scheduler.cpp
+++ b/packages/policy/endpoint_scheduler.cpp
@@ -181,7 +181,7 @@
 auto endpoint_scheduler::state::watchOutstanding(time_point now) -> void
 {
     for (const auto &row : running) {
-        if (!row.hasFirstToken)
+        if (row.request.streamed && !row.hasFirstToken)
             window.outstanding(sampleOf(row, now), now);
     }
 }
@@ -211,12 +211,21 @@
 auto endpoint_scheduler::firstToken(std::uint64_t request, time_point now) -> void
 {
     const auto row = std::ranges::find_if(m_state->running, hasId(request));
-    if (row == m_state->running.end() || row->hasFirstToken)
+    if (row == m_state->running.end() || row->hasFirstToken || !row->request.streamed)
         return;
     row->hasFirstToken = true;
     m_state->window.succeeded(sampleOf(*row, now), row->runningAtStart + 1, now);
 }
 
+auto endpoint_scheduler::answeredWhole(std::uint64_t request, std::uint32_t tokens, time_point now)
+    -> void
+{
+    const auto row = std::ranges::find_if(m_state->running, hasId(request));
+    if (row == m_state->running.end() || row->request.streamed)
+        return;
+    m_state->window.answeredWhole(sampleOf(*row, now), tokens, row->runningAtStart + 1, now);
+}
+
 auto endpoint_scheduler::finished(std::uint64_t request, bool failed, time_point now,
                                   std::vector<schedule_action> &actions) -> void
 {
--- a/packages/policy/endpoint_scheduler.h
+++ b/packages/policy/endpoint_scheduler.h
@@ -51,6 +51,8 @@
     duration firstTokenTarget{};
     // Usual time to the first token at other endpoints; zero if not known.
     duration expectedFirstToken{};
+    // Its first token is seen when it comes; else the answer comes as a whole.
+    bool streamed = true;
     // Time from its arrival at the entry to its arrival here.
     duration waited{};
     // Time left until the whole answer is due.
@@ -95,6 +97,10 @@
     // The endpoint sent the first token of a running request.
     auto firstToken(std::uint64_t request, time_point now) -> void;
 
+    // The whole answer of a running request that is not streamed came, of `tokens` tokens; called
+    // before `finished`.
+    auto answeredWhole(std::uint64_t request, std::uint32_t tokens, time_point now) -> void;
+
     // A running request ended; `failed` if the endpoint did not answer it properly.
     auto finished(std::uint64_t request, bool failed, time_point now,
                   std::vector<schedule_action> &actions) -> void;
--- a/packages/policy/testing/endpoint_scheduler_test.cpp
+++ b/packages/policy/testing/endpoint_scheduler_test.cpp
@@ -63,6 +63,26 @@
     EXPECT_EQ(std::get<start_action>(actions[2]).request, 3U);
 }
 
+// Its time is no first-token time: neither while it is outstanding nor when it came.
+TEST(EndpointSchedulerTest, aWholeAnswerGivesNoFirstToken)
+{
+    for (const bool streamed : {true, false}) {
+        manual_clock clock;
+        endpoint_scheduler core({.maxConcurrency = 8});
+        std::vector<schedule_action> actions;
+        for (std::uint64_t request = 1; request <= 2; ++request)
+            core.arrive({.request = request, .firstTokenTarget = 700ms, .streamed = streamed},
+                        clock.now(), actions);
+        clock.advance(5s);
+        core.tick(clock.now(), actions);
+        core.firstToken(2, clock.now());
+        core.answeredWhole(2, 300, clock.now());
+        core.finished(2, false, clock.now(), actions);
+        EXPECT_EQ(core.window(), streamed ? 1U : 3U);
+        EXPECT_EQ(core.firstTokenLatency(), streamed ? 5s : 0s);
+    }
+}
+
 } // namespace
 
 } // namespace mustardline
--- a/packages/policy/testing/policy_modules_test.cpp
+++ b/packages/policy/testing/policy_modules_test.cpp
@@ -210,6 +210,29 @@
     EXPECT_LE(window.size(), 2U);
 }
 
+TEST(ConcurrencyWindowTest, judgesWholeAnswersByTheirTimePerToken)
+{
+    concurrency_window window({.highest = 32});
+    time_point now{};
+    const auto answer = [&](std::uint32_t tokens, duration perToken) {
+        now = now + 1s;
+        window.answeredWhole({.latency = perToken * tokens, .target = 700ms, .promptTokens = 100},
+                             tokens, window.size(), now);
+    };
+    // Far over the first-token target, and of all lengths.
+    for (const auto tokens : {40U, 100U, 1000U, 250U, 600U, 30U})
+        answer(tokens, 15ms);
+    EXPECT_EQ(window.size(), 8U);
+    EXPECT_EQ(window.typicalLatency(), 0s);
+    answer(40, 25ms);
+    EXPECT_EQ(window.size(), 9U);
+    answer(40, 40ms);
+    EXPECT_EQ(window.size(), 7U);
+    // The endpoint turned cold.
+    answer(40, 70ms);
+    EXPECT_EQ(window.size(), 1U);
+}
+
 TEST(ReturnScheduleTest, spreadsRefusedCallersOverTheDrain)
 {
     return_schedule returns;
