Let operators say what an endpoint bears while cold

Cause: every fresh endpoint starts with a window of 2, whatever its engine bears, so a fresh fleet refuses what it could have taken.

Ruled out: refusing less by judging the waits of a fresh fleet otherwise.

--- a/packages/agent/run_service.cpp
+++ b/packages/agent/run_service.cpp
@@ -573,6 +573,7 @@
     m_maxConcurrency = wanted;
     m_scheduler.emplace(endpoint_scheduler_options{.maxConcurrency = wanted,
                                                    .initialWindow = m_options.limits.initialWindow,
+                                                   .coldConcurrency = endpoint->cold_concurrency(),
                                                    .maxQueued = m_options.limits.maxQueued,
                                                    .maxWait = m_options.limits.maxQueueWait,
                                                    .timesWholeAnswer = m_options.identity.kind
--- a/packages/agent/testing/agent_promise_test.cpp
+++ b/packages/agent/testing/agent_promise_test.cpp
@@ -236,6 +236,14 @@
     EXPECT_EQ(mostOpen(40), 2U);
 }
 
+TEST_F(FreshEndpointTest, P8_theConfiguredColdConcurrencyIsItsFirstWindow)
+{
+    auto endpoint = sampleEndpoint(m_kind, false);
+    endpoint.mutable_endpoint()->set_cold_concurrency(3);
+    applyEntity(m_config, endpoint);
+    EXPECT_EQ(mostOpen(40), 3U);
+}
+
 TEST_F(FreshEndpointTest, P8_naiveFullConcurrencyOverrunsAFreshEndpoint)
 {
     m_limits.initialWindow = 4;
--- a/packages/entry/operator_commands.cpp
+++ b/packages/entry/operator_commands.cpp
@@ -175,6 +175,9 @@
                           context.line);
     number_argument most("n", "max-concurrency", "Most requests at once.", true, 0, "N",
                          context.line);
+    number_argument cold("", "cold-concurrency",
+                         "Most requests at once while it is cold; 0 for its agent's setting.",
+                         false, 0, "N", context.line);
     TCLAP::SwitchArg fencing("f", "checks-fencing", "It refuses old fencing numbers itself.",
                              context.line);
     TCLAP::SwitchArg managed("o", "managed", "Started and stopped by mustardline's orders.",
@@ -191,6 +194,7 @@
     endpoint.set_agent_address(agent.getValue());
     endpoint.set_control_address(control.getValue());
     endpoint.set_max_concurrency(most.getValue());
+    endpoint.set_cold_concurrency(cold.getValue());
     endpoint.set_checks_fencing(fencing.getValue());
     return createEntity(context, entity);
 }
--- a/packages/entry/request_router.cpp
+++ b/packages/entry/request_router.cpp
@@ -377,6 +377,7 @@
          .dataCentre = endpoint.data_centre(),
          .serves = {endpoint.serves().begin(), endpoint.serves().end()},
          .maxConcurrency = endpoint.max_concurrency(),
+         .coldConcurrency = endpoint.cold_concurrency(),
          .available = !endpoint.leaving() && dataCentre != nullptr && !dataCentre->out()},
         m_clock.now());
 }
--- a/packages/platform/configuration_rules.cpp
+++ b/packages/platform/configuration_rules.cpp
@@ -116,6 +116,10 @@
     if (endpoint.max_concurrency() < 1 || endpoint.max_concurrency() > largestConcurrency)
         return invalid(fmt::format("max_concurrency of endpoint \"{}\" is not between 1 and {}",
                                    endpoint.id(), largestConcurrency));
+    if (endpoint.cold_concurrency() > endpoint.max_concurrency())
+        return invalid(fmt::format("cold_concurrency of endpoint \"{}\" is not between 1 and its "
+                                   "max_concurrency of {}",
+                                   endpoint.id(), endpoint.max_concurrency()));
     return std::monostate();
 }
 
--- a/packages/platform/testing/configuration_test.cpp
+++ b/packages/platform/testing/configuration_test.cpp
@@ -210,6 +210,8 @@
         {"no address", [](auto &e) { e.mutable_endpoint()->clear_agent_address(); }, endpoint},
         {"odd address", [](auto &e) { e.mutable_endpoint()->set_control_address("x"); }, endpoint},
         {"no concurrency", [](auto &e) { e.mutable_endpoint()->set_max_concurrency(0); }, endpoint},
+        {"more while cold", [](auto &e) { e.mutable_endpoint()->set_cold_concurrency(65); },
+         endpoint},
     };
     for (const auto &it : cases) {
         auto entity = it.entity;
--- a/packages/policy/concurrency_window.cpp
+++ b/packages/policy/concurrency_window.cpp
@@ -125,10 +125,11 @@
     if (!m_hasSample)
         m_firstSampleAt = now;
     m_hasSample = true;
+    const auto age = now - m_firstSampleAt;
     m_isWarm
-        = now - m_firstSampleAt >= m_options.warmUpTime
+        = age >= m_options.warmUpTime
           || (sample.expected.count() > 0 && sample.latency <= scaled(sample.expected, warmRatio));
-    return !m_isWarm && sample.expected.count() > 0;
+    return !m_isWarm && (sample.expected.count() > 0 || age < m_options.holdTime);
 }
 
 auto concurrency_window::congested(const first_token_sample &sample) const -> bool
--- a/packages/policy/concurrency_window.h
+++ b/packages/policy/concurrency_window.h
@@ -36,6 +36,8 @@
     std::uint32_t highest = 1;
     // A new endpoint that is slower than others is taken to be cold for this long.
     duration warmUpTime = std::chrono::seconds(60);
+    // It does not grow for this long without word of what is usual at other endpoints.
+    duration holdTime{};
 };
 
 // The time to a first token, or the time for which it has been outstanding.
--- a/packages/policy/dispatcher.h
+++ b/packages/policy/dispatcher.h
@@ -41,6 +41,8 @@
     // Models or the service that it serves.
     std::vector<std::string> serves;
     std::uint32_t maxConcurrency = 1;
+    // Requests that it bears at once while nothing is known of it; 0 for the usual two.
+    std::uint32_t coldConcurrency = 0;
     // Takes new work: neither leaving nor in a data centre that is out.
     bool available = true;
 };
--- a/packages/policy/endpoint_scheduler.cpp
+++ b/packages/policy/endpoint_scheduler.cpp
@@ -15,6 +15,17 @@
 // A request that preempts does so this long before it would be refused for waiting.
 constexpr duration preemptMargin = std::chrono::milliseconds(50);
 
+// The entries know after 10 s what is usual for a class.
+constexpr duration coldHoldTime = std::chrono::seconds(10);
+
+auto windowOptions(const endpoint_scheduler_options &options) -> concurrency_window_options
+{
+    const auto isKnown = options.coldConcurrency > 0;
+    return {.initial = isKnown ? options.coldConcurrency : options.initialWindow,
+            .highest = options.maxConcurrency,
+            .holdTime = isKnown ? coldHoldTime : duration{}};
+}
+
 struct scheduler_row
 {
     scheduled_request request;
@@ -53,8 +64,7 @@
 
 struct endpoint_scheduler::state
 {
-    explicit state(endpoint_scheduler_options value)
-        : options(value), window({.initial = value.initialWindow, .highest = value.maxConcurrency})
+    explicit state(endpoint_scheduler_options value) : options(value), window(windowOptions(value))
     {}
 
     auto enqueue(const scheduler_row &row) -> void;
--- a/packages/policy/endpoint_scheduler.h
+++ b/packages/policy/endpoint_scheduler.h
@@ -32,6 +32,9 @@
     std::uint32_t maxConcurrency = 1;
     // The window of an endpoint of which nothing is known.
     std::uint32_t initialWindow = 2;
+    // What its operators say that it bears while cold, or 0. It is the first window then, and holds
+    // until the endpoint is known to be warm or the entries had time to learn what is usual.
+    std::uint32_t coldConcurrency = 0;
     // Requests that may wait here; more are refused as not run.
     std::uint32_t maxQueued = 8;
     // Longest wait here before a request is refused as not run.
--- a/packages/policy/endpoint_table.cpp
+++ b/packages/policy/endpoint_table.cpp
@@ -49,7 +49,8 @@
     row.id = info.id;
     row.dataCentre = info.dataCentre;
     row.serves = std::move(serves);
-    row.maxConcurrency = info.maxConcurrency;
+    const auto cold = info.coldConcurrency > 0 ? info.coldConcurrency : unknownWindow;
+    row.coldConcurrency = std::min(cold, info.maxConcurrency);
     row.present = true;
     row.available = info.available;
     return index;
--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -37,7 +37,8 @@
     std::string dataCentre;
     // Numbers of the models or the service that it serves.
     std::vector<std::uint32_t> serves;
-    std::uint32_t maxConcurrency = 1;
+    // The window before the first report.
+    std::uint32_t coldConcurrency = 1;
     bool present = false;
     bool available = false;
 
@@ -121,7 +122,7 @@
     static auto recordOwn(endpoint_row &row, time_point now) -> void;
     [[nodiscard]] static auto ownAt(const endpoint_row &row, time_point when) -> std::uint32_t;
 
-    // The window of an endpoint that has not reported yet.
+    // Taken where the configuration gives no window for a cold endpoint.
     static constexpr std::uint32_t unknownWindow = 2;
     // A report is believed whole for this long, half for as long again, then not at all.
     static constexpr duration reportFreshness = std::chrono::seconds(1);
@@ -166,7 +167,7 @@
 inline auto endpoint_table::window(std::uint32_t index) const -> std::uint32_t
 {
     const auto &row = m_rows[index];
-    return row.window == 0 ? std::min(unknownWindow, row.maxConcurrency) : row.window;
+    return row.window == 0 ? row.coldConcurrency : row.window;
 }
 
 } // namespace mustardline
--- a/packages/policy/testing/policy_modules_test.cpp
+++ b/packages/policy/testing/policy_modules_test.cpp
@@ -210,6 +210,25 @@
     EXPECT_LE(window.size(), 2U);
 }
 
+TEST(ConcurrencyWindowTest, holdsUntilOthersAreKnown)
+{
+    concurrency_window window({.initial = 4, .highest = 32, .holdTime = 10s});
+    time_point now{};
+    const auto answer = [&](duration expected) {
+        now = now + 1s;
+        window.succeeded({.latency = 300ms, .target = 20s, .expected = expected}, 32, now);
+    };
+    for (int count = 0; count < 10; ++count)
+        answer(0s);
+    EXPECT_EQ(window.size(), 4U);
+    answer(0s);
+    EXPECT_EQ(window.size(), 5U);
+    answer(200ms);
+    EXPECT_EQ(window.size(), 5U);
+    answer(250ms);
+    EXPECT_EQ(window.size(), 6U);
+}
+
 TEST(ConcurrencyWindowTest, judgesWholeAnswersByTheirTimePerToken)
 {
     concurrency_window window({.highest = 32});
--- a/packages/policy/testing/policy_target_test.cpp
+++ b/packages/policy/testing/policy_target_test.cpp
@@ -116,6 +116,58 @@
                              return name;
                          });
 
+// The window starts with what the operators say and is not let past it while the engine is cold.
+TEST(ColdConcurrencyTargetTest, aFreshEndpointStartsWithWhatItBearsCold)
+{
+    for (auto load : allWorkloads()) {
+        if (!load.name.ends_with("fresh_endpoints"))
+            continue;
+        load.coldConcurrency = fake_engine_options{}.bearable;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+            EXPECT_EQ(runProduct(load, seed).coldLoad, 1.0) << load.name << " seed=" << seed;
+    }
+}
+
+// A burst on a fleet of which nothing is known yet.
+TEST(ColdConcurrencyTargetTest, aFreshFleetServesWhatItBearsCold)
+{
+    struct totals
+    {
+        std::uint64_t refused = 0;
+        std::uint64_t attained = 0;
+    };
+    const auto run = [](std::uint32_t coldConcurrency, duration coldFor) {
+        auto load = kartkalkanNight();
+        load.engines.resize(2);
+        for (auto &engine : load.engines) {
+            engine.startsAt = 1s;
+            engine.coldFor = coldFor;
+        }
+        load.classes = {{.name = "quick",
+                         .tier = 3,
+                         .firstTokenTarget = 710ms,
+                         .deadline = 10s,
+                         .meanTokens = 40,
+                         .offered = 32,
+                         .from = 6s,
+                         .until = 6s + 20ms}};
+        load.coldConcurrency = coldConcurrency;
+        totals sum;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            const auto report = runProduct(load, seed);
+            sum.refused += report.classes.front().refused;
+            sum.attained += report.classes.front().attained;
+        }
+        return sum;
+    };
+    const auto unknown = run(0, 30s);
+    const auto known = run(fake_engine_options{}.bearable, 30s);
+    EXPECT_LT(known.refused, unknown.refused);
+    EXPECT_GE(known.attained, 2 * unknown.attained);
+    // An engine that needs no warming up may be given all that it ever runs.
+    EXPECT_EQ(run(fake_engine_options{}.concurrency, 1ms).refused, 0U);
+}
+
 TEST(ScalingTargetTest, paidSecondsAreNearTheLeast)
 {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
--- a/packages/policy/testing/product_router.cpp
+++ b/packages/policy/testing/product_router.cpp
@@ -27,12 +27,17 @@
             m_entries.back().setEndpoint(describe(engine), world.now());
     }
     for (const auto &engine : engines)
-        m_agents.emplace_back(
-            endpoint_scheduler_options{.maxConcurrency = engine.info.options.concurrency});
+        m_agents.emplace_back(agentOptions(engine));
     for (std::uint32_t account = 0; account < 100; ++account)
         m_accountNames.push_back("account-" + std::to_string(account));
 }
 
+auto product_router::agentOptions(const engine_state &state) const -> endpoint_scheduler_options
+{
+    return {.maxConcurrency = state.info.options.concurrency,
+            .coldConcurrency = m_world.load().coldConcurrency};
+}
+
 auto product_router::describe(std::uint32_t engine) const -> endpoint_info
 {
     const auto &state = m_world.engines()[engine];
@@ -40,6 +45,7 @@
             .dataCentre = state.info.dataCentre,
             .serves = {std::string(model)},
             .maxConcurrency = state.info.options.concurrency,
+            .coldConcurrency = m_world.load().coldConcurrency,
             .available = state.available};
 }
 
@@ -248,7 +254,7 @@
 {
     auto &state = m_world.engines()[engine];
     if (state.available && state.info.startsAt.count() > 0)
-        m_agents[engine] = endpoint_scheduler({.maxConcurrency = state.info.options.concurrency});
+        m_agents[engine] = endpoint_scheduler(agentOptions(state));
     for (auto &entry : m_entries)
         entry.setEndpoint(describe(engine), m_world.now());
 }
--- a/packages/policy/testing/routers.h
+++ b/packages/policy/testing/routers.h
@@ -48,6 +48,7 @@
     auto carryOut(std::uint32_t engine, const preempt_action &action) -> void;
     auto notRun(std::uint32_t engine, std::uint64_t number, result_code code) -> void;
     auto reportLoad(std::uint32_t engine, std::uint32_t entry) -> void;
+    [[nodiscard]] auto agentOptions(const engine_state &state) const -> endpoint_scheduler_options;
     [[nodiscard]] auto describe(std::uint32_t engine) const -> endpoint_info;
     [[nodiscard]] auto loadOf(std::uint32_t engine) const -> endpoint_load;
     auto checkRefusal(std::uint32_t entry, const refuse_action &action) -> void;
--- a/packages/policy/testing/workload.h
+++ b/packages/policy/testing/workload.h
@@ -67,6 +67,8 @@
     duration contendedUntil = std::chrono::seconds(220);
     std::uint32_t entries = 3;
     std::vector<workload_engine> engines;
+    // What the operators say that each bears while cold; 0 if they do not.
+    std::uint32_t coldConcurrency = 0;
     std::vector<workload_class> classes;
     std::vector<workload_fault> faults;
     duration reportLag = std::chrono::milliseconds(50);
