--- a/packages/platform/testing/configuration_test.cpp
+++ b/packages/platform/testing/configuration_test.cpp
@@ -227,6 +227,8 @@
          scaling},
         {"over 100 percent",
          [](auto &e) { e.mutable_model_scaling()->set_lowest_tier_percent(101); }, scaling},
+        {"more while cold", [](auto &e) { e.mutable_endpoint()->set_cold_concurrency(65); },
+         endpoint},
     };
     for (const auto &it : cases) {
         auto entity = it.entity;
--- a/packages/policy/endpoint_scheduler.cpp
+++ b/packages/policy/endpoint_scheduler.cpp
@@ -15,6 +15,17 @@
 // A request that preempts does so this long before it would be refused for waiting.
 constexpr duration preemptMargin = std::chrono::milliseconds(50);
 
+// The entries know after 10 s what is usual for a class.
+constexpr duration coldHoldTime = std::chrono::seconds(10);
+
+auto windowOptions(const endpoint_scheduler_options &options) -> concurrency_window_options
+{
+    const auto isKnown = options.coldConcurrency > 0;
+    return {.initial = isKnown ? options.coldConcurrency : options.initialWindow,
+            .highest = options.maxConcurrency,
+            .holdTime = isKnown ? coldHoldTime : duration{}};
+}
+
 struct scheduler_row
 {
     scheduled_request request;
@@ -53,8 +64,7 @@
 
 struct endpoint_scheduler::state
 {
-    explicit state(endpoint_scheduler_options value)
-        : options(value), window({.initial = value.initialWindow, .highest = value.maxConcurrency})
+    explicit state(endpoint_scheduler_options value) : options(value), window(windowOptions(value))
     {}
 
     auto enqueue(const scheduler_row &row) -> void;
@@ -181,7 +191,7 @@
 auto endpoint_scheduler::state::watchOutstanding(time_point now) -> void
 {
     for (const auto &row : running) {
-        if (!row.hasFirstToken)
+        if (row.request.streamed && !row.hasFirstToken)
             window.outstanding(sampleOf(row, now), now);
     }
 }
@@ -211,12 +221,21 @@
 auto endpoint_scheduler::firstToken(std::uint64_t request, time_point now) -> void
 {
     const auto row = std::ranges::find_if(m_state->running, hasId(request));
-    if (row == m_state->running.end() || row->hasFirstToken)
+    if (row == m_state->running.end() || row->hasFirstToken || !row->request.streamed)
         return;
     row->hasFirstToken = true;
     m_state->window.succeeded(sampleOf(*row, now), row->runningAtStart + 1, now);
 }
 
+auto endpoint_scheduler::answeredWhole(std::uint64_t request, std::uint32_t tokens, time_point now)
+    -> void
+{
+    const auto row = std::ranges::find_if(m_state->running, hasId(request));
+    if (row == m_state->running.end() || row->request.streamed)
+        return;
+    m_state->window.answeredWhole(sampleOf(*row, now), tokens, row->runningAtStart + 1, now);
+}
+
 auto endpoint_scheduler::finished(std::uint64_t request, bool failed, time_point now,
                                   std::vector<schedule_action> &actions) -> void
 {
--- a/packages/policy/endpoint_scheduler.h
+++ b/packages/policy/endpoint_scheduler.h
@@ -32,6 +32,9 @@
     std::uint32_t maxConcurrency = 1;
     // The window of an endpoint of which nothing is known.
     std::uint32_t initialWindow = 2;
+    // What its operators say that it bears while cold, or 0. It is the first window then, and holds
+    // until the endpoint is known to be warm or the entries had time to learn what is usual.
+    std::uint32_t coldConcurrency = 0;
     // Requests that may wait here; more are refused as not run.
     std::uint32_t maxQueued = 8;
     // Longest wait here before a request is refused as not run.
@@ -51,6 +54,8 @@
     duration firstTokenTarget{};
     // Usual time to the first token at other endpoints; zero if not known.
     duration expectedFirstToken{};
+    // Its first token is seen when it comes; else the answer comes as a whole.
+    bool streamed = true;
     // Time from its arrival at the entry to its arrival here.
     duration waited{};
     // Time left until the whole answer is due.
@@ -95,6 +100,10 @@
     // The endpoint sent the first token of a running request.
     auto firstToken(std::uint64_t request, time_point now) -> void;
 
+    // The whole answer of a running request that is not streamed came, of `tokens` tokens; called
+    // before `finished`.
+    auto answeredWhole(std::uint64_t request, std::uint32_t tokens, time_point now) -> void;
+
     // A running request ended; `failed` if the endpoint did not answer it properly.
     auto finished(std::uint64_t request, bool failed, time_point now,
                   std::vector<schedule_action> &actions) -> void;
