--- a/packages/proofs/testing/load_promise_test.cpp
+++ b/packages/proofs/testing/load_promise_test.cpp
@@ -135,7 +135,7 @@
     EXPECT_GT(countOf(all, {.what = decided::stopped, .tier = lowestTier}), 0U);
 }
 
-INSTANTIATE_TEST_SUITE_P(Engines, OverloadPromiseTest, testing::Values(false),
+INSTANTIATE_TEST_SUITE_P(Engines, OverloadPromiseTest, testing::Bool(),
                          [](const auto &info) { return info.param ? "one_dies" : "all_live"; });
 
 // The highest tier alone always has more to do than the fleet has places, and has time to spare.
