--- a/packages/entry/scaling_duty.h
+++ b/packages/entry/scaling_duty.h
@@ -45,7 +45,8 @@
     std::string entryName;
     // The interval at which entries report their demand.
     duration reportInterval = std::chrono::seconds(15);
-    // After so long a change that was not read back is taken for lost. Until then it counts as made.
+    // After so long a change that was not read back is taken for lost. Until then it counts as
+    // made.
     duration retryAfter = std::chrono::seconds(12);
     // Decisions at once; the others follow at the next time.
     std::size_t maxDecisions = 64;
