Reckon with the places that lower tiers must yield before shedding a higher one

Cause: the wait of a request was predicted from the places that its own and later classes free by ending. A lower tier that holds every place with long answers, and has finished none, freed nothing by that reckoning, so that the highest tier was refused at once though the agent would have stopped lower answers for it (found by p1NothingIsShedWhileALowerTierHoldsThePlaces: 12 of 12 refused). Change: what lower tiers hold at this entry and may be stopped counts as there at once, and as coming free at the waiting class's own pace from then on.

--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -153,34 +153,41 @@
         refuse(slot, verdict, "predicted_wait", now, actions);
 }
 
-// The rate at which places come free that the class would take: those that it or a later class
-// holds now.
-auto dispatcher::state::placesPerSecond(const target_row &target, std::uint32_t queue) const
-    -> double
+// The places that the class would take: those that it or a later class holds now.
+auto dispatcher::state::supplyOf(const target_row &target, std::uint32_t queue) const
+    -> place_supply
 {
     const auto orderOf = [&target](std::uint32_t number) {
         const auto &options = target.queue.queue(number).options();
         return std::pair(options.tier, options.priority);
     };
     const auto own = orderOf(queue);
-    double taken = 0;
+    place_supply supply;
     double all = 0;
     for (std::uint32_t number = 0; number < target.paces.size(); ++number) {
-        const auto freed = target.paces[number].freedPerSecond();
+        const auto &pace = target.paces[number];
+        const auto order = orderOf(number);
+        const auto freed = pace.freedPerSecond();
         all += freed;
-        if (orderOf(number) >= own)
-            taken += freed;
+        if (order < own)
+            continue;
+        const auto stoppable = order.first > own.first ? pace.stoppable() : 0;
+        supply.atOnce += stoppable;
+        supply.perSecond += std::max(freed, target.paces[queue].freedPerSecond(stoppable));
     }
-    return std::max(taken, all * leastPart);
+    supply.perSecond = std::max(supply.perSecond, all * leastPart);
+    return supply;
 }
 
 // Time until a request of the class with `ahead` others before it is placed; zero if nothing is
-// known.
+// known. The first of them take what lower tiers hold and may be stopped.
 auto dispatcher::state::predictedWait(const target_row &target, std::uint32_t queue,
                                       std::uint32_t ahead) const -> duration
 {
-    const auto places = placesPerSecond(target, queue);
-    return places == 0 ? duration{} : fromSeconds((ahead + 1) / places);
+    const auto supply = supplyOf(target, queue);
+    if (supply.perSecond == 0 || ahead < supply.atOnce)
+        return {};
+    return fromSeconds((ahead - supply.atOnce + 1) / supply.perSecond);
 }
 
 // `ok` if a request that waits for `wait` more can still be in time for its targets.
@@ -233,11 +240,12 @@
     auto wait = noEndpointRetry;
     if (!target.subset.empty())
         wait = predictedWait(target, row.queue, target.queue.ahead(row.queue, row.account));
-    actions.emplace_back(refuse_action{.request = row.request,
-                                       .code = code,
-                                       .retryAfter = target.returns.retryAfter(
-                                           wait, placesPerSecond(target, row.queue), random, now),
-                                       .reason = reason});
+    actions.emplace_back(refuse_action{
+        .request = row.request,
+        .code = code,
+        .retryAfter
+        = target.returns.retryAfter(wait, supplyOf(target, row.queue).perSecond, random, now),
+        .reason = reason});
     forget(slot);
 }
 
@@ -335,7 +343,7 @@
     row.hasFirstToken = false;
     row.cancelling = false;
     ++row.attempt;
-    paceOf(row).started();
+    paceOf(row).started(row.idempotent);
     ++placedCount;
     actions.emplace_back(
         place_action{.request = row.request,
@@ -380,7 +388,7 @@
     endpoints.released(row.endpoint, row.tier, row.hasFirstToken, now);
     target.queue.finish(row, usedTokens);
     target.freed.add(row.endpoint);
-    paceOf(row).ended();
+    paceOf(row).ended(row.idempotent);
     --placedCount;
 }
 
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -48,6 +48,15 @@
         freed_places freed;
     };
 
+    // The places that a class can count on.
+    struct place_supply
+    {
+        // Held by lower tiers, and may be stopped.
+        std::uint32_t atOnce = 0;
+        // Come free each second; 0 if not known.
+        double perSecond = 0;
+    };
+
     // Entities.
     auto paceOf(const request_row &row) -> class_pace &
     {
@@ -61,8 +70,8 @@
     auto admit(std::uint32_t slot, const request_arrival &arrival, time_point now,
                dispatch_actions &actions) -> void;
     auto enqueue(std::uint32_t slot, time_point now, dispatch_actions &actions) -> void;
-    [[nodiscard]] auto placesPerSecond(const target_row &target, std::uint32_t queue) const
-        -> double;
+    [[nodiscard]] auto supplyOf(const target_row &target, std::uint32_t queue) const
+        -> place_supply;
     [[nodiscard]] auto predictedWait(const target_row &target, std::uint32_t queue,
                                      std::uint32_t ahead) const -> duration;
     [[nodiscard]] auto lateness(const request_row &row, duration wait, time_point now) const
--- a/packages/policy/drain_estimate.h
+++ b/packages/policy/drain_estimate.h
@@ -8,10 +8,13 @@
 // class holds. That follows a change of capacity at once, without a rate having to be measured:
 //
 //     class_pace pace;
-//     pace.started();
-//     pace.ended(held, result);
+//     pace.started(mayBeStopped);
+//     pace.ended(mayBeStopped);
 //     pace.freedPerSecond();
 //
+// What a lower tier holds and may be stopped is a higher tier's at once, and comes free at the
+// higher tier's own pace from then on.
+//
 // Refused callers are told times one drain interval apart, so that they do not come back together:
 //
 //     return_schedule returns;
@@ -36,8 +39,17 @@
 class class_pace
 {
 public:
-    auto started() -> void { ++m_inFlight; }
-    auto ended() -> void { --m_inFlight; }
+    // `mayBeStopped` in favour of a higher tier; the same at the end as at the start.
+    auto started(bool mayBeStopped) -> void
+    {
+        ++m_inFlight;
+        m_stoppable += mayBeStopped ? 1 : 0;
+    }
+    auto ended(bool mayBeStopped) -> void
+    {
+        --m_inFlight;
+        m_stoppable -= mayBeStopped ? 1 : 0;
+    }
 
     // A request was answered after holding its place for `held`.
     auto answered(duration held) -> void { follow(m_holdSeconds, toSeconds(held), weight); }
@@ -56,6 +68,8 @@
     auto followLoad(double part) -> void { m_load += (m_inFlight - m_load) * part; }
 
     [[nodiscard]] auto inFlight() const -> std::uint32_t { return m_inFlight; }
+    // Those of them that may be stopped in favour of a higher tier.
+    [[nodiscard]] auto stoppable() const -> std::uint32_t { return m_stoppable; }
     // Mean number in flight.
     [[nodiscard]] auto load() const -> double { return m_load; }
     // Places held by this class that come free each second; 0 if not known.
@@ -63,6 +77,11 @@
     {
         return m_holdSeconds == 0 ? 0 : std::max<double>(m_inFlight, m_load) / m_holdSeconds;
     }
+    // As many places as `places` come free so often if this class holds them; 0 if not known.
+    [[nodiscard]] auto freedPerSecond(std::uint32_t places) const -> double
+    {
+        return m_holdSeconds == 0 ? 0 : places / m_holdSeconds;
+    }
     // Mean time to the first token and between tokens; 0 if not known.
     [[nodiscard]] auto firstTokenSeconds() const -> double { return m_firstTokenSeconds; }
     // What the fastest part of the requests needs, without waiting at the endpoint.
@@ -81,6 +100,7 @@
     static constexpr duration settleTime = std::chrono::seconds(10);
 
     std::uint32_t m_inFlight = 0;
+    std::uint32_t m_stoppable = 0;
     double m_load = 0;
     double m_holdSeconds = 0;
     double m_firstTokenSeconds = 0;
