Heed the VM list in the entry

`platform.vms` is now optional: without it nothing is asked.

Ruled out: making a VM live as soon as another boot is heard, as `membership` did: a lagging list made it leaving again under the new boot, for ever. Now the list must call it live, too. Dropping a leaving VM after 30 s out of the list: a late list would have brought it back; it is kept for an hour. Peers and `readsLog` from the list: it tells neither control ports nor which VMs are entries.

--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -60,6 +60,11 @@
                 .maxQueued = m_settings.maxQueued,
                 .seed = randomBits(),
                 .maxBacklogBytes = m_settings.maxBacklogBytes}),
+      m_vms(m_loop, m_http, m_log, m_metrics, m_config,
+            {.entryName = m_settings.name,
+             .dataCentre = m_settings.dataCentre,
+             .address = m_settings.vms,
+             .seed = randomBits()}),
       m_operators(m_loop, m_log, m_config, m_follower,
                   {.entryName = m_settings.name,
                    .keySecret = m_settings.keySecret,
@@ -70,9 +75,17 @@
       m_controlServer(m_loop)
 {
     m_config.onChange([this](v1::EntityKind kind, const std::string &id) {
+        m_vms.configurationChanged(kind, id);
         m_router.configurationChanged(kind, id);
         m_orders.configurationChanged(kind, id);
     });
+    m_router.isVmLeaving
+        = [this](const v1::Endpoint &endpoint) { return m_vms.isLeaving(endpoint); };
+    m_router.onBoot = [this](const std::string &endpoint, const std::string &boot) {
+        m_vms.heard(endpoint, boot);
+    };
+    m_vms.onEndpoint = [this](const std::string &id) { m_router.vmChanged(id); };
+    m_vms.onSelfLeaving = [this] { drain(); };
     m_follower.onFolded = [this] { m_operators.folded(); };
     m_leases.onRecord = [this](std::uint64_t offset, const v1::LogRecord &record) {
         m_orders.fold(offset, record);
@@ -107,6 +120,8 @@
         m_leases.start();
         m_usageDuty.start();
     }
+    if (m_settings.vms.port != 0)
+        m_vms.start();
     m_loop.run();
     m_log.write(entryStopped, field("live", m_router.liveCount()));
     return m_exitStatus;
--- a/packages/entry/entry_process.h
+++ b/packages/entry/entry_process.h
@@ -18,6 +18,7 @@
 #include "entry/settings.h"
 #include "entry/usage_collector.h"
 #include "entry/usage_duty.h"
+#include "entry/vm_duty.h"
 #include "net/control_socket.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
@@ -31,7 +32,8 @@
 public:
     explicit entry_process(entry_settings settings);
 
-    // Serves until SIGTERM or SIGINT and returns the exit status of the process.
+    // Serves until SIGTERM or SIGINT, or until the VM list calls this VM leaving, and returns the
+    // exit status of the process.
     auto run() -> int;
 
 private:
@@ -58,6 +60,7 @@
     order_duty m_orders;
     claim_keeper m_claims;
     request_router m_router;
+    vm_duty m_vms;
     operator_service m_operators;
     http_server m_callerServer;
     http_server m_operatorServer;
--- a/packages/entry/events.h
+++ b/packages/entry/events.h
@@ -75,12 +75,16 @@
 inline constexpr log_event orderAnswered{2051, "order_answered", log_level::info,
                                          "The platform answered an endpoint order."};
 
+inline constexpr log_event vmStateChanged{
+    2060, "vm_state_changed", log_level::info,
+    "A VM leaves by the platform's list, or was replaced by a live one."};
+
 inline constexpr auto entryEvents = std::to_array<log_event>(
     {entryListening,   entryReady,        entryDraining,   entryStopped,  entryFailed,
      requestPlaced,    requestRefused,    requestFinished, requestNotRun, requestLost,
      requestCancelled, requestRejected,   claimDecided,    claimGivenUp,  ownerResolved,
      entityChanged,    changeDecided,     operatorRefused, usageAppended, usageDelayed,
      usageReported,    usageReportFailed, leaseTaken,      leaseLost,     streamTruncated,
-     snapshotWritten,  orderSent,         orderAnswered});
+     snapshotWritten,  orderSent,         orderAnswered,   vmStateChanged});
 
 } // namespace mustardline
--- a/packages/entry/request_router.cpp
+++ b/packages/entry/request_router.cpp
@@ -152,6 +152,12 @@
     }
 }
 
+auto request_router::vmChanged(const std::string &endpointId) -> void
+{
+    if (const auto *endpoint = m_config.endpoint(endpointId))
+        setEndpoint(*endpoint);
+}
+
 auto request_router::tick() -> void
 {
     m_dispatcher.tick(m_clock.now(), m_actions);
@@ -274,8 +280,11 @@
         live.request,
         {.onReport =
              [this, endpoint = live.endpoint](const agent_report &report) {
-                 if (!report.boot.empty())
+                 if (!report.boot.empty()) {
                      m_claims.noteBoot(endpoint, report.boot);
+                     if (onBoot)
+                         onBoot(endpoint, report.boot);
+                 }
                  if (report.hasLoad)
                      m_dispatcher.reportLoad(endpoint, report.load, m_clock.now());
                  if (report.configurationOffset > m_config.offset() && onNewerConfiguration)
@@ -372,13 +381,13 @@
 auto request_router::setEndpoint(const v1::Endpoint &endpoint) -> void
 {
     const auto *dataCentre = m_config.dataCentre(endpoint.data_centre());
-    m_dispatcher.setEndpoint(
-        {.id = endpoint.id(),
-         .dataCentre = endpoint.data_centre(),
-         .serves = {endpoint.serves().begin(), endpoint.serves().end()},
-         .maxConcurrency = endpoint.max_concurrency(),
-         .available = !endpoint.leaving() && dataCentre != nullptr && !dataCentre->out()},
-        m_clock.now());
+    const auto leaves = endpoint.leaving() || (isVmLeaving && isVmLeaving(endpoint));
+    m_dispatcher.setEndpoint({.id = endpoint.id(),
+                              .dataCentre = endpoint.data_centre(),
+                              .serves = {endpoint.serves().begin(), endpoint.serves().end()},
+                              .maxConcurrency = endpoint.max_concurrency(),
+                              .available = !leaves && dataCentre != nullptr && !dataCentre->out()},
+                             m_clock.now());
 }
 
 auto request_router::stopKey(const std::string &keyId) -> void
--- a/packages/entry/request_router.h
+++ b/packages/entry/request_router.h
@@ -52,6 +52,9 @@
     // An entity of the configuration changed.
     auto configurationChanged(v1::EntityKind kind, const std::string &id) -> void;
 
+    // What `isVmLeaving` answers for that endpoint has changed.
+    auto vmChanged(const std::string &endpointId) -> void;
+
     // Refuses everything new; what is live goes on to its end.
     auto drain() -> void { m_draining = true; }
 
@@ -66,6 +69,10 @@
 
     // Called when an agent names a configuration newer than ours.
     std::function<auto(std::uint64_t offset)->void> onNewerConfiguration;
+    // Called with the boot that an agent names in its answer.
+    std::function<auto(const std::string &endpointId, const std::string &boot)->void> onBoot;
+    // Asked whether an endpoint's VM leaves, so that it gets nothing new.
+    std::function<auto(const v1::Endpoint &)->bool> isVmLeaving;
 
 private:
     [[nodiscard]] auto claimCallbacks() -> claim_flow_callbacks;
--- a/packages/entry/settings.cpp
+++ b/packages/entry/settings.cpp
@@ -60,12 +60,13 @@
     const auto log = reader.text("log");
     const auto orders = reader.text("orders");
     const auto usage = reader.text("usage");
-    const auto vms = reader.text("vms");
+    const auto vms = reader.text("vms", {.fallback = ""});
     parent.absorb(reader);
     settings.log = faults.address("platform.log", log);
     settings.orders = faults.address("platform.orders", orders);
     settings.usage = faults.address("platform.usage", usage);
-    settings.vms = faults.address("platform.vms", vms);
+    if (!vms.empty())
+        settings.vms = faults.address("platform.vms", vms);
 }
 
 auto readLimits(settings_reader &parent, entry_settings &settings) -> void
--- a/packages/entry/settings.h
+++ b/packages/entry/settings.h
@@ -45,6 +45,7 @@
     socket_address log;
     socket_address orders;
     socket_address usage;
+    // Of the VM list; port 0 if it is not read.
     socket_address vms;
     // Control addresses of other entries, asked when the log is out.
     std::vector<socket_address> peers;
--- a/packages/platform/membership.cpp
+++ b/packages/platform/membership.cpp
@@ -27,14 +27,39 @@
 {
     const auto [found, isNew] = m_members.try_emplace(vm.vm, member_vm{.listing = vm});
     auto &member = found->second;
-    member.listedAt = now;
     // Another address under the same name is a replacement: nothing that was known of it holds.
     if (!isNew && member.listing.address != vm.address)
-        member = {.listing = vm, .listedAt = now};
-    const auto wasLeaving = member.listing.state == vm_state::leaving;
+        member = {.listing = vm};
+    const auto state = member.listing.state;
     member.listing = vm;
-    if (wasLeaving)
+    member.listing.state = state;
+    member.listedAt = now;
+    member.listedState = vm.state;
+    settle(member, now);
+}
+
+// Decides the state that counts from what the list says and which boots were heard.
+auto membership::settle(member_vm &member, time_point now) const -> void
+{
+    if (member.listedState == vm_state::leaving) {
+        if (member.isLive())
+            member.leavingBoot = member.boot;
         member.listing.state = vm_state::leaving;
+        member.liveAgainSince.reset();
+        return;
+    }
+    if (member.isLive())
+        return;
+    if (!member.liveAgainSince)
+        member.liveAgainSince = now;
+    const auto isReplaced = member.leavingBoot
+                                ? member.boot != member.leavingBoot
+                                : now >= *member.liveAgainSince + m_options.removalDelay;
+    if (!isReplaced)
+        return;
+    member.listing.state = vm_state::live;
+    member.leavingBoot.reset();
+    member.liveAgainSince.reset();
 }
 
 auto membership::dropUnlisted(const std::set<std::string_view> &names, time_point now) -> void
@@ -42,7 +67,8 @@
     std::erase_if(m_members, [&](const auto &item) {
         const auto &member = item.second;
         const auto lastSign = std::max(member.listedAt, member.heardAt.value_or(member.listedAt));
-        return !names.contains(item.first) && now >= lastSign + m_options.removalDelay;
+        const auto delay = member.isLive() ? m_options.removalDelay : m_options.leavingMemory;
+        return !names.contains(item.first) && now >= lastSign + delay;
     });
     std::erase_if(m_replaced, [this](const auto &item) { return !m_members.contains(item.first); });
 }
@@ -60,11 +86,13 @@
         replaced.push_back(*member.boot);
         if (replaced.size() > maxReplacedBoots)
             replaced.erase(replaced.begin());
-        // The list called the earlier process leaving, not this one.
-        member.listing.state = vm_state::live;
     }
+    // Whatever answers before the list calls it live again is the one that leaves.
+    if (!member.isLive() && !member.leavingBoot && !member.liveAgainSince)
+        member.leavingBoot = boot;
     member.boot = boot;
     member.heardAt = now;
+    settle(member, now);
     return true;
 }
 
--- a/packages/platform/membership.h
+++ b/packages/platform/membership.h
@@ -13,7 +13,9 @@
 //   from in that time stays as long as it is heard; a short or empty list does not dissolve the
 //   fleet. While the list cannot be had, the last one holds.
 // - A VM listed as leaving gets no new work at once, and never becomes live again under the same
-//   boot, whatever a later list says.
+//   boot, whatever a later list says: it is live again once the list says so and another boot was
+//   heard. If the leaving boot was never heard, the list must say so for `removalDelay`. A leaving
+//   VM that the list no longer shows is remembered for `leavingMemory`.
 // - An address may be used again by a replacement. What is known of a process is tied to its boot
 //   id: a new boot under the same name or address is another process, and a message of an earlier
 //   boot than the newest one heard is of a process that is gone.
@@ -47,13 +49,25 @@
 
 struct member_vm
 {
+    // As listed, but for the state, which is the one that counts.
     listed_vm listing;
     // The newest boot heard of at this address.
     std::optional<std::uint64_t> boot;
     time_point listedAt;
     std::optional<time_point> heardAt;
+    // What the newest list says, which may be behind.
+    vm_state listedState = vm_state::live;
+    // The boot that is leaving, if it was heard.
+    std::optional<std::uint64_t> leavingBoot;
+    // Since when the list has called a leaving VM live again.
+    std::optional<time_point> liveAgainSince;
 
     [[nodiscard]] auto isLive() const -> bool { return listing.state == vm_state::live; }
+    // Whether its state hangs on its boot, so that the boot should be asked for.
+    [[nodiscard]] auto needsBoot() const -> bool
+    {
+        return !isLive() && (!leavingBoot || liveAgainSince);
+    }
 };
 
 struct membership_options
@@ -62,6 +76,8 @@
     std::string selfDataCentre;
     // How long a VM that the list no longer shows, and that is not heard from, stays a member.
     duration removalDelay = std::chrono::seconds(30);
+    // The same for a leaving VM, which must not come back by a late list.
+    duration leavingMemory = std::chrono::hours(1);
     // Entries of one data centre that read the log themselves.
     std::size_t logReaders = 3;
 };
@@ -78,6 +94,12 @@
     // the newest, so that the message must be dropped.
     auto heard(std::string_view vm, std::uint64_t boot, time_point now) -> bool;
 
+    // All members, by name.
+    [[nodiscard]] auto all() const -> const std::map<std::string, member_vm, std::less<>> &
+    {
+        return m_members;
+    }
+
     // The member of that name; null if there is none.
     [[nodiscard]] auto find(std::string_view vm) const -> const member_vm *;
 
@@ -94,6 +116,7 @@
 
 private:
     auto take(const listed_vm &vm, time_point now) -> void;
+    auto settle(member_vm &member, time_point now) const -> void;
     auto dropUnlisted(const std::set<std::string_view> &names, time_point now) -> void;
 
     membership_options m_options;
--- a/packages/platform/testing/membership_test.cpp
+++ b/packages/platform/testing/membership_test.cpp
@@ -60,6 +60,47 @@
     EXPECT_EQ(m_members.find("a")->boot, 2);
 }
 
+TEST_F(MembershipTest, aReplacementIsLiveOnlyOnceTheLaggingListSaysSo)
+{
+    list({vmOf("a", vm_state::leaving)});
+    EXPECT_TRUE(m_members.heard("a", 1, m_clock.now()));
+    EXPECT_TRUE(m_members.heard("a", 2, m_clock.now()));
+    list({vmOf("a", vm_state::leaving)});
+    EXPECT_FALSE(m_members.find("a")->isLive());
+    list({vmOf("a")});
+    EXPECT_TRUE(m_members.find("a")->isLive()) << "the list meant the process before";
+    list({vmOf("a", vm_state::leaving)});
+    list({vmOf("a")});
+    EXPECT_FALSE(m_members.find("a")->isLive()) << "now this one has left";
+}
+
+TEST_F(MembershipTest, aLeavingBootThatWasNeverHeardIsReplacedWhenTheListHolds)
+{
+    list({vmOf("a", vm_state::leaving)});
+    EXPECT_TRUE(m_members.find("a")->needsBoot());
+    list({vmOf("a")});
+    EXPECT_TRUE(m_members.heard("a", 2, m_clock.now()));
+    m_clock.advance(seconds(29));
+    list({vmOf("a")});
+    EXPECT_FALSE(m_members.find("a")->isLive());
+    m_clock.advance(seconds(1));
+    list({vmOf("a")});
+    EXPECT_TRUE(m_members.find("a")->isLive());
+}
+
+TEST_F(MembershipTest, aLeavingVmIsRememberedWhileTheListIsEmpty)
+{
+    list({vmOf("a", vm_state::leaving)});
+    EXPECT_TRUE(m_members.heard("a", 1, m_clock.now()));
+    m_clock.advance(std::chrono::minutes(59));
+    list({});
+    list({vmOf("a")});
+    EXPECT_FALSE(m_members.find("a")->isLive());
+    m_clock.advance(std::chrono::hours(1));
+    list({});
+    EXPECT_EQ(m_members.find("a"), nullptr);
+}
+
 TEST_F(MembershipTest, anotherAddressIsAnotherProcess)
 {
     list({vmOf("a", vm_state::leaving)});
