Show operators who changed what: history and diff

Cause: `configuration_history` was written and tested, but no call or command showed it.

`History` pages the accepted changes that an entry holds, newest first, a change never split; `Diff` tells what differs in one entity between two offsets. `mustardline history` and `mustardline diff` print them; exit status 6 says that what was asked for is not held. Hashes of keys are left out of both.

Ruled out: keeping older changes over a gap (a page would look whole); a new result code (the answer itself says it, and codes are numbered for the whole fleet).

The commands' call-and-print steps are now one function, which list, status and usage use too.

A gap in real processes is not shown: entries of a small fleet give each other every record, so the unit tests show it (HistoryTest, HistoryAnswersTest).

--- a/packages/entry/command_line.cpp
+++ b/packages/entry/command_line.cpp
@@ -29,7 +29,7 @@
 {}
 "mustardline COMMAND --help" lists the options of a command.
 Exit status: 0 success, 1 refused, 2 bad command line or settings, 3 cannot listen,
-4 entry not reached, 5 outcome of a change not known yet.
+4 entry not reached, 5 outcome of a change not known yet, 6 history not held by the entry.
 )";
 
 // Reads settings for a command; prints the fault and returns nothing if they are not usable.
--- a/packages/entry/command_line.h
+++ b/packages/entry/command_line.h
@@ -4,11 +4,13 @@
 //
 //     mustardline serve --settings FILE
 //     mustardline check-settings FILE
-//     mustardline data-centre|class|account|key|route|endpoint|status|usage ... (operators)
+//     mustardline data-centre|class|account|key|route|endpoint ... (operators)
+//     mustardline status|usage|history|diff ... (operators)
 //
 // Exit status: 0 success; 1 the call was refused or requests were cut at shutdown; 2 the command
 // line or the settings are at fault; 3 a socket could not be opened; 4 the entry could not be
-// reached; 5 the outcome of a change is not known yet.
+// reached; 5 the outcome of a change is not known yet; 6 the entry does not hold the history that
+// was asked for.
 
 #include <span>
 
@@ -19,6 +21,7 @@
 inline constexpr int exitUsage = 2;
 inline constexpr int exitUnreachable = 4;
 inline constexpr int exitPending = 5;
+inline constexpr int exitMissing = 6;
 
 // Runs the program; `arguments` begins with its name. Returns the exit status.
 [[nodiscard]] auto runCommandLine(std::span<char *const> arguments) -> int;
--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -4,6 +4,7 @@
 
 #include "base/hashing.h"
 #include "entry/events.h"
+#include "entry/history_answers.h"
 
 namespace mustardline {
 
@@ -33,6 +34,7 @@
       m_log({.format = m_settings.format,
              .lowest = m_settings.lowestLevel,
              .process = m_settings.name}),
+      m_history(m_config, {}),
       m_http(m_loop, {}),
       m_leases(m_loop, m_http, m_log,
                {.entryName = m_settings.name,
@@ -93,6 +95,12 @@
     m_operators.onUsage = [this](const v1::UsageRequest &request, v1::UsageResponse &response) {
         m_usageDuty.describe(request, response);
     };
+    m_operators.onHistory = [this](const auto &request, auto &response) {
+        describeHistory(m_history, request, response);
+    };
+    m_operators.onDiff = [this](const auto &request, auto &response) {
+        describeDiff(m_history, m_config.offset(), request, response);
+    };
     m_operators.onStatus = [this](v1::StatusResponse &response) { fillStatus(response); };
     m_callerServer.onRequest(
         [this](const std::shared_ptr<http_exchange> &exchange) { serveCaller(exchange); });
--- a/packages/entry/entry_process.h
+++ b/packages/entry/entry_process.h
@@ -23,7 +23,7 @@
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
-#include "platform/configuration.h"
+#include "platform/configuration_history.h"
 
 namespace mustardline {
 
@@ -52,6 +52,7 @@
     logger m_log;
     counters m_metrics;
     configuration m_config;
+    configuration_history m_history;
     http_client m_http;
     duty_leases m_leases;
     configuration_follower m_follower;
--- /dev/null
+++ b/packages/entry/history_answers.h
@@ -0,0 +1,21 @@
+#pragma once
+
+// Answers of the operators' calls History and Diff, from what this entry holds.
+//
+//     v1::HistoryResponse response;
+//     describeHistory(history, request, response);
+
+#include "operator.pb.h"
+#include "platform/configuration_history.h"
+
+namespace mustardline {
+
+// Fills in a page of the accepted changes, newest first.
+auto describeHistory(const configuration_history &history, const v1::HistoryRequest &request,
+                     v1::HistoryResponse &response) -> void;
+
+// Fills in what differs in one entity between two offsets; `now` is the newest offset.
+auto describeDiff(const configuration_history &history, std::uint64_t now,
+                  const v1::DiffRequest &request, v1::DiffResponse &response) -> void;
+
+} // namespace mustardline
--- a/packages/entry/operator_call.h
+++ b/packages/entry/operator_call.h
@@ -15,6 +15,7 @@
 #include <tclap/CmdLine.h>
 
 #include "base/result.h"
+#include "entry/command_line.h"
 #include "entry/operator_client.h"
 
 namespace mustardline {
@@ -40,6 +41,29 @@
 
 auto printJson(const google::protobuf::Message &message) -> void;
 
+// Makes a call and prints its answer as JSON if that was asked for, else by `print`. Answers the
+// exit status of a fault, or the answer's by `statusOf`.
+template<class Response, class Request>
+[[nodiscard]] auto callAndPrint(command_context &context, std::string_view method,
+                                const Request &request,
+                                const std::function<auto(const Response &)->void> &print,
+                                const std::function<auto(const Response &)->int> &statusOf = {})
+    -> int
+{
+    const auto client = context.client();
+    if (const auto *fault = failed(client))
+        return explain(*fault);
+    const auto outcome = std::get<operator_client>(client).template call<Response>(method, request);
+    if (const auto *fault = failed(outcome))
+        return explain(*fault);
+    const auto &response = std::get<Response>(outcome);
+    if (context.json.getValue())
+        printJson(response);
+    else
+        print(response);
+    return statusOf ? statusOf(response) : exitSuccess;
+}
+
 // The exit status that tells the outcome of a change.
 [[nodiscard]] auto exitStatusOf(const v1::ApplyResponse &response) -> int;
 
--- a/packages/entry/operator_commands.cpp
+++ b/packages/entry/operator_commands.cpp
@@ -8,6 +8,7 @@
 
 #include "base/hashing.h"
 #include "entry/command_line.h"
+#include "entry/history_commands.h"
 #include "entry/operator_call.h"
 #include "entry/text_table.h"
 #include "platform/configuration.h"
@@ -228,72 +229,40 @@
     return {idOf(entity), std::to_string(item.revision()), value};
 }
 
-auto listEntities(std::vector<std::string> &words, v1::EntityKind kind) -> int
+auto printEntities(const v1::ListResponse &response) -> void
 {
-    command_context context("Lists the entities of a kind.");
-    context.line.parse(words);
-    const auto client = context.client();
-    if (const auto *fault = failed(client))
-        return explain(*fault);
-    v1::ListRequest request;
-    request.set_kind(kind);
-    const auto outcome = std::get<operator_client>(client).call<v1::ListResponse>("List", request);
-    if (const auto *fault = failed(outcome))
-        return explain(*fault);
-    const auto &response = std::get<v1::ListResponse>(outcome);
-    if (context.json.getValue()) {
-        printJson(response);
-        return exitSuccess;
-    }
     std::vector<std::vector<std::string>> rows{{"id", "revision", "value"}};
     for (const auto &item : response.entities())
         rows.push_back(rowOf(item));
     fmt::print("{}", printTable(rows));
-    return exitSuccess;
 }
 
-auto showStatus(std::vector<std::string> &words) -> int
+auto listEntities(std::vector<std::string> &words, v1::EntityKind kind) -> int
 {
-    command_context context("Shows the state of an entry.");
+    command_context context("Lists the entities of a kind.");
     context.line.parse(words);
-    const auto client = context.client();
-    if (const auto *fault = failed(client))
-        return explain(*fault);
-    const auto outcome
-        = std::get<operator_client>(client).call<v1::StatusResponse>("Status", v1::StatusRequest());
-    if (const auto *fault = failed(outcome))
-        return explain(*fault);
-    const auto &response = std::get<v1::StatusResponse>(outcome);
-    if (context.json.getValue()) {
-        printJson(response);
-        return exitSuccess;
-    }
+    v1::ListRequest request;
+    request.set_kind(kind);
+    return callAndPrint<v1::ListResponse>(context, "List", request, printEntities);
+}
+
+auto printStatus(const v1::StatusResponse &response) -> void
+{
     fmt::print("{}", printTable({{"entry", "configuration", "in flight", "queued"},
                                  {response.entry(), std::to_string(response.configuration_offset()),
                                   std::to_string(response.in_flight()),
                                   std::to_string(response.queued())}}));
-    return exitSuccess;
 }
 
-auto showUsage(std::vector<std::string> &words) -> int
+auto showStatus(std::vector<std::string> &words) -> int
 {
-    command_context context("Shows the usage windows of a client account.");
-    id_argument account(context, "account");
+    command_context context("Shows the state of an entry.");
     context.line.parse(words);
-    const auto client = context.client();
-    if (const auto *fault = failed(client))
-        return explain(*fault);
-    v1::UsageRequest request;
-    request.set_client_account(account.getValue());
-    const auto outcome
-        = std::get<operator_client>(client).call<v1::UsageResponse>("Usage", request);
-    if (const auto *fault = failed(outcome))
-        return explain(*fault);
-    const auto &response = std::get<v1::UsageResponse>(outcome);
-    if (context.json.getValue()) {
-        printJson(response);
-        return exitSuccess;
-    }
+    return callAndPrint<v1::StatusResponse>(context, "Status", v1::StatusRequest(), printStatus);
+}
+
+auto printUsage(const v1::UsageResponse &response) -> void
+{
     std::vector<std::vector<std::string>> rows{
         {"window start", "requests", "prompt", "completion", "sealed", "reported"}};
     for (const auto &window : response.windows()) {
@@ -303,7 +272,16 @@
                         window.reported() ? "yes" : "no"});
     }
     fmt::print("{}", printTable(rows));
-    return exitSuccess;
+}
+
+auto showUsage(std::vector<std::string> &words) -> int
+{
+    command_context context("Shows the usage windows of a client account.");
+    id_argument account(context, "account");
+    context.line.parse(words);
+    v1::UsageRequest request;
+    request.set_client_account(account.getValue());
+    return callAndPrint<v1::UsageResponse>(context, "Usage", request, printUsage);
 }
 
 using command_function = auto(*)(std::vector<std::string> &words) -> int;
@@ -350,6 +328,8 @@
     {"endpoint", "remove", "remove an endpoint", removeOf<v1::ENTITY_KIND_ENDPOINT>},
     {"status", "", "show the state of an entry", showStatus},
     {"usage", "", "show the usage windows of an account", showUsage},
+    {"history", "", "show accepted changes, newest first", showHistory},
+    {"diff", "", "show what differs between two revisions of an entity", showDiff},
 });
 
 } // namespace
--- a/packages/entry/operator_service.cpp
+++ b/packages/entry/operator_service.cpp
@@ -63,6 +63,20 @@
     exchange->reply(describe(code).httpStatus, errorHeaders(fault), errorBody(fault));
 }
 
+// Serves a call whose answer another part of the entry fills in.
+template<class Request, class Response>
+auto serve(const std::shared_ptr<http_exchange> &exchange,
+           const std::function<auto(const Request &, Response &)->void> &fill) -> void
+{
+    Request request;
+    if (!decode(exchange, request))
+        return;
+    Response response;
+    if (fill)
+        fill(request, response);
+    encode(exchange, response);
+}
+
 } // namespace
 
 operator_service::operator_service(event_loop &loop, logger &log, configuration &config,
@@ -102,13 +116,11 @@
             onStatus(response);
         encode(exchange, response);
     } else if (method == "Usage") {
-        v1::UsageRequest request;
-        if (!decode(exchange, request))
-            return;
-        v1::UsageResponse response;
-        if (onUsage)
-            onUsage(request, response);
-        encode(exchange, response);
+        serve(exchange, onUsage);
+    } else if (method == "History") {
+        serve(exchange, onHistory);
+    } else if (method == "Diff") {
+        serve(exchange, onDiff);
     } else {
         answerError(exchange, result_code::not_found, fmt::format("no call at {}", path));
     }
--- a/packages/entry/operator_service.h
+++ b/packages/entry/operator_service.h
@@ -43,6 +43,8 @@
     // Fills in what only the whole process knows.
     std::function<auto(v1::StatusResponse &)->void> onStatus;
     std::function<auto(const v1::UsageRequest &, v1::UsageResponse &)->void> onUsage;
+    std::function<auto(const v1::HistoryRequest &, v1::HistoryResponse &)->void> onHistory;
+    std::function<auto(const v1::DiffRequest &, v1::DiffResponse &)->void> onDiff;
 
 private:
     using decided_handler = std::function<auto(const v1::ApplyResponse &)->void>;
--- a/packages/platform/configuration.cpp
+++ b/packages/platform/configuration.cpp
@@ -67,6 +67,8 @@
 {
     if (offset <= m_offset)
         return;
+    if (offset > m_offset + 1 && m_gapObserver)
+        m_gapObserver(offset - 1);
     m_offset = offset;
     if (offset % forgetPeriod == 0)
         forgetOld();
@@ -94,6 +96,8 @@
         return;
     const auto before = std::exchange(m_tables, {});
     m_offset = snapshot.offset();
+    if (m_gapObserver)
+        m_gapObserver(m_offset);
     m_references.clear();
     for (auto &item : *snapshot.mutable_entities()) {
         countReferences(item.entity(), 1);
--- a/packages/platform/configuration.h
+++ b/packages/platform/configuration.h
@@ -101,6 +101,11 @@
         = std::function<auto(std::uint64_t offset, const v1::ConfigurationChange &)->void>;
     auto onAccept(accept_observer observer) -> void { m_acceptObserver = std::move(observer); }
 
+    // Called when changes up to that offset took effect without `onAccept`: by a snapshot, or
+    // because records are missing.
+    using gap_observer = std::function<auto(std::uint64_t through)->void>;
+    auto onGap(gap_observer observer) -> void { m_gapObserver = std::move(observer); }
+
     // How many entities refer to this one.
     [[nodiscard]] auto referenceCount(v1::EntityKind kind, std::string_view id) const
         -> std::uint32_t;
@@ -139,6 +144,7 @@
     std::deque<std::string> m_decisionOrder;
     change_observer m_observer;
     accept_observer m_acceptObserver;
+    gap_observer m_gapObserver;
 };
 
 // The kind of an entity, or unspecified if it is empty.
--- a/packages/platform/configuration_history.cpp
+++ b/packages/platform/configuration_history.cpp
@@ -68,6 +68,35 @@
     config.onAccept([this](std::uint64_t offset, const v1::ConfigurationChange &change) {
         note(offset, change);
     });
+    config.onGap([this](std::uint64_t through) { noteGap(through); });
+}
+
+auto configuration_history::at(v1::EntityKind kind, std::string_view id, std::uint64_t offset) const
+    -> std::optional<entity_state>
+{
+    if (offset > m_config.offset())
+        return std::nullopt;
+    auto state = stateAfter(kind, id, offset);
+    // An entity keeps its revision until its next change; that it is absent proves nothing about a
+    // time of which changes are missing.
+    const auto isProved = state.entity ? state.revision <= offset : offset >= m_missingThrough;
+    if (!isProved)
+        return std::nullopt;
+    return state;
+}
+
+// The entity before its first held change after the offset, or as it is now.
+auto configuration_history::stateAfter(v1::EntityKind kind, std::string_view id,
+                                       std::uint64_t offset) const -> entity_state
+{
+    for (const auto &change : m_changes) {
+        if (change.kind == kind && change.id == id && change.offset > offset)
+            return {.revision = change.revisionBefore, .entity = change.before};
+    }
+    const auto *current = m_config.find(kind, id);
+    if (current == nullptr)
+        return {};
+    return {.revision = current->revision(), .entity = current->entity()};
 }
 
 auto configuration_history::of(v1::EntityKind kind, std::string_view id) const
@@ -90,13 +119,29 @@
                                                            .operatorName = change.operator_(),
                                                            .kind = item.kind(),
                                                            .id = item.id()});
-        if (const auto *current = m_config.find(item.kind(), item.id()))
+        if (const auto *current = m_config.find(item.kind(), item.id())) {
             noted.before = current->entity();
+            noted.revisionBefore = current->revision();
+        }
         if (item.has_entity())
             noted.after = item.entity();
-        if (m_changes.size() > m_options.maxChanges)
-            m_changes.pop_front();
     }
+    while (m_changes.size() > m_options.maxChanges)
+        dropOldest();
+}
+
+auto configuration_history::noteGap(std::uint64_t through) -> void
+{
+    m_changes.clear();
+    m_missingThrough = through;
+}
+
+// Drops the oldest change with all its entities.
+auto configuration_history::dropOldest() -> void
+{
+    m_missingThrough = m_changes.front().offset;
+    while (!m_changes.empty() && m_changes.front().offset == m_missingThrough)
+        m_changes.pop_front();
 }
 
 } // namespace mustardline
--- a/packages/platform/testing/feed_test.cpp
+++ b/packages/platform/testing/feed_test.cpp
@@ -199,5 +199,35 @@
     EXPECT_EQ(history.changes().size(), 3);
 }
 
+TEST(HistoryTest, tellsAnEntityAtAnOffsetOnlyIfWhatIsHeldProvesIt)
+{
+    constexpr auto kind = v1::ENTITY_KIND_DATA_CENTRE;
+    configuration source;
+    source.apply(1, changeOf({{.entity = dataCentreOf("old")}}));
+    source.apply(2, changeOf({{.entity = dataCentreOf("new")}}, {.sequence = 2}));
+    configuration config;
+    configuration_history history(config, {.maxChanges = 2});
+    EXPECT_EQ(history.missingThrough(), 0);
+    config.restore(source.snapshot());
+    EXPECT_EQ(history.missingThrough(), 2);
+    config.apply(3, changeOf({{.entity = dataCentreOf("new", true), .base = 2}}, {.sequence = 3}));
+    config.apply(4, changeOf({{.entity = dataCentreOf("new"), .base = 3, .removes = true}},
+                             {.sequence = 4}));
+    EXPECT_EQ(history.at(kind, "new", 4)->revision, 0);
+    EXPECT_TRUE(history.at(kind, "new", 3)->entity->data_centre().out());
+    EXPECT_EQ(history.at(kind, "new", 2)->revision, 2) << "the change after it tells";
+    EXPECT_FALSE(history.at(kind, "new", 1)) << "what was before is missing";
+    EXPECT_EQ(history.at(kind, "old", 1)->revision, 1) << "it has not changed since";
+    EXPECT_FALSE(history.at(kind, "never", 1)) << "it may have been there";
+    EXPECT_EQ(history.at(kind, "never", 2)->revision, 0);
+    EXPECT_FALSE(history.at(kind, "old", 5)) << "not folded yet";
+    config.apply(5, changeOf({{.entity = dataCentreOf("third")}}, {.sequence = 5}));
+    EXPECT_EQ(history.missingThrough(), 3) << "the oldest was dropped";
+    EXPECT_EQ(history.at(kind, "new", 3)->revision, 3);
+    config.apply(9, changeOf({{.entity = dataCentreOf("fourth")}}, {.sequence = 6}));
+    EXPECT_EQ(history.missingThrough(), 8) << "records were missing";
+    EXPECT_EQ(history.changes().size(), 1);
+}
+
 } // namespace
 } // namespace mustardline
--- a/packages/proofs/testing/leaving_promise_test.cpp
+++ b/packages/proofs/testing/leaving_promise_test.cpp
@@ -161,13 +161,7 @@
     setList(fleet, {vm("entry-0", "leaving"), vm("entry-1", "live")});
     ++tally().faults;
     waitForLine(fleet, fleet.entry(0), {.name = "draining"});
-    for (const auto &made : streams)
-        EXPECT_FALSE(made->ended);
-    for (std::size_t engine = 0; engine < 2; ++engine)
-        setTokenTime(fleet, engine, 1);
-    finish(fleet, streams);
-    for (const auto &made : streams)
-        expectWhole(made, request, true);
+    finishStreams(fleet, streams, request);
     EXPECT_EQ(fleet.entry(0).instance().wait(), 0);
     EXPECT_EQ(call(fleet, 1, request).status, 200);
     EXPECT_EQ(fleet.stop(), "");
--- a/packages/proofs/testing/promise_fixture.h
+++ b/packages/proofs/testing/promise_fixture.h
@@ -165,6 +165,19 @@
         return calls;
     }
 
+    // Lets streams that wait for their tokens at either engine end, and expects them whole.
+    static auto finishStreams(fleet &fleet, const std::vector<pending> &streams,
+                              const http_request &request) -> void
+    {
+        for (const auto &made : streams)
+            EXPECT_FALSE(made->ended);
+        for (std::size_t engine = 0; engine < 2; ++engine)
+            setTokenTime(fleet, engine, 1);
+        finish(fleet, streams);
+        for (const auto &made : streams)
+            expectWhole(made, request, true);
+    }
+
     static auto setTokenTime(fleet &fleet, std::size_t engine, std::uint32_t milliseconds) -> void
     {
         fleet.control(fleet.engine(engine), "behaviour", {{"token_ms", milliseconds}});
--- a/packages/proofs/testing/traffic_promise_test.cpp
+++ b/packages/proofs/testing/traffic_promise_test.cpp
@@ -296,13 +296,7 @@
         member.instance().sendSignal(SIGTERM);
         member.instance().waitFor({.name = event});
         ++tally().faults;
-        for (const auto &made : streams)
-            EXPECT_FALSE(made->ended);
-        for (std::size_t engine = 0; engine < 2; ++engine)
-            setTokenTime(fleet, engine, 1);
-        finish(fleet, streams);
-        for (const auto &made : streams)
-            expectWhole(made, request, true);
+        finishStreams(fleet, streams, request);
         EXPECT_EQ(member.instance().wait(), 0);
     };
     for (std::size_t engine = 0; engine < 2; ++engine)
@@ -401,6 +395,36 @@
     EXPECT_EQ(call(fleet, 1, fleet.chat(fleet.key(), "hello")).status, 200);
 }
 
+// The commands `history` and `diff`, through either entry.
+TEST_F(OperatorPromiseTest, operatorsSeeWhoChangedWhat)
+{
+    fleet fleet({.engines = 0, .services = 0});
+    const auto first = dataCentre(fleet, 0, "gebze").first;
+    auto last = fleet.accepted({"data-centre", "out", "gebze"});
+    waitForAll(fleet, last);
+    const auto page = fleet.accepted({"history", "data-centre", "gebze", "--limit", "1"}, 1);
+    ASSERT_EQ(page["items"].size(), 1U);
+    EXPECT_EQ(page["items"][0]["revision"], last["revision"]);
+    EXPECT_EQ(page["items"][0]["operator"], "tester");
+    EXPECT_EQ(page["items"][0]["differences"],
+              json::array({{{"field", "out"}, {"before", "false"}, {"after", "true"}}}));
+    EXPECT_EQ(page["next_before_revision"], last["revision"]);
+    const auto from = std::to_string(first);
+    const std::vector<std::string> diff{"diff", "data-centre", "gebze", "--from", from};
+    EXPECT_EQ(fleet.accepted(diff, 1)["differences"], page["items"][0]["differences"]);
+    last = fleet.accepted({"data-centre", "in", "gebze"});
+    EXPECT_TRUE(fleet.accepted(diff)["differences"].empty());
+    // What the entry has not folded, it does not guess.
+    const auto missing
+        = fleet.command({"diff", "data-centre", "gebze", "--from", from, "--to", "1000000"});
+    EXPECT_EQ(missing.status, 6) << missing.output;
+    EXPECT_TRUE(json::parse(missing.output)["missing"]);
+    EXPECT_EQ(fleet.command({"diff", "no-such-kind", "gebze", "--from", from}).status, 2);
+    const auto whole = fleet.accepted({"history", "data-centre", "gebze"});
+    EXPECT_EQ(whole["items"].size(), 3U);
+    EXPECT_EQ(whole["missing_through"], "0");
+}
+
 } // namespace
 
 } // namespace mustardline::proofs
