--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -4,6 +4,7 @@
 
 #include "base/hashing.h"
 #include "entry/events.h"
+#include "entry/history_answers.h"
 
 namespace mustardline {
 
@@ -34,6 +35,7 @@
       m_log({.format = m_settings.format,
              .lowest = m_settings.lowestLevel,
              .process = m_settings.name}),
+      m_history(m_config, {}),
       m_http(m_loop, {}),
       m_leases(m_loop, m_http, m_log,
                {.entryName = m_settings.name,
@@ -64,6 +66,11 @@
                 .maxQueued = m_settings.maxQueued,
                 .seed = randomBits(),
                 .maxBacklogBytes = m_settings.maxBacklogBytes}),
+      m_vms(m_loop, m_http, m_log, m_metrics, m_config,
+            {.entryName = m_settings.name,
+             .dataCentre = m_settings.dataCentre,
+             .address = m_settings.vms,
+             .seed = randomBits()}),
       m_operators(m_loop, m_log, m_config, m_follower,
                   {.entryName = m_settings.name,
                    .keySecret = m_settings.keySecret,
@@ -74,9 +81,17 @@
       m_controlServer(m_loop)
 {
     m_config.onChange([this](v1::EntityKind kind, const std::string &id) {
+        m_vms.configurationChanged(kind, id);
         m_router.configurationChanged(kind, id);
         m_orders.configurationChanged(kind, id);
     });
+    m_router.isVmLeaving
+        = [this](const v1::Endpoint &endpoint) { return m_vms.isLeaving(endpoint); };
+    m_router.onBoot = [this](const std::string &endpoint, const std::string &boot) {
+        m_vms.heard(endpoint, boot);
+    };
+    m_vms.onEndpoint = [this](const std::string &id) { m_router.vmChanged(id); };
+    m_vms.onSelfLeaving = [this] { drain(); };
     m_follower.onFolded = [this] { m_operators.folded(); };
     m_leases.onRecord = [this](std::uint64_t offset, const v1::LogRecord &record) {
         m_orders.fold(offset, record);
@@ -88,6 +103,12 @@
     m_operators.onUsage = [this](const v1::UsageRequest &request, v1::UsageResponse &response) {
         m_usageDuty.describe(request, response);
     };
+    m_operators.onHistory = [this](const auto &request, auto &response) {
+        describeHistory(m_history, request, response);
+    };
+    m_operators.onDiff = [this](const auto &request, auto &response) {
+        describeDiff(m_history, m_config.offset(), request, response);
+    };
     m_operators.onStatus = [this](v1::StatusResponse &response) { fillStatus(response); };
     m_callerServer.onRequest(
         [this](const std::shared_ptr<http_exchange> &exchange) { serveCaller(exchange); });
@@ -116,6 +137,8 @@
         m_leases.start();
         m_usageDuty.start();
     }
+    if (m_settings.vms.port != 0)
+        m_vms.start();
     m_loop.run();
     m_log.write(entryStopped, field("live", m_router.liveCount()));
     return m_exitStatus;
--- a/packages/entry/entry_process.h
+++ b/packages/entry/entry_process.h
@@ -20,11 +20,12 @@
 #include "entry/settings.h"
 #include "entry/usage_collector.h"
 #include "entry/usage_duty.h"
+#include "entry/vm_duty.h"
 #include "net/control_socket.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
-#include "platform/configuration.h"
+#include "platform/configuration_history.h"
 
 namespace mustardline {
 
@@ -33,7 +34,8 @@
 public:
     explicit entry_process(entry_settings settings);
 
-    // Serves until SIGTERM or SIGINT and returns the exit status of the process.
+    // Serves until SIGTERM or SIGINT, or until the VM list calls this VM leaving, and returns the
+    // exit status of the process.
     auto run() -> int;
 
 private:
@@ -54,6 +56,7 @@
     logger m_log;
     counters m_metrics;
     configuration m_config;
+    configuration_history m_history;
     http_client m_http;
     duty_leases m_leases;
     configuration_follower m_follower;
@@ -64,6 +67,7 @@
     demand_meter m_demand;
     claim_keeper m_claims;
     request_router m_router;
+    vm_duty m_vms;
     operator_service m_operators;
     http_server m_callerServer;
     http_server m_operatorServer;
--- a/packages/entry/events.h
+++ b/packages/entry/events.h
@@ -79,12 +79,16 @@
     2052, "scaling_decided", log_level::info,
     "Demand wants an endpoint to run, or not to run any more."};
 
+inline constexpr log_event vmStateChanged{
+    2060, "vm_state_changed", log_level::info,
+    "A VM leaves by the platform's list, or was replaced by a live one."};
+
 inline constexpr auto entryEvents = std::to_array<log_event>(
-    {entryListening,   entryReady,        entryDraining,   entryStopped,  entryFailed,
-     requestPlaced,    requestRefused,    requestFinished, requestNotRun, requestLost,
-     requestCancelled, requestRejected,   claimDecided,    claimGivenUp,  ownerResolved,
-     entityChanged,    changeDecided,     operatorRefused, usageAppended, usageDelayed,
-     usageReported,    usageReportFailed, leaseTaken,      leaseLost,     streamTruncated,
-     snapshotWritten,  orderSent,         orderAnswered,   scalingDecided});
+    {entryListening,   entryReady,        entryDraining,   entryStopped,   entryFailed,
+     requestPlaced,    requestRefused,    requestFinished, requestNotRun,  requestLost,
+     requestCancelled, requestRejected,   claimDecided,    claimGivenUp,   ownerResolved,
+     entityChanged,    changeDecided,     operatorRefused, usageAppended,  usageDelayed,
+     usageReported,    usageReportFailed, leaseTaken,      leaseLost,      streamTruncated,
+     snapshotWritten,  orderSent,         orderAnswered,   scalingDecided, vmStateChanged});
 
 } // namespace mustardline
