--- a/packages/entry/history_commands.cpp
+++ b/packages/entry/history_commands.cpp
@@ -23,6 +23,7 @@
     {"key", v1::ENTITY_KIND_KEY},
     {"route", v1::ENTITY_KIND_ROUTE},
     {"endpoint", v1::ENTITY_KIND_ENDPOINT},
+    {"scaling", v1::ENTITY_KIND_MODEL_SCALING},
 });
 
 auto kindNamed(std::string_view word) -> result<v1::EntityKind>
@@ -34,7 +35,7 @@
     return error{.code = result_code::settings_out_of_range,
                  .message
                  = fmt::format("there is no kind \"{}\"; the kinds are data-centre, class, "
-                               "account, key, route and endpoint",
+                               "account, key, route, endpoint and scaling",
                                word)};
 }
 
