Leave an endpoint that its own agent cannot reach

Change: a code of its own, endpoint_unreachable (308): the endpoint is left like one that failed, and the request goes elsewhere without touching its retry budget, since nothing was tried in vain. Before and after: 20 requests in a row try the dead endpoint more than 20 times, and at most 10 times now (DispatcherTest.leavesAnEndpointThatItsAgentCannotReach holds both).

--- a/packages/agent/run_service.cpp
+++ b/packages/agent/run_service.cpp
@@ -238,7 +238,7 @@
                    .reason = isWhole ? "whole answer" : "the answer has no proper end"});
     } else if (!failure->sent) {
         // No connection was made, so the endpoint has not seen the request.
-        end(live, {.code = result_code::not_run,
+        end(live, {.code = result_code::endpoint_unreachable,
                    .fate = run_fate::not_run,
                    .reason = failure->reason.message});
     } else {
--- a/packages/base/result.cpp
+++ b/packages/base/result.cpp
@@ -45,6 +45,8 @@
     {deadline_exceeded, "deadline_exceeded", 504, "The request ran past its deadline."},
     {preempted, "preempted", 503, "The request was stopped in favour of a higher tier."},
     {answer_too_large, "answer_too_large", 502, "The endpoint's answer is over the limit."},
+    {endpoint_unreachable, "endpoint_unreachable", 503,
+     "The endpoint could not be reached; the request was not run."},
     {conflict, "conflict", 409, "The entity changed since the revision that was named."},
     {outcome_pending, "outcome_pending", 202,
      "The change may have been accepted; ask again with its id."},
--- a/packages/base/result.h
+++ b/packages/base/result.h
@@ -57,6 +57,7 @@
     deadline_exceeded = 305,
     preempted = 306,
     answer_too_large = 307,
+    endpoint_unreachable = 308,
 
     // 4xx: configuration and operators.
     conflict = 400,
--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -17,6 +17,7 @@
 {
     switch (code) {
     case result_code::endpoint_failed:
+    case result_code::endpoint_unreachable:
     case result_code::answer_cut:
     case result_code::connection_failed:
     case result_code::timeout:
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -410,8 +410,10 @@
         refuse(slot, result_code::deadline_unmeetable, "expired", now, actions);
         return;
     }
-    // An endpoint without room or a preemption is no failure: nothing was tried in vain.
-    const bool isFailure = code != result_code::not_run && code != result_code::preempted;
+    // An endpoint without room, a preemption and an endpoint that its own agent cannot reach are no
+    // failures of the request: nothing was tried in vain.
+    const bool isFailure = code != result_code::not_run && code != result_code::preempted
+                           && code != result_code::endpoint_unreachable;
     if (isFailure && !(accountBudgets[row.account].take() && endpoints.takeRetry(row.endpoint))) {
         refuse(slot, result_code::retry_budget_exhausted, "retry_budget", now, actions);
         return;
--- a/packages/policy/testing/dispatcher_test.cpp
+++ b/packages/policy/testing/dispatcher_test.cpp
@@ -92,6 +92,36 @@
     EXPECT_EQ(only<place_action>()->attempt, 2U);
 }
 
+// One that is only full is asked again soon; one whose agent cannot reach it is left alone.
+TEST_F(DispatcherTest, leavesAnEndpointThatItsAgentCannotReach)
+{
+    addEndpoint("a", 8);
+    for (const auto code : {result_code::not_run, result_code::endpoint_unreachable}) {
+        std::uint32_t triesOfTheDead = 0;
+        constexpr std::uint64_t requests = 20;
+        const auto first = m_clock.now().nanoseconds;
+        for (std::uint64_t number = 1; number <= requests; ++number) {
+            const auto request = static_cast<std::uint64_t>(first) + number;
+            arrive(request);
+            for (int turn = 0; turn < 20; ++turn) {
+                if (const auto *placed = only<place_action>()) {
+                    m_actions.clear();
+                    m_core.notRun(placed->request, code, m_clock.now(), m_actions);
+                    ++triesOfTheDead;
+                }
+                m_clock.advance(10ms);
+                m_core.reportLoad("a", {.window = 8}, m_clock.now());
+                tick();
+            }
+            m_core.callerGone(request);
+        }
+        if (code == result_code::not_run)
+            EXPECT_GT(triesOfTheDead, requests);
+        else
+            EXPECT_LE(triesOfTheDead, requests / 2);
+    }
+}
+
 TEST_F(DispatcherTest, refusesWhatWaitsPastItsDeadline)
 {
     addEndpoint("a", 1);
