End the calls of an http_client that is destroyed

Cause: a call under way keeps itself alive, so a client that went first left its calls, their handlers and their connections behind. Ruled out: stopping the tests at a moment without a call (it would hide the fault). Before: HttpTest.aClientThatIsDestroyedTakesItsCallsAlong finds the handler still held; after: green.

--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include <set>
 #include <utility>
 
 #include <event2/buffer.h>
@@ -45,12 +46,13 @@
 
 } // namespace
 
-// Idle connections by address.
+// Idle connections by address, and the calls under way.
 struct http_client::connection_pool
 {
     event_loop &loop;
     http_client_options options;
     std::map<socket_address, std::vector<evhttp_connection *>> idle;
+    std::set<http_call::state *> running;
     bool closed = false;
 
     connection_pool(event_loop &owner, http_client_options chosen) : loop(owner), options(chosen) {}
@@ -121,6 +123,7 @@
         const auto keep = std::exchange(self, nullptr);
         if (!keep)
             return;
+        pool->running.erase(this);
         request = nullptr;
         auto *used = std::exchange(connection, nullptr);
         if (std::holds_alternative<std::monostate>(outcome) && keepAlive)
@@ -142,6 +145,7 @@
         const auto keep = std::exchange(self, nullptr);
         if (!keep)
             return;
+        pool->running.erase(this);
         callbacks = {};
         auto *cancelled = std::exchange(request, nullptr);
         auto *used = std::exchange(connection, nullptr);
@@ -232,6 +236,9 @@
 http_client::~http_client()
 {
     m_pool->closed = true;
+    // Their handlers are dropped, not called: whoever started them may be gone.
+    while (!m_pool->running.empty())
+        (*m_pool->running.begin())->cancel();
 }
 
 auto http_client::start(const socket_address &address, http_request request,
@@ -243,6 +250,7 @@
     call->callbacks = std::move(callbacks);
     call->maxAnswerBytes = request.maxAnswerBytes;
     call->self = call;
+    m_pool->running.insert(call.get());
     call->connection = m_pool->take(address);
 
     const auto onDone = [](evhttp_request *answered, void *argument) {
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -97,7 +97,7 @@
 {
 public:
     http_client(event_loop &loop, http_client_options options);
-    ~http_client();
+    ~http_client(); // Ends the calls under way; none of their callbacks follows.
     http_client(const http_client &) = delete;
     auto operator=(const http_client &) -> http_client & = delete;
 
--- a/packages/net/testing/http_test.cpp
+++ b/packages/net/testing/http_test.cpp
@@ -236,6 +236,29 @@
     m_loop.run();
 }
 
+TEST_F(HttpTest, aClientThatIsDestroyedTakesItsCallsAlong)
+{
+    std::vector<std::shared_ptr<http_exchange>> open;
+    listen({}, [&](const std::shared_ptr<http_exchange> &exchange) {
+        open.push_back(exchange);
+        m_loop.stop();
+    });
+    auto client = std::make_unique<http_client>(m_loop, http_client_options());
+    auto held = std::make_shared<int>();
+    const std::weak_ptr<int> seen = held;
+    bool called = false;
+    client->fetch(m_address, {.path = "/"},
+                  [held = std::move(held), &called](const http_outcome &, const http_answer &,
+                                                    const std::string &) { called = true; });
+    m_loop.run();
+    ASSERT_EQ(open.size(), 1U);
+    client.reset();
+    EXPECT_TRUE(seen.expired());
+    open.front()->onGone([this] { m_loop.stop(); });
+    m_loop.run();
+    EXPECT_FALSE(called);
+}
+
 TEST_F(HttpTest, timesOutOnASilentPeer)
 {
     std::shared_ptr<http_exchange> kept;
