Read a whole answer's usage once, and name the lowest tier in one place

Cause: on reading the change again. At the end of a run its usage was read three times (meter, window, report), and for an answer that is not streamed each reading parses its document anew; it is read once now. The lowest tier stood in four packages (configuration_rules, run_request, endpoint_table, demand_meter), and is base/tiers.h; two loops over the live runs of run_service collected the numbers each for itself; demand_meter converted milliseconds beside toMilliseconds. Looked at and left: isNotRunCode of the sessions beside agent_call's isNotRun is the check's own, stricter list; calling the product's would loosen the check.

--- a/packages/agent/run_request.cpp
+++ b/packages/agent/run_request.cpp
@@ -7,13 +7,14 @@
 
 #include <fmt/format.h>
 
+#include "base/tiers.h"
+
 namespace mustardline {
 
 namespace {
 
 constexpr std::size_t idDigits = 32;
 constexpr int hexadecimal = 16;
-constexpr std::uint32_t lowestTier = 6;
 // A day, the longest deadline that a class may have.
 constexpr std::uint64_t maxDeadlineMilliseconds = 24ULL * 3600 * 1000;
 constexpr std::size_t maxIdempotencyKeyLength = 255;
--- a/packages/agent/run_service.cpp
+++ b/packages/agent/run_service.cpp
@@ -291,27 +291,27 @@
                       .body = live.answer.takeBody(),
                       .bodyKept = live.answer.isBodyKept()},
                      now);
-    meter(live, ending);
+    // A whole answer's usage is read from its document, so it is read once.
+    const auto used = live.answer.metered();
+    meter(live, ending, used);
     if (m_scheduler && live.phase == run_phase::running && ending.code != result_code::cancelled) {
         const auto endpointFailed = ending.fate != run_fate::done || live.answer.isServerFault();
         if (!endpointFailed)
-            m_scheduler->answeredWhole(
-                live.number, static_cast<std::uint32_t>(live.answer.metered().completionTokens),
-                now);
+            m_scheduler->answeredWhole(live.number,
+                                       static_cast<std::uint32_t>(used.completionTokens), now);
         m_scheduler->finished(live.number, endpointFailed, now, m_actions);
     } else if (m_scheduler) {
         m_scheduler->cancelled(live.number, now, m_actions);
     }
     m_report.ended(live.request, ending,
-                   {.httpStatus = live.answer.status(),
-                    .used = live.answer.metered(),
-                    .ran = now - live.startedAt},
+                   {.httpStatus = live.answer.status(), .used = used, .ran = now - live.startedAt},
                    load());
     answerEnd(live, ending);
     m_unread.push_back(live.exchange);
 }
 
-auto run_service::meter(const live_run &live, const run_ending &ending) -> void
+auto run_service::meter(const live_run &live, const run_ending &ending, const token_usage &used)
+    -> void
 {
     // A server's fault without output is nobody's usage; neither is a run that was never sent.
     const auto counts = ending.fate != run_fate::not_run
@@ -319,7 +319,6 @@
                         && !live.answer.isServerFault();
     if (!counts)
         return;
-    const auto used = live.answer.metered();
     m_usage.record({.clientAccount = live.request.clientAccount,
                     .requestClass = live.request.requestClass,
                     .finishedAt = m_clock.unixNow(),
@@ -344,10 +343,7 @@
 auto run_service::configurationChanged() -> void
 {
     renewScheduler();
-    std::vector<std::uint64_t> numbers;
-    for (const auto &[number, live] : m_live)
-        numbers.push_back(number);
-    for (const auto number : numbers) {
+    for (const auto number : liveNumbers()) {
         auto *live = find(number);
         if (live == nullptr)
             continue;
@@ -373,10 +369,7 @@
     if (m_scheduler)
         m_scheduler->tick(now, m_actions);
     carryOut();
-    std::vector<std::uint64_t> numbers;
-    for (const auto &[number, live] : m_live)
-        numbers.push_back(number);
-    for (const auto number : numbers) {
+    for (const auto number : liveNumbers()) {
         auto *live = find(number);
         if (live == nullptr)
             continue;
@@ -425,6 +418,15 @@
             .firstToken = m_scheduler->firstTokenLatency()};
 }
 
+// For loops whose steps may end runs.
+auto run_service::liveNumbers() const -> std::vector<std::uint64_t>
+{
+    std::vector<std::uint64_t> numbers;
+    for (const auto &[number, live] : m_live)
+        numbers.push_back(number);
+    return numbers;
+}
+
 auto run_service::find(std::uint64_t number) -> live_run *
 {
     const auto found = m_live.find(number);
--- a/packages/agent/run_service.h
+++ b/packages/agent/run_service.h
@@ -96,7 +96,7 @@
     auto refuse(live_run &live, const error &why, duration retryAfter) -> void;
     auto end(live_run &live, const run_ending &ending) -> void;
     auto answerEnd(live_run &live, const run_ending &ending) -> void;
-    auto meter(const live_run &live, const run_ending &ending) -> void;
+    auto meter(const live_run &live, const run_ending &ending, const token_usage &used) -> void;
     auto answerVerdict(http_exchange &exchange, const run_request &request,
                        const run_verdict &verdict) -> void;
     auto tick() -> void;
@@ -104,6 +104,7 @@
     auto resultHeaders(const run_request &request, result_code code) const
         -> std::vector<http_header>;
     auto replyFate(http_exchange &exchange, const request_id &id) -> void;
+    [[nodiscard]] auto liveNumbers() const -> std::vector<std::uint64_t>;
     [[nodiscard]] auto find(std::uint64_t number) -> live_run *;
     [[nodiscard]] auto find(const request_id &id) -> live_run *;
 
--- a/packages/entry/demand_meter.cpp
+++ b/packages/entry/demand_meter.cpp
@@ -1,12 +1,11 @@
 #include "entry/demand_meter.h"
 
+#include "base/tiers.h"
+
 namespace mustardline {
 
 namespace {
 
-// The tier that is paid for only in part.
-constexpr std::uint32_t lowestTier = 6;
-
 auto isRefusal(result_code code) -> bool
 {
     return code == result_code::overloaded || code == result_code::queue_full
@@ -80,14 +79,15 @@
         return nullptr;
     auto &item = m_models[model];
     item.set_model(model);
+    // The lowest tier is paid for only in part.
     return tier == lowestTier ? item.mutable_lowest_tier() : item.mutable_paid();
 }
 
 auto demand_meter::emptyReport() const -> v1::LogRecord
 {
-    const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.interval);
     v1::LogRecord record;
-    record.mutable_demand_report()->set_interval_ms(static_cast<std::uint32_t>(interval.count()));
+    record.mutable_demand_report()->set_interval_ms(
+        static_cast<std::uint32_t>(toMilliseconds(m_options.interval)));
     return record;
 }
 
--- a/packages/platform/configuration_rules.cpp
+++ b/packages/platform/configuration_rules.cpp
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include "base/tiers.h"
 #include "net/http_message.h"
 #include "platform/configuration.h"
 
@@ -15,7 +16,6 @@
 
 constexpr std::size_t longestId = 128;
 constexpr std::size_t hashDigits = 64;
-constexpr std::uint32_t lowestTier = 6;
 constexpr std::uint32_t longestDeadlineMs = 24 * 3'600'000;
 constexpr std::uint32_t largestPriority = 1'000;
 constexpr std::uint32_t largestLimit = 1'000'000;
--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -21,6 +21,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/tiers.h"
 #include "policy/dispatcher.h"
 #include "policy/durations.h"
 #include "policy/name_table.h"
@@ -29,8 +30,6 @@
 
 namespace mustardline {
 
-inline constexpr std::uint32_t lowestTier = 6;
-
 struct endpoint_row
 {
     std::string id;
