Rename packages/platform to packages/coordination

The package holds what processes agree on (configuration, leases, ledgers, membership). Its old name is needed for the adapter to the users' platform.

--- a/packages/agent/admission_check.h
+++ b/packages/agent/admission_check.h
@@ -15,7 +15,7 @@
 #include "agent/agent_settings.h"
 #include "agent/run_request.h"
 #include "base/result.h"
-#include "platform/configuration.h"
+#include "coordination/configuration.h"
 
 namespace mustardline {
 
--- a/packages/agent/agent_process.h
+++ b/packages/agent/agent_process.h
@@ -19,11 +19,11 @@
 #include "agent/usage_meter.h"
 #include "base/counters.h"
 #include "base/log.h"
+#include "coordination/configuration.h"
 #include "net/control_socket.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
-#include "platform/configuration.h"
 
 namespace mustardline {
 
--- a/packages/agent/control_link.h
+++ b/packages/agent/control_link.h
@@ -23,10 +23,10 @@
 #include "base/log.h"
 #include "base/result.h"
 #include "control.pb.h"
+#include "coordination/configuration.h"
+#include "coordination/configuration_feed.h"
 #include "net/control_socket.h"
 #include "net/event_loop.h"
-#include "platform/configuration.h"
-#include "platform/configuration_feed.h"
 
 namespace mustardline {
 
--- a/packages/agent/testing/sample_configuration.h
+++ b/packages/agent/testing/sample_configuration.h
@@ -8,8 +8,8 @@
 
 #include "agent/agent_settings.h"
 #include "agent/run_request.h"
+#include "coordination/configuration.h"
 #include "net/http_message.h"
-#include "platform/configuration.h"
 
 namespace mustardline {
 
--- a/packages/platform/configuration.cpp
+++ b/packages/coordination/configuration.cpp
@@ -1,8 +1,8 @@
-#include "platform/configuration.h"
+#include "coordination/configuration.h"
 
 #include <fmt/format.h>
 
-#include "platform/configuration_rules.h"
+#include "coordination/configuration_rules.h"
 
 namespace mustardline {
 
--- a/packages/platform/configuration_feed.cpp
+++ b/packages/coordination/configuration_feed.cpp
@@ -1,4 +1,4 @@
-#include "platform/configuration_feed.h"
+#include "coordination/configuration_feed.h"
 
 namespace mustardline {
 
--- a/packages/platform/configuration_feed.h
+++ b/packages/coordination/configuration_feed.h
@@ -19,8 +19,8 @@
 #include <string>
 
 #include "control.pb.h"
-#include "platform/configuration.h"
-#include "platform/snapshot_parts.h"
+#include "coordination/configuration.h"
+#include "coordination/snapshot_parts.h"
 
 namespace mustardline {
 
--- a/packages/platform/configuration_gossip.cpp
+++ b/packages/coordination/configuration_gossip.cpp
@@ -1,4 +1,4 @@
-#include "platform/configuration_gossip.h"
+#include "coordination/configuration_gossip.h"
 
 #include <algorithm>
 #include <iterator>
--- a/packages/platform/configuration_gossip.h
+++ b/packages/coordination/configuration_gossip.h
@@ -21,7 +21,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "platform/configuration_feed.h"
+#include "coordination/configuration_feed.h"
 
 namespace mustardline {
 
--- a/packages/platform/configuration_history.cpp
+++ b/packages/coordination/configuration_history.cpp
@@ -1,4 +1,4 @@
-#include "platform/configuration_history.h"
+#include "coordination/configuration_history.h"
 
 #include <google/protobuf/text_format.h>
 
--- a/packages/platform/configuration_history.h
+++ b/packages/coordination/configuration_history.h
@@ -17,7 +17,7 @@
 #include <string_view>
 #include <vector>
 
-#include "platform/configuration.h"
+#include "coordination/configuration.h"
 
 namespace mustardline {
 
--- a/packages/platform/configuration_rules.cpp
+++ b/packages/coordination/configuration_rules.cpp
@@ -1,4 +1,4 @@
-#include "platform/configuration_rules.h"
+#include "coordination/configuration_rules.h"
 
 #include <algorithm>
 #include <map>
@@ -7,8 +7,8 @@
 #include <fmt/format.h>
 
 #include "base/tiers.h"
+#include "coordination/configuration.h"
 #include "net/http_message.h"
-#include "platform/configuration.h"
 
 namespace mustardline {
 
--- a/packages/platform/demand_table.cpp
+++ b/packages/coordination/demand_table.cpp
@@ -1,4 +1,4 @@
-#include "platform/demand_table.h"
+#include "coordination/demand_table.h"
 
 #include <algorithm>
 
--- a/packages/platform/idempotency_ledger.cpp
+++ b/packages/coordination/idempotency_ledger.cpp
@@ -1,4 +1,4 @@
-#include "platform/idempotency_ledger.h"
+#include "coordination/idempotency_ledger.h"
 
 namespace mustardline {
 
--- a/packages/platform/lease_holder.cpp
+++ b/packages/coordination/lease_holder.cpp
@@ -1,4 +1,4 @@
-#include "platform/lease_holder.h"
+#include "coordination/lease_holder.h"
 
 #include <algorithm>
 
--- a/packages/platform/lease_holder.h
+++ b/packages/coordination/lease_holder.h
@@ -25,7 +25,7 @@
 #include <string>
 
 #include "base/clock.h"
-#include "platform/lease_table.h"
+#include "coordination/lease_table.h"
 
 namespace mustardline {
 
--- a/packages/platform/lease_table.cpp
+++ b/packages/coordination/lease_table.cpp
@@ -1,4 +1,4 @@
-#include "platform/lease_table.h"
+#include "coordination/lease_table.h"
 
 namespace mustardline {
 
--- a/packages/platform/log_client.cpp
+++ b/packages/coordination/log_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/log_client.h"
+#include "coordination/log_client.h"
 
 #include <algorithm>
 
--- a/packages/platform/membership.cpp
+++ b/packages/coordination/membership.cpp
@@ -1,4 +1,4 @@
-#include "platform/membership.h"
+#include "coordination/membership.h"
 
 #include <algorithm>
 
--- a/packages/platform/order_book.cpp
+++ b/packages/coordination/order_book.cpp
@@ -1,4 +1,4 @@
-#include "platform/order_book.h"
+#include "coordination/order_book.h"
 
 #include <algorithm>
 
--- a/packages/platform/order_book.h
+++ b/packages/coordination/order_book.h
@@ -28,7 +28,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/order_ledger.h"
+#include "coordination/order_ledger.h"
 
 namespace mustardline {
 
--- a/packages/platform/order_ledger.cpp
+++ b/packages/coordination/order_ledger.cpp
@@ -1,4 +1,4 @@
-#include "platform/order_ledger.h"
+#include "coordination/order_ledger.h"
 
 #include <fmt/format.h>
 
--- a/packages/platform/order_ledger.h
+++ b/packages/coordination/order_ledger.h
@@ -15,7 +15,7 @@
 #include <string>
 #include <string_view>
 
-#include "platform/lease_table.h"
+#include "coordination/lease_table.h"
 
 namespace mustardline {
 
--- a/packages/platform/orders_client.cpp
+++ b/packages/coordination/orders_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/orders_client.h"
+#include "coordination/orders_client.h"
 
 #include <fmt/format.h>
 
--- a/packages/platform/orders_client.h
+++ b/packages/coordination/orders_client.h
@@ -14,9 +14,9 @@
 #include <span>
 #include <vector>
 
-#include "platform/lease_holder.h"
-#include "platform/order_book.h"
-#include "platform/platform_call.h"
+#include "coordination/lease_holder.h"
+#include "coordination/order_book.h"
+#include "coordination/platform_call.h"
 
 namespace mustardline {
 
--- a/packages/platform/platform_call.cpp
+++ b/packages/coordination/platform_call.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform_call.h"
+#include "coordination/platform_call.h"
 
 #include <fmt/format.h>
 
--- a/packages/platform/snapshot_parts.cpp
+++ b/packages/coordination/snapshot_parts.cpp
@@ -1,4 +1,4 @@
-#include "platform/snapshot_parts.h"
+#include "coordination/snapshot_parts.h"
 
 #include <algorithm>
 
--- a/packages/platform/testing/configuration_promise_test.cpp
+++ b/packages/coordination/testing/configuration_promise_test.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include "platform/testing/spread_world.h"
+#include "coordination/testing/spread_world.h"
 
 namespace mustardline {
 namespace {
--- a/packages/platform/testing/configuration_records.h
+++ b/packages/coordination/testing/configuration_records.h
@@ -7,7 +7,7 @@
 
 #include <fmt/format.h>
 
-#include "platform/configuration.h"
+#include "coordination/configuration.h"
 
 namespace mustardline {
 
--- a/packages/platform/testing/configuration_test.cpp
+++ b/packages/coordination/testing/configuration_test.cpp
@@ -1,8 +1,8 @@
-#include "platform/testing/configuration_records.h"
+#include "coordination/testing/configuration_records.h"
 
 #include <gtest/gtest.h>
 
-#include "platform/configuration_rules.h"
+#include "coordination/configuration_rules.h"
 
 namespace mustardline {
 namespace {
--- a/packages/platform/testing/platform_slopes.cpp
+++ b/packages/coordination/testing/coordination_slopes.cpp
@@ -1,14 +1,14 @@
 // Prints how the platform package's memory, processor time and traffic grow with its sizes, for
 // docs/CAPACITY.md.
 //
-//     platform_slopes               every table, with a straight line fitted to each
+//     coordination_slopes               every table, with a straight line fitted to each
 //
 // For use under callgrind; each of these does all of the one before, for N client accounts:
 //
-//     platform_slopes records N     makes the records of a configuration
-//     platform_slopes fold N        folds them
-//     platform_slopes snapshot N    serialises a snapshot
-//     platform_slopes restore N     restores a second configuration from it
+//     coordination_slopes records N     makes the records of a configuration
+//     coordination_slopes fold N        folds them
+//     coordination_slopes snapshot N    serialises a snapshot
+//     coordination_slopes restore N     restores a second configuration from it
 //
 // Memory is what the allocator has handed out, messages and bytes are counted; both are the same in
 // every run. Processor time is this machine's and bounds nothing.
@@ -22,10 +22,10 @@
 
 #include <fmt/format.h>
 
-#include "platform/idempotency_ledger.h"
-#include "platform/lease_holder.h"
-#include "platform/testing/spread_world.h"
-#include "platform/testing/usage_records.h"
+#include "coordination/idempotency_ledger.h"
+#include "coordination/lease_holder.h"
+#include "coordination/testing/spread_world.h"
+#include "coordination/testing/usage_records.h"
 
 namespace mustardline {
 namespace {
--- a/packages/platform/testing/fake_orders.h
+++ b/packages/coordination/testing/fake_orders.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/order_book.h"
+#include "coordination/order_book.h"
 
 namespace mustardline {
 
--- a/packages/platform/testing/feed_test.cpp
+++ b/packages/coordination/testing/feed_test.cpp
@@ -1,8 +1,8 @@
 #include <gtest/gtest.h>
 
-#include "platform/configuration_feed.h"
-#include "platform/configuration_history.h"
-#include "platform/testing/configuration_records.h"
+#include "coordination/configuration_feed.h"
+#include "coordination/configuration_history.h"
+#include "coordination/testing/configuration_records.h"
 
 namespace mustardline {
 namespace {
--- a/packages/platform/testing/full_size_promise_test.cpp
+++ b/packages/coordination/testing/full_size_promise_test.cpp
@@ -4,7 +4,7 @@
 
 #include <gtest/gtest.h>
 
-#include "platform/testing/configuration_records.h"
+#include "coordination/testing/configuration_records.h"
 
 namespace mustardline {
 namespace {
--- a/packages/platform/testing/lease_promise_test.cpp
+++ b/packages/coordination/testing/lease_promise_test.cpp
@@ -2,8 +2,8 @@
 
 #include <gtest/gtest.h>
 
-#include "platform/testing/lease_world.h"
-#include "platform/testing/state_search.h"
+#include "coordination/testing/lease_world.h"
+#include "coordination/testing/state_search.h"
 
 namespace mustardline {
 namespace {
--- a/packages/platform/testing/lease_test.cpp
+++ b/packages/coordination/testing/lease_test.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "platform/lease_holder.h"
+#include "coordination/lease_holder.h"
 
 namespace mustardline {
 namespace {
--- a/packages/platform/testing/lease_world.h
+++ b/packages/coordination/testing/lease_world.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/lease_holder.h"
+#include "coordination/lease_holder.h"
 
 namespace mustardline {
 
--- a/packages/platform/testing/log_client_test.cpp
+++ b/packages/coordination/testing/log_client_test.cpp
@@ -1,8 +1,8 @@
-#include "platform/log_client.h"
+#include "coordination/log_client.h"
 
 #include <gtest/gtest.h>
 
-#include "platform/testing/fake_log_service.h"
+#include "coordination/testing/fake_log_service.h"
 
 namespace mustardline {
 namespace {
--- a/packages/platform/testing/membership_test.cpp
+++ b/packages/coordination/testing/membership_test.cpp
@@ -1,9 +1,9 @@
-#include "platform/membership.h"
+#include "coordination/membership.h"
 
 #include <gtest/gtest.h>
 
+#include "coordination/vm_list_client.h"
 #include "net/http_server.h"
-#include "platform/vm_list_client.h"
 
 namespace mustardline {
 namespace {
--- a/packages/platform/testing/order_promise_test.cpp
+++ b/packages/coordination/testing/order_promise_test.cpp
@@ -2,9 +2,9 @@
 
 #include <gtest/gtest.h>
 
-#include "platform/orders_client.h"
-#include "platform/testing/fake_orders.h"
-#include "platform/testing/state_search.h"
+#include "coordination/orders_client.h"
+#include "coordination/testing/fake_orders.h"
+#include "coordination/testing/state_search.h"
 
 namespace mustardline {
 namespace {
--- a/packages/platform/testing/order_test.cpp
+++ b/packages/coordination/testing/order_test.cpp
@@ -1,8 +1,8 @@
 #include <gtest/gtest.h>
 
+#include "coordination/orders_client.h"
+#include "coordination/testing/fake_orders.h"
 #include "net/http_server.h"
-#include "platform/orders_client.h"
-#include "platform/testing/fake_orders.h"
 
 namespace mustardline {
 namespace {
--- a/packages/platform/testing/spread_world.h
+++ b/packages/coordination/testing/spread_world.h
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "platform/configuration_gossip.h"
-#include "platform/testing/configuration_records.h"
+#include "coordination/configuration_gossip.h"
+#include "coordination/testing/configuration_records.h"
 
 namespace mustardline {
 
--- a/packages/platform/testing/usage_promise_test.cpp
+++ b/packages/coordination/testing/usage_promise_test.cpp
@@ -2,10 +2,10 @@
 
 #include <gtest/gtest.h>
 
-#include "platform/lease_holder.h"
-#include "platform/testing/state_search.h"
-#include "platform/testing/usage_records.h"
-#include "platform/usage_reporter.h"
+#include "coordination/lease_holder.h"
+#include "coordination/testing/state_search.h"
+#include "coordination/testing/usage_records.h"
+#include "coordination/usage_reporter.h"
 
 namespace mustardline {
 namespace {
--- a/packages/platform/testing/usage_records.h
+++ b/packages/coordination/testing/usage_records.h
@@ -2,7 +2,7 @@
 
 // Records of the usage stream, for tests.
 
-#include "platform/usage_ledger.h"
+#include "coordination/usage_ledger.h"
 
 namespace mustardline {
 
--- a/packages/platform/testing/usage_test.cpp
+++ b/packages/coordination/testing/usage_test.cpp
@@ -1,8 +1,8 @@
 #include <gtest/gtest.h>
 
+#include "coordination/testing/usage_records.h"
+#include "coordination/usage_client.h"
 #include "net/http_server.h"
-#include "platform/testing/usage_records.h"
-#include "platform/usage_client.h"
 
 namespace mustardline {
 namespace {
--- a/packages/platform/usage_client.cpp
+++ b/packages/coordination/usage_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/usage_client.h"
+#include "coordination/usage_client.h"
 
 namespace mustardline {
 
--- a/packages/platform/usage_client.h
+++ b/packages/coordination/usage_client.h
@@ -10,8 +10,8 @@
 #include <concepts>
 #include <functional>
 
-#include "platform/platform_call.h"
-#include "platform/usage_reporter.h"
+#include "coordination/platform_call.h"
+#include "coordination/usage_reporter.h"
 
 namespace mustardline {
 
--- a/packages/platform/usage_ledger.cpp
+++ b/packages/coordination/usage_ledger.cpp
@@ -1,4 +1,4 @@
-#include "platform/usage_ledger.h"
+#include "coordination/usage_ledger.h"
 
 namespace mustardline {
 
--- a/packages/platform/usage_reporter.cpp
+++ b/packages/coordination/usage_reporter.cpp
@@ -1,4 +1,4 @@
-#include "platform/usage_reporter.h"
+#include "coordination/usage_reporter.h"
 
 #include <fmt/format.h>
 
--- a/packages/platform/usage_reporter.h
+++ b/packages/coordination/usage_reporter.h
@@ -26,7 +26,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "platform/usage_ledger.h"
+#include "coordination/usage_ledger.h"
 
 namespace mustardline {
 
--- a/packages/platform/vm_list_client.cpp
+++ b/packages/coordination/vm_list_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/vm_list_client.h"
+#include "coordination/vm_list_client.h"
 
 namespace mustardline {
 
--- a/packages/platform/vm_list_client.h
+++ b/packages/coordination/vm_list_client.h
@@ -11,8 +11,8 @@
 #include <functional>
 #include <vector>
 
-#include "platform/membership.h"
-#include "platform/platform_call.h"
+#include "coordination/membership.h"
+#include "coordination/platform_call.h"
 
 namespace mustardline {
 
--- a/packages/entry/caller_request.h
+++ b/packages/entry/caller_request.h
@@ -17,8 +17,8 @@
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "coordination/configuration.h"
 #include "net/http_message.h"
-#include "platform/configuration.h"
 
 namespace mustardline {
 
--- a/packages/entry/claim_flow.h
+++ b/packages/entry/claim_flow.h
@@ -15,10 +15,10 @@
 #include <string>
 
 #include "base/log.h"
+#include "coordination/configuration.h"
 #include "entry/claim_keeper.h"
 #include "entry/live_request.h"
 #include "entry/owner_resolver.h"
-#include "platform/configuration.h"
 
 namespace mustardline {
 
--- a/packages/entry/claim_keeper.h
+++ b/packages/entry/claim_keeper.h
@@ -19,11 +19,11 @@
 #include <unordered_map>
 
 #include "base/log.h"
+#include "coordination/idempotency_ledger.h"
 #include "entry/record_namer.h"
 #include "entry/stream_follower.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
-#include "platform/idempotency_ledger.h"
 
 namespace mustardline {
 
--- a/packages/entry/configuration_follower.h
+++ b/packages/entry/configuration_follower.h
@@ -23,13 +23,13 @@
 
 #include "base/log.h"
 #include "control.pb.h"
+#include "coordination/configuration.h"
+#include "coordination/configuration_feed.h"
+#include "coordination/configuration_gossip.h"
 #include "entry/duty_leases.h"
 #include "entry/record_namer.h"
 #include "entry/stream_follower.h"
 #include "net/control_socket.h"
-#include "platform/configuration.h"
-#include "platform/configuration_feed.h"
-#include "platform/configuration_gossip.h"
 
 namespace mustardline {
 
--- a/packages/entry/demand_meter.h
+++ b/packages/entry/demand_meter.h
@@ -18,8 +18,8 @@
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "coordination/configuration.h"
 #include "log.pb.h"
-#include "platform/configuration.h"
 
 namespace mustardline {
 
--- a/packages/entry/duty_leases.h
+++ b/packages/entry/duty_leases.h
@@ -10,8 +10,8 @@
 //     if (lease.holds(clock.now()))
 //         act(lease.fencing());
 //
-// The rules of the protocol are in platform/lease_holder.h; here its records are carried to the log
-// and back.
+// The rules of the protocol are in coordination/lease_holder.h; here its records are carried to the
+// log and back.
 
 #include <cstdint>
 #include <deque>
@@ -20,10 +20,10 @@
 #include <string>
 
 #include "base/log.h"
+#include "coordination/lease_holder.h"
+#include "coordination/lease_table.h"
 #include "entry/record_namer.h"
 #include "entry/stream_follower.h"
-#include "platform/lease_holder.h"
-#include "platform/lease_table.h"
 
 namespace mustardline {
 
--- a/packages/entry/entry_process.h
+++ b/packages/entry/entry_process.h
@@ -9,6 +9,7 @@
 
 #include "base/counters.h"
 #include "base/log.h"
+#include "coordination/configuration_history.h"
 #include "entry/claim_keeper.h"
 #include "entry/configuration_follower.h"
 #include "entry/demand_meter.h"
@@ -25,7 +26,6 @@
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
-#include "platform/configuration_history.h"
 
 namespace mustardline {
 
--- a/packages/entry/history_answers.h
+++ b/packages/entry/history_answers.h
@@ -5,8 +5,8 @@
 //     v1::HistoryResponse response;
 //     describeHistory(history, request, response);
 
+#include "coordination/configuration_history.h"
 #include "operator.pb.h"
-#include "platform/configuration_history.h"
 
 namespace mustardline {
 
--- a/packages/entry/operator_call.cpp
+++ b/packages/entry/operator_call.cpp
@@ -5,9 +5,9 @@
 
 #include "base/hashing.h"
 #include "base/settings_reader.h"
+#include "coordination/configuration.h"
 #include "entry/command_line.h"
 #include "entry/text_table.h"
-#include "platform/configuration.h"
 
 namespace mustardline {
 
--- a/packages/entry/operator_commands.cpp
+++ b/packages/entry/operator_commands.cpp
@@ -7,11 +7,11 @@
 #include <tclap/CmdLine.h>
 
 #include "base/hashing.h"
+#include "coordination/configuration.h"
 #include "entry/command_line.h"
 #include "entry/history_commands.h"
 #include "entry/operator_call.h"
 #include "entry/text_table.h"
-#include "platform/configuration.h"
 
 namespace mustardline {
 
--- a/packages/entry/order_duty.h
+++ b/packages/entry/order_duty.h
@@ -18,14 +18,14 @@
 #include <string_view>
 
 #include "base/log.h"
+#include "coordination/configuration.h"
+#include "coordination/order_book.h"
+#include "coordination/order_ledger.h"
+#include "coordination/orders_client.h"
 #include "entry/drain_watch.h"
 #include "entry/duty_leases.h"
 #include "entry/scaling_duty.h"
 #include "net/control_socket.h"
-#include "platform/configuration.h"
-#include "platform/order_book.h"
-#include "platform/order_ledger.h"
-#include "platform/orders_client.h"
 
 namespace mustardline {
 
--- a/packages/entry/request_router.h
+++ b/packages/entry/request_router.h
@@ -17,6 +17,7 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/log.h"
+#include "coordination/configuration.h"
 #include "entry/agent_call.h"
 #include "entry/caller_request.h"
 #include "entry/claim_flow.h"
@@ -24,7 +25,6 @@
 #include "entry/live_request.h"
 #include "net/http_error.h"
 #include "net/http_server.h"
-#include "platform/configuration.h"
 #include "policy/dispatcher.h"
 
 namespace mustardline {
--- a/packages/entry/scaling_duty.h
+++ b/packages/entry/scaling_duty.h
@@ -34,8 +34,8 @@
 #include <string_view>
 #include <vector>
 
-#include "platform/configuration.h"
-#include "platform/demand_table.h"
+#include "coordination/configuration.h"
+#include "coordination/demand_table.h"
 #include "policy/scaler.h"
 
 namespace mustardline {
--- a/packages/entry/stream_follower.h
+++ b/packages/entry/stream_follower.h
@@ -18,8 +18,8 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "platform/log_client.h"
-#include "platform/snapshot_parts.h"
+#include "coordination/log_client.h"
+#include "coordination/snapshot_parts.h"
 
 namespace mustardline {
 
--- a/packages/entry/testing/history_answers_test.cpp
+++ b/packages/entry/testing/history_answers_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "platform/testing/configuration_records.h"
+#include "coordination/testing/configuration_records.h"
 
 namespace mustardline {
 namespace {
--- a/packages/entry/testing/scaling_world.h
+++ b/packages/entry/testing/scaling_world.h
@@ -11,10 +11,10 @@
 #include <string>
 #include <vector>
 
+#include "coordination/testing/configuration_records.h"
+#include "coordination/testing/fake_orders.h"
 #include "entry/drain_watch.h"
 #include "entry/scaling_duty.h"
-#include "platform/testing/configuration_records.h"
-#include "platform/testing/fake_orders.h"
 
 namespace mustardline {
 
--- a/packages/entry/testing/vm_duty_test.cpp
+++ b/packages/entry/testing/vm_duty_test.cpp
@@ -2,9 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include "coordination/testing/configuration_records.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
-#include "platform/testing/configuration_records.h"
 
 namespace mustardline {
 namespace {
--- a/packages/entry/usage_duty.h
+++ b/packages/entry/usage_duty.h
@@ -13,13 +13,13 @@
 #include <string>
 
 #include "base/log.h"
+#include "coordination/usage_client.h"
+#include "coordination/usage_ledger.h"
+#include "coordination/usage_reporter.h"
 #include "entry/duty_leases.h"
 #include "entry/record_namer.h"
 #include "entry/stream_follower.h"
 #include "operator.pb.h"
-#include "platform/usage_client.h"
-#include "platform/usage_ledger.h"
-#include "platform/usage_reporter.h"
 
 namespace mustardline {
 
--- a/packages/entry/vm_duty.h
+++ b/packages/entry/vm_duty.h
@@ -11,9 +11,9 @@
 //
 // The VM of an endpoint is the one named as the endpoint, else the one at the address of its agent;
 // the entry's own is the one named as the entry. An endpoint whose VM leaves gets nothing new until
-// a replacement is listed live (the rules are in platform/membership.h); while no VM of the list is
-// its own, the last that was known of it holds. An endpoint that was never listed is served as
-// ever, so an outage, or a short or empty list, changes nothing.
+// a replacement is listed live (the rules are in coordination/membership.h); while no VM of the
+// list is its own, the last that was known of it holds. An endpoint that was never listed is served
+// as ever, so an outage, or a short or empty list, changes nothing.
 
 #include <cstdint>
 #include <functional>
@@ -27,9 +27,9 @@
 
 #include "base/counters.h"
 #include "base/log.h"
+#include "coordination/configuration.h"
+#include "coordination/vm_list_client.h"
 #include "net/event_loop.h"
-#include "platform/configuration.h"
-#include "platform/vm_list_client.h"
 
 namespace mustardline {
 
--- a/packages/proofs/testing/parser_properties.cpp
+++ b/packages/proofs/testing/parser_properties.cpp
@@ -5,13 +5,13 @@
 #include "agent/run_request.h"
 #include "agent/sse_scanner.h"
 #include "base/hashing.h"
+#include "coordination/idempotency_ledger.h"
+#include "coordination/lease_table.h"
+#include "coordination/order_ledger.h"
+#include "coordination/testing/configuration_records.h"
+#include "coordination/usage_ledger.h"
 #include "entry/caller_request.h"
 #include "entry/key_text.h"
-#include "platform/idempotency_ledger.h"
-#include "platform/lease_table.h"
-#include "platform/order_ledger.h"
-#include "platform/testing/configuration_records.h"
-#include "platform/usage_ledger.h"
 
 namespace mustardline::proofs {
 
--- a/packages/proofs/testing/parser_properties.h
+++ b/packages/proofs/testing/parser_properties.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <string_view>
 
-#include "platform/configuration.h"
+#include "coordination/configuration.h"
 
 namespace mustardline::proofs {
 
--- a/packages/proofs/testing/session_agent.h
+++ b/packages/proofs/testing/session_agent.h
@@ -9,7 +9,7 @@
 #include "agent/admission_check.h"
 #include "agent/run_request.h"
 #include "agent/run_table.h"
-#include "platform/configuration.h"
+#include "coordination/configuration.h"
 #include "policy/dispatcher.h"
 #include "policy/endpoint_scheduler.h"
 #include "proofs/testing/session_world.h"
--- a/packages/proofs/testing/session_entry.h
+++ b/packages/proofs/testing/session_entry.h
@@ -8,10 +8,10 @@
 #include <span>
 #include <string>
 
+#include "coordination/configuration.h"
+#include "coordination/idempotency_ledger.h"
+#include "coordination/lease_holder.h"
 #include "entry/caller_request.h"
-#include "platform/configuration.h"
-#include "platform/idempotency_ledger.h"
-#include "platform/lease_holder.h"
 #include "policy/dispatcher.h"
 #include "proofs/testing/session_agent.h"
 #include "proofs/testing/session_world.h"
