--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -1,7 +1,12 @@
-include(GoogleTest)
+if(MUSTARDLINE_TESTS)
+  include(GoogleTest)
+endif()
 
 # Declares a library package: mustardline_library(NAME SOURCES a.cpp b.cpp LINK other).
 function(mustardline_library name)
+  if(NOT MUSTARDLINE_TESTS AND name MATCHES "_testing$")
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
   add_library(${name} STATIC ${ARG_SOURCES})
   target_link_libraries(${name} PUBLIC mustardline_options ${ARG_LINK})
@@ -10,6 +15,9 @@
 # Declares a GoogleTest program whose cases ctest runs one by one under one label
 # (unit, golden, promise, e2e or bench), with further ctest PROPERTIES if given.
 function(mustardline_test name)
+  if(NOT MUSTARDLINE_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "LABEL;TIMEOUT" "SOURCES;LINK;PROPERTIES" ${ARGN})
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 120)
--- a/packages/base/result.cpp
+++ b/packages/base/result.cpp
@@ -47,6 +47,7 @@
     {answer_too_large, "answer_too_large", 502, "The endpoint's answer is over the limit."},
     {endpoint_unreachable, "endpoint_unreachable", 503,
      "The endpoint could not be reached; the request was not run."},
+    {endpoint_error, "endpoint_error", 502, "The endpoint answered with an error of its own."},
     {conflict, "conflict", 409, "The entity changed since the revision that was named."},
     {outcome_pending, "outcome_pending", 202,
      "The change may have been accepted; ask again with its id."},
--- a/packages/base/result.h
+++ b/packages/base/result.h
@@ -58,6 +58,7 @@
     preempted = 306,
     answer_too_large = 307,
     endpoint_unreachable = 308,
+    endpoint_error = 309,
 
     // 4xx: configuration and operators.
     conflict = 400,
--- a/packages/base/settings_reader.cpp
+++ b/packages/base/settings_reader.cpp
@@ -43,6 +43,28 @@
     return number;
 }
 
+auto settings_reader::number(std::string_view name, const number_field &rule) -> double
+{
+    m_fields.push_back({.path = pathOf(name),
+                        .type = "number",
+                        .allowed = fmt::format("{} to {}", rule.lowest, rule.highest),
+                        .fallback = rule.fallback ? fmt::format("{}", *rule.fallback) : "required"});
+    const auto *value = find(name, !rule.fallback.has_value());
+    if (value == nullptr)
+        return rule.fallback.value_or(rule.lowest);
+    if (!value->is_number()) {
+        wrongType(name, *value, "a number");
+        return rule.fallback.value_or(rule.lowest);
+    }
+    const auto found = value->get<double>();
+    if (!(found >= rule.lowest && found <= rule.highest)) {
+        fail(result_code::settings_out_of_range,
+             fmt::format("{} is {}, but must be from {} to {}", pathOf(name), value->dump(),
+                         rule.lowest, rule.highest));
+    }
+    return found;
+}
+
 auto settings_reader::text(std::string_view name, const text_field &rule) -> std::string
 {
     m_fields.push_back({.path = pathOf(name),
--- a/packages/base/settings_reader.h
+++ b/packages/base/settings_reader.h
@@ -36,6 +36,14 @@
     std::optional<std::int64_t> fallback;
 };
 
+struct number_field
+{
+    double lowest = 0;
+    double highest = 1e12;
+    // The value of an absent field; without one, the field is required.
+    std::optional<double> fallback;
+};
+
 struct text_field
 {
     // The allowed values; empty allows any text.
@@ -48,7 +56,7 @@
 struct settings_description
 {
     std::string path;
-    // "whole number", "text", "true or false" or "list of texts".
+    // "whole number", "number", "text", "true or false" or "list of texts".
     std::string type;
     // The range or the allowed values; empty for any.
     std::string allowed;
@@ -62,6 +70,8 @@
     explicit settings_reader(const nlohmann::json &object, std::string path = "");
 
     auto integer(std::string_view name, const integer_field &rule = {}) -> std::int64_t;
+    // A number that need not be whole.
+    auto number(std::string_view name, const number_field &rule = {}) -> double;
     auto text(std::string_view name, const text_field &rule = {}) -> std::string;
     auto boolean(std::string_view name, std::optional<bool> fallback = {}) -> bool;
     auto texts(std::string_view name) -> std::vector<std::string>;
--- /dev/null
+++ b/packages/coordination/keyed_follower.h
@@ -0,0 +1,176 @@
+#pragma once
+
+// Follows one keyed topic of a shared log: its newest values first, then each record as it comes.
+//
+//     keyed_follower follower(loop, log, {.topic = "keyed.op", .wait = 2s});
+//     follower.onRecord = [](const keyed_record &record) { ... };
+//     follower.onWhole = [](const std::set<std::string> &keys) { ... };
+//     follower.start();
+//
+// `onWhole` tells which keys exist after the newest values were read, at the start and whenever
+// records were forgotten before they were read; a key that is not among them was dropped. The same
+// record may be told twice, never an older one after a newer one of the same key. `onLost` and
+// `onReturned` tell when the service stops answering and when it answers again.
+
+#include <functional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "coordination/shared_log.h"
+#include "net/event_loop.h"
+
+namespace mustardline {
+
+struct keyed_follower_options
+{
+    std::string topic;
+    // How long one call may wait for a record.
+    duration wait{};
+    // Least pause between two calls.
+    duration pace = std::chrono::milliseconds(100);
+    // Pause after a call that failed.
+    duration retryAfter = std::chrono::milliseconds(400);
+};
+
+template<shared_log Log>
+class keyed_follower
+{
+public:
+    keyed_follower(event_loop &loop, Log &log, keyed_follower_options options)
+        : m_loop(loop), m_log(log), m_options(std::move(options))
+    {}
+    keyed_follower(const keyed_follower &) = delete;
+    auto operator=(const keyed_follower &) -> keyed_follower & = delete;
+
+    std::function<auto(const keyed_record &)->void> onRecord;
+    std::function<auto(const std::set<std::string, std::less<>> &keys)->void> onWhole;
+    std::function<auto(const std::string &reason)->void> onLost;
+    std::function<auto()->void> onReturned;
+    std::function<auto(std::string_view bytes)->void> onMalformed;
+
+    auto start() -> void { readNewest(""); }
+
+    // When the service last answered; the origin of the clock if it never did.
+    [[nodiscard]] auto heardAt() const -> time_point { return m_heardAt; }
+    // Whether the topic has been read to its end at least once.
+    [[nodiscard]] auto isWhole() const -> bool { return m_whole; }
+
+private:
+    auto readNewest(const std::string &after) -> void
+    {
+        if (after.empty()) {
+            m_keys.clear();
+            m_readFrom.reset();
+        }
+        m_log.newest(m_options.topic, after,
+                     [this](const log_newest_outcome &outcome) { newestCame(outcome); });
+    }
+
+    auto newestCame(const log_newest_outcome &outcome) -> void
+    {
+        if (const auto *fault = std::get_if<log_unavailable>(&outcome)) {
+            lost(fault->reason);
+            again(m_options.retryAfter, [this] { readNewest(""); });
+            return;
+        }
+        heard();
+        const auto &page = std::get<log_newest_page>(outcome);
+        // Pages are not a snapshot: reading on from the end of the first one misses nothing.
+        if (!m_readFrom)
+            m_readFrom = page.endOffset;
+        for (const auto &record : page.entries) {
+            m_keys.insert(record.key);
+            tell(record);
+        }
+        if (page.more && !page.entries.empty()) {
+            readNewest(page.entries.back().key);
+            return;
+        }
+        m_whole = true;
+        if (onWhole)
+            onWhole(m_keys);
+        again(m_options.pace, [this] { readOn(); });
+    }
+
+    auto readOn() -> void
+    {
+        m_log.read({.topic = m_options.topic, .offset = *m_readFrom, .wait = m_options.wait},
+                   [this](const log_read_outcome &outcome) { recordsCame(outcome); });
+    }
+
+    auto recordsCame(const log_read_outcome &outcome) -> void
+    {
+        if (const auto *fault = std::get_if<log_unavailable>(&outcome)) {
+            lost(fault->reason);
+            again(m_options.retryAfter, [this] { readOn(); });
+            return;
+        }
+        heard();
+        const auto *batch = std::get_if<log_batch>(&outcome);
+        // Records are gone unread, or the log ends before what was read of it.
+        if (batch == nullptr || batch->endOffset < *m_readFrom
+            || batch->firstOffset > *m_readFrom) {
+            m_newestTold.clear();
+            again(m_options.pace, [this] { readNewest(""); });
+            return;
+        }
+        for (const auto &bytes : batch->records) {
+            const auto offset = (*m_readFrom)++;
+            auto record = Log::keyedRecord(bytes);
+            if (!record) {
+                if (onMalformed)
+                    onMalformed(bytes);
+                continue;
+            }
+            record->offset = offset;
+            tell(*record);
+        }
+        again(m_options.pace, [this] { readOn(); });
+    }
+
+    auto tell(const keyed_record &record) -> void
+    {
+        const auto known = m_newestTold.find(record.key);
+        if (known != m_newestTold.end() && record.offset < known->second)
+            return;
+        m_newestTold[record.key] = record.offset;
+        if (onRecord)
+            onRecord(record);
+        if (!record.value)
+            m_newestTold.erase(record.key);
+    }
+
+    auto again(duration delay, std::function<auto()->void> step) -> void
+    {
+        m_timer = m_loop.after(delay, std::move(step));
+    }
+
+    auto heard() -> void
+    {
+        m_heardAt = system_runtime_clock().now();
+        if (std::exchange(m_lost, false) && onReturned)
+            onReturned();
+    }
+
+    auto lost(const std::string &reason) -> void
+    {
+        if (!std::exchange(m_lost, true) && onLost)
+            onLost(reason);
+    }
+
+    event_loop &m_loop;
+    Log &m_log;
+    keyed_follower_options m_options;
+    std::optional<std::uint64_t> m_readFrom;
+    std::set<std::string, std::less<>> m_keys;
+    // The newest offset told of each key.
+    std::unordered_map<std::string, std::uint64_t> m_newestTold;
+    time_point m_heardAt{};
+    bool m_lost = false;
+    bool m_whole = false;
+    event_handle m_timer;
+};
+
+} // namespace mustardline
--- a/packages/entry/command_line.cpp
+++ b/packages/entry/command_line.cpp
@@ -1,5 +1,6 @@
 #include "entry/command_line.h"
 
+#include <cstdlib>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,7 @@
 #include "entry/entry_process.h"
 #include "entry/operator_commands.h"
 #include "entry/settings.h"
+#include "platform/edge_program.h"
 
 namespace mustardline {
 
@@ -22,6 +24,7 @@
 Usage: mustardline COMMAND [OPTIONS]
 
   serve --settings FILE          run an entry until SIGTERM
+  edge [--settings FILE]         run an edge on the users' platform until SIGTERM
   check-settings FILE            check a settings file and name its first fault
   --version, --help
 
@@ -57,6 +60,19 @@
     return entry_process(std::move(*settings)).run();
 }
 
+auto edge(std::vector<std::string> &arguments) -> int
+{
+    TCLAP::CmdLine line("Runs an edge on the users' platform until SIGTERM.", ' ',
+                        std::string(version));
+    line.setExceptionHandling(false);
+    const auto *named = std::getenv(platform::settingsVariable);
+    TCLAP::ValueArg<std::string> file(
+        "s", "settings", fmt::format("Settings file (JSON); {} names it too.", platform::settingsVariable),
+        named == nullptr, named == nullptr ? "" : named, "FILE", line);
+    line.parse(arguments);
+    return platform::runEdge(file.getValue());
+}
+
 auto checkSettings(std::vector<std::string> &arguments) -> int
 {
     TCLAP::CmdLine line("Checks a settings file.", ' ', std::string(version));
@@ -73,6 +89,10 @@
 auto dispatchCommand(std::vector<std::string> arguments) -> int
 {
     const auto command = arguments[1];
+    if (command == "edge") {
+        arguments.erase(arguments.begin() + 1);
+        return edge(arguments);
+    }
     if (command == "serve" || command == "check-settings") {
         arguments.erase(arguments.begin() + 1);
         return command == "serve" ? serve(arguments) : checkSettings(arguments);
--- /dev/null
+++ b/packages/forwarding/edge_process.h
@@ -0,0 +1,333 @@
+#pragma once
+
+// The process of an edge: an entry that forwards callers' requests to endpoints without agents.
+//
+//     edge_process<platform::adapter> process(settingsFile, settings);
+//     return process.run();
+//
+// The adapter speaks to the platform and names things as it does; it is a model of `edge_platform`.
+// What is believed and done stands in the parts that this shell connects: the route table, the
+// directory of endpoints and the router.
+
+#include <concepts>
+#include <csignal>
+#include <set>
+
+#include "base/counters.h"
+#include "base/hashing.h"
+#include "base/log.h"
+#include "base/log_output.h"
+#include "coordination/keyed_follower.h"
+#include "forwarding/edge_settings.h"
+#include "forwarding/endpoint_directory.h"
+#include "forwarding/events.h"
+#include "forwarding/forward_router.h"
+#include "forwarding/header_names.h"
+#include "forwarding/route_table.h"
+#include "forwarding/usage_report.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+namespace mustardline {
+
+template<class T>
+concept edge_platform = requires(T platform, const usage_report &report, std::string_view text)
+{
+    requires shared_log<typename T::log_type>;
+    {
+        platform.log()
+        } -> std::same_as<typename T::log_type &>;
+    platform.reportUsage(report, std::function<auto(bool)->void>());
+    {
+        T::headers()
+        } -> std::same_as<header_names>;
+    {
+        T::decodeConfiguration(text)
+        } -> std::same_as<result<fleet_configuration>>;
+    {
+        T::decodeRegistration(text, text)
+        } -> std::same_as<result<endpoint_registration>>;
+    {
+        T::evacuatedDataCentre(text)
+        } -> std::same_as<std::optional<std::string>>;
+    {
+        T::isConfiguration(text)
+        } -> std::same_as<bool>;
+    {
+        T::readinessPath()
+        } -> std::same_as<std::string_view>;
+};
+
+template<edge_platform Platform>
+class edge_process
+{
+public:
+    edge_process(std::string settingsFile, edge_settings settings)
+        : m_settingsFile(std::move(settingsFile)),
+          m_settings(std::move(settings)),
+          m_output({}),
+          m_log({.sink = [this](std::string_view line) { m_output.add(line); }}),
+          m_controlHttp(m_loop, {.connectTimeout = controlConnectTimeout}),
+          m_endpointHttp(m_loop, {.connectTimeout = endpointConnectTimeout,
+                                  .maxIdlePerAddress = maxIdlePerEndpoint}),
+          m_platform(m_controlHttp, m_settings),
+          m_directory({}),
+          m_callers(m_loop, {.address = m_settings.callers.host, .port = m_settings.callers.port}),
+          m_readiness(m_loop,
+                      {.address = m_settings.readiness.host, .port = m_settings.readiness.port}),
+          m_metricsServer(m_loop,
+                          {.address = m_settings.callers.host, .port = m_settings.metricsPort}),
+          m_router(m_loop, m_endpointHttp, m_log, m_metrics, m_routes, m_directory,
+                   {.dataCentre = m_settings.dataCentre,
+                    .names = Platform::headers(),
+                    .seed = randomBits(),
+                    .retries = {.ratio = m_settings.repeatRatio,
+                                .slack = m_settings.repeatSlack,
+                                .window = m_settings.repeatWindow}}),
+          m_configurationFollower(
+              m_loop, m_platform.log(),
+              {.topic = Platform::configurationTopic(), .wait = configurationWait}),
+          m_endpointFollower(m_loop, m_platform.log(),
+                             {.topic = Platform::endpointTopic(), .pace = endpointPace})
+    {}
+
+    // Serves until SIGTERM; returns the exit status of the program.
+    [[nodiscard]] auto run() -> int
+    {
+        if (!listen())
+            return exitCannotListen;
+        followLog();
+        m_loop.onSignal(SIGTERM, [this] { beginStop(); });
+        m_loop.onSignal(SIGHUP, [this] { reload(); });
+        m_housekeeping = m_loop.every(housekeepingInterval, [this] { keepHouse(); });
+        m_loop.run();
+        m_log.write(edgeStopped, field("live", m_router.liveCount()));
+        m_output.flush();
+        return 0;
+    }
+
+private:
+    static constexpr int exitCannotListen = 3;
+    // A record of the operators must be in force within 2 s; a silent call costs this at most.
+    static constexpr duration configurationWait = std::chrono::milliseconds(2000);
+    // Every endpoint writes about once a second, so that the topic is read at a pace of its own; a
+    // leaving endpoint must get nothing new after 2 s.
+    static constexpr duration endpointPace = std::chrono::milliseconds(900);
+    static constexpr duration controlConnectTimeout = std::chrono::milliseconds(1000);
+    static constexpr duration endpointConnectTimeout = std::chrono::milliseconds(300);
+    static constexpr std::size_t maxIdlePerEndpoint = 100;
+    static constexpr duration housekeepingInterval = std::chrono::milliseconds(250);
+    // The balancer asks once a second and takes a process out after two misses.
+    static constexpr duration rotationTime = std::chrono::milliseconds(3200);
+    // Before the kill, for the last answers to reach their callers.
+    static constexpr duration stopMargin = std::chrono::milliseconds(700);
+
+    auto listen() -> bool
+    {
+        m_callers.onRequest([this](const auto &exchange) { m_router.handle(exchange); });
+        m_readiness.onRequest([this](const auto &exchange) { answerReadiness(exchange); });
+        m_metricsServer.onRequest(
+            [this](const auto &exchange) { exchange->reply(200, {}, m_metrics.text()); });
+        for (auto *server : {&m_callers, &m_readiness, &m_metricsServer}) {
+            const auto port = server->listen();
+            if (const auto *fault = failed(port)) {
+                m_log.write(edgeFailed, field("reason", fault->message));
+                m_output.flush();
+                return false;
+            }
+        }
+        m_log.write(edgeStarted, field("name", m_settings.name),
+                    field("data_centre", m_settings.dataCentre),
+                    field("port", m_settings.callers.port));
+        return true;
+    }
+
+    auto answerReadiness(const std::shared_ptr<http_exchange> &exchange) -> void
+    {
+        constexpr int ready = 200;
+        constexpr int notReady = 503;
+        const bool isKnown = exchange->path() == Platform::readinessPath();
+        exchange->reply(isKnown && isReady() ? ready : notReady, {}, "");
+    }
+
+    [[nodiscard]] auto isReady() const -> bool
+    {
+        return !m_stopping && m_routes.current() && m_endpointFollower.isWhole();
+    }
+
+    auto followLog() -> void
+    {
+        m_configurationFollower.onRecord
+            = [this](const keyed_record &record) { operatorRecord(record); };
+        m_configurationFollower.onWhole = [this](const auto &keys) {
+            std::erase_if(m_evacuated, [&keys](const auto &item) { return !keys.contains(item.first); });
+            applyEvacuation();
+        };
+        m_endpointFollower.onRecord
+            = [this](const keyed_record &record) { endpointRecord(record); };
+        m_endpointFollower.onWhole = [this](const auto &keys) {
+            m_directory.keepOnly(keys, m_clock.now());
+            m_router.endpointsChanged();
+        };
+        m_endpointFollower.onReturned = [this] { m_directory.logReturned(m_clock.now()); };
+        watchService(m_configurationFollower, "configuration");
+        watchService(m_endpointFollower, "endpoints");
+        m_configurationFollower.start();
+        m_endpointFollower.start();
+    }
+
+    // Logs when a topic can no longer be read, and when it can again.
+    auto watchService(auto &follower, std::string topic) -> void
+    {
+        follower.onLost = [this, topic](const std::string &reason) {
+            m_log.write(logServiceLost, field("topic", topic), field("reason", reason));
+        };
+        follower.onReturned = [this, topic, then = std::move(follower.onReturned)] {
+            m_log.write(logServiceBack, field("topic", topic));
+            if (then)
+                then();
+        };
+        follower.onMalformed = [this, topic](std::string_view bytes) {
+            m_log.write(recordMalformed, field("topic", topic), field("bytes", bytes.size()));
+        };
+    }
+
+    auto operatorRecord(const keyed_record &record) -> void
+    {
+        if (const auto dataCentre = Platform::evacuatedDataCentre(record.key)) {
+            if (record.value)
+                m_evacuated[record.key] = *dataCentre;
+            else
+                m_evacuated.erase(record.key);
+            applyEvacuation();
+        } else if (Platform::isConfiguration(record.key) && record.value) {
+            applyConfiguration(record);
+        }
+    }
+
+    auto applyEvacuation() -> void
+    {
+        std::set<std::string, std::less<>> places;
+        std::string names;
+        for (const auto &[key, place] : m_evacuated) {
+            places.insert(place);
+            names += names.empty() ? place : "," + place;
+        }
+        m_directory.setEvacuated(std::move(places));
+        m_log.write(evacuationChanged, field("data_centres", names));
+        m_router.endpointsChanged();
+    }
+
+    auto applyConfiguration(const keyed_record &record) -> void
+    {
+        auto outcome = Platform::decodeConfiguration(*record.value);
+        if (const auto *fault = failed(outcome)) {
+            m_log.write(recordMalformed, field("key", record.key), field("offset", record.offset),
+                        field("reason", fault->message));
+            return;
+        }
+        auto configuration = std::make_shared<const fleet_configuration>(
+            std::get<fleet_configuration>(std::move(outcome)));
+        const auto limits = configuration->limits;
+        if (!m_routes.replace(configuration))
+            return;
+        m_callers.setLimits({.maxBodyBytes = limits.maxBodyBytes,
+                             .maxHeaderBytes = limits.maxHeaderBytes,
+                             .idleTimeout = limits.idleTimeout,
+                             .headerTimeout = limits.headerTimeout});
+        m_log.write(configurationInForce, field("version", configuration->version),
+                    field("offset", record.offset), field("routes", configuration->routes.size()),
+                    field("accounts", configuration->accounts.size()));
+    }
+
+    auto endpointRecord(const keyed_record &record) -> void
+    {
+        const auto now = m_clock.now();
+        if (!record.value) {
+            m_directory.withdrawn(record.key, now);
+        } else {
+            auto outcome = Platform::decodeRegistration(record.key, *record.value);
+            if (const auto *fault = failed(outcome)) {
+                // Told once for each writer: such a record may come each second.
+                if (m_malformedEndpoints.insert(record.key).second) {
+                    m_log.write(recordMalformed, field("key", record.key),
+                                field("offset", record.offset), field("reason", fault->message));
+                }
+                m_directory.withdrawn(record.key, now);
+            } else {
+                m_directory.registered(std::get<endpoint_registration>(std::move(outcome)), now);
+            }
+        }
+        m_router.endpointsChanged();
+    }
+
+    auto keepHouse() -> void
+    {
+        const auto now = m_clock.now();
+        m_directory.tick(now);
+        m_router.endpointsChanged();
+        if (const bool ready = isReady(); ready != m_wasReady) {
+            m_wasReady = ready;
+            m_log.write(edgeReady, field("ready", ready));
+        }
+        m_output.flush();
+        if (m_stopping)
+            goOnStopping(now);
+    }
+
+    auto beginStop() -> void
+    {
+        if (m_stopping)
+            return;
+        m_stopping = true;
+        m_stopAt = m_clock.now();
+        m_callers.closeAfterAnswers();
+        m_log.write(edgeStopping, field("live", m_router.liveCount()));
+    }
+
+    auto goOnStopping(time_point now) -> void
+    {
+        const auto spent = now - m_stopAt;
+        const bool isOut = spent >= rotationTime && m_router.liveCount() == 0;
+        if (isOut || spent >= m_settings.stopGrace - stopMargin)
+            m_loop.stop();
+    }
+
+    auto reload() -> void
+    {
+        auto outcome = readEdgeSettings(m_settingsFile);
+        if (const auto *fault = failed(outcome)) {
+            m_log.write(settingsReloaded, field("error", fault->message));
+            return;
+        }
+        m_log.write(settingsReloaded, field("error", ""));
+    }
+
+    std::string m_settingsFile;
+    edge_settings m_settings;
+    system_runtime_clock m_clock;
+    log_output m_output;
+    logger m_log;
+    counters m_metrics;
+    event_loop m_loop;
+    http_client m_controlHttp;
+    http_client m_endpointHttp;
+    Platform m_platform;
+    route_table m_routes;
+    endpoint_directory m_directory;
+    http_server m_callers;
+    http_server m_readiness;
+    http_server m_metricsServer;
+    forward_router m_router;
+    keyed_follower<typename Platform::log_type> m_configurationFollower;
+    keyed_follower<typename Platform::log_type> m_endpointFollower;
+    // Data centres by the key of the record that evacuates them.
+    std::map<std::string, std::string> m_evacuated;
+    std::set<std::string> m_malformedEndpoints;
+    event_handle m_housekeeping;
+    bool m_wasReady = false;
+    bool m_stopping = false;
+    time_point m_stopAt{};
+};
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/forwarding/endpoint_directory.cpp
@@ -0,0 +1,98 @@
+#include "forwarding/endpoint_directory.h"
+
+#include <utility>
+
+namespace mustardline {
+
+auto endpoint_directory::registered(endpoint_registration registration, time_point now) -> void
+{
+    auto &entry = m_entries[registration.id];
+    const bool isNew = entry.registration.id.empty();
+    const bool isRestart = !isNew && registration.bornAt > entry.registration.bornAt;
+    // A record of an earlier start may be read late.
+    if (!isNew && registration.bornAt < entry.registration.bornAt)
+        return;
+    if (registration.coldRemaining.count() > 0)
+        entry.coldUntil = now + registration.coldRemaining;
+    const bool changes = isNew || isRestart || entry.withdrawnUntil
+                         || !(entry.registration == registration);
+    if (isRestart)
+        entry.replaced = false;
+    entry.heardAt = now;
+    entry.withdrawnUntil.reset();
+    if (changes)
+        m_changed.insert(registration.id);
+    entry.registration = std::move(registration);
+}
+
+auto endpoint_directory::withdrawn(std::string_view id, time_point now) -> void
+{
+    const auto known = m_entries.find(id);
+    if (known == m_entries.end())
+        return;
+    m_changed.insert(known->first);
+    if (!m_logReturnedAt || now - *m_logReturnedAt >= m_options.outageGrace)
+        m_entries.erase(known);
+    else if (!known->second.withdrawnUntil)
+        known->second.withdrawnUntil = *m_logReturnedAt + m_options.outageGrace;
+}
+
+auto endpoint_directory::keepOnly(const std::set<std::string, std::less<>> &ids, time_point now)
+    -> void
+{
+    std::vector<std::string> missing;
+    for (const auto &[id, entry] : m_entries) {
+        if (!ids.contains(id))
+            missing.push_back(id);
+    }
+    for (const auto &id : missing)
+        withdrawn(id, now);
+}
+
+auto endpoint_directory::addressTaken(std::string_view id) -> void
+{
+    const auto known = m_entries.find(id);
+    if (known == m_entries.end() || std::exchange(known->second.replaced, true))
+        return;
+    m_changed.insert(known->first);
+}
+
+auto endpoint_directory::setEvacuated(std::set<std::string, std::less<>> dataCentres) -> void
+{
+    for (const auto &[id, entry] : m_entries) {
+        const auto &place = entry.registration.dataCentre;
+        if (m_evacuated.contains(place) != dataCentres.contains(place))
+            m_changed.insert(id);
+    }
+    m_evacuated = std::move(dataCentres);
+}
+
+auto endpoint_directory::tick(time_point now) -> void
+{
+    std::erase_if(m_entries, [this, now](const auto &item) {
+        const auto &until = item.second.withdrawnUntil;
+        const bool ends = until && now >= *until;
+        if (ends)
+            m_changed.insert(item.first);
+        return ends;
+    });
+}
+
+auto endpoint_directory::find(std::string_view id) const -> const endpoint_entry *
+{
+    const auto known = m_entries.find(id);
+    return known == m_entries.end() ? nullptr : &known->second;
+}
+
+auto endpoint_directory::isUsable(const endpoint_entry &entry) const -> bool
+{
+    return entry.registration.ready && !entry.replaced
+           && !m_evacuated.contains(entry.registration.dataCentre);
+}
+
+auto endpoint_directory::takeChanged() -> std::set<std::string>
+{
+    return std::exchange(m_changed, {});
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/forwarding/events.h
@@ -0,0 +1,51 @@
+#pragma once
+
+// Log events of the forwarding path, numbered from 5000. docs/EVENTS.md lists them.
+
+#include <array>
+
+#include "base/log.h"
+
+namespace mustardline {
+
+inline constexpr log_event edgeStarted{5000, "edge_started", log_level::info,
+                                       "The edge process listens for callers."};
+inline constexpr log_event edgeReady{5001, "edge_ready", log_level::info,
+                                     "The edge process says whether it wants new connections."};
+inline constexpr log_event edgeStopping{5002, "edge_stopping", log_level::info,
+                                        "The edge process drains and will end."};
+inline constexpr log_event edgeStopped{5003, "edge_stopped", log_level::info,
+                                       "The edge process ends."};
+inline constexpr log_event edgeFailed{5004, "edge_failed", log_level::error,
+                                      "The edge process cannot start."};
+inline constexpr log_event settingsReloaded{5005, "settings_reloaded", log_level::info,
+                                            "The settings file was read again."};
+
+inline constexpr log_event forwardPlaced{5010, "forward_placed", log_level::info,
+                                         "A request was sent to an endpoint."};
+inline constexpr log_event forwardEnded{5011, "forward_ended", log_level::info,
+                                        "A request got its final answer."};
+inline constexpr log_event forwardRetried{5012, "forward_retried", log_level::info,
+                                          "A try at an endpoint failed and may be repeated."};
+
+inline constexpr log_event configurationInForce{5020, "configuration_in_force", log_level::info,
+                                                "A new version of the configuration is in force."};
+inline constexpr log_event recordMalformed{5021, "record_malformed", log_level::warning,
+                                           "A record of the log cannot be read; it is ignored."};
+inline constexpr log_event endpointChanged{5022, "endpoint_changed", log_level::info,
+                                           "What is believed of an endpoint has changed."};
+inline constexpr log_event evacuationChanged{5023, "evacuation_changed", log_level::info,
+                                             "Data centres that get no new work."};
+inline constexpr log_event logServiceLost{5024, "log_service_lost", log_level::warning,
+                                          "The log service does not answer."};
+inline constexpr log_event logServiceBack{5025, "log_service_back", log_level::info,
+                                          "The log service answers again."};
+inline constexpr log_event logHistoryLost{5026, "log_history_lost", log_level::warning,
+                                          "Records were forgotten unread; the newest are read."};
+
+inline constexpr auto forwardingEvents = std::to_array<log_event>(
+    {edgeStarted, edgeReady, edgeStopping, edgeStopped, edgeFailed, settingsReloaded, forwardPlaced,
+     forwardEnded, forwardRetried, configurationInForce, recordMalformed, endpointChanged,
+     evacuationChanged, logServiceLost, logServiceBack, logHistoryLost});
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/forwarding/forward_request.cpp
@@ -0,0 +1,173 @@
+#include "forwarding/forward_request.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+
+#include "base/hashing.h"
+
+namespace mustardline {
+
+namespace {
+
+constexpr std::string_view bearerPrefix = "Bearer ";
+
+// Headers that concern one connection only, and those that the sender sets itself.
+constexpr auto connectionHeaders = std::to_array<std::string_view>(
+    {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
+     "upgrade", "content-length", "expect", "proxy-authorization", "proxy-authenticate"});
+
+auto isOneOf(std::string_view name, auto const &names) -> bool
+{
+    return std::ranges::any_of(names,
+                               [name](const auto &each) { return sameHeaderName(name, each); });
+}
+
+// Whether `Connection` names that header as one of this connection only.
+auto isNamedByConnection(std::string_view name, std::string_view connection) -> bool
+{
+    while (!connection.empty()) {
+        const auto comma = std::min(connection.find(','), connection.size());
+        auto item = connection.substr(0, comma);
+        connection.remove_prefix(std::min(comma + 1, connection.size()));
+        const auto first = std::min(item.find_first_not_of(" \t"), item.size());
+        item.remove_prefix(first);
+        item = item.substr(0, item.find_last_not_of(" \t") + 1);
+        if (sameHeaderName(name, item))
+            return true;
+    }
+    return false;
+}
+
+template<class Number>
+auto readNumber(std::string_view text) -> std::optional<Number>
+{
+    Number value = 0;
+    const auto *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return value;
+}
+
+auto findAccount(const http_exchange &exchange, const route_table &routes)
+    -> const account_settings *
+{
+    const auto header = exchange.header("authorization");
+    if (header.size() <= bearerPrefix.size()
+        || !sameHeaderName(header.substr(0, bearerPrefix.size()), bearerPrefix))
+        return nullptr;
+    return routes.accountOf(header.substr(bearerPrefix.size()));
+}
+
+// The service that the request goes to, by the weights of the route's targets.
+auto chooseService(const route_settings &route, double draw) -> std::string
+{
+    std::uint64_t sum = 0;
+    for (const auto &each : route.targets)
+        sum += each.weight;
+    auto left = draw * static_cast<double>(sum);
+    for (const auto &each : route.targets) {
+        left -= each.weight;
+        if (left < 0)
+            return each.service;
+    }
+    return route.targets.empty() ? "" : route.targets.back().service;
+}
+
+// The parts before the last one are shared with other requests.
+auto sharedPrefixHash(std::string_view parts) -> std::uint64_t
+{
+    const auto comma = parts.rfind(',');
+    return comma == std::string_view::npos ? 0 : fastHash(parts.substr(0, comma));
+}
+
+auto forwardedHeaders(const http_exchange &exchange, const header_names &names)
+    -> std::vector<http_header>
+{
+    const auto connection = exchange.header("connection");
+    std::vector<http_header> headers;
+    for (const auto &item : exchange.headers()) {
+        if (isOneOf(item.name, connectionHeaders) || isOneOf(item.name, names.systemOnly)
+            || sameHeaderName(item.name, "authorization")
+            || sameHeaderName(item.name, names.deadline)
+            || isNamedByConnection(item.name, connection))
+            continue;
+        headers.push_back(item);
+    }
+    return headers;
+}
+
+auto readTokens(forward_request &request, std::string_view text) -> void
+{
+    const auto comma = std::min(text.find(','), text.size());
+    request.promptTokens = readNumber<std::uint32_t>(text.substr(0, comma)).value_or(0);
+    if (comma < text.size())
+        request.maxOutputTokens = readNumber<std::uint32_t>(text.substr(comma + 1)).value_or(0);
+}
+
+} // namespace
+
+auto readForwardRequest(const std::shared_ptr<http_exchange> &exchange, const route_table &routes,
+                        const header_names &names, time_point now, double draw)
+    -> std::variant<forward_request, http_error>
+{
+    if (!routes.current()) {
+        return http_error{.code = result_code::no_configuration,
+                          .retryAfter = std::chrono::milliseconds(500)};
+    }
+    const auto *route = routes.find(exchange->header("host"), exchange->path());
+    if (route == nullptr)
+        return http_error{.code = result_code::not_found, .message = "no route leads there"};
+    const auto *account = findAccount(*exchange, routes);
+    if (account == nullptr && routes.current()->hasAccounts && !route->isOpen)
+        return http_error{.code = result_code::unauthenticated, .message = "the key is unknown"};
+
+    forward_request request;
+    request.exchange = exchange;
+    request.configuration = routes.current();
+    request.route = route;
+    request.account = route->isOpen ? nullptr : account;
+    request.id = exchange->header(names.requestId);
+    request.service = chooseService(*route, draw);
+    request.priority = route->priority;
+    if (request.account != nullptr)
+        request.priority = request.account->priority.value_or(route->priority);
+    readTokens(request, exchange->header(names.tokenCounts));
+    request.prefixHash = sharedPrefixHash(exchange->header(names.promptParts));
+    request.arrivedAt = now;
+    request.dueAt = now + route->timeout;
+    if (const auto left = readNumber<std::int64_t>(exchange->header(names.deadline)))
+        request.dueAt = std::min(request.dueAt, now + std::chrono::milliseconds(*left));
+    request.headers = forwardedHeaders(*exchange, names);
+    if (request.account != nullptr)
+        request.headers.push_back({.name = names.account, .value = request.account->name});
+    return request;
+}
+
+auto mayRepeat(const forward_request &request) -> bool
+{
+    switch (request.route->kind) {
+    case route_kind::idempotent:
+        return true;
+    case route_kind::once:
+        return false;
+    case route_kind::stream:
+        return request.route->resumable;
+    }
+    return false;
+}
+
+auto answerHeaders(std::span<const http_header> headers) -> std::vector<http_header>
+{
+    const auto connection = findHeader(headers, "connection");
+    std::vector<http_header> kept;
+    for (const auto &item : headers) {
+        if (!isOneOf(item.name, connectionHeaders) && !isNamedByConnection(item.name, connection))
+            kept.push_back(item);
+    }
+    return kept;
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/forwarding/forward_request.h
@@ -0,0 +1,80 @@
+#pragma once
+
+// One request on its way, and how it was read from what its caller sent.
+//
+// `readForwardRequest` finds the route and the account and decides whether the request may be
+// considered at all; what it refuses has its final answer as an http_error.
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "forwarding/header_names.h"
+#include "forwarding/route_table.h"
+#include "net/http_client.h"
+#include "net/http_error.h"
+#include "net/http_server.h"
+
+namespace mustardline {
+
+struct forward_request
+{
+    std::uint64_t number = 0;
+    std::shared_ptr<http_exchange> exchange;
+    // Keeps `route` and `account` alive.
+    std::shared_ptr<const fleet_configuration> configuration;
+    const route_settings *route = nullptr;
+    // Null on open routes.
+    const account_settings *account = nullptr;
+    // The caller's id of this try.
+    std::string id;
+    std::string service;
+    // 0 is the highest.
+    std::uint32_t priority = 0;
+    std::uint32_t promptTokens = 0;
+    std::uint32_t maxOutputTokens = 0;
+    // Of the parts of the prompt that other requests share; 0 for none.
+    std::uint64_t prefixHash = 0;
+    time_point arrivedAt{};
+    // When the final answer is due: by the route's timeout or the caller's deadline.
+    time_point dueAt{};
+
+    // Headers that go on to an endpoint with each try.
+    std::vector<http_header> headers;
+
+    // The try under way, and what has come of it.
+    http_call call;
+    std::string endpoint;
+    std::uint32_t sends = 0;
+    time_point sentAt{};
+    http_answer answer;
+    std::string body;
+    // An earlier try may have run it.
+    bool mayHaveRun = false;
+    // The endpoint says that it did not run the request.
+    bool notRun = false;
+    // The answer is one that no endpoint gives.
+    bool invalidAnswer = false;
+    bool started = false;
+    bool hasFirstByte = false;
+    // The endpoint is held back because the caller reads slowly.
+    bool held = false;
+    event_handle dueTimer;
+};
+
+// The host and path may lead nowhere, the key be unknown, or a header missing.
+[[nodiscard]] auto readForwardRequest(const std::shared_ptr<http_exchange> &exchange,
+                                      const route_table &routes, const header_names &names,
+                                      time_point now, double draw)
+    -> std::variant<forward_request, http_error>;
+
+// Whether a request whose outcome is not known may run again.
+[[nodiscard]] auto mayRepeat(const forward_request &request) -> bool;
+
+// The headers of an endpoint's answer that go on to the caller.
+[[nodiscard]] auto answerHeaders(std::span<const http_header> headers) -> std::vector<http_header>;
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/forwarding/forward_router.cpp
@@ -0,0 +1,444 @@
+#include "forwarding/forward_router.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "forwarding/events.h"
+
+namespace mustardline {
+
+namespace {
+
+constexpr int misdirected = 421;
+constexpr int firstFailureStatus = 500;
+constexpr int firstSuccess = 200;
+constexpr int firstRedirect = 300;
+// Between runs of the dispatcher's systems while requests wait.
+constexpr duration tickInterval = std::chrono::milliseconds(10);
+// An endpoint is given up this long after the request was due.
+constexpr duration dueSlack = std::chrono::milliseconds(20);
+// When to come back if nothing better is known.
+constexpr duration defaultRetryAfter = std::chrono::milliseconds(500);
+
+auto isSuccess(int status) -> bool
+{
+    return status >= firstSuccess && status < firstRedirect;
+}
+
+} // namespace
+
+forward_router::forward_router(event_loop &loop, http_client &http, logger &log, counters &metrics,
+                               route_table &routes, endpoint_directory &directory,
+                               forward_router_options options)
+    : m_loop(loop),
+      m_http(http),
+      m_log(log),
+      m_metrics(metrics),
+      m_routes(routes),
+      m_directory(directory),
+      m_options(std::move(options)),
+      m_random(m_options.seed),
+      m_dispatcher({.dataCentre = m_options.dataCentre, .seed = m_options.seed})
+{}
+
+auto forward_router::handle(const std::shared_ptr<http_exchange> &exchange) -> void
+{
+    const auto now = m_clock.now();
+    auto read = readForwardRequest(exchange, m_routes, m_options.names, now, m_random.uniform());
+    if (const auto *fault = std::get_if<http_error>(&read)) {
+        refuseAtOnce(exchange, *fault);
+        return;
+    }
+    const auto number = ++m_lastNumber;
+    auto &request = m_requests.emplace(number, std::move(std::get<forward_request>(read)))
+                        .first->second;
+    request.number = number;
+    exchange->onGone([this, number] { callerGone(number); });
+    request.dueTimer
+        = m_loop.after(std::max(duration(0), request.dueAt - now), [this, number] { expire(number); });
+    m_allowances.try_emplace(request.service, m_options.retries).first->second.requested(now);
+    const auto &route = *request.route;
+    m_dispatcher.arrive({.request = number,
+                         .clientAccount = request.account != nullptr
+                                              ? std::string_view(request.account->name)
+                                              : std::string_view(),
+                         .requestClass = route.name,
+                         .target = request.service,
+                         .tier = request.priority + 1,
+                         .priority = route.priority,
+                         .firstTokenTarget = route.latencyTarget,
+                         .betweenTokensTarget = route.gapTarget,
+                         .deadline = request.dueAt - now,
+                         .idempotent = route.kind == route_kind::idempotent,
+                         .promptTokens = request.promptTokens,
+                         .prefixHash = request.prefixHash},
+                        now, m_actions);
+    carryOut();
+}
+
+auto forward_router::refuseAtOnce(const std::shared_ptr<http_exchange> &exchange,
+                                  const http_error &fault) -> void
+{
+    const auto &info = describe(fault.code);
+    m_log.write(forwardEnded, field("request", exchange->header(m_options.names.requestId)),
+                field("status", info.httpStatus), field("result", info.name),
+                field("host", exchange->header("host")), field("path", exchange->path()),
+                field("version", m_routes.current() ? m_routes.current()->version : 0));
+    exchange->reply(info.httpStatus, errorHeaders(fault), errorBody(fault));
+}
+
+auto forward_router::endpointsChanged() -> void
+{
+    for (const auto &id : m_directory.takeChanged()) {
+        if (const auto *entry = m_directory.find(id))
+            setEndpoint(*entry);
+        else
+            m_dispatcher.removeEndpoint(id);
+        const auto *entry = m_directory.find(id);
+        m_log.write(endpointChanged, field("endpoint", id),
+                    field("known", entry != nullptr),
+                    field("usable", entry != nullptr && m_directory.isUsable(*entry)));
+    }
+    m_dispatcher.tick(m_clock.now(), m_actions);
+    carryOut();
+}
+
+auto forward_router::setEndpoint(const endpoint_entry &entry) -> void
+{
+    const auto &told = entry.registration;
+    m_dispatcher.setEndpoint({.id = told.id,
+                              .dataCentre = told.dataCentre,
+                              .serves = {told.service},
+                              .maxConcurrency = told.slots,
+                              .coldConcurrency = told.slots,
+                              .available = m_directory.isUsable(entry)},
+                             m_clock.now());
+}
+
+auto forward_router::setEntryCount(std::uint32_t count) -> void
+{
+    m_entryCount = std::max(count, 1U);
+    m_dispatcher.setEntryCount(m_entryCount);
+}
+
+auto forward_router::carryOut() -> void
+{
+    // Carrying out an action may lead to more of them, which the outermost call takes on.
+    if (m_carryingOut)
+        return;
+    m_carryingOut = true;
+    while (!m_actions.empty()) {
+        const auto batch = std::exchange(m_actions, {});
+        for (const auto &action : batch) {
+            if (const auto *placed = std::get_if<place_action>(&action)) {
+                place(*placed);
+            } else if (const auto *refused = std::get_if<refuse_action>(&action)) {
+                if (auto *request = find(refused->request))
+                    refuse(*request, *refused);
+            } else if (const auto *cancelled = std::get_if<cancel_action>(&action)) {
+                expire(cancelled->request);
+            }
+        }
+    }
+    m_carryingOut = false;
+    scheduleTick();
+}
+
+auto forward_router::refuse(forward_request &request, const refuse_action &action) -> void
+{
+    // A refusal promises that nothing ran.
+    if (request.mayHaveRun) {
+        fail(request, {.code = result_code::outcome_unknown});
+        return;
+    }
+    fail(request, {.code = action.code,
+                   .message = std::string(action.reason),
+                   .retryAfter = std::max(action.retryAfter, duration(1))});
+}
+
+auto forward_router::scheduleTick() -> void
+{
+    if (m_tickSet || m_dispatcher.queuedCount() == 0)
+        return;
+    m_tickSet = true;
+    m_tick = m_loop.after(tickInterval, [this] {
+        m_tickSet = false;
+        m_dispatcher.tick(m_clock.now(), m_actions);
+        carryOut();
+    });
+}
+
+auto forward_router::place(const place_action &action) -> void
+{
+    auto *request = find(action.request);
+    if (request == nullptr)
+        return;
+    const auto *endpoint = m_directory.find(action.endpoint);
+    if (endpoint == nullptr || !m_directory.isUsable(*endpoint)) {
+        m_dispatcher.notRun(action.request, result_code::no_endpoint, m_clock.now(), m_actions);
+        return;
+    }
+    request->endpoint = action.endpoint;
+    m_log.write(forwardPlaced, field("request", request->id), field("attempt", action.attempt),
+                field("route", request->route->name), field("service", request->service),
+                field("endpoint", action.endpoint), field("reason", action.reason),
+                field("considered", action.considered),
+                field("heard_ms", toMilliseconds(m_clock.now() - endpoint->heardAt)),
+                field("waited_ms", toMilliseconds(m_clock.now() - request->arrivedAt)));
+    send(*request, *endpoint);
+}
+
+auto forward_router::headersFor(const forward_request &request,
+                                const endpoint_entry &endpoint) const -> std::vector<http_header>
+{
+    auto headers = request.headers;
+    const auto left = toMilliseconds(request.dueAt - m_clock.now());
+    headers.push_back({.name = m_options.names.deadline,
+                       .value = fmt::format("{}", std::max<std::int64_t>(left, 1))});
+    headers.push_back(
+        {.name = m_options.names.expectEndpoint, .value = endpoint.registration.id});
+    if (request.route->kind == route_kind::stream) {
+        constexpr std::uint32_t lowestPriority = 9;
+        headers.push_back({.name = m_options.names.priority,
+                           .value = fmt::format("{}", std::min(request.priority, lowestPriority))});
+    }
+    return headers;
+}
+
+auto forward_router::send(forward_request &request, const endpoint_entry &endpoint) -> void
+{
+    const auto now = m_clock.now();
+    const auto number = request.number;
+    ++request.sends;
+    request.sentAt = now;
+    request.answer = {};
+    request.body.clear();
+    request.notRun = false;
+    request.invalidAnswer = false;
+    request.hasFirstByte = false;
+    request.call = m_http.start(
+        endpoint.registration.address,
+        {.method = std::string(request.exchange->method()),
+         .path = std::string(request.exchange->target()),
+         .headers = headersFor(request, endpoint),
+         .body = std::string(request.exchange->body()),
+         .echo = {.name = m_options.names.requestId, .value = request.id},
+         .idleTimeout = std::max(request.dueAt - now, duration(0)) + dueSlack * 2,
+         .maxAnswerBytes = m_options.maxAnswerBytes},
+        {.onHeaders = [this, number](const http_answer &answer) { answered(number, answer); },
+         .onData = [this, number](std::string_view data) { received(number, data); },
+         .onDone = [this, number](const http_outcome &outcome) { ended(number, outcome); }});
+}
+
+auto forward_router::answered(std::uint64_t number, const http_answer &answer) -> void
+{
+    auto *request = find(number);
+    if (request == nullptr)
+        return;
+    const auto &names = m_options.names;
+    request->answer = answer;
+    request->notRun
+        = answer.status == misdirected || !findHeader(answer.headers, names.notRun).empty();
+    request->invalidAnswer = !findHeader(answer.headers, "content-encoding").empty()
+                             || (isSuccess(answer.status)
+                                 && findHeader(answer.headers, names.seal).empty());
+    if (answer.status == misdirected)
+        m_directory.addressTaken(request->endpoint);
+}
+
+auto forward_router::received(std::uint64_t number, std::string_view data) -> void
+{
+    auto *request = find(number);
+    if (request == nullptr || request->invalidAnswer)
+        return;
+    const bool isRelayed = request->route->kind == route_kind::stream
+                           && isSuccess(request->answer.status);
+    if (!request->notRun && !request->hasFirstByte)
+        begun(*request);
+    if (!isRelayed) {
+        request->body += data;
+        return;
+    }
+    auto &exchange = *request->exchange;
+    if (!std::exchange(request->started, true))
+        exchange.startStream(request->answer.status, answerHeaders(request->answer.headers));
+    exchange.sendChunk(data);
+    m_dispatcher.progressed(number, 1);
+    if (!request->held && exchange.backlogBytes() > m_options.maxBacklogBytes) {
+        request->held = true;
+        request->call.pause();
+    }
+}
+
+// The first byte of an answer shows that the endpoint has begun to run the request.
+auto forward_router::begun(forward_request &request) -> void
+{
+    request.hasFirstByte = true;
+    m_dispatcher.firstToken(request.number, m_clock.now());
+    if (onBegun && request.account != nullptr)
+        onBegun(request.account->name);
+}
+
+auto forward_router::ended(std::uint64_t number, const http_outcome &outcome) -> void
+{
+    auto *request = find(number);
+    if (request == nullptr)
+        return;
+    if (const auto *failure = std::get_if<http_failure>(&outcome))
+        endedLost(*request, *failure);
+    else
+        endedWhole(*request);
+    m_dispatcher.tick(m_clock.now(), m_actions);
+    carryOut();
+}
+
+auto forward_router::endedWhole(forward_request &request) -> void
+{
+    const auto status = request.answer.status;
+    if (request.notRun) {
+        endpointsChanged();
+        tryAgain(request,
+                 status == misdirected ? result_code::endpoint_unreachable : result_code::not_run,
+                 true);
+        return;
+    }
+    if (request.invalidAnswer) {
+        endedLost(request, {.reason = {.code = result_code::malformed_message,
+                                       .message = "the answer is not the endpoint's"},
+                            .sent = true});
+        return;
+    }
+    if (request.started) {
+        request.exchange->endStream();
+        finish(request, result_code::ok);
+        return;
+    }
+    if (status >= firstFailureStatus && mayRepeat(request)
+        && request.sends < request.route->maxAttempts) {
+        tryAgain(request, result_code::endpoint_error, true);
+        if (find(request.number) == nullptr)
+            return;
+        return;
+    }
+    if (!request.hasFirstByte)
+        begun(request);
+    request.exchange->reply(status, answerHeaders(request.answer.headers), request.body);
+    finish(request, isSuccess(status) ? result_code::ok : result_code::endpoint_error);
+}
+
+auto forward_router::endedLost(forward_request &request, const http_failure &failure) -> void
+{
+    if (!failure.sent) {
+        tryAgain(request, result_code::connection_failed, false);
+        return;
+    }
+    if (request.started) {
+        request.exchange->abort();
+        finish(request, result_code::answer_cut);
+        return;
+    }
+    if (mayRepeat(request) && request.sends < request.route->maxAttempts) {
+        tryAgain(request, failure.reason.code, true);
+        return;
+    }
+    fail(request, {.code = result_code::outcome_unknown, .message = failure.reason.message});
+}
+
+auto forward_router::tryAgain(forward_request &request, result_code code, bool arrived) -> void
+{
+    const auto now = m_clock.now();
+    const auto number = request.number;
+    const bool proved = request.notRun || !arrived;
+    m_log.write(forwardRetried, field("request", request.id), field("endpoint", request.endpoint),
+                field("result", describe(code).name), field("status", request.answer.status),
+                field("sends", request.sends));
+    // Proof that nothing ran allows one more endpoint than the route names: nothing is repeated.
+    const auto most = request.route->maxAttempts + (proved ? 1U : 0U);
+    auto &allowance = m_allowances.try_emplace(request.service, m_options.retries).first->second;
+    const bool may = request.sends < std::max(most, 2U)
+                     && (!arrived || allowance.take(m_entryCount, now)) && now < request.dueAt;
+    request.mayHaveRun = request.mayHaveRun || !proved;
+    if (may) {
+        m_dispatcher.notRun(number, code, now, m_actions);
+        return;
+    }
+    if (!request.mayHaveRun) {
+        fail(request, {.code = result_code::overloaded,
+                       .message = "no endpoint took the request",
+                       .retryAfter = defaultRetryAfter});
+    } else if (!request.answer.headers.empty() && !request.invalidAnswer
+               && code == result_code::endpoint_error) {
+        request.exchange->reply(request.answer.status, answerHeaders(request.answer.headers),
+                                request.body);
+        finish(request, result_code::endpoint_error);
+    } else {
+        fail(request, {.code = result_code::outcome_unknown});
+    }
+}
+
+auto forward_router::expire(std::uint64_t number) -> void
+{
+    auto *request = find(number);
+    if (request == nullptr)
+        return;
+    request->call.cancel();
+    if (request->started) {
+        request->exchange->abort();
+        finish(*request, result_code::deadline_exceeded);
+    } else if (request->sends > 0) {
+        fail(*request, {.code = result_code::deadline_exceeded});
+    } else {
+        fail(*request, {.code = result_code::deadline_unmeetable, .retryAfter = defaultRetryAfter});
+    }
+    carryOut();
+}
+
+auto forward_router::callerGone(std::uint64_t number) -> void
+{
+    auto *request = find(number);
+    if (request == nullptr)
+        return;
+    request->call.cancel();
+    finish(*request, result_code::cancelled);
+    m_dispatcher.tick(m_clock.now(), m_actions);
+    carryOut();
+}
+
+// The request has its final answer; tells the dispatcher and forgets it.
+auto forward_router::finish(forward_request &request, result_code code) -> void
+{
+    const auto now = m_clock.now();
+    m_log.write(forwardEnded, field("request", request.id), field("route", request.route->name),
+                field("account", request.account != nullptr ? request.account->name : ""),
+                field("result", describe(code).name), field("status", request.answer.status),
+                field("endpoint", request.endpoint), field("sends", request.sends),
+                field("version", request.configuration->version),
+                field("took_ms", toMilliseconds(now - request.arrivedAt)));
+    if (code == result_code::cancelled)
+        m_dispatcher.callerGone(request.number);
+    else
+        m_dispatcher.finished(request.number, code, 0, now);
+    forget(request.number);
+}
+
+auto forward_router::fail(forward_request &request, const http_error &fault) -> void
+{
+    request.answer.status = describe(fault.code).httpStatus;
+    request.exchange->reply(request.answer.status, errorHeaders(fault), errorBody(fault));
+    finish(request, fault.code);
+}
+
+auto forward_router::forget(std::uint64_t number) -> void
+{
+    m_requests.erase(number);
+}
+
+auto forward_router::find(std::uint64_t number) -> forward_request *
+{
+    const auto known = m_requests.find(number);
+    return known == m_requests.end() ? nullptr : &known->second;
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/forwarding/forward_router.h
@@ -0,0 +1,111 @@
+#pragma once
+
+// Carries callers' requests to endpoints that have no agent, byte for byte, and their answers back.
+//
+// All decisions about order, place and refusal are the dispatcher's; the router carries out its
+// actions and reports what happened. Each request gets exactly one final answer. One that was sent
+// and not answered is repeated only if its route allows that; the statuses that promise that nothing
+// ran are given only where that is so.
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/counters.h"
+#include "base/log.h"
+#include "forwarding/endpoint_directory.h"
+#include "forwarding/forward_request.h"
+#include "forwarding/header_names.h"
+#include "forwarding/route_table.h"
+#include "forwarding/shared_allowance.h"
+#include "policy/dispatcher.h"
+#include "policy/random.h"
+
+namespace mustardline {
+
+struct forward_router_options
+{
+    std::string dataCentre;
+    header_names names;
+    std::uint64_t seed = 1;
+    // Bytes that a slow caller may leave unread before its endpoint is held back.
+    std::size_t maxBacklogBytes = 256U << 10U;
+    // Longest answer that is not a stream.
+    std::size_t maxAnswerBytes = 8U << 20U;
+    shared_allowance_options retries;
+};
+
+class forward_router
+{
+public:
+    forward_router(event_loop &loop, http_client &http, logger &log, counters &metrics,
+                   route_table &routes, endpoint_directory &directory,
+                   forward_router_options options);
+
+    // Takes a caller's request; it is answered later.
+    auto handle(const std::shared_ptr<http_exchange> &exchange) -> void;
+
+    // Tells the dispatcher of the endpoints that changed in the directory.
+    auto endpointsChanged() -> void;
+
+    // Entries that share the fleet's allowances.
+    auto setEntryCount(std::uint32_t count) -> void;
+
+    [[nodiscard]] auto liveCount() const -> std::size_t { return m_requests.size(); }
+
+    // Called when an endpoint begins to run a request of an account.
+    std::function<auto(const std::string &account)->void> onBegun;
+
+private:
+    auto refuseAtOnce(const std::shared_ptr<http_exchange> &exchange, const http_error &fault)
+        -> void;
+    auto setEndpoint(const endpoint_entry &entry) -> void;
+
+    auto carryOut() -> void;
+    auto place(const place_action &action) -> void;
+    auto refuse(forward_request &request, const refuse_action &action) -> void;
+    auto send(forward_request &request, const endpoint_entry &endpoint) -> void;
+    [[nodiscard]] auto headersFor(const forward_request &request, const endpoint_entry &endpoint)
+        const -> std::vector<http_header>;
+
+    auto answered(std::uint64_t number, const http_answer &answer) -> void;
+    auto received(std::uint64_t number, std::string_view data) -> void;
+    auto ended(std::uint64_t number, const http_outcome &outcome) -> void;
+    auto endedWhole(forward_request &request) -> void;
+    auto endedLost(forward_request &request, const http_failure &failure) -> void;
+    auto begun(forward_request &request) -> void;
+    // Places the request again, or gives it its final answer.
+    auto tryAgain(forward_request &request, result_code code, bool arrived) -> void;
+
+    auto expire(std::uint64_t number) -> void;
+    auto callerGone(std::uint64_t number) -> void;
+    auto finish(forward_request &request, result_code code) -> void;
+    auto fail(forward_request &request, const http_error &fault) -> void;
+    auto forget(std::uint64_t number) -> void;
+    [[nodiscard]] auto find(std::uint64_t number) -> forward_request *;
+    auto scheduleTick() -> void;
+
+    event_loop &m_loop;
+    http_client &m_http;
+    logger &m_log;
+    counters &m_metrics;
+    route_table &m_routes;
+    endpoint_directory &m_directory;
+    forward_router_options m_options;
+    system_runtime_clock m_clock;
+    random_source m_random;
+    dispatcher m_dispatcher;
+    // By service.
+    std::unordered_map<std::string, shared_allowance> m_allowances;
+    std::vector<dispatch_action> m_actions;
+    std::unordered_map<std::uint64_t, forward_request> m_requests;
+    std::uint64_t m_lastNumber = 0;
+    std::uint32_t m_entryCount = 1;
+    bool m_carryingOut = false;
+    event_handle m_tick;
+    bool m_tickSet = false;
+};
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/forwarding/route_table.cpp
@@ -0,0 +1,66 @@
+#include "forwarding/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace mustardline {
+
+namespace {
+
+auto hostName(std::string_view host) -> std::string
+{
+    std::string name(host.substr(0, host.rfind(':')));
+    std::ranges::transform(name, name.begin(),
+                           [](unsigned char letter) { return std::tolower(letter); });
+    return name;
+}
+
+} // namespace
+
+auto route_table::replace(std::shared_ptr<const fleet_configuration> configuration) -> bool
+{
+    if (m_current && configuration->version <= m_current->version)
+        return false;
+    m_current = std::move(configuration);
+    m_hosts.clear();
+    m_accounts.clear();
+    for (const auto &each : m_current->routes)
+        m_hosts[hostName(each.host)].emplace(each.pathPrefix, &each);
+    for (const auto &each : m_current->accounts) {
+        for (const auto &key : each.keys)
+            m_accounts.emplace(key, &each);
+    }
+    return true;
+}
+
+auto route_table::find(std::string_view host, std::string_view path) const -> const route_settings *
+{
+    const auto known = m_hosts.find(hostName(host));
+    if (known == m_hosts.end())
+        return nullptr;
+    // Every prefix ends with a slash, so only these need a look.
+    for (auto slash = path.rfind('/'); slash != std::string_view::npos;
+         slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1)) {
+        const auto found = known->second.find(path.substr(0, slash + 1));
+        if (found != known->second.end())
+            return found->second;
+    }
+    return nullptr;
+}
+
+auto route_table::accountOf(std::string_view key) const -> const account_settings *
+{
+    const auto known = m_accounts.find(key);
+    return known == m_accounts.end() ? nullptr : known->second;
+}
+
+auto route_table::service(std::string_view name) const -> const service_settings *
+{
+    if (!m_current)
+        return nullptr;
+    const auto &services = m_current->services;
+    const auto found = std::ranges::find(services, name, &service_settings::name);
+    return found == services.end() ? nullptr : &*found;
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/net/http1_reader.cpp
@@ -0,0 +1,373 @@
+#include "net/http1_reader.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include <http_parser.h>
+
+namespace mustardline {
+
+namespace {
+
+constexpr int badRequest = 400;
+constexpr int bodyTooLarge = 413;
+constexpr int headTooLarge = 431;
+constexpr int notImplemented = 501;
+constexpr int versionNotSupported = 505;
+// Longest line that gives the size of a chunk, its extensions included.
+constexpr std::size_t maxChunkLineBytes = 1024;
+constexpr std::string_view headEnd = "\r\n\r\n";
+constexpr std::string_view lineEnd = "\r\n";
+
+// What http_parser reports while it reads a head.
+struct parsed_head
+{
+    http1_head head;
+    // The field name is complete and its value has begun.
+    bool inValue = false;
+};
+
+auto parsedOf(http_parser *parser) -> parsed_head &
+{
+    return *static_cast<parsed_head *>(parser->data);
+}
+
+auto onTarget(http_parser *parser, const char *data, std::size_t length) -> int
+{
+    parsedOf(parser).head.target.append(data, length);
+    return 0;
+}
+
+auto onName(http_parser *parser, const char *data, std::size_t length) -> int
+{
+    auto &parsed = parsedOf(parser);
+    if (parsed.head.headers.empty() || parsed.inValue)
+        parsed.head.headers.emplace_back();
+    parsed.inValue = false;
+    parsed.head.headers.back().name.append(data, length);
+    return 0;
+}
+
+auto onValue(http_parser *parser, const char *data, std::size_t length) -> int
+{
+    auto &parsed = parsedOf(parser);
+    parsed.inValue = true;
+    parsed.head.headers.back().value.append(data, length);
+    return 0;
+}
+
+// The body is read by http1_reader; 1 tells the library that there is none.
+auto onHeadEnd(http_parser *) -> int
+{
+    return 1;
+}
+
+auto parserSettings() -> const http_parser_settings &
+{
+    static const auto settings = [] {
+        http_parser_settings value;
+        http_parser_settings_init(&value);
+        value.on_url = onTarget;
+        value.on_header_field = onName;
+        value.on_header_value = onValue;
+        value.on_headers_complete = onHeadEnd;
+        return value;
+    }();
+    return settings;
+}
+
+// True for a line feed that no carriage return precedes; `before` is the byte before `text`.
+auto hasBareLineFeed(std::string_view text, char before) -> bool
+{
+    for (const auto letter : text) {
+        if (letter == '\n' && before != '\r')
+            return true;
+        before = letter;
+    }
+    return false;
+}
+
+// The first line of a head at fault: a folded header, or a name that is empty or ends in a space.
+auto hasOddHeaderLine(std::string_view head) -> bool
+{
+    auto start = head.find(lineEnd);
+    while (start != std::string_view::npos && start + lineEnd.size() < head.size()) {
+        start += lineEnd.size();
+        const auto end = head.find(lineEnd, start);
+        const auto line = head.substr(start, end - start);
+        if (line.empty())
+            return false;
+        const auto colon = line.find(':');
+        if (colon == std::string_view::npos || colon == 0
+            || line.substr(0, colon).find_first_of(" \t") != std::string_view::npos)
+            return true;
+        start = end;
+    }
+    return false;
+}
+
+auto countHeaders(const http1_head &head, std::string_view name) -> std::ptrdiff_t
+{
+    return std::ranges::count_if(
+        head.headers, [name](const auto &item) { return sameHeaderName(item.name, name); });
+}
+
+auto readDecimal(std::string_view text) -> std::optional<std::uint64_t>
+{
+    std::uint64_t value = 0;
+    const auto *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return value;
+}
+
+// The size in the first line of a chunk, `line` being without its end.
+auto readChunkLine(std::string_view line) -> std::optional<std::uint64_t>
+{
+    constexpr int hexadecimal = 16;
+    // More digits than this do not fit in what is left of a body.
+    constexpr std::ptrdiff_t maxDigits = 15;
+    std::uint64_t size = 0;
+    const auto *end = line.data() + line.size();
+    const auto parsed = std::from_chars(line.data(), end, size, hexadecimal);
+    const auto digits = parsed.ptr - line.data();
+    if (parsed.ec != std::errc() || digits == 0 || digits > maxDigits)
+        return std::nullopt;
+    if (parsed.ptr != end && *parsed.ptr != ';')
+        return std::nullopt;
+    return size;
+}
+
+// Responses of these statuses never have a body.
+auto isBodyless(int status) -> bool
+{
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    return status == noContent || status == notModified;
+}
+
+auto isInterim(int status) -> bool
+{
+    constexpr int firstInterim = 100;
+    constexpr int firstFinal = 200;
+    return status >= firstInterim && status < firstFinal;
+}
+
+} // namespace
+
+auto http1_reader::next(std::string_view &input) -> http1_event
+{
+    for (;;) {
+        switch (m_state) {
+        case state::head: {
+            auto event = readHead(input);
+            // Interim responses are read over: the final one follows.
+            if (const auto *head = std::get_if<http1_head>(&event);
+                head != nullptr && isInterim(head->status)) {
+                m_state = state::head;
+                continue;
+            }
+            return event;
+        }
+        case state::fixedBody:
+            return readFixed(input, state::end);
+        case state::chunkData:
+            return readFixed(input, state::chunkDataEnd);
+        case state::untilClose: {
+            if (input.empty())
+                return http1_need_more();
+            if (!bodyGrows(input.size()))
+                return fail(bodyTooLarge, result_code::body_too_large, "the body is too large");
+            return http1_body{std::exchange(input, {})};
+        }
+        case state::chunkSize:
+            if (!takeLine(input)) {
+                if (m_buffer.size() > maxChunkLineBytes)
+                    return fail(badRequest, result_code::bad_request, "a chunk's size is too long");
+                return http1_need_more();
+            }
+            if (auto event = readChunkSize(); std::holds_alternative<http1_fault>(event))
+                return event;
+            continue;
+        case state::chunkDataEnd:
+            if (!takeLine(input)) {
+                if (!m_buffer.empty() && m_buffer != "\r")
+                    return fail(badRequest, result_code::bad_request, "a chunk has no proper end");
+                return http1_need_more();
+            }
+            if (m_buffer != lineEnd)
+                return fail(badRequest, result_code::bad_request, "a chunk has no proper end");
+            m_buffer.clear();
+            m_state = state::chunkSize;
+            continue;
+        case state::trailers:
+            if (!takeLine(input)) {
+                if (m_trailerBytes + m_buffer.size() > m_options.maxHeadBytes)
+                    return fail(headTooLarge, result_code::header_too_large,
+                                "the trailers are too large");
+                return http1_need_more();
+            }
+            if (!m_buffer.ends_with(lineEnd))
+                return fail(badRequest, result_code::bad_request, "a trailer has no proper end");
+            m_trailerBytes += m_buffer.size();
+            if (m_buffer == lineEnd)
+                m_state = state::end;
+            m_buffer.clear();
+            continue;
+        case state::end:
+            m_state = state::head;
+            m_expectNoBody = false;
+            return http1_end();
+        case state::failed:
+            return http1_fault{.status = badRequest,
+                               .reason = {.code = result_code::bad_request,
+                                          .message = "the connection is no longer readable"}};
+        }
+    }
+}
+
+auto http1_reader::readHead(std::string_view &input) -> http1_event
+{
+    // Empty lines before a message are read over.
+    while (m_buffer.empty() && input.starts_with(lineEnd))
+        input.remove_prefix(lineEnd.size());
+    if (input.empty())
+        return http1_need_more();
+    const auto known = m_buffer.size();
+    const auto before = m_buffer.empty() ? '\0' : m_buffer.back();
+    const auto wanted = m_options.maxHeadBytes + 1 - std::min(known, m_options.maxHeadBytes);
+    m_buffer.append(input.substr(0, wanted));
+    const auto searchFrom = known < headEnd.size() ? 0 : known - headEnd.size();
+    const auto end = m_buffer.find(headEnd, searchFrom);
+    if (end == std::string::npos) {
+        input.remove_prefix(m_buffer.size() - known);
+        if (m_buffer.size() > m_options.maxHeadBytes)
+            return fail(headTooLarge, result_code::header_too_large, "the headers are too large");
+        if (hasBareLineFeed(std::string_view(m_buffer).substr(known), before))
+            return fail(badRequest, result_code::bad_request, "a line ends in a bare line feed");
+        return http1_need_more();
+    }
+    input.remove_prefix(end + headEnd.size() - known);
+    m_buffer.resize(end + headEnd.size());
+    if (m_buffer.size() > m_options.maxHeadBytes)
+        return fail(headTooLarge, result_code::header_too_large, "the headers are too large");
+    return parseHead();
+}
+
+auto http1_reader::parseHead() -> http1_event
+{
+    if (hasBareLineFeed(m_buffer, '\0') || m_buffer.find('\0') != std::string::npos
+        || hasOddHeaderLine(m_buffer))
+        return fail(badRequest, result_code::bad_request, "the headers are malformed");
+    const bool isRequest = m_options.kind == http1_kind::request;
+    http_parser parser;
+    http_parser_init(&parser, isRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+    parsed_head parsed;
+    parser.data = &parsed;
+    http_parser_execute(&parser, &parserSettings(), m_buffer.data(), m_buffer.size());
+    if (const auto fault = HTTP_PARSER_ERRNO(&parser); fault != HPE_OK)
+        return fail(badRequest, result_code::bad_request, http_errno_description(fault));
+    if (parser.http_major != 1)
+        return fail(versionNotSupported, result_code::bad_request, "not HTTP/1");
+    m_buffer.clear();
+    auto &head = parsed.head;
+    if (isRequest)
+        head.method = http_method_str(static_cast<http_method>(parser.method));
+    else
+        head.status = parser.status_code;
+    head.understandsChunks = parser.http_minor > 0;
+    const auto connection = findHeader(head.headers, "connection");
+    head.keepAlive = parser.http_minor > 0 ? !sameHeaderName(connection, "close")
+                                           : sameHeaderName(connection, "keep-alive");
+    if (isRequest && countHeaders(head, "host") != 1 && parser.http_minor > 0)
+        return fail(badRequest, result_code::bad_request, "not exactly one Host header");
+    return chooseFraming(head);
+}
+
+auto http1_reader::chooseFraming(http1_head &head) -> http1_event
+{
+    const auto lengths = countHeaders(head, "content-length");
+    const auto codings = countHeaders(head, "transfer-encoding");
+    if (lengths > 1 || codings > 1 || (lengths > 0 && codings > 0))
+        return fail(badRequest, result_code::bad_request, "the length of the body is ambiguous");
+    m_bodyBytes = 0;
+    m_trailerBytes = 0;
+    if (isInterim(head.status) || isBodyless(head.status) || m_expectNoBody) {
+        m_state = state::end;
+    } else if (codings == 1) {
+        if (!sameHeaderName(findHeader(head.headers, "transfer-encoding"), "chunked"))
+            return fail(notImplemented, result_code::bad_request, "unknown transfer encoding");
+        m_state = state::chunkSize;
+    } else if (lengths == 1) {
+        const auto length = readDecimal(findHeader(head.headers, "content-length"));
+        if (!length)
+            return fail(badRequest, result_code::bad_request, "the content length is no number");
+        if (!bodyGrows(*length))
+            return fail(bodyTooLarge, result_code::body_too_large, "the body is too large");
+        m_left = *length;
+        m_state = m_left == 0 ? state::end : state::fixedBody;
+    } else if (m_options.kind == http1_kind::request) {
+        m_state = state::end;
+    } else {
+        head.keepAlive = false;
+        m_state = state::untilClose;
+    }
+    return std::move(head);
+}
+
+auto http1_reader::readFixed(std::string_view &input, state after) -> http1_event
+{
+    if (input.empty())
+        return http1_need_more();
+    const auto part = input.substr(0, std::min<std::uint64_t>(m_left, input.size()));
+    input.remove_prefix(part.size());
+    m_left -= part.size();
+    if (m_left == 0)
+        m_state = after;
+    return http1_body{part};
+}
+
+auto http1_reader::readChunkSize() -> http1_event
+{
+    if (!m_buffer.ends_with(lineEnd))
+        return fail(badRequest, result_code::bad_request, "a chunk's size has no proper end");
+    const auto size
+        = readChunkLine(std::string_view(m_buffer).substr(0, m_buffer.size() - lineEnd.size()));
+    if (!size)
+        return fail(badRequest, result_code::bad_request, "a chunk's size is malformed");
+    if (!bodyGrows(*size))
+        return fail(bodyTooLarge, result_code::body_too_large, "the body is too large");
+    m_buffer.clear();
+    m_left = *size;
+    m_state = m_left == 0 ? state::trailers : state::chunkData;
+    return http1_need_more();
+}
+
+auto http1_reader::bodyGrows(std::uint64_t bytes) -> bool
+{
+    if (bytes > m_options.maxBodyBytes - m_bodyBytes)
+        return false;
+    m_bodyBytes += bytes;
+    return true;
+}
+
+auto http1_reader::takeLine(std::string_view &input) -> bool
+{
+    const auto end = input.find('\n');
+    const auto length = end == std::string_view::npos ? input.size() : end + 1;
+    m_buffer.append(input.substr(0, length));
+    input.remove_prefix(length);
+    return end != std::string_view::npos;
+}
+
+auto http1_reader::fail(int status, result_code code, std::string message) -> http1_event
+{
+    m_state = state::failed;
+    return http1_fault{.status = status,
+                       .reason = {.code = code, .message = std::move(message)}};
+}
+
+} // namespace mustardline
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -1,101 +1,123 @@
 #include "net/http_client.h"
 
+#include <charconv>
 #include <set>
 #include <utility>
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/event.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
+#include <fmt/format.h>
 
-#include "net/timeval.h"
+#include "net/http1_reader.h"
 
 namespace mustardline {
 
 namespace {
 
-auto commandOf(std::string_view method) -> evhttp_cmd_type
+// Between looks for connections that have been idle for too long.
+constexpr duration idleSweepInterval = std::chrono::seconds(2);
+
+// The head of a request as it is sent.
+auto requestHead(const socket_address &address, const http_request &request) -> std::string
 {
-    if (method == "POST")
-        return EVHTTP_REQ_POST;
-    if (method == "PUT")
-        return EVHTTP_REQ_PUT;
-    if (method == "DELETE")
-        return EVHTTP_REQ_DELETE;
-    if (method == "HEAD")
-        return EVHTTP_REQ_HEAD;
-    if (method == "OPTIONS")
-        return EVHTTP_REQ_OPTIONS;
-    if (method == "PATCH")
-        return EVHTTP_REQ_PATCH;
-    return EVHTTP_REQ_GET;
+    auto text = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.path);
+    if (findHeader(request.headers, "host").empty())
+        text += fmt::format("Host: {}\r\n", address.host);
+    for (const auto &item : request.headers) {
+        text += item.name;
+        text += ": ";
+        text += item.value;
+        text += "\r\n";
+    }
+    const bool hasBody = !request.body.empty() || request.method == "POST"
+                         || request.method == "PUT" || request.method == "PATCH";
+    if (hasBody)
+        text += fmt::format("Content-Length: {}\r\n", request.body.size());
+    text += "\r\n";
+    return text;
 }
 
-auto answerOf(evhttp_request *request) -> http_answer
+auto lengthOf(const http1_head &head) -> std::optional<std::uint64_t>
 {
-    http_answer answer{.status = evhttp_request_get_response_code(request)};
-    const auto *headers = evhttp_request_get_input_headers(request);
-    for (const auto *item = headers->tqh_first; item != nullptr; item = item->next.tqe_next)
-        answer.headers.push_back({.name = item->key, .value = item->value});
-    return answer;
+    const auto text = findHeader(head.headers, "content-length");
+    std::uint64_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || parsed.ec != std::errc())
+        return std::nullopt;
+    return value;
 }
 
 } // namespace
 
 // Idle connections by address, and the calls under way.
-struct http_client::connection_pool
+struct http_client::connection_pool : std::enable_shared_from_this<http_client::connection_pool>
 {
+    struct idle_connection
+    {
+        std::shared_ptr<tcp_stream> stream;
+        time_point since;
+    };
+
     event_loop &loop;
     http_client_options options;
-    std::map<socket_address, std::vector<evhttp_connection *>> idle;
+    std::map<socket_address, std::vector<idle_connection>> idle;
     std::set<http_call::state *> running;
+    event_handle sweep;
     bool closed = false;
 
     connection_pool(event_loop &owner, http_client_options chosen) : loop(owner), options(chosen) {}
-    connection_pool(const connection_pool &) = delete;
-    auto operator=(const connection_pool &) -> connection_pool & = delete;
 
-    ~connection_pool()
+    // The connection that was used last and is still clean; null if there is none.
+    auto take(const socket_address &address) -> std::shared_ptr<tcp_stream>
     {
-        for (const auto &[address, connections] : idle) {
-            for (auto *connection : connections)
-                evhttp_connection_free(connection);
+        const auto known = idle.find(address);
+        if (known == idle.end())
+            return nullptr;
+        auto &connections = known->second;
+        while (!connections.empty()) {
+            auto stream = std::move(connections.back().stream);
+            connections.pop_back();
+            if (!stream->isClosed() && !stream->hasUnread())
+                return stream;
+            stream->close();
         }
+        return nullptr;
     }
 
-    auto take(const socket_address &address) -> evhttp_connection *
+    auto giveBack(const socket_address &address, const std::shared_ptr<tcp_stream> &stream) -> void
     {
         auto &connections = idle[address];
-        if (!connections.empty()) {
-            auto *connection = connections.back();
-            connections.pop_back();
-            return connection;
+        if (closed || connections.size() >= options.maxIdlePerAddress) {
+            stream->close();
+            return;
         }
-        auto *connection = evhttp_connection_base_bufferevent_new(
-            loop.base(), nullptr, nullptr, address.host.c_str(), address.port);
-        evhttp_connection_set_retries(connection, 0);
-        evhttp_connection_set_max_headers_size(connection,
-                                               static_cast<ev_ssize_t>(options.maxHeaderBytes));
-        return connection;
+        const auto raw = stream.get();
+        const auto drop = [pool = weak_from_this(), address, raw] {
+            raw->close();
+            if (const auto owner = pool.lock())
+                owner->forget(address, raw);
+        };
+        // Nothing is owed on it: whatever comes belongs to no request.
+        stream->onData = [drop](std::string_view) { drop(); };
+        stream->onEnd = [drop](bool) { drop(); };
+        connections.push_back({.stream = stream, .since = system_runtime_clock().now()});
     }
 
-    auto giveBack(const socket_address &address, evhttp_connection *connection) -> void
+    auto forget(const socket_address &address, const tcp_stream *stream) -> void
     {
-        auto &connections = idle[address];
-        if (closed || connections.size() >= options.maxIdlePerAddress)
-            release(connection);
-        else
-            connections.push_back(connection);
+        if (const auto known = idle.find(address); known != idle.end()) {
+            std::erase_if(known->second,
+                          [stream](const auto &each) { return each.stream.get() == stream; });
+        }
     }
 
-    // Frees the connection once evhttp has left its callbacks.
-    auto release(evhttp_connection *connection) -> void
+    auto closeOld() -> void
     {
-        loop.post([connection] { evhttp_connection_free(connection); });
+        const auto now = system_runtime_clock().now();
+        for (auto &[address, connections] : idle) {
+            std::erase_if(connections, [this, now](const auto &each) {
+                return now - each.since > options.maxIdleAge;
+            });
+        }
+        std::erase_if(idle, [](const auto &each) { return each.second.empty(); });
     }
 };
 
@@ -103,100 +125,182 @@
 {
     std::shared_ptr<http_client::connection_pool> pool;
     socket_address address;
+    http_request request;
     http_callbacks callbacks;
-    evhttp_connection *connection = nullptr;
-    evhttp_request *request = nullptr;
+    std::shared_ptr<tcp_stream> stream;
+    http1_reader reader{{.kind = http1_kind::response}};
+    event_handle timer;
+    time_point lastInput;
     std::size_t answerBytes = 0;
-    std::size_t maxAnswerBytes = 0;
+    bool connected = false;
+    bool reused = false;
     bool headersSeen = false;
     bool keepAlive = false;
     bool paused = false;
-    // evhttp has ended the request and frees it.
-    bool requestEnded = false;
-    evhttp_request_error fault = EVREQ_HTTP_EOF;
-    bool faultSeen = false;
-    // Keeps the state alive while evhttp may call back.
+    // Keeps the state alive until the call has ended.
     std::shared_ptr<state> self;
 
-    auto finish(const http_outcome &outcome) -> void
+    auto begin() -> void
     {
-        const auto keep = std::exchange(self, nullptr);
-        if (!keep)
+        lastInput = system_runtime_clock().now();
+        reader = http1_reader({.kind = http1_kind::response,
+                               .maxHeadBytes = pool->options.maxHeaderBytes});
+        if (request.method == "HEAD")
+            reader.expectNoBody();
+        stream = pool->take(address);
+        reused = stream != nullptr;
+        if (!reused)
+            stream = tcp_stream::connect(pool->loop, address, pool->options.stream);
+        if (!stream) {
+            pool->loop.post([keep = shared_from_this()] {
+                keep->fail(result_code::connection_failed, "no connection could be made", false);
+            });
             return;
-        pool->running.erase(this);
-        request = nullptr;
-        auto *used = std::exchange(connection, nullptr);
-        if (std::holds_alternative<std::monostate>(outcome) && keepAlive)
-            pool->giveBack(address, used);
+        }
+        listenTo();
+        if (reused)
+            sendRequest();
         else
-            pool->release(used);
-        if (callbacks.onDone)
-            callbacks.onDone(outcome);
-        callbacks = {};
+            timer = pool->loop.after(pool->options.connectTimeout, [this] {
+                fail(result_code::connection_failed, "no connection was made in time", false);
+            });
     }
 
-    auto fail(result_code code, std::string message, bool sent) -> void
+    auto listenTo() -> void
     {
-        finish(http_failure{.reason = {.code = code, .message = std::move(message)}, .sent = sent});
+        stream->onConnected = [this] { sendRequest(); };
+        stream->onData = [this](std::string_view data) { received(data); };
+        stream->onEnd = [this](bool orderly) { connectionEnded(orderly); };
     }
 
-    auto cancel() -> void
+    auto sendRequest() -> void
     {
-        const auto keep = std::exchange(self, nullptr);
-        if (!keep)
-            return;
-        pool->running.erase(this);
-        callbacks = {};
-        auto *cancelled = std::exchange(request, nullptr);
-        auto *used = std::exchange(connection, nullptr);
-        pool->loop.post([cancelled, used, pool = pool, keep] {
-            // The answer may have ended in the callback that the call was cancelled from.
-            if (!keep->requestEnded)
-                evhttp_cancel_request(cancelled);
-            evhttp_connection_free(used);
+        connected = true;
+        watchSilence(request.idleTimeout);
+        auto text = requestHead(address, request);
+        text += request.body;
+        stream->send(text);
+    }
+
+    // One timer for the whole call: at its end it is set again for what is left.
+    auto watchSilence(duration delay) -> void
+    {
+        timer = pool->loop.after(delay, [this] {
+            const auto silent = system_runtime_clock().now() - lastInput;
+            if (silent < request.idleTimeout && !paused)
+                watchSilence(request.idleTimeout - silent);
+            else if (paused)
+                watchSilence(request.idleTimeout);
+            else
+                fail(result_code::timeout, "the peer did not answer in time", true);
         });
     }
 
-    auto setReading(bool reading) -> void
+    auto received(std::string_view input) -> void
     {
-        if (connection == nullptr)
+        const auto keep = shared_from_this();
+        lastInput = system_runtime_clock().now();
+        while (self) {
+            const auto event = reader.next(input);
+            if (std::holds_alternative<http1_need_more>(event)) {
+                if (input.empty())
+                    return;
+            } else if (const auto *head = std::get_if<http1_head>(&event)) {
+                sawHead(*head);
+            } else if (const auto *body = std::get_if<http1_body>(&event)) {
+                sawBody(body->data);
+            } else if (std::holds_alternative<http1_end>(event)) {
+                keepAlive = keepAlive && input.empty() && stream->backlogBytes() == 0;
+                finish(std::monostate());
+            } else if (const auto *fault = std::get_if<http1_fault>(&event)) {
+                fail(result_code::malformed_message, fault->reason.message, true);
+            }
+        }
+    }
+
+    auto sawHead(const http1_head &head) -> void
+    {
+        headersSeen = true;
+        keepAlive = head.keepAlive;
+        if (!request.echo.name.empty()) {
+            const auto echoed = findHeader(head.headers, request.echo.name);
+            keepAlive = keepAlive && echoed == request.echo.value;
+            if (!echoed.empty() && echoed != request.echo.value) {
+                fail(result_code::malformed_message, "the answer is to another request", true);
+                return;
+            }
+        }
+        const auto length = lengthOf(head);
+        if (length && *length > request.maxAnswerBytes) {
+            fail(result_code::answer_too_large, "the answer is over the limit", true);
             return;
-        auto *channel = evhttp_connection_get_bufferevent(connection);
-        if (reading)
-            bufferevent_enable(channel, EV_READ);
+        }
+        if (callbacks.onHeaders) {
+            callbacks.onHeaders(
+                {.status = head.status, .headers = head.headers, .length = length});
+        }
+    }
+
+    auto sawBody(std::string_view data) -> void
+    {
+        answerBytes += data.size();
+        if (answerBytes > request.maxAnswerBytes)
+            fail(result_code::answer_too_large, "the answer is over the limit", true);
+        else if (callbacks.onData)
+            callbacks.onData(data);
+    }
+
+    auto connectionEnded(bool orderly) -> void
+    {
+        if (orderly && headersSeen && reader.mayEndHere())
+            finish(std::monostate());
+        else if (!connected)
+            fail(result_code::connection_failed, "no connection could be made", false);
         else
-            bufferevent_disable(channel, EV_READ);
+            fail(result_code::connection_failed, "the connection was lost", true);
     }
 
-    auto sawHeaders(evhttp_request *answered) -> void
+    auto finish(const http_outcome &outcome) -> void
     {
-        if (std::exchange(headersSeen, true) || !callbacks.onHeaders)
+        const auto keep = end();
+        if (!keep)
             return;
-        callbacks.onHeaders(answerOf(answered));
+        if (std::holds_alternative<std::monostate>(outcome) && keepAlive && !stream->isClosed())
+            pool->giveBack(address, stream);
+        else if (stream)
+            stream->close();
+        const auto done = std::exchange(callbacks, {});
+        if (done.onDone)
+            done.onDone(outcome);
     }
 
-    auto sawData(evhttp_request *answered) -> void
+    auto fail(result_code code, std::string message, bool sent) -> void
     {
-        auto *buffer = evhttp_request_get_input_buffer(answered);
-        const auto length = evbuffer_get_length(buffer);
-        answerBytes += length;
-        if (length == 0)
+        finish(http_failure{.reason = {.code = code, .message = std::move(message)},
+                            .sent = sent,
+                            .reused = reused});
+    }
+
+    auto cancel() -> void
+    {
+        const auto keep = end();
+        if (!keep)
             return;
-        const auto *data = reinterpret_cast<const char *>(evbuffer_pullup(buffer, -1));
-        if (callbacks.onData)
-            callbacks.onData(std::string_view(data, length));
-        evbuffer_drain(buffer, length);
+        if (stream)
+            stream->close();
+        // A callback may be what cancels; it goes once it has returned.
+        pool->loop.post([keep] { keep->callbacks = {}; });
     }
 
-    auto failTooLarge() -> void
+    // Takes the call off the list of those under way; null if it has ended already.
+    auto end() -> std::shared_ptr<state>
     {
-        auto done = std::move(callbacks.onDone);
-        cancel();
-        if (done) {
-            done(http_failure{.reason = {.code = result_code::answer_too_large,
-                                         .message = "the answer is over the limit"},
-                              .sent = true});
-        }
+        auto keep = std::exchange(self, nullptr);
+        if (!keep)
+            return nullptr;
+        pool->running.erase(this);
+        timer = {};
+        return keep;
     }
 };
 
@@ -209,36 +313,41 @@
 auto http_call::pause() -> void
 {
     const auto current = m_state.lock();
-    if (!current || current->connection == nullptr)
+    if (!current || !current->self || !current->stream)
         return;
     current->paused = true;
-    current->setReading(false);
-    // evhttp reads on when a data callback has returned, so that a pause from there is set again.
-    current->pool->loop.post([current] {
-        if (current->paused)
-            current->setReading(false);
-    });
+    current->stream->setReading(false);
 }
 
 auto http_call::resume() -> void
 {
     const auto current = m_state.lock();
-    if (!current)
+    if (!current || !current->self || !current->stream)
         return;
     current->paused = false;
-    current->setReading(true);
+    current->lastInput = system_runtime_clock().now();
+    current->stream->setReading(true);
 }
 
 http_client::http_client(event_loop &loop, http_client_options options)
     : m_loop(loop), m_options(options), m_pool(std::make_shared<connection_pool>(loop, options))
-{}
+{
+    m_pool->sweep
+        = loop.every(idleSweepInterval, [pool = m_pool.get()] { pool->closeOld(); });
+}
 
 http_client::~http_client()
 {
     m_pool->closed = true;
+    m_pool->sweep = {};
+    m_pool->idle.clear();
     // Their handlers are dropped, not called: whoever started them may be gone.
-    while (!m_pool->running.empty())
-        (*m_pool->running.begin())->cancel();
+    while (!m_pool->running.empty()) {
+        auto &call = **m_pool->running.begin();
+        const auto keep = call.shared_from_this();
+        call.cancel();
+        call.callbacks = {};
+    }
 }
 
 auto http_client::start(const socket_address &address, http_request request,
@@ -247,81 +356,13 @@
     auto call = std::make_shared<http_call::state>();
     call->pool = m_pool;
     call->address = address;
+    call->request = std::move(request);
     call->callbacks = std::move(callbacks);
-    call->maxAnswerBytes = request.maxAnswerBytes;
     call->self = call;
     m_pool->running.insert(call.get());
-    call->connection = m_pool->take(address);
-
-    const auto onDone = [](evhttp_request *answered, void *argument) {
-        auto &state = *static_cast<http_call::state *>(argument);
-        state.requestEnded = true;
-        const auto keep = state.self;
-        if (!keep)
-            return;
-        if (answered != nullptr && evhttp_request_get_response_code(answered) != 0) {
-            state.sawHeaders(answered);
-            state.sawData(answered);
-            const auto *connection
-                = evhttp_find_header(evhttp_request_get_input_headers(answered), "connection");
-            state.keepAlive = connection == nullptr || std::string_view(connection) != "close";
-            state.finish(std::monostate());
-        } else if (answered != nullptr) {
-            state.fail(result_code::connection_failed, "no connection could be made", false);
-        } else if (state.faultSeen && state.fault == EVREQ_HTTP_DATA_TOO_LONG) {
-            state.fail(result_code::answer_too_large, "the answer is over the limit", true);
-        } else if (state.faultSeen && state.fault == EVREQ_HTTP_TIMEOUT) {
-            state.fail(result_code::timeout, "the peer did not answer in time", true);
-        } else {
-            state.fail(result_code::connection_failed, "the connection was lost", true);
-        }
-    };
-    call->request = evhttp_request_new(onDone, call.get());
-    evhttp_request_set_header_cb(call->request, [](evhttp_request *answered, void *argument) {
-        auto &state = *static_cast<http_call::state *>(argument);
-        const auto keep = state.self;
-        if (keep)
-            state.sawHeaders(answered);
-        return 0;
-    });
-    evhttp_request_set_chunked_cb(call->request, [](evhttp_request *answered, void *argument) {
-        auto &state = *static_cast<http_call::state *>(argument);
-        const auto keep = state.self;
-        if (!keep)
-            return;
-        state.sawData(answered);
-        if (state.answerBytes > state.maxAnswerBytes)
-            state.failTooLarge();
-    });
-    evhttp_request_set_error_cb(call->request, [](evhttp_request_error fault, void *argument) {
-        auto &state = *static_cast<http_call::state *>(argument);
-        state.fault = fault;
-        state.faultSeen = true;
-    });
-
-    auto *headers = evhttp_request_get_output_headers(call->request);
-    evhttp_add_header(headers, "Host", address.host.c_str());
-    for (const auto &item : request.headers)
-        evhttp_add_header(headers, item.name.c_str(), item.value.c_str());
-    evbuffer_add(evhttp_request_get_output_buffer(call->request), request.body.data(),
-                 request.body.size());
-    const auto idle = toTimeval(request.idleTimeout);
-    evhttp_connection_set_timeout_tv(call->connection, &idle);
-    // evhttp collects a chunk before it hands it over, so that one chunk could be over any limit.
-    evhttp_connection_set_max_body_size(call->connection,
-                                        static_cast<ev_ssize_t>(request.maxAnswerBytes));
+    call->begin();
     http_call handle;
     handle.m_state = call;
-    if (evhttp_make_request(call->connection, call->request, commandOf(request.method),
-                            request.path.c_str())
-        != 0) {
-        // The socket could not even be opened; evhttp leaves the request to us and calls nothing.
-        m_loop.post([call] {
-            if (call->request != nullptr)
-                evhttp_request_free(call->request);
-            call->fail(result_code::connection_failed, "no connection could be made", false);
-        });
-    }
     return handle;
 }
 
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// HTTP/1.1 client on evhttp with streamed answers and kept connections.
+// HTTP/1.1 client with streamed answers and kept connections.
 //
 //     http_client client(loop, {});
 //     auto call = client.start({.host = "127.0.0.1", .port = 8080},
@@ -11,10 +11,18 @@
 // `onHeaders` and `onData` are called as the answer arrives; `onDone` is called exactly once at its
 // end, unless the call was cancelled. A failure says whether the request can have reached the peer:
 // `connection_failed` with `sent == false` means that no connection was made.
+//
+// A connection is used again only after a whole answer with nothing behind it, once the whole
+// request has been sent. One on which anything arrives while no answer is owed is closed.
+//
+// Built on libevent sockets and the strict http1_reader in place of evhttp, which hands the rest of
+// one answer to the next request and does not see an answer before it has sent the whole request
+// (docs/DESIGN.md).
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -24,9 +32,7 @@
 #include "base/result.h"
 #include "net/event_loop.h"
 #include "net/http_message.h"
-
-struct evhttp_connection;
-struct evhttp_request;
+#include "net/tcp_stream.h"
 
 namespace mustardline {
 
@@ -36,6 +42,9 @@
     std::size_t maxHeaderBytes = 64U << 10U;
     // Idle connections that are kept per address.
     std::size_t maxIdlePerAddress = 64;
+    // Idle connections older than this are closed, before their peer does so.
+    duration maxIdleAge = std::chrono::seconds(30);
+    tcp_stream_options stream;
 };
 
 struct http_request
@@ -45,6 +54,10 @@
     std::string path = "/";
     std::vector<http_header> headers;
     std::string body;
+    // A header that the answer repeats if it is the answer to this request; empty for none. An
+    // answer that names another value fails the call with `malformed_message`, and a connection is
+    // used again only after an answer that names this one.
+    http_header echo;
     // Longest silence of the peer.
     duration idleTimeout = std::chrono::seconds(60);
     // An answer with a larger body fails with `answer_too_large`.
@@ -55,6 +68,8 @@
 {
     int status = 0;
     std::vector<http_header> headers;
+    // The length of the body if the peer told it.
+    std::optional<std::uint64_t> length;
 };
 
 struct http_failure
@@ -62,6 +77,8 @@
     error reason;
     // Whether the request may have reached the peer.
     bool sent = false;
+    // Whether it went out on a connection that had carried another request before.
+    bool reused = false;
 };
 
 // How a call ended: with a whole answer, or not.
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -1,67 +1,229 @@
 #include "net/http_server.h"
 
 #include <algorithm>
-#include <array>
+#include <optional>
 #include <utility>
+#include <vector>
 
 #include <arpa/inet.h>
-#include <evhtp/evhtp.h>
+#include <event2/listener.h>
 #include <fmt/format.h>
-#include <netinet/tcp.h>
+#include <http_parser.h>
+
+#include "net/http1_reader.h"
+#include "net/http_error.h"
 
 namespace mustardline {
 
 namespace {
 
 constexpr int listenBacklog = 1024;
-// A body this many times over the limit is not read to its end; the connection is closed.
-constexpr std::size_t bodyCutFactor = 8;
-
-constexpr auto methodNames = std::to_array<std::string_view>(
-    {"GET", "HEAD", "POST", "PUT", "DELETE", "MKCOL", "COPY", "MOVE", "OPTIONS", "PROPFIND",
-     "PROPPATCH", "LOCK", "UNLOCK", "TRACE", "CONNECT", "PATCH"});
+// Between looks for callers that are too slow; a timeout is exceeded by this at most.
+constexpr duration sweepInterval = std::chrono::milliseconds(500);
+// Input that a caller may send ahead of its answers; more is left in the socket.
+constexpr std::size_t maxPendingBytes = 64U << 10U;
 
-auto methodName(htp_method method) -> std::string_view
+auto statusText(int status) -> std::string_view
 {
-    const auto index = static_cast<std::size_t>(method);
-    return index < methodNames.size() ? methodNames[index] : "UNKNOWN";
+    return http_status_str(static_cast<http_status>(status));
 }
 
-auto readTimeouts(duration idle) -> timeval
+auto appendHeaders(std::string &text, std::span<const http_header> headers) -> void
 {
-    return {.tv_sec = std::chrono::duration_cast<std::chrono::seconds>(idle).count(), .tv_usec = 0};
+    for (const auto &item : headers) {
+        text += item.name;
+        text += ": ";
+        text += item.value;
+        text += "\r\n";
+    }
 }
 
-auto drainBuffer(evbuffer *buffer) -> std::string
+} // namespace
+
+// One connection of a caller. The server's set and the callbacks under way hold it alive.
+struct http_exchange::connection : std::enable_shared_from_this<http_exchange::connection>
 {
-    std::string text(evbuffer_get_length(buffer), '\0');
-    evbuffer_remove(buffer, text.data(), text.size());
-    return text;
-}
+    http_server &server;
+    std::shared_ptr<tcp_stream> stream;
+    http1_reader reader;
+    // Bytes that arrived while an answer is owed.
+    std::string pending;
+    std::optional<http_exchange::request> incoming;
+    std::shared_ptr<http_exchange> current;
+    time_point lastInput;
+    time_point begunAt;
+    bool closesAfterAnswer = false;
+    bool processing = false;
+
+    connection(http_server &owner, std::shared_ptr<tcp_stream> channel)
+        : server(owner),
+          stream(std::move(channel)),
+          reader({.kind = http1_kind::request,
+                  .maxHeadBytes = owner.m_options.maxHeaderBytes,
+                  .maxBodyBytes = owner.m_options.maxBodyBytes}),
+          lastInput(system_runtime_clock().now())
+    {}
+
+    auto received(std::string_view data) -> void
+    {
+        lastInput = system_runtime_clock().now();
+        if (current || processing) {
+            pending += data;
+            if (pending.size() > maxPendingBytes)
+                stream->setReading(false);
+            return;
+        }
+        if (pending.empty()) {
+            process(data);
+            return;
+        }
+        pending += data;
+        processPending();
+    }
 
-} // namespace
+    auto processPending() -> void
+    {
+        const auto taken = std::exchange(pending, {});
+        stream->setReading(true);
+        process(taken);
+    }
+
+    // Reads requests until one waits for its answer; keeps the rest.
+    auto process(std::string_view input) -> void
+    {
+        const auto keep = shared_from_this();
+        processing = true;
+        while (!current && !stream->isClosed() && !closesAfterAnswer) {
+            if (!reader.isInside())
+                begunAt = lastInput;
+            const auto event = reader.next(input);
+            if (std::holds_alternative<http1_need_more>(event) && input.empty())
+                break;
+            handle(event);
+        }
+        processing = false;
+        if (!stream->isClosed() && !closesAfterAnswer)
+            pending.insert(0, input);
+    }
+
+    auto handle(const http1_event &event) -> void
+    {
+        if (const auto *head = std::get_if<http1_head>(&event)) {
+            incoming = http_exchange::request{.method = head->method,
+                                              .target = head->target,
+                                              .headers = head->headers,
+                                              .body = {},
+                                              .keepAlive = head->keepAlive,
+                                              .understandsChunks = head->understandsChunks};
+            if (sameHeaderName(findHeader(head->headers, "expect"), "100-continue"))
+                stream->send("HTTP/1.1 100 Continue\r\n\r\n");
+        } else if (const auto *body = std::get_if<http1_body>(&event)) {
+            incoming->body += body->data;
+        } else if (std::holds_alternative<http1_end>(event)) {
+            dispatch();
+        } else if (const auto *fault = std::get_if<http1_fault>(&event)) {
+            refuse(fault->status, fault->reason);
+        }
+    }
+
+    auto dispatch() -> void
+    {
+        auto request = std::move(*incoming);
+        incoming.reset();
+        current = std::shared_ptr<http_exchange>(new http_exchange(*this, std::move(request)));
+        server.m_handler(current);
+    }
+
+    // Answers what cannot be read as a request, and ends the connection.
+    auto refuse(int status, const error &reason) -> void
+    {
+        closesAfterAnswer = true;
+        const http_error fault{.code = reason.code, .message = reason.message};
+        const auto body = errorBody(fault);
+        auto text = fmt::format("HTTP/1.1 {} {}\r\n", status, statusText(status));
+        appendHeaders(text, errorHeaders(fault));
+        text += fmt::format("Content-Length: {}\r\nConnection: close\r\n\r\n", body.size());
+        text += body;
+        stream->send(text);
+        finishConnection();
+    }
+
+    auto answered(const http_exchange &exchange) -> void
+    {
+        const auto keep = shared_from_this();
+        if (current.get() == &exchange)
+            current.reset();
+        if (closesAfterAnswer) {
+            finishConnection();
+            return;
+        }
+        lastInput = system_runtime_clock().now();
+        // What was sent ahead is read once the answering code has returned.
+        if (!pending.empty() && !processing) {
+            server.m_loop.post([self = shared_from_this()] {
+                if (!self->stream->isClosed() && !self->current && !self->pending.empty())
+                    self->processPending();
+            });
+        }
+    }
 
-http_exchange::http_exchange(event_loop &loop, evhtp_request *request, std::string query)
-    : m_loop(loop),
-      m_request(request),
-      m_method(methodName(evhtp_request_get_method(request))),
-      m_query(std::move(query))
+    auto finishConnection() -> void
+    {
+        stream->closeAfterSending();
+        forget();
+    }
+
+    auto cut() -> void
+    {
+        stream->close();
+        forget();
+    }
+
+    auto forget() -> void
+    {
+        const auto keep = shared_from_this();
+        server.m_connections.erase(keep);
+        if (const auto left = std::exchange(current, nullptr))
+            left->detach();
+    }
+
+    // Ends a connection that has been silent, or slow in sending its headers, for too long.
+    auto checkTime(time_point now) -> void
+    {
+        if (current)
+            return;
+        const auto &limits = server.m_options;
+        const bool inHead = reader.isInside() && !incoming;
+        const bool slowHead = inHead && limits.headerTimeout.count() > 0
+                              && now - begunAt > limits.headerTimeout;
+        if (!slowHead && now - lastInput <= limits.idleTimeout)
+            return;
+        if (reader.isInside()) {
+            constexpr int requestTimeout = 408;
+            refuse(requestTimeout,
+                   {.code = result_code::timeout, .message = "the request came too slowly"});
+        } else {
+            cut();
+        }
+    }
+};
+
+auto http_exchange::path() const -> std::string_view
 {
-    if (request->uri->path->full != nullptr)
-        m_path = request->uri->path->full;
-    const auto collect = [](evhtp_kv_t *item, void *argument) {
-        static_cast<std::vector<http_header> *>(argument)->push_back(
-            {.name = std::string(item->key, item->klen),
-             .value = std::string(item->val, item->vlen)});
-        return 0;
-    };
-    evhtp_kvs_for_each(request->headers_in, collect, &m_headers);
-    m_body = drainBuffer(request->buffer_in);
+    const auto target = this->target();
+    return target.substr(0, target.find('?'));
+}
+
+auto http_exchange::query() const -> std::string_view
+{
+    const auto target = this->target();
+    const auto mark = target.find('?');
+    return mark == std::string_view::npos ? std::string_view() : target.substr(mark + 1);
 }
 
 auto http_exchange::parameter(std::string_view name) const -> std::string
 {
-    auto rest = std::string_view(m_query);
+    auto rest = query();
     while (!rest.empty()) {
         const auto end = std::min(rest.find('&'), rest.size());
         const auto item = rest.substr(0, end);
@@ -73,15 +235,30 @@
     return "";
 }
 
+auto http_exchange::start(int status, std::span<const http_header> headers,
+                          std::string_view lengthHeader) -> std::string
+{
+    m_started = true;
+    if (!m_request.keepAlive || m_connection->server.m_closing)
+        m_connection->closesAfterAnswer = true;
+    auto text = fmt::format("HTTP/1.1 {} {}\r\n", status, statusText(status));
+    appendHeaders(text, headers);
+    text += lengthHeader;
+    if (m_connection->closesAfterAnswer)
+        text += "Connection: close\r\n";
+    text += "\r\n";
+    return text;
+}
+
 auto http_exchange::reply(int status, std::span<const http_header> headers, std::string_view body)
     -> void
 {
     if (!isOpen() || m_started)
         return;
-    m_started = true;
-    addHeaders(headers);
-    evbuffer_add(m_request->buffer_out, body.data(), body.size());
-    evhtp_send_reply(m_request, static_cast<evhtp_res>(status));
+    auto text = start(status, headers, fmt::format("Content-Length: {}\r\n", body.size()));
+    if (m_request.method != "HEAD")
+        text += body;
+    m_connection->stream->send(text);
     finish();
 }
 
@@ -89,26 +266,47 @@
 {
     if (!isOpen() || m_started)
         return;
-    m_started = true;
-    addHeaders(headers);
-    evhtp_send_reply_chunk_start(m_request, static_cast<evhtp_res>(status));
+    if (m_request.understandsChunks) {
+        m_framing = framing::chunked;
+        m_connection->stream->send(start(status, headers, "Transfer-Encoding: chunked\r\n"));
+    } else {
+        m_framing = framing::untilClose;
+        m_request.keepAlive = false;
+        m_connection->stream->send(start(status, headers, ""));
+    }
+}
+
+auto http_exchange::startSized(int status, std::span<const http_header> headers,
+                               std::uint64_t length) -> void
+{
+    if (!isOpen() || m_started)
+        return;
+    m_framing = framing::sized;
+    m_connection->stream->send(
+        start(status, headers, fmt::format("Content-Length: {}\r\n", length)));
 }
 
 auto http_exchange::sendChunk(std::string_view data) -> void
 {
     if (!isOpen() || data.empty())
         return;
-    auto *buffer = evbuffer_new();
-    evbuffer_add(buffer, data.data(), data.size());
-    evhtp_send_reply_chunk(m_request, buffer);
-    evbuffer_free(buffer);
+    if (m_framing != framing::chunked) {
+        m_connection->stream->send(data);
+        return;
+    }
+    auto text = fmt::format("{:x}\r\n", data.size());
+    text.reserve(text.size() + data.size() + 2);
+    text += data;
+    text += "\r\n";
+    m_connection->stream->send(text);
 }
 
 auto http_exchange::endStream() -> void
 {
     if (!isOpen())
         return;
-    evhtp_send_reply_chunk_end(m_request);
+    if (m_framing == framing::chunked)
+        m_connection->stream->send("0\r\n\r\n");
     finish();
 }
 
@@ -117,212 +315,108 @@
     if (!isOpen())
         return;
     m_ended = true;
-    m_loop.post([self = shared_from_this()] {
-        if (self->m_request != nullptr)
-            evhtp_connection_free(evhtp_request_get_connection(self->m_request));
+    m_onGone = nullptr;
+    auto &owner = *m_connection;
+    owner.server.m_loop.post([keep = owner.shared_from_this()] {
+        if (!keep->stream->isClosed())
+            keep->cut();
     });
 }
 
 auto http_exchange::backlogBytes() const -> std::size_t
 {
-    if (m_request == nullptr)
-        return 0;
-    return evbuffer_get_length(bufferevent_get_output(evhtp_request_get_bev(m_request)));
-}
-
-auto http_exchange::addHeaders(std::span<const http_header> headers) -> void
-{
-    for (const auto &item : headers) {
-        evhtp_headers_add_header(m_request->headers_out,
-                                 evhtp_header_new(item.name.c_str(), item.value.c_str(), 1, 1));
-    }
+    return m_connection == nullptr ? 0 : m_connection->stream->backlogBytes();
 }
 
 auto http_exchange::finish() -> void
 {
+    const auto keep = shared_from_this();
     m_ended = true;
-    auto *channel = evhtp_request_get_bev(m_request);
-    // An answer without a chunked end may have been flushed before; libevhtp moves on only when
-    // its write callback runs.
-    if (evbuffer_get_length(bufferevent_get_output(channel)) == 0)
-        bufferevent_trigger(channel, EV_WRITE, BEV_OPT_DEFER_CALLBACKS);
+    m_onGone = nullptr;
+    std::exchange(m_connection, nullptr)->answered(*this);
 }
 
 auto http_exchange::detach() -> void
 {
-    m_request = nullptr;
+    m_connection = nullptr;
     const auto gone = std::exchange(m_onGone, nullptr);
     if (!m_ended && gone)
         gone();
 }
 
-struct http_server::connection_state
-{
-    http_server *server = nullptr;
-    std::size_t headerBytes = 0;
-    std::size_t bodyBytes = 0;
-    // The raw query, kept here because libevhtp later replaces it by the body of a form.
-    std::string query;
-    std::shared_ptr<http_exchange> exchange;
-};
-
-// Entry points that libevhtp calls.
-struct http_server::callbacks
-{
-    static auto accept(evhtp_connection_t *connection, void *argument) -> evhtp_res
-    {
-        auto *server = static_cast<http_server *>(argument);
-        if (server->m_connections.size() >= server->m_options.maxConnections)
-            return EVHTP_RES_ERROR;
-        server->m_connections.insert(connection);
-        auto *state = new connection_state{.server = server};
-        setHook(connection, evhtp_hook_on_headers_start, headersStart, state);
-        setHook(connection, evhtp_hook_on_header, header, state);
-        setHook(connection, evhtp_hook_on_headers, headersEnded, state);
-        setHook(connection, evhtp_hook_on_read, read, state);
-        setHook(connection, evhtp_hook_on_request_fini, requestEnded, state);
-        setHook(connection, evhtp_hook_on_connection_fini, connectionEnded, state);
-        const int on = 1;
-        setsockopt(connection->sock, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-        return EVHTP_RES_OK;
-    }
-
-    template<class Function>
-    static auto setHook(evhtp_connection_t *connection, evhtp_hook_type type, Function *function,
-                        connection_state *state) -> void
-    {
-        // libevhtp takes every kind of hook as one function type and casts it back by `type`.
-        evhtp_connection_set_hook(connection, type,
-                                  reinterpret_cast<evhtp_hook>(reinterpret_cast<void *>(function)),
-                                  state);
-    }
-
-    static auto headersStart(evhtp_request_t *, void *argument) -> evhtp_res
-    {
-        auto *state = static_cast<connection_state *>(argument);
-        state->headerBytes = 0;
-        state->bodyBytes = 0;
-        return EVHTP_RES_OK;
-    }
-
-    static auto header(evhtp_request_t *, evhtp_header_t *item, void *argument) -> evhtp_res
-    {
-        auto *state = static_cast<connection_state *>(argument);
-        state->headerBytes += item->klen + item->vlen;
-        // Far over the limit: close rather than hold ever more headers.
-        const auto limit = state->server->m_options.maxHeaderBytes * bodyCutFactor;
-        return state->headerBytes > limit ? EVHTP_RES_ERROR : EVHTP_RES_OK;
-    }
-
-    static auto headersEnded(evhtp_request_t *request, evhtp_headers_t *, void *argument)
-        -> evhtp_res
-    {
-        auto *state = static_cast<connection_state *>(argument);
-        const auto *query = reinterpret_cast<const char *>(request->uri->query_raw);
-        state->query = query != nullptr ? query : "";
-        return EVHTP_RES_OK;
-    }
-
-    static auto read(evhtp_request_t *, evbuffer *buffer, void *argument) -> evhtp_res
-    {
-        auto *state = static_cast<connection_state *>(argument);
-        const auto limit = state->server->m_options.maxBodyBytes;
-        state->bodyBytes += evbuffer_get_length(buffer);
-        if (state->bodyBytes > limit)
-            evbuffer_drain(buffer, evbuffer_get_length(buffer));
-        return state->bodyBytes > limit * bodyCutFactor ? EVHTP_RES_ERROR : EVHTP_RES_OK;
-    }
-
-    static auto requestEnded(evhtp_request_t *request, void *argument) -> evhtp_res
-    {
-        auto *state = static_cast<connection_state *>(argument);
-        const auto exchange = std::move(state->exchange);
-        state->exchange.reset();
-        if (exchange && exchange->m_request == request)
-            exchange->detach();
-        const auto idle = readTimeouts(state->server->m_options.idleTimeout);
-        if (auto *channel = evhtp_request_get_bev(request))
-            bufferevent_set_timeouts(channel, &idle, nullptr);
-        return EVHTP_RES_OK;
-    }
-
-    static auto connectionEnded(evhtp_connection_t *connection, void *argument) -> evhtp_res
-    {
-        // libevhtp ends the connection before the request on it, and the state goes with the
-        // former.
-        evhtp_connection_unset_hook(connection, evhtp_hook_on_request_fini);
-        const std::unique_ptr<connection_state> state(static_cast<connection_state *>(argument));
-        if (const auto exchange = std::move(state->exchange))
-            exchange->detach();
-        state->server->m_connections.erase(connection);
-        return EVHTP_RES_OK;
-    }
-
-    static auto request(evhtp_request_t *request, void *argument) -> void
-    {
-        auto *server = static_cast<http_server *>(argument);
-        auto *hooks = evhtp_connection_get_hooks(evhtp_request_get_connection(request));
-        auto *state = static_cast<connection_state *>(hooks->on_connection_fini_arg);
-        server->dispatch(request, *state);
-    }
-};
-
 http_server::http_server(event_loop &loop, http_server_options options)
-    : m_loop(loop), m_options(std::move(options)), m_server(evhtp_new(loop.base(), nullptr))
-{
-    evhtp_set_gencb(m_server, callbacks::request, this);
-    evhtp_set_post_accept_cb(m_server, callbacks::accept, this);
-    const auto idle = readTimeouts(m_options.idleTimeout);
-    evhtp_set_timeouts(m_server, &idle, nullptr);
-}
+    : m_loop(loop), m_options(std::move(options))
+{}
 
 http_server::~http_server()
 {
     stopListening();
-    // evhtp_free leaves open connections behind.
     while (!m_connections.empty())
-        evhtp_connection_free(*m_connections.begin());
-    evhtp_free(m_server);
+        (*m_connections.begin())->cut();
 }
 
 auto http_server::listen() -> result<std::uint16_t>
 {
-    if (evhtp_bind_socket(m_server, m_options.address.c_str(), m_options.port, listenBacklog)
-        != 0) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(m_options.port);
+    inet_pton(AF_INET, m_options.address.c_str(), &address.sin_addr);
+    const auto onAccept
+        = [](evconnlistener *, evutil_socket_t descriptor, sockaddr *, int, void *argument) {
+              static_cast<http_server *>(argument)->accepted(descriptor);
+          };
+    m_listener = evconnlistener_new_bind(
+        m_loop.base(), onAccept, this,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, listenBacklog,
+        reinterpret_cast<sockaddr *>(&address), sizeof address);
+    if (m_listener == nullptr) {
         return error{.code = result_code::listen_failed,
                      .message
                      = fmt::format("cannot listen on {}:{}", m_options.address, m_options.port)};
     }
-    m_listening = true;
+    m_sweep = m_loop.every(sweepInterval, [this] { closeSlow(); });
     sockaddr_in bound{};
     socklen_t length = sizeof bound;
-    getsockname(evconnlistener_get_fd(m_server->server), reinterpret_cast<sockaddr *>(&bound),
-                &length);
+    getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&bound), &length);
     return ntohs(bound.sin_port);
 }
 
 auto http_server::stopListening() -> void
 {
-    if (m_listening)
-        evhtp_unbind_socket(m_server);
-    m_listening = false;
+    if (m_listener != nullptr)
+        evconnlistener_free(std::exchange(m_listener, nullptr));
 }
 
-auto http_server::dispatch(evhtp_request *request, connection_state &state) -> void
+auto http_server::setLimits(const limits &value) -> void
 {
-    auto exchange = std::make_shared<http_exchange>(m_loop, request, std::move(state.query));
-    state.exchange = exchange;
-    // A caller that waits for its answer sends nothing; that is no reason to disconnect it.
-    bufferevent_set_timeouts(evhtp_request_get_bev(request), nullptr, nullptr);
-    if (state.headerBytes > m_options.maxHeaderBytes) {
-        exchange->reply(describe(result_code::header_too_large).httpStatus, {},
-                        R"({"error":{"code":105,"name":"header_too_large"}})");
-    } else if (state.bodyBytes > m_options.maxBodyBytes) {
-        exchange->reply(describe(result_code::body_too_large).httpStatus, {},
-                        R"({"error":{"code":104,"name":"body_too_large"}})");
-    } else {
-        m_handler(std::move(exchange));
-    }
+    m_options.maxBodyBytes = value.maxBodyBytes;
+    m_options.maxHeaderBytes = value.maxHeaderBytes;
+    m_options.idleTimeout = value.idleTimeout;
+    m_options.headerTimeout = value.headerTimeout;
+}
+
+auto http_server::accepted(int descriptor) -> void
+{
+    auto stream = tcp_stream::adopt(m_loop, descriptor, m_options.stream);
+    if (m_connections.size() >= m_options.maxConnections)
+        return;
+    auto opened = std::make_shared<connection>(*this, std::move(stream));
+    const auto raw = opened.get();
+    opened->stream->onData = [raw](std::string_view data) {
+        const auto keep = raw->shared_from_this();
+        raw->received(data);
+    };
+    opened->stream->onEnd = [raw](bool) { raw->forget(); };
+    m_connections.insert(std::move(opened));
+}
+
+auto http_server::closeSlow() -> void
+{
+    const auto now = system_runtime_clock().now();
+    const std::vector<std::shared_ptr<connection>> open(m_connections.begin(),
+                                                        m_connections.end());
+    for (const auto &each : open)
+        each->checkTime(now);
 }
 
 } // namespace mustardline
--- /dev/null
+++ b/packages/net/tcp_stream.cpp
@@ -0,0 +1,278 @@
+#include "net/tcp_stream.h"
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace mustardline {
+
+namespace {
+
+// Read at once: several events of a stream, or most of a prompt.
+constexpr std::size_t readBytes = 32U << 10U;
+// Longest wait for the peer of a connection that is ended on our side.
+constexpr duration lingerLimit = std::chrono::seconds(2);
+// Probes before a silent peer is given up.
+constexpr int keepAliveProbes = 3;
+
+auto setOption(int descriptor, int level, int name, int value) -> void
+{
+    // A kernel that lacks an option leaves the connection usable without it.
+    setsockopt(descriptor, level, name, &value, sizeof value);
+}
+
+auto configureSocket(int descriptor, const tcp_stream_options &options) -> void
+{
+    const auto milliseconds = static_cast<int>(toMilliseconds(options.silenceLimit));
+    constexpr int millisecondsPerSecond = 1000;
+    const auto probeSeconds
+        = std::max(1, milliseconds / millisecondsPerSecond / (keepAliveProbes + 1));
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, probeSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, probeSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, milliseconds);
+}
+
+auto readBuffer() -> std::array<char, readBytes> &
+{
+    // One thread owns every stream, and what is read is handed on before the next read.
+    static std::array<char, readBytes> buffer;
+    return buffer;
+}
+
+auto isTemporary(int fault) -> bool
+{
+    return fault == EAGAIN || fault == EWOULDBLOCK || fault == EINTR;
+}
+
+} // namespace
+
+tcp_stream::tcp_stream(event_loop &loop, int descriptor, tcp_stream_options options)
+    : m_loop(loop), m_descriptor(descriptor)
+{
+    configureSocket(descriptor, options);
+    const auto onReadable = [](evutil_socket_t, short, void *argument) {
+        const auto keep = static_cast<tcp_stream *>(argument)->shared_from_this();
+        keep->readable();
+    };
+    const auto onWritable = [](evutil_socket_t, short, void *argument) {
+        const auto keep = static_cast<tcp_stream *>(argument)->shared_from_this();
+        keep->writable();
+    };
+    m_readEvent = event_new(loop.base(), descriptor, EV_READ | EV_PERSIST, onReadable, this);
+    m_writeEvent = event_new(loop.base(), descriptor, EV_WRITE | EV_PERSIST, onWritable, this);
+}
+
+tcp_stream::~tcp_stream()
+{
+    close();
+    event_free(m_readEvent);
+    event_free(m_writeEvent);
+}
+
+auto tcp_stream::adopt(event_loop &loop, int descriptor, tcp_stream_options options)
+    -> std::shared_ptr<tcp_stream>
+{
+    evutil_make_socket_nonblocking(descriptor);
+    auto stream = std::shared_ptr<tcp_stream>(new tcp_stream(loop, descriptor, options));
+    stream->startReading();
+    return stream;
+}
+
+auto tcp_stream::connect(event_loop &loop, const socket_address &address,
+                         tcp_stream_options options) -> std::shared_ptr<tcp_stream>
+{
+    sockaddr_in peer{};
+    peer.sin_family = AF_INET;
+    peer.sin_port = htons(address.port);
+    if (inet_pton(AF_INET, address.host.c_str(), &peer.sin_addr) != 1)
+        return nullptr;
+    const auto descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return nullptr;
+    auto stream = std::shared_ptr<tcp_stream>(new tcp_stream(loop, descriptor, options));
+    const auto *where = reinterpret_cast<const sockaddr *>(&peer);
+    if (::connect(descriptor, where, sizeof peer) != 0 && errno != EINPROGRESS)
+        return nullptr;
+    stream->m_connecting = true;
+    event_add(stream->m_writeEvent, nullptr);
+    return stream;
+}
+
+auto tcp_stream::startReading() -> void
+{
+    m_reading = true;
+    event_add(m_readEvent, nullptr);
+}
+
+auto tcp_stream::setReading(bool reading) -> void
+{
+    if (isClosed() || m_connecting || reading == m_reading)
+        return;
+    m_reading = reading;
+    if (reading)
+        event_add(m_readEvent, nullptr);
+    else
+        event_del(m_readEvent);
+}
+
+auto tcp_stream::hasUnread() const -> bool
+{
+    char byte = 0;
+    const auto count = recv(m_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count >= 0 || !isTemporary(errno);
+}
+
+auto tcp_stream::readable() -> void
+{
+    auto &buffer = readBuffer();
+    const auto count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+    if (count < 0) {
+        if (!isTemporary(errno))
+            ended(false);
+        return;
+    }
+    if (m_lingering) {
+        if (count == 0)
+            finishLingering();
+        return;
+    }
+    if (count == 0) {
+        ended(true);
+        return;
+    }
+    // A copy, because the callback may set another one for what comes next.
+    const auto callback = onData;
+    if (callback)
+        callback(std::string_view(buffer.data(), static_cast<std::size_t>(count)));
+}
+
+auto tcp_stream::writable() -> void
+{
+    if (m_connecting)
+        finishConnecting();
+    else
+        flush();
+}
+
+auto tcp_stream::finishConnecting() -> void
+{
+    int fault = 0;
+    socklen_t length = sizeof fault;
+    getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &fault, &length);
+    if (fault != 0) {
+        ended(false);
+        return;
+    }
+    m_connecting = false;
+    event_del(m_writeEvent);
+    startReading();
+    const auto callback = onConnected;
+    if (callback)
+        callback();
+    if (!isClosed() && backlogBytes() > 0)
+        flush();
+}
+
+auto tcp_stream::send(std::string_view data) -> void
+{
+    if (isClosed() || m_lingering || data.empty())
+        return;
+    if (m_connecting || backlogBytes() > 0) {
+        m_output.append(data);
+        return;
+    }
+    const auto count = ::send(m_descriptor, data.data(), data.size(), MSG_NOSIGNAL);
+    if (count < 0 && !isTemporary(errno)) {
+        // Reported from the loop, because the caller is in the midst of its own work.
+        m_loop.post([keep = shared_from_this()] { keep->ended(false); });
+        return;
+    }
+    const auto sent = static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+    if (sent == data.size())
+        return;
+    m_output.assign(data.substr(sent));
+    m_sent = 0;
+    event_add(m_writeEvent, nullptr);
+}
+
+auto tcp_stream::flush() -> void
+{
+    const auto rest = std::string_view(m_output).substr(m_sent);
+    const auto count = ::send(m_descriptor, rest.data(), rest.size(), MSG_NOSIGNAL);
+    if (count < 0) {
+        if (!isTemporary(errno))
+            ended(false);
+        else
+            event_add(m_writeEvent, nullptr);
+        return;
+    }
+    m_sent += static_cast<std::size_t>(count);
+    if (backlogBytes() > 0) {
+        event_add(m_writeEvent, nullptr);
+        return;
+    }
+    m_output.clear();
+    m_sent = 0;
+    event_del(m_writeEvent);
+    if (m_lingering)
+        finishLingering();
+}
+
+auto tcp_stream::close() -> void
+{
+    if (isClosed())
+        return;
+    event_del(m_readEvent);
+    event_del(m_writeEvent);
+    ::close(std::exchange(m_descriptor, -1));
+    m_lingerTimer = {};
+    m_self.reset();
+}
+
+auto tcp_stream::closeAfterSending() -> void
+{
+    if (isClosed() || m_lingering)
+        return;
+    const auto keep = shared_from_this();
+    m_self = keep;
+    m_lingering = true;
+    setReading(true);
+    m_lingerTimer = m_loop.after(lingerLimit, [this] { close(); });
+    if (backlogBytes() == 0)
+        finishLingering();
+}
+
+// Called when all is sent, and again when the peer has ended its side.
+auto tcp_stream::finishLingering() -> void
+{
+    if (!m_shutDown && backlogBytes() == 0) {
+        m_shutDown = true;
+        shutdown(m_descriptor, SHUT_WR);
+        return;
+    }
+    const auto keep = shared_from_this();
+    close();
+}
+
+auto tcp_stream::ended(bool orderly) -> void
+{
+    if (isClosed())
+        return;
+    const auto keep = shared_from_this();
+    const auto report = m_lingering ? nullptr : onEnd;
+    close();
+    if (report)
+        report(orderly);
+}
+
+} // namespace mustardline
