Report usage by one edge at a time, and let edges tell each other what they have

The duty is one record in the log, replaced only where the log ends as read; edges tell each other counts and what is in flight by datagrams.

--- a/packages/coordination/shared_log.h
+++ b/packages/coordination/shared_log.h
@@ -106,6 +106,9 @@
     {
         T::keyedRecord(bytes)
         } -> std::same_as<std::optional<keyed_record>>;
+    {
+        T::keyedBytes(bytes, bytes)
+        } -> std::same_as<std::string>;
 };
 
 } // namespace mustardline
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -23,13 +23,21 @@
 #include "forwarding/events.h"
 #include "forwarding/forward_router.h"
 #include "forwarding/header_names.h"
+#include "forwarding/peer_exchange.h"
 #include "forwarding/route_table.h"
-#include "forwarding/usage_report.h"
+#include "forwarding/usage_duty.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 
 namespace mustardline {
 
+// Where the record of a duty is kept.
+struct duty_place
+{
+    std::string topic;
+    std::string key;
+};
+
 template<class T>
 concept edge_platform = requires(T platform, const usage_report &report, std::string_view text)
 {
@@ -56,6 +64,9 @@
     {
         T::readinessPath()
         } -> std::same_as<std::string_view>;
+    {
+        T::usageDuty()
+        } -> std::same_as<duty_place>;
 };
 
 template<edge_platform Platform>
@@ -66,6 +77,7 @@
         : m_settingsFile(std::move(settingsFile)),
           m_settings(std::move(settings)),
           m_output({}),
+          m_boot(randomId()),
           m_log({.sink = [this](std::string_view line) { m_output.add(line); }}),
           m_controlHttp(m_loop, {.connectTimeout = controlConnectTimeout}),
           m_endpointHttp(m_loop, {.connectTimeout = endpointConnectTimeout,
@@ -84,6 +96,14 @@
                     .retries = {.ratio = m_settings.repeatRatio,
                                 .slack = m_settings.repeatSlack,
                                 .window = m_settings.repeatWindow}}),
+          m_time(m_clock.now(), m_clock.unixNow()),
+          m_usage({.window = m_settings.usageWindow, .self = m_boot}),
+          m_duty({.holder = m_settings.name + "/" + m_boot}),
+          m_peers({.name = m_settings.name, .boot = m_boot, .seeds = m_settings.seeds},
+                  m_clock.now()),
+          m_exchange(m_loop,
+                     {.name = m_settings.name, .boot = m_boot, .address = m_settings.peers},
+                     m_peers, m_usage, m_time),
           m_configurationFollower(
               m_loop, m_platform.log(),
               {.topic = Platform::configurationTopic(), .wait = configurationWait}),
@@ -99,6 +119,7 @@
         followLog();
         m_loop.onSignal(SIGTERM, [this] { beginStop(); });
         m_loop.onSignal(SIGHUP, [this] { reload(); });
+        followPeers();
         m_housekeeping = m_loop.every(housekeepingInterval, [this] { keepHouse(); });
         m_loop.run();
         m_log.write(edgeStopped, field("live", m_router.liveCount()));
@@ -116,6 +137,8 @@
     static constexpr duration controlConnectTimeout = std::chrono::milliseconds(1000);
     static constexpr duration endpointConnectTimeout = std::chrono::milliseconds(300);
     static constexpr std::size_t maxIdlePerEndpoint = 100;
+    // Between two messages to the other edges.
+    static constexpr duration tellInterval = std::chrono::milliseconds(500);
     static constexpr duration housekeepingInterval = std::chrono::milliseconds(250);
     // The balancer asks once a second and takes a process out after two misses.
     static constexpr duration rotationTime = std::chrono::milliseconds(3200);
@@ -128,6 +151,11 @@
         m_readiness.onRequest([this](const auto &exchange) { answerReadiness(exchange); });
         m_metricsServer.onRequest(
             [this](const auto &exchange) { exchange->reply(200, {}, m_metrics.text()); });
+        if (const auto bound = m_exchange.start(); failed(bound) != nullptr) {
+            m_log.write(edgeFailed, field("reason", failed(bound)->message));
+            m_output.flush();
+            return false;
+        }
         for (auto *server : {&m_callers, &m_readiness, &m_metricsServer}) {
             const auto port = server->listen();
             if (const auto *fault = failed(port)) {
@@ -192,6 +220,100 @@
         };
     }
 
+    auto followPeers() -> void
+    {
+        m_exchange.onHeard = [this](const v1::EdgeState &state) {
+            if (state.sealed_window() > 0)
+                m_duty.noteSealed(state.sealed_window());
+            m_router.othersUse(m_peers, m_clock.now());
+        };
+        m_router.onBegun = [this](const std::string &account) {
+            m_usage.count(account, m_time.read(m_clock.now(), m_clock.unixNow()));
+        };
+        m_telling = m_loop.every(tellInterval, [this] { tellPeers(); });
+    }
+
+    auto tellPeers() -> void
+    {
+        m_exchange.tell({.uses = m_router.uses(),
+                         .configurationVersion = m_routes.current() ? m_routes.current()->version : 0,
+                         .sealedWindow = m_duty.sealedTo(),
+                         .leaving = m_stopping});
+        m_router.setEntryCount(m_peers.sharingCount(m_clock.now()));
+    }
+
+    // Carries on with the duty of reporting usage.
+    auto tendDuty() -> void
+    {
+        if (!m_settings.reportsUsage || m_stopping)
+            return;
+        const auto now = m_clock.now();
+        const auto action = m_duty.tick(now, m_time.read(now, m_clock.unixNow()), m_usage);
+        if (!action)
+            return;
+        if (std::holds_alternative<read_duty>(*action))
+            readDuty();
+        else if (const auto *append = std::get_if<append_duty>(&*action))
+            appendDuty(*append);
+        else
+            reportUsage(std::get<usage_report>(*action));
+    }
+
+    auto readDuty() -> void
+    {
+        const auto place = Platform::usageDuty();
+        m_platform.log().newest(place.topic, "", [this, place](const log_newest_outcome &outcome) {
+            const auto now = m_clock.now();
+            const auto *page = std::get_if<log_newest_page>(&outcome);
+            if (page == nullptr) {
+                m_duty.readFailed(now);
+                return;
+            }
+            std::optional<duty_record> record;
+            for (const auto &entry : page->entries) {
+                if (entry.key == place.key && entry.value)
+                    record = decodeDutyRecord(*entry.value);
+            }
+            m_duty.readCame(std::move(record), page->endOffset, now);
+            tendDuty();
+        });
+    }
+
+    auto appendDuty(const append_duty &append) -> void
+    {
+        using log_type = typename Platform::log_type;
+        const auto place = Platform::usageDuty();
+        m_platform.log().append(
+            {.topic = place.topic,
+             .at = append.at,
+             .records = {log_type::keyedBytes(place.key, encodeDutyRecord(append.record))}},
+            [this, fencing = append.record.fencing](const log_append_outcome &outcome) {
+                m_duty.appendCame(outcome, m_clock.now());
+                m_log.write(dutyClaimed, field("duty", "usage"), field("fencing", fencing),
+                            field("result", outcomeName(outcome)),
+                            field("sealed_to", m_duty.sealedTo()));
+                tendDuty();
+            });
+    }
+
+    static auto outcomeName(const log_append_outcome &outcome) -> std::string_view
+    {
+        if (std::holds_alternative<log_appended>(outcome))
+            return "appended";
+        return std::holds_alternative<log_moved>(outcome) ? "lost_to_another" : "not_known";
+    }
+
+    auto reportUsage(const usage_report &report) -> void
+    {
+        m_platform.reportUsage(report, [this, window = report.window,
+                                        fencing = report.fencing](bool taken) {
+            m_duty.reportCame(window, taken, m_clock.now());
+            m_log.write(usageWindowReported, field("window", window), field("fencing", fencing),
+                        field("taken", taken));
+            tendDuty();
+        });
+    }
+
     auto operatorRecord(const keyed_record &record) -> void
     {
         if (const auto dataCentre = Platform::evacuatedDataCentre(record.key)) {
@@ -270,6 +392,7 @@
             m_wasReady = ready;
             m_log.write(edgeReady, field("ready", ready));
         }
+        tendDuty();
         m_output.flush();
         if (m_stopping)
             goOnStopping(now);
@@ -282,6 +405,7 @@
         m_stopping = true;
         m_stopAt = m_clock.now();
         m_callers.closeAfterAnswers();
+        tellPeers();
         m_log.write(edgeStopping, field("live", m_router.liveCount()));
     }
 
@@ -307,6 +431,8 @@
     edge_settings m_settings;
     system_runtime_clock m_clock;
     log_output m_output;
+    // Unique for this start of the process.
+    std::string m_boot;
     logger m_log;
     counters m_metrics;
     event_loop m_loop;
@@ -319,12 +445,18 @@
     http_server m_readiness;
     http_server m_metricsServer;
     forward_router m_router;
+    true_time m_time;
+    usage_windows m_usage;
+    usage_duty m_duty;
+    peer_table m_peers;
+    peer_exchange m_exchange;
     keyed_follower<typename Platform::log_type> m_configurationFollower;
     keyed_follower<typename Platform::log_type> m_endpointFollower;
     // Data centres by the key of the record that evacuates them.
     std::map<std::string, std::string> m_evacuated;
     std::set<std::string> m_malformedEndpoints;
     event_handle m_housekeeping;
+    event_handle m_telling;
     bool m_wasReady = false;
     bool m_stopping = false;
     time_point m_stopAt{};
--- a/packages/forwarding/edge_settings.cpp
+++ b/packages/forwarding/edge_settings.cpp
@@ -44,8 +44,15 @@
     settings.dataCentre = reader.text("data_centre");
     settings.callers = readAddress(reader, "callers", fault);
     settings.readiness = readAddress(reader, "readiness", fault);
-    settings.peerPort = static_cast<std::uint16_t>(
-        reader.integer("peer_port", {.lowest = 1, .highest = highestPort}));
+    settings.peers = readAddress(reader, "peers", fault);
+    for (const auto &seed : reader.texts("seeds")) {
+        const auto address = parseAddress(seed);
+        if (address.port == 0 && !fault) {
+            fault = error{.code = result_code::settings_out_of_range,
+                          .message = fmt::format("seeds holds \"{}\"; it must be IP:PORT", seed)};
+        }
+        settings.seeds.push_back(address);
+    }
     settings.metricsPort = static_cast<std::uint16_t>(
         reader.integer("metrics_port", {.lowest = 1, .highest = highestPort}));
     settings.logService = readAddress(reader, "log_service", fault);
--- a/packages/forwarding/edge_settings.h
+++ b/packages/forwarding/edge_settings.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/result.h"
@@ -22,8 +23,10 @@
     std::string dataCentre;
     socket_address callers;
     socket_address readiness;
-    // Our own processes reach each other on these ports.
-    std::uint16_t peerPort = 0;
+    // Where the other edges reach this one by datagrams.
+    socket_address peers;
+    // Where some of the other edges may be reached.
+    std::vector<socket_address> seeds;
     std::uint16_t metricsPort = 0;
     socket_address logService;
     // Where usage is reported and endpoints are ordered.
--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -43,9 +43,15 @@
 inline constexpr log_event logHistoryLost{5026, "log_history_lost", log_level::warning,
                                           "Records were forgotten unread; the newest are read."};
 
+inline constexpr log_event dutyClaimed{5030, "duty_claimed", log_level::info,
+                                       "The log decided on a claim to a duty."};
+inline constexpr log_event usageWindowReported{5031, "usage_window_reported", log_level::info,
+                                               "A usage window was reported to the platform."};
+
 inline constexpr auto forwardingEvents = std::to_array<log_event>(
     {edgeStarted, edgeReady, edgeStopping, edgeStopped, edgeFailed, settingsReloaded, forwardPlaced,
      forwardEnded, forwardRetried, configurationInForce, recordMalformed, endpointChanged,
-     evacuationChanged, logServiceLost, logServiceBack, logHistoryLost});
+     evacuationChanged, logServiceLost, logServiceBack, logHistoryLost, dutyClaimed,
+     usageWindowReported});
 
 } // namespace mustardline
--- a/packages/forwarding/forward_request.h
+++ b/packages/forwarding/forward_request.h
@@ -48,6 +48,7 @@
     // The try under way, and what has come of it.
     http_call call;
     std::string endpoint;
+    bool inFlight = false;
     std::uint32_t sends = 0;
     time_point sentAt{};
     http_answer answer;
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -117,6 +117,29 @@
                              m_clock.now());
 }
 
+auto forward_router::uses() const -> std::map<std::string, std::uint32_t>
+{
+    std::map<std::string, std::uint32_t> uses;
+    for (const auto &[number, request] : m_requests) {
+        if (request.inFlight)
+            ++uses[request.endpoint];
+    }
+    return uses;
+}
+
+auto forward_router::othersUse(const peer_table &peers, time_point now) -> void
+{
+    const auto own = uses();
+    for (const auto &[id, entry] : m_directory.entries()) {
+        const auto known = own.find(id);
+        const auto mine = known == own.end() ? 0 : known->second;
+        m_dispatcher.reportLoad(id,
+                                {.running = mine + peers.usesOf(id, now),
+                                 .window = entry.registration.slots},
+                                now);
+    }
+}
+
 auto forward_router::setEntryCount(std::uint32_t count) -> void
 {
     m_entryCount = std::max(count, 1U);
@@ -218,6 +241,7 @@
     request.notRun = false;
     request.invalidAnswer = false;
     request.hasFirstByte = false;
+    request.inFlight = true;
     request.call = m_http.start(
         endpoint.registration.address,
         {.method = std::string(request.exchange->method()),
@@ -286,6 +310,7 @@
     auto *request = find(number);
     if (request == nullptr)
         return;
+    request->inFlight = false;
     if (const auto *failure = std::get_if<http_failure>(&outcome))
         endedLost(*request, *failure);
     else
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -18,6 +18,7 @@
 #include "forwarding/endpoint_directory.h"
 #include "forwarding/forward_request.h"
 #include "forwarding/header_names.h"
+#include "forwarding/peer_table.h"
 #include "forwarding/route_table.h"
 #include "forwarding/shared_allowance.h"
 #include "policy/dispatcher.h"
@@ -50,6 +51,12 @@
     // Tells the dispatcher of the endpoints that changed in the directory.
     auto endpointsChanged() -> void;
 
+    // Tells the dispatcher what the other edges have in flight.
+    auto othersUse(const peer_table &peers, time_point now) -> void;
+
+    // Requests of this edge in flight, by endpoint.
+    [[nodiscard]] auto uses() const -> std::map<std::string, std::uint32_t>;
+
     // Entries that share the fleet's allowances.
     auto setEntryCount(std::uint32_t count) -> void;
 
--- /dev/null
+++ b/packages/forwarding/peer_exchange.cpp
@@ -0,0 +1,94 @@
+#include "forwarding/peer_exchange.h"
+
+#include <fmt/format.h>
+
+namespace mustardline {
+
+namespace {
+
+// Windows told of: the one that runs and those whose report is not due yet.
+constexpr std::int64_t toldWindows = 3;
+
+auto addressText(const socket_address &address) -> std::string
+{
+    return fmt::format("{}:{}", address.host, address.port);
+}
+
+} // namespace
+
+peer_exchange::peer_exchange(event_loop &loop, peer_exchange_options options, peer_table &peers,
+                             usage_windows &usage, true_time &time)
+    : m_options(std::move(options)), m_peers(peers), m_usage(usage), m_time(time), m_socket(loop)
+{}
+
+auto peer_exchange::start() -> status
+{
+    m_socket.onMessage(
+        [this](const socket_address &, std::string_view bytes) { received(bytes); });
+    const auto port = m_socket.bind(m_options.address.host, m_options.address.port);
+    if (const auto *fault = failed(port))
+        return *fault;
+    return std::monostate();
+}
+
+auto peer_exchange::tell(const edge_report &report) -> void
+{
+    const auto now = m_clock.now();
+    const auto unixNow = m_time.read(now, m_clock.unixNow());
+    v1::EdgeState state;
+    state.set_name(m_options.name);
+    state.set_boot(m_options.boot);
+    state.set_address(addressText(m_options.address));
+    state.set_sequence(++m_sequence);
+    state.set_unix_ms(unixNow);
+    state.set_leaving(report.leaving);
+    state.set_configuration_version(report.configurationVersion);
+    state.set_sealed_window(report.sealedWindow);
+    for (const auto &[name, row] : m_peers.rows()) {
+        if (m_peers.isLive(row, now))
+            state.add_peers(addressText(row.address));
+    }
+    for (const auto &[endpoint, count] : report.uses) {
+        auto *use = state.add_uses();
+        use->set_endpoint(endpoint);
+        use->set_in_flight(count);
+    }
+    const auto current = m_usage.windowOf(unixNow);
+    for (auto window = current - toldWindows + 1; window <= current; ++window) {
+        const auto counts = m_usage.own(window);
+        if (counts.empty())
+            continue;
+        auto *told = state.add_windows();
+        told->set_window(window);
+        for (const auto &[account, count] : counts) {
+            auto *item = told->add_accounts();
+            item->set_client_account(account);
+            item->set_count(count);
+        }
+    }
+    const auto bytes = state.SerializeAsString();
+    for (const auto &address : m_peers.addresses(now)) {
+        if (address != m_options.address)
+            m_socket.send(address, bytes);
+    }
+}
+
+auto peer_exchange::received(std::string_view bytes) -> void
+{
+    v1::EdgeState state;
+    // What another program sends here is no message; it is ignored.
+    if (!state.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return;
+    const auto now = m_clock.now();
+    if (!m_peers.heard(state, now))
+        return;
+    m_time.heard(state.name(), now, state.unix_ms());
+    for (const auto &window : state.windows()) {
+        for (const auto &item : window.accounts())
+            m_usage.merge(state.boot(), window.window(), item.client_account(), item.count());
+    }
+    if (onHeard)
+        onHeard(state);
+}
+
+} // namespace mustardline
--- /dev/null
+++ b/packages/forwarding/peer_table.h
@@ -0,0 +1,90 @@
+#pragma once
+
+// The other edges, as this one has heard of them.
+//
+//     peer_table peers({.self = {...}, .seeds = {...}}, now);
+//     peers.heard(state, now);           // a message of another edge
+//     for (const auto &address : peers.addresses(now)) send(address, ...);
+//     const auto count = peers.sharingCount(now);
+//
+// An edge counts as sharing the fleet's allowances until it has been silent for as long as the
+// longest window in which those are counted, so that its part is not given out twice. A new process
+// that has heard of nobody yet assumes some others rather than take all for itself.
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "net/http_message.h"
+#include "peer.pb.h"
+
+namespace mustardline {
+
+struct peer_table_options
+{
+    std::string name;
+    std::string boot;
+    // Addresses that may be stale.
+    std::vector<socket_address> seeds;
+    // An edge that is silent for longer no longer lives, as far as is known.
+    duration silence = std::chrono::milliseconds(2500);
+    // It shares the allowances for so long after it was heard last.
+    duration sharing = std::chrono::seconds(10);
+    // Addresses are tried for so long without an answer.
+    duration forgetting = std::chrono::seconds(30);
+    // Edges assumed until `settling` after the start.
+    std::uint32_t assumedCount = 5;
+    duration settling = std::chrono::seconds(3);
+};
+
+struct peer_row
+{
+    std::string boot;
+    socket_address address;
+    std::uint64_t sequence = 0;
+    time_point heardAt{};
+    bool leaving = false;
+    // Requests in flight by endpoint.
+    std::map<std::string, std::uint32_t> uses;
+    std::uint64_t configurationVersion = 0;
+};
+
+class peer_table
+{
+public:
+    peer_table(peer_table_options options, time_point now);
+
+    // Takes a message; false if it is our own or older than one that was taken.
+    auto heard(const v1::EdgeState &state, time_point now) -> bool;
+    // An address at which an edge may be.
+    auto learnt(const socket_address &address, time_point now) -> void;
+
+    [[nodiscard]] auto isLive(const peer_row &row, time_point now) const -> bool
+    {
+        return !row.leaving && now - row.heardAt <= m_options.silence;
+    }
+
+    // Where to send to.
+    [[nodiscard]] auto addresses(time_point now) -> std::vector<socket_address>;
+    // Edges that live, this one included.
+    [[nodiscard]] auto liveCount(time_point now) const -> std::uint32_t;
+    // Edges that may use the fleet's allowances, this one included.
+    [[nodiscard]] auto sharingCount(time_point now) const -> std::uint32_t;
+    // Requests that the other live edges have at an endpoint.
+    [[nodiscard]] auto usesOf(const std::string &endpoint, time_point now) const -> std::uint32_t;
+
+    [[nodiscard]] auto rows() const -> const std::map<std::string, peer_row> & { return m_rows; }
+
+private:
+    peer_table_options m_options;
+    time_point m_startedAt;
+    // By name.
+    std::map<std::string, peer_row> m_rows;
+    // When each address was first named or last heard.
+    std::map<socket_address, time_point> m_addresses;
+};
+
+} // namespace mustardline
