--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -412,6 +412,10 @@
     auto goOnStopping(time_point now) -> void
     {
         const auto spent = now - m_stopAt;
+        // The balancer sends no new connections any more; what callers kept open must not bring
+        // requests that could not be finished.
+        if (spent >= rotationTime)
+            m_callers.closeIdle();
         const bool isOut = spent >= rotationTime && m_router.liveCount() == 0;
         if (isOut || spent >= m_settings.stopGrace - stopMargin)
             m_loop.stop();
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -410,6 +410,16 @@
     m_connections.insert(std::move(opened));
 }
 
+auto http_server::closeIdle() -> void
+{
+    const std::vector<std::shared_ptr<connection>> open(m_connections.begin(),
+                                                        m_connections.end());
+    for (const auto &each : open) {
+        if (!each->current && !each->reader.isInside() && !each->stream->hasUnread())
+            each->finishConnection();
+    }
+}
+
 auto http_server::closeSlow() -> void
 {
     const auto now = system_runtime_clock().now();
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -156,6 +156,9 @@
     // From now on each answer tells its caller that the connection closes after it.
     auto closeAfterAnswers() -> void { m_closing = true; }
 
+    // Ends the connections on which no request is under way.
+    auto closeIdle() -> void;
+
     // Limits for what is received from now on.
     struct limits
     {
