--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -142,6 +142,8 @@
     static constexpr duration housekeepingInterval = std::chrono::milliseconds(250);
     // The balancer asks once a second and takes a process out after two misses.
     static constexpr duration rotationTime = std::chrono::milliseconds(3200);
+    // New connections come for about this long after SIGTERM; kept ones are closed from then on.
+    static constexpr duration idleGrace = std::chrono::milliseconds(1500);
     // Before the kill, for the last answers to reach their callers.
     static constexpr duration stopMargin = std::chrono::milliseconds(700);
 
@@ -414,7 +416,7 @@
         const auto spent = now - m_stopAt;
         // The balancer sends no new connections any more; what callers kept open must not bring
         // requests that could not be finished.
-        if (spent >= rotationTime)
+        if (spent >= idleGrace)
             m_callers.closeIdle();
         const bool isOut = spent >= rotationTime && m_router.liveCount() == 0;
         if (isOut || spent >= m_settings.stopGrace - stopMargin)
--- a/packages/forwarding/forward_request.cpp
+++ b/packages/forwarding/forward_request.cpp
@@ -76,11 +76,22 @@
     return route.targets.empty() ? "" : route.targets.back().service;
 }
 
-// The parts before the last one are shared with other requests.
-auto sharedPrefixHash(std::string_view parts) -> std::uint64_t
+// The parts of a prompt before the last one are shared with other requests.
+auto readSharedParts(forward_request &request, std::string_view parts) -> void
 {
-    const auto comma = parts.rfind(',');
-    return comma == std::string_view::npos ? 0 : fastHash(parts.substr(0, comma));
+    const auto last = parts.rfind(',');
+    if (last == std::string_view::npos)
+        return;
+    auto shared = parts.substr(0, last);
+    request.prefixHash = fastHash(shared);
+    while (!shared.empty()) {
+        const auto comma = std::min(shared.find(','), shared.size());
+        const auto part = shared.substr(0, comma);
+        shared.remove_prefix(std::min(comma + 1, shared.size()));
+        const auto colon = part.find(':');
+        if (colon != std::string_view::npos)
+            request.sharedTokens += readNumber<std::uint32_t>(part.substr(colon + 1)).value_or(0);
+    }
 }
 
 auto forwardedHeaders(const http_exchange &exchange, const header_names &names)
@@ -135,7 +146,7 @@
     if (request.account != nullptr)
         request.priority = request.account->priority.value_or(route->priority);
     readTokens(request, exchange->header(names.tokenCounts));
-    request.prefixHash = sharedPrefixHash(exchange->header(names.promptParts));
+    readSharedParts(request, exchange->header(names.promptParts));
     request.arrivedAt = now;
     request.dueAt = now + route->timeout;
     if (const auto left = readNumber<std::int64_t>(exchange->header(names.deadline)))
--- a/packages/forwarding/forward_request.h
+++ b/packages/forwarding/forward_request.h
@@ -37,6 +37,7 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t maxOutputTokens = 0;
     // Of the parts of the prompt that other requests share; 0 for none.
+    std::uint32_t sharedTokens = 0;
     std::uint64_t prefixHash = 0;
     time_point arrivedAt{};
     // When the final answer is due: by the route's timeout or the caller's deadline.
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -19,6 +19,10 @@
 constexpr duration tickInterval = std::chrono::milliseconds(10);
 // An endpoint is given up this long after the request was due.
 constexpr duration dueSlack = std::chrono::milliseconds(20);
+// Until an endpoint has answered.
+constexpr duration assumedFirstToken = std::chrono::milliseconds(100);
+// The part of what cold endpoints bear that is used: requests of one second arrive in another.
+constexpr double coldPart = 0.8;
 // When to come back if nothing better is known.
 constexpr duration defaultRetryAfter = std::chrono::milliseconds(500);
 
@@ -73,7 +77,9 @@
                          .deadline = request.dueAt - now,
                          .idempotent = route.kind == route_kind::idempotent,
                          .promptTokens = request.promptTokens,
-                         .prefixHash = request.prefixHash},
+                         .prefixHash = request.prefixHash,
+                         .sharedTokens = request.sharedTokens,
+                         .outputTokens = request.maxOutputTokens},
                         now, m_actions);
     carryOut();
 }
@@ -108,22 +114,30 @@
 auto forward_router::setEndpoint(const endpoint_entry &entry) -> void
 {
     const auto &told = entry.registration;
+    const auto *service = m_routes.service(told.service);
+    const auto coldRate = service == nullptr ? 0 : service->coldRequestsPerSecond;
     m_dispatcher.setEndpoint({.id = told.id,
                               .dataCentre = told.dataCentre,
                               .serves = {told.service},
                               .maxConcurrency = told.slots,
                               .coldConcurrency = told.slots,
-                              .available = m_directory.isUsable(entry)},
+                              .available = m_directory.isUsable(entry),
+                              .readsPrompts = service != nullptr && service->cacheTokens > 0,
+                              .assumedFirstToken = assumedFirstToken,
+                              .coldUntil = coldRate > 0 ? entry.coldUntil : time_point(),
+                              .coldPerSecond = coldRate * coldPart / m_entryCount},
                              m_clock.now());
 }
 
-auto forward_router::uses() const -> std::map<std::string, std::uint32_t>
+auto forward_router::uses() const -> std::map<std::string, endpoint_use>
 {
-    std::map<std::string, std::uint32_t> uses;
+    std::map<std::string, endpoint_use> uses;
     for (const auto &[number, request] : m_requests) {
         if (request.inFlight)
-            ++uses[request.endpoint];
+            ++uses[request.endpoint].inFlight;
     }
+    for (auto &[endpoint, use] : uses)
+        use.promptTokens = m_dispatcher.promptTokensAt(endpoint);
     return uses;
 }
 
@@ -132,10 +146,12 @@
     const auto own = uses();
     for (const auto &[id, entry] : m_directory.entries()) {
         const auto known = own.find(id);
-        const auto mine = known == own.end() ? 0 : known->second;
+        const auto mine = known == own.end() ? 0 : known->second.inFlight;
+        const auto others = peers.usesOf(id, now);
         m_dispatcher.reportLoad(id,
-                                {.running = mine + peers.usesOf(id, now),
-                                 .window = entry.registration.slots},
+                                {.running = mine + others.inFlight,
+                                 .window = entry.registration.slots,
+                                 .othersPromptTokens = others.promptTokens},
                                 now);
     }
 }
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -55,7 +55,7 @@
     auto othersUse(const peer_table &peers, time_point now) -> void;
 
     // Requests of this edge in flight, by endpoint.
-    [[nodiscard]] auto uses() const -> std::map<std::string, std::uint32_t>;
+    [[nodiscard]] auto uses() const -> std::map<std::string, endpoint_use>;
 
     // Entries that share the fleet's allowances.
     auto setEntryCount(std::uint32_t count) -> void;
--- a/packages/forwarding/peer_exchange.cpp
+++ b/packages/forwarding/peer_exchange.cpp
@@ -48,10 +48,11 @@
         if (m_peers.isLive(row, now))
             state.add_peers(addressText(row.address));
     }
-    for (const auto &[endpoint, count] : report.uses) {
+    for (const auto &[endpoint, used] : report.uses) {
         auto *use = state.add_uses();
         use->set_endpoint(endpoint);
-        use->set_in_flight(count);
+        use->set_in_flight(used.inFlight);
+        use->set_prompt_tokens(used.promptTokens);
     }
     const auto current = m_usage.windowOf(unixNow);
     for (auto window = current - toldWindows + 1; window <= current; ++window) {
--- a/packages/forwarding/peer_exchange.h
+++ b/packages/forwarding/peer_exchange.h
@@ -28,8 +28,8 @@
 // What this edge tells beside its counts.
 struct edge_report
 {
-    // Requests in flight by endpoint.
-    std::map<std::string, std::uint32_t> uses;
+    // By endpoint.
+    std::map<std::string, endpoint_use> uses;
     std::uint64_t configurationVersion = 0;
     std::int64_t sealedWindow = 0;
     bool leaving = false;
--- a/packages/forwarding/peer_table.cpp
+++ b/packages/forwarding/peer_table.cpp
@@ -26,7 +26,8 @@
     row.configurationVersion = state.configuration_version();
     row.uses.clear();
     for (const auto &use : state.uses())
-        row.uses[use.endpoint()] = use.in_flight();
+        row.uses[use.endpoint()]
+            = {.inFlight = use.in_flight(), .promptTokens = use.prompt_tokens()};
     if (row.address.port != 0)
         m_addresses[row.address] = now;
     for (const auto &peer : state.peers())
@@ -71,14 +72,17 @@
     return settled ? count : std::max(count, m_options.assumedCount);
 }
 
-auto peer_table::usesOf(const std::string &endpoint, time_point now) const -> std::uint32_t
+auto peer_table::usesOf(const std::string &endpoint, time_point now) const -> endpoint_use
 {
-    std::uint32_t sum = 0;
+    endpoint_use sum;
     for (const auto &[name, row] : m_rows) {
         if (now - row.heardAt > m_options.silence)
             continue;
-        if (const auto use = row.uses.find(endpoint); use != row.uses.end())
-            sum += use->second;
+        const auto use = row.uses.find(endpoint);
+        if (use == row.uses.end())
+            continue;
+        sum.inFlight += use->second.inFlight;
+        sum.promptTokens += use->second.promptTokens;
     }
     return sum;
 }
--- a/packages/forwarding/peer_table.h
+++ b/packages/forwarding/peer_table.h
@@ -40,6 +40,14 @@
     duration settling = std::chrono::seconds(3);
 };
 
+// What one edge, or all others, have at an endpoint.
+struct endpoint_use
+{
+    std::uint32_t inFlight = 0;
+    // Of prompts that were not read yet.
+    std::uint32_t promptTokens = 0;
+};
+
 struct peer_row
 {
     std::string boot;
@@ -47,8 +55,8 @@
     std::uint64_t sequence = 0;
     time_point heardAt{};
     bool leaving = false;
-    // Requests in flight by endpoint.
-    std::map<std::string, std::uint32_t> uses;
+    // By endpoint.
+    std::map<std::string, endpoint_use> uses;
     std::uint64_t configurationVersion = 0;
 };
 
@@ -73,8 +81,8 @@
     [[nodiscard]] auto liveCount(time_point now) const -> std::uint32_t;
     // Edges that may use the fleet's allowances, this one included.
     [[nodiscard]] auto sharingCount(time_point now) const -> std::uint32_t;
-    // Requests that the other live edges have at an endpoint.
-    [[nodiscard]] auto usesOf(const std::string &endpoint, time_point now) const -> std::uint32_t;
+    // What the other live edges have at an endpoint.
+    [[nodiscard]] auto usesOf(const std::string &endpoint, time_point now) const -> endpoint_use;
 
     [[nodiscard]] auto rows() const -> const std::map<std::string, peer_row> & { return m_rows; }
 
--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -39,7 +39,7 @@
 dispatcher::dispatcher(dispatcher &&) noexcept = default;
 auto dispatcher::operator=(dispatcher &&) noexcept -> dispatcher & = default;
 
-auto dispatcher::setEndpoint(const endpoint_info &info, time_point) -> void
+auto dispatcher::setEndpoint(const endpoint_info &info, time_point now) -> void
 {
     std::vector<std::uint32_t> serves;
     for (const auto &name : info.serves)
@@ -47,7 +47,7 @@
     std::vector<std::uint32_t> before;
     if (const auto known = m_state->endpoints.find(info.id); known != noIndex)
         before = m_state->endpoints.at(known).serves;
-    const auto index = m_state->endpoints.set(info, std::move(serves));
+    const auto index = m_state->endpoints.set(info, std::move(serves), now);
     m_state->updateSubsets(index, before);
 }
 
@@ -115,6 +115,9 @@
     row.hasFirstToken = true;
     row.firstTokenAt = now;
     const auto latency = now - row.placedAt;
+    if (m_state->endpoints.at(row.endpoint).readsPrompts)
+        m_state->endpoints.promptRead(row.endpoint, latency, row.tokensAhead);
+    m_state->promptDone(row);
     m_state->endpoints.firstToken(row.endpoint, latency, now);
     m_state->prefixes.stored(row.prefixHash, row.endpoint);
     m_state->paceOf(row).firstToken(latency, now);
@@ -207,6 +210,12 @@
     m_state->cancelOverdue(now, actions);
 }
 
+auto dispatcher::promptTokensAt(std::string_view endpoint) const -> std::uint32_t
+{
+    const auto index = m_state->endpoints.find(endpoint);
+    return index == noIndex ? 0 : m_state->endpoints.at(index).ownPromptTokens;
+}
+
 auto dispatcher::queuedCount() const -> std::size_t
 {
     return m_state->requests.size() - m_state->placedCount;
--- a/packages/policy/dispatcher.h
+++ b/packages/policy/dispatcher.h
@@ -45,6 +45,13 @@
     std::uint32_t coldConcurrency = 0;
     // Takes new work: neither leaving nor in a data centre that is out.
     bool available = true;
+    // Reads prompts in between the tokens of its requests and caches their shared parts.
+    bool readsPrompts = false;
+    // Usual time to the first token, until it has shown its own; zero if not known.
+    duration assumedFirstToken{};
+    // Until then it bears at most so many requests a second from this entry; none if zero.
+    time_point coldUntil{};
+    double coldPerSecond = 0;
 };
 
 // What an agent reported of its endpoint with an answer or a probe.
@@ -56,6 +63,8 @@
     std::uint32_t window = 1;
     // Time since it was measured.
     duration age{};
+    // Tokens of prompts that other entries sent and that were not read yet.
+    std::uint32_t othersPromptTokens = 0;
 };
 
 struct request_arrival
@@ -77,6 +86,9 @@
     std::uint32_t promptTokens = 0;
     // Hash of the leading part of the prompt, for endpoints with a warm cache; 0 for none.
     std::uint64_t prefixHash = 0;
+    // Tokens of that leading part, and the most that may be generated; 0 if not known.
+    std::uint32_t sharedTokens = 0;
+    std::uint32_t outputTokens = 0;
     // The client account's limits over the whole fleet; 0 for none.
     std::uint32_t requestsPerSecond = 0;
     std::uint32_t concurrentRequests = 0;
@@ -178,6 +190,9 @@
     // milliseconds, and after any call that may have freed capacity.
     auto tick(time_point now, std::vector<dispatch_action> &actions) -> void;
 
+    // Tokens of prompts that this entry sent to an endpoint and that were not read yet.
+    [[nodiscard]] auto promptTokensAt(std::string_view endpoint) const -> std::uint32_t;
+
     [[nodiscard]] auto queuedCount() const -> std::size_t;
     [[nodiscard]] auto inFlightCount() const -> std::size_t;
 
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -54,11 +54,15 @@
         const bool serves = std::ranges::find(row.serves, target) != row.serves.end();
         if (targets[target].subset.contains(index) && !(row.available && serves))
             targets[target].subset.rebuild(endpoints, target);
+        if (row.readsPrompts && !(row.available && serves))
+            targets[target].prompts.rebuild(endpoints, target);
     }
     if (!row.available)
         return;
     for (const auto target : row.serves) {
         targets[target].subset.add(endpoints, index);
+        if (row.readsPrompts)
+            targets[target].prompts.add(endpoints, index);
         targets[target].fullTier = lowestTier + 1;
     }
 }
@@ -78,6 +82,7 @@
     row.betweenTokensTarget = arrival.betweenTokensTarget;
     row.prefixHash = arrival.prefixHash;
     row.promptTokens = arrival.promptTokens;
+    row.sharedTokens = arrival.sharedTokens;
     row.idempotent = arrival.idempotent;
     row.state = request_state::delayed;
     if (row.account >= accountBudgets.size())
@@ -105,6 +110,12 @@
     row.target = targetOf(arrival.target);
     auto &target = targets[row.target];
     row.queue = target.queue.queueOf(row.requestClass, row.tier, row.priority);
+    if (target.prompts.size() > 0) {
+        target.prompts.arrived({.promptTokens = arrival.promptTokens,
+                                .sharedTokens = arrival.sharedTokens,
+                                .outputTokens = arrival.outputTokens},
+                               now);
+    }
     if (target.paces.size() < target.queue.queueCount())
         target.paces.resize(target.queue.queueCount());
     if (target.subset.empty())
@@ -204,6 +215,8 @@
     -> placement_choice
 {
     const auto &row = requests.at(slot);
+    if (target.prompts.size() > 0)
+        return choosePrompt(target, slot, now);
     const placement_wish wish{
         .tier = row.tier,
         .warm = prefixes.find(row.prefixHash),
@@ -225,6 +238,24 @@
     return choice;
 }
 
+auto dispatcher::state::choosePrompt(const target_row &target, std::uint32_t slot,
+                                     time_point now) const -> placement_choice
+{
+    const auto &row = requests.at(slot);
+    prompt_wish wish{.tier = row.tier,
+                     .promptTokens = row.promptTokens,
+                     .sharedTokens = row.sharedTokens,
+                     .prefixHash = row.prefixHash,
+                     .firstTokenTarget = row.firstTokenTarget,
+                     .avoid = row.attempt > 0 ? row.endpoint : noIndex};
+    auto choice = target.prompts.choose(endpoints, wish, now);
+    if (choice.endpoint == noIndex && wish.avoid != noIndex) {
+        wish.avoid = noIndex;
+        choice = target.prompts.choose(endpoints, wish, now);
+    }
+    return choice;
+}
+
 // Places that each endpoint keeps free for higher tiers. Their number in flight varies by about its
 // square root; a lower tier that took the places in a lull would have to be preempted after it.
 auto dispatcher::state::reserveFor(const target_row &target, std::uint32_t tier) const -> double
@@ -291,6 +322,13 @@
                      .reason = choice.reason,
                      .considered = describeConsidered(choice, now)});
     endpoints.placed(choice.endpoint, row.tier, now);
+    if (!endpoints.at(choice.endpoint).readsPrompts)
+        return;
+    const bool isCached = choice.reason == "prefix";
+    row.unreadTokens = row.promptTokens - std::min(row.promptTokens, isCached ? row.sharedTokens : 0);
+    endpoints.promptSent(choice.endpoint, row.unreadTokens);
+    const auto &there = endpoints.at(choice.endpoint);
+    row.tokensAhead = there.ownPromptTokens + there.othersPromptTokens;
 }
 
 // Written by hand: this is the costliest part of a placement otherwise.
@@ -320,8 +358,9 @@
 auto dispatcher::state::release(std::uint32_t slot, std::uint32_t usedTokens, time_point now)
     -> void
 {
-    const auto &row = requests.at(slot);
+    auto &row = requests.at(slot);
     auto &target = targets[row.target];
+    promptDone(row);
     endpoints.released(row.endpoint, row.tier, row.hasFirstToken, now);
     target.queue.finish(row, usedTokens);
     target.freed.add(row.endpoint);
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -17,6 +17,7 @@
 #include "policy/endpoint_table.h"
 #include "policy/placement.h"
 #include "policy/prefix_index.h"
+#include "policy/prompt_placement.h"
 #include "policy/request_table.h"
 #include "policy/retry_budget.h"
 #include "policy/size_estimator.h"
@@ -35,6 +36,8 @@
     {
         target_queue queue;
         endpoint_subset subset;
+        // Used for endpoints that read prompts.
+        prompt_placement prompts;
         // By the number of the class's queue.
         std::vector<class_pace> paces;
         return_schedule returns;
@@ -86,6 +89,8 @@
     auto placeWaiting(target_row &target, time_point now, dispatch_actions &actions) -> void;
     [[nodiscard]] auto chooseFor(target_row &target, std::uint32_t slot, time_point now)
         -> placement_choice;
+    [[nodiscard]] auto choosePrompt(const target_row &target, std::uint32_t slot,
+                                    time_point now) const -> placement_choice;
     [[nodiscard]] auto reserveFor(const target_row &target, std::uint32_t tier) const -> double;
     [[nodiscard]] auto isUrgent(const request_row &row, time_point now) const -> bool;
     auto place(target_row &target, std::uint32_t slot, const placement_choice &choice,
@@ -93,6 +98,13 @@
     [[nodiscard]] auto describeConsidered(const placement_choice &choice, time_point now) const
         -> std::string;
 
+    // The prompt of a placed request was read, or need not be.
+    auto promptDone(request_row &row) -> void
+    {
+        endpoints.promptDone(row.endpoint, row.unreadTokens);
+        row.unreadTokens = 0;
+    }
+
     // The end of a try or of a request.
     auto release(std::uint32_t slot, std::uint32_t usedTokens, time_point now) -> void;
     auto forget(std::uint32_t slot) -> void;
--- a/packages/policy/endpoint_table.cpp
+++ b/packages/policy/endpoint_table.cpp
@@ -19,6 +19,10 @@
 // Requests sent beyond the window on an old report; they wait in the agent's queue for a place that
 // the report could not show.
 constexpr std::uint32_t staleSlack = 1;
+// The time to a first token that does not depend on the prompt, as tokens of a prompt.
+constexpr double promptOverheadTokens = 4000;
+// Taken before an endpoint has shown its own.
+constexpr double assumedSecondsPerPromptToken = 1e-5;
 constexpr duration historySpanLength = std::chrono::milliseconds(200);
 
 } // namespace
@@ -37,8 +41,8 @@
     return static_cast<std::uint32_t>(m_rows.size() - 1);
 }
 
-auto endpoint_table::set(const endpoint_info &info, std::vector<std::uint32_t> serves)
-    -> std::uint32_t
+auto endpoint_table::set(const endpoint_info &info, std::vector<std::uint32_t> serves,
+                         time_point now) -> std::uint32_t
 {
     auto index = find(info.id);
     if (index == noIndex) {
@@ -53,6 +57,11 @@
     row.coldConcurrency = std::min(cold, info.maxConcurrency);
     row.present = true;
     row.available = info.available;
+    row.readsPrompts = info.readsPrompts;
+    if (row.firstTokenMean == 0)
+        row.firstTokenMean = static_cast<double>(info.assumedFirstToken.count());
+    row.coldUntil = info.coldUntil;
+    row.coldRate.configure({.perSecond = info.coldPerSecond, .burst = 1}, now);
     return index;
 }
 
@@ -84,6 +93,7 @@
     row.othersCount = static_cast<std::uint32_t>(std::lround(row.others));
     row.window = load.window + (load.age > freshAge ? staleSlack : 0);
     row.reportedAt = now;
+    row.othersPromptTokens = load.othersPromptTokens;
     if (total < load.window && load.age <= freshAge)
         row.busyUntil = {};
 }
@@ -136,12 +146,34 @@
     ++row.own;
     ++row.ownByTier[tier];
     row.newestByTier[tier] = now;
+    if (now < row.coldUntil)
+        row.coldRate.take(now);
     row.retries.requested();
     if (row.owing == 0)
         row.owingSince = now;
     ++row.owing;
 }
 
+auto endpoint_table::promptRead(std::uint32_t index, duration latency, std::uint32_t tokens)
+    -> void
+{
+    auto &row = m_rows[index];
+    const auto sample = toSeconds(latency) / (tokens + promptOverheadTokens);
+    row.secondsPerPromptToken
+        = row.secondsPerPromptToken == 0
+              ? sample
+              : row.secondsPerPromptToken
+                    + (sample - row.secondsPerPromptToken) * firstTokenWeight;
+}
+
+auto endpoint_table::promptWait(std::uint32_t index) const -> duration
+{
+    const auto &row = m_rows[index];
+    const auto pace = row.secondsPerPromptToken == 0 ? assumedSecondsPerPromptToken
+                                                     : row.secondsPerPromptToken;
+    return fromSeconds(pace * (row.ownPromptTokens + row.othersPromptTokens));
+}
+
 auto endpoint_table::firstToken(std::uint32_t index, duration latency, time_point now) -> void
 {
     auto &row = m_rows[index];
--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -27,6 +27,7 @@
 #include "policy/name_table.h"
 #include "policy/random.h"
 #include "policy/retry_budget.h"
+#include "policy/token_bucket.h"
 
 namespace mustardline {
 
@@ -68,6 +69,17 @@
     time_point ejectedUntil{};
     // It refused a request for want of room; it is left alone until then.
     time_point busyUntil{};
+
+    bool readsPrompts = false;
+    // Tokens of prompts there that were not read yet, by the first tokens that are owed.
+    std::uint32_t ownPromptTokens = 0;
+    std::uint32_t othersPromptTokens = 0;
+    // Time to read one token of a prompt; 0 before the first.
+    double secondsPerPromptToken = 0;
+
+    // While it is cold, requests are sent at a rate of their own.
+    time_point coldUntil{};
+    token_bucket coldRate;
 };
 
 class endpoint_table
@@ -76,7 +88,8 @@
     explicit endpoint_table(std::uint64_t seed) : m_random(seed) {}
 
     // Adds or changes an endpoint and returns its index.
-    auto set(const endpoint_info &info, std::vector<std::uint32_t> serves) -> std::uint32_t;
+    auto set(const endpoint_info &info, std::vector<std::uint32_t> serves, time_point now)
+        -> std::uint32_t;
     auto remove(std::uint32_t index) -> void;
     [[nodiscard]] auto find(std::string_view id) const -> std::uint32_t;
 
@@ -91,6 +104,19 @@
     auto firstToken(std::uint32_t index, duration latency, time_point now) -> void;
     auto released(std::uint32_t index, std::uint32_t tier, bool hadFirstToken, time_point now)
         -> void;
+    // A prompt of so many tokens, cached ones left out, was sent there or need no longer be read.
+    auto promptSent(std::uint32_t index, std::uint32_t tokens) -> void
+    {
+        m_rows[index].ownPromptTokens += tokens;
+    }
+    auto promptDone(std::uint32_t index, std::uint32_t tokens) -> void
+    {
+        m_rows[index].ownPromptTokens -= std::min(m_rows[index].ownPromptTokens, tokens);
+    }
+    // The first token of a request came `latency` after it was sent, behind so many prompt tokens.
+    auto promptRead(std::uint32_t index, duration latency, std::uint32_t tokens) -> void;
+    // Time until the prompts that were sent there are read.
+    [[nodiscard]] auto promptWait(std::uint32_t index) const -> duration;
 
     // May be sent a request at all, whether or not it has room.
     [[nodiscard]] auto isUsable(std::uint32_t index, time_point now) const -> bool;
@@ -142,6 +168,8 @@
     const auto &row = m_rows[index];
     if (!row.available || now < row.ejectedUntil || now < row.busyUntil)
         return false;
+    if (now < row.coldUntil && !row.coldRate.hasToken(now))
+        return false;
     // After a failure one request at a time, until one is answered.
     if (row.failures > 0 && row.own > 0)
         return false;
--- /dev/null
+++ b/packages/policy/prompt_placement.cpp
@@ -0,0 +1,173 @@
+#include "policy/prompt_placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/hashing.h"
+
+namespace mustardline {
+
+namespace {
+
+// Members beyond this are left out, so that a choice costs the same in a fleet of any size.
+constexpr std::size_t maxMembers = 64;
+// A token that is generated costs about as much of an endpoint as so many of a prompt: a step makes
+// one for each of some twenty requests in the time in which it reads several hundred.
+constexpr double promptTokensPerOutput = 35;
+// The part of its first-token target that a request may wait for prompts before it at the endpoint
+// that has its prefix, and at the others of its lane.
+constexpr double warmWaitPart = 0.4;
+constexpr double laneWaitPart = 0.6;
+// The work of the lanes is followed over about this time.
+constexpr double workFadeSeconds = 8;
+// The long lane's size changes once the work is so much of one endpoint's part away from it.
+constexpr double laneHysteresis = 0.7;
+
+auto mixed(std::uint64_t value) -> std::uint64_t
+{
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31U);
+}
+
+auto fits(const endpoint_table &endpoints, std::uint32_t index, time_point now) -> bool
+{
+    return endpoints.isUsable(index, now) && endpoints.hasRoom(index, now);
+}
+
+} // namespace
+
+auto prompt_placement::add(const endpoint_table &endpoints, std::uint32_t index) -> void
+{
+    if (std::ranges::find(m_members, index, &member::index) != m_members.end())
+        return;
+    const member added{.hash = fastHash(endpoints.at(index).id), .index = index};
+    m_members.insert(std::ranges::lower_bound(m_members, added.hash, {}, &member::hash), added);
+    if (m_members.size() > maxMembers)
+        m_members.pop_back();
+    resizeLanes();
+}
+
+auto prompt_placement::rebuild(const endpoint_table &endpoints, std::uint32_t target) -> void
+{
+    m_members.clear();
+    for (std::uint32_t index = 0; index < endpoints.size(); ++index) {
+        const auto &row = endpoints.at(index);
+        if (row.available && std::ranges::find(row.serves, target) != row.serves.end())
+            add(endpoints, index);
+    }
+    resizeLanes();
+}
+
+auto prompt_placement::arrived(const prompt_work &work, time_point now) -> void
+{
+    const auto fade = std::exp(-toSeconds(now - m_workAt) / workFadeSeconds);
+    m_workAt = now;
+    m_longWork *= fade;
+    m_shortWork *= fade;
+    const auto read = work.promptTokens - std::min(work.promptTokens, work.sharedTokens);
+    const auto tokens = read + work.outputTokens * promptTokensPerOutput;
+    (work.promptTokens >= longPromptTokens ? m_longWork : m_shortWork) += tokens;
+    resizeLanes();
+}
+
+auto prompt_placement::resizeLanes() -> void
+{
+    const auto count = m_members.size();
+    const auto work = m_longWork + m_shortWork;
+    if (count < 2 || work == 0) {
+        m_longLane = count / 2;
+        return;
+    }
+    const auto wanted = m_longWork / work * static_cast<double>(count);
+    if (std::abs(wanted - static_cast<double>(m_longLane)) > laneHysteresis)
+        m_longLane = static_cast<std::size_t>(std::lround(wanted));
+    m_longLane = std::clamp<std::size_t>(m_longLane, 1, count - 1);
+}
+
+auto prompt_placement::laneOf(const prompt_wish &wish) const -> std::span<const member>
+{
+    const std::span<const member> all(m_members);
+    if (all.size() < 2)
+        return all;
+    return wish.promptTokens >= longPromptTokens ? all.first(m_longLane)
+                                                 : all.subspan(m_longLane);
+}
+
+auto prompt_placement::choose(const endpoint_table &endpoints, const prompt_wish &wish,
+                              time_point now) const -> placement_choice
+{
+    const auto lane = laneOf(wish);
+    if (wish.prefixHash != 0) {
+        auto choice = chooseWarm(lane, endpoints, wish, now);
+        if (choice.endpoint != noIndex)
+            return choice;
+    }
+    auto choice = chooseShortest(lane, endpoints, wish, now);
+    const auto bound = scaled(wish.firstTokenTarget, laneWaitPart);
+    if (choice.endpoint != noIndex && endpoints.promptWait(choice.endpoint) <= bound) {
+        choice.reason = "lane";
+        return choice;
+    }
+    const auto other = chooseShortest(m_members, endpoints, wish, now);
+    if (other.endpoint != noIndex)
+        choice.endpoint = other.endpoint;
+    choice.reason = "other_lane";
+    return choice;
+}
+
+// The endpoints of the lane in the prefix's own order; the first that keeps it waiting briefly.
+auto prompt_placement::chooseWarm(std::span<const member> lane, const endpoint_table &endpoints,
+                                  const prompt_wish &wish, time_point now) -> placement_choice
+{
+    constexpr std::size_t tried = 2;
+    placement_choice choice;
+    const auto bound = scaled(wish.firstTokenTarget, warmWaitPart);
+    std::uint64_t below = UINT64_MAX;
+    for (std::size_t turn = 0; turn < tried; ++turn) {
+        auto best = noIndex;
+        std::uint64_t bestScore = 0;
+        for (const auto &item : lane) {
+            const auto score = mixed(item.hash ^ wish.prefixHash);
+            if (score >= below || score < bestScore || item.index == wish.avoid
+                || !fits(endpoints, item.index, now))
+                continue;
+            best = item.index;
+            bestScore = score;
+        }
+        if (best == noIndex)
+            return choice;
+        choice.consider(best);
+        if (endpoints.promptWait(best) <= bound) {
+            choice.endpoint = best;
+            choice.reason = turn == 0 ? "prefix" : "prefix_second";
+            return choice;
+        }
+        below = bestScore;
+    }
+    return choice;
+}
+
+auto prompt_placement::chooseShortest(std::span<const member> members,
+                                      const endpoint_table &endpoints, const prompt_wish &wish,
+                                      time_point now) -> placement_choice
+{
+    placement_choice choice;
+    duration least{};
+    std::uint32_t load = 0;
+    for (const auto &item : members) {
+        if (item.index == wish.avoid || !fits(endpoints, item.index, now))
+            continue;
+        const auto wait = endpoints.promptWait(item.index);
+        const auto held = endpoints.load(item.index, now);
+        if (choice.endpoint != noIndex && std::pair(wait, held) >= std::pair(least, load))
+            continue;
+        choice.consider(item.index);
+        choice.endpoint = item.index;
+        least = wait;
+        load = held;
+    }
+    return choice;
+}
+
+} // namespace mustardline
--- a/packages/policy/request_table.h
+++ b/packages/policy/request_table.h
@@ -46,6 +46,11 @@
     duration betweenTokensTarget{};
     std::uint64_t prefixHash = 0;
     std::uint32_t promptTokens = 0;
+    std::uint32_t sharedTokens = 0;
+    // Counted at its endpoint as not read yet.
+    std::uint32_t unreadTokens = 0;
+    // Its own and those that stood before it there.
+    std::uint32_t tokensAhead = 0;
     std::uint32_t generatedTokens = 0;
     // Tokens charged to the account at placement.
     std::uint32_t chargedTokens = 0;
--- a/packages/policy/token_bucket.h
+++ b/packages/policy/token_bucket.h
@@ -44,6 +44,12 @@
         return true;
     }
 
+    // Whether `take` would succeed.
+    [[nodiscard]] auto hasToken(time_point now) const -> bool
+    {
+        return m_tokens + toSeconds(now - m_refilledAt) * m_options.perSecond >= 1;
+    }
+
     // Time until one token is there.
     [[nodiscard]] auto timeToNext() const -> duration
     {
