--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -144,12 +144,14 @@
     static constexpr duration rotationTime = std::chrono::milliseconds(3200);
     // New connections come for about this long after SIGTERM; kept ones are closed from then on.
     static constexpr duration idleGrace = std::chrono::milliseconds(1500);
+    // Requests that come later than this after SIGTERM are refused.
+    static constexpr duration lastRequestTime = std::chrono::milliseconds(3500);
     // Before the kill, for the last answers to reach their callers.
     static constexpr duration stopMargin = std::chrono::milliseconds(700);
 
     auto listen() -> bool
     {
-        m_callers.onRequest([this](const auto &exchange) { m_router.handle(exchange); });
+        m_callers.onRequest([this](const auto &exchange) { takeRequest(exchange); });
         m_readiness.onRequest([this](const auto &exchange) { answerReadiness(exchange); });
         m_metricsServer.onRequest(
             [this](const auto &exchange) { exchange->reply(200, {}, m_metrics.text()); });
@@ -172,6 +174,15 @@
         return true;
     }
 
+    auto takeRequest(const std::shared_ptr<http_exchange> &exchange) -> void
+    {
+        // What comes so late could not be finished before the process is killed.
+        if (m_stopping && m_clock.now() - m_stopAt >= lastRequestTime)
+            m_router.refuseDraining(exchange);
+        else
+            m_router.handle(exchange);
+    }
+
     auto answerReadiness(const std::shared_ptr<http_exchange> &exchange) -> void
     {
         constexpr int ready = 200;
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "forwarding/events.h"
+#include "policy/durations.h"
 
 namespace mustardline {
 
@@ -23,9 +24,22 @@
 constexpr duration assumedFirstToken = std::chrono::milliseconds(100);
 // The part of what cold endpoints bear that is used: requests of one second arrive in another.
 constexpr double coldPart = 0.8;
+// The balancer has other processes.
+constexpr duration drainingRetryAfter = std::chrono::milliseconds(50);
 // When to come back if nothing better is known.
 constexpr duration defaultRetryAfter = std::chrono::milliseconds(500);
 
+// As errorHeaders, but the time to come back keeps its fraction of a second: callers here read it.
+auto failureHeaders(const http_error &fault) -> std::vector<http_header>
+{
+    auto headers = errorHeaders(fault);
+    for (auto &item : headers) {
+        if (sameHeaderName(item.name, "retry-after"))
+            item.value = fmt::format("{:.3f}", toSeconds(fault.retryAfter));
+    }
+    return headers;
+}
+
 auto isSuccess(int status) -> bool
 {
     return status >= firstSuccess && status < firstRedirect;
@@ -84,6 +98,11 @@
     carryOut();
 }
 
+auto forward_router::refuseDraining(const std::shared_ptr<http_exchange> &exchange) -> void
+{
+    refuseAtOnce(exchange, {.code = result_code::draining, .retryAfter = drainingRetryAfter});
+}
+
 auto forward_router::refuseAtOnce(const std::shared_ptr<http_exchange> &exchange,
                                   const http_error &fault) -> void
 {
@@ -92,7 +111,7 @@
                 field("status", info.httpStatus), field("result", info.name),
                 field("host", exchange->header("host")), field("path", exchange->path()),
                 field("version", m_routes.current() ? m_routes.current()->version : 0));
-    exchange->reply(info.httpStatus, errorHeaders(fault), errorBody(fault));
+    exchange->reply(info.httpStatus, failureHeaders(fault), errorBody(fault));
 }
 
 auto forward_router::endpointsChanged() -> void
@@ -467,7 +486,7 @@
 auto forward_router::fail(forward_request &request, const http_error &fault) -> void
 {
     request.answer.status = describe(fault.code).httpStatus;
-    request.exchange->reply(request.answer.status, errorHeaders(fault), errorBody(fault));
+    request.exchange->reply(request.answer.status, failureHeaders(fault), errorBody(fault));
     finish(request, fault.code);
 }
 
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -48,6 +48,9 @@
     // Takes a caller's request; it is answered later.
     auto handle(const std::shared_ptr<http_exchange> &exchange) -> void;
 
+    // Refuses a request because the process ends; another one may take it at once.
+    auto refuseDraining(const std::shared_ptr<http_exchange> &exchange) -> void;
+
     // Tells the dispatcher of the endpoints that changed in the directory.
     auto endpointsChanged() -> void;
 
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -153,7 +153,10 @@
         const auto keep = shared_from_this();
         if (current.get() == &exchange)
             current.reset();
-        if (closesAfterAnswer) {
+        // An answer that began before the server was told to close could not say so; a request
+        // that its caller has sent on is answered.
+        const bool nothingFollows = pending.empty() && !reader.isInside();
+        if (closesAfterAnswer || (server.m_closing && nothingFollows && !stream->hasUnread())) {
             finishConnection();
             return;
         }
