Lanes: count an output token as 12 prompt tokens

A step makes one token for each running request in the time of some hundred prompt tokens, so 35 was too much.

--- a/packages/policy/prompt_placement.cpp
+++ b/packages/policy/prompt_placement.cpp
@@ -12,8 +12,8 @@
 // Members beyond this are left out, so that a choice costs the same in a fleet of any size.
 constexpr std::size_t maxMembers = 64;
 // A token that is generated costs about as much of an endpoint as so many of a prompt: a step makes
-// one for each of some twenty requests in the time in which it reads several hundred.
-constexpr double promptTokensPerOutput = 35;
+// one for each of some forty requests in the time in which it reads several hundred.
+constexpr double promptTokensPerOutput = 12;
 // The part of its first-token target that a request may wait for prompts before it at the endpoint
 // that has its prefix, and at the others of its lane.
 constexpr double warmWaitPart = 0.4;
