--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -370,6 +370,7 @@
                              .maxHeaderBytes = limits.maxHeaderBytes,
                              .idleTimeout = limits.idleTimeout,
                              .headerTimeout = limits.headerTimeout});
+        m_router.configurationChanged();
         m_log.write(configurationInForce, field("version", configuration->version),
                     field("offset", record.offset), field("routes", configuration->routes.size()),
                     field("accounts", configuration->accounts.size()));
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -130,6 +130,13 @@
     carryOut();
 }
 
+auto forward_router::configurationChanged() -> void
+{
+    for (const auto &[id, entry] : m_directory.entries())
+        setEndpoint(entry);
+    endpointsChanged();
+}
+
 auto forward_router::setEndpoint(const endpoint_entry &entry) -> void
 {
     const auto &told = entry.registration;
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -54,6 +54,9 @@
     // Tells the dispatcher of the endpoints that changed in the directory.
     auto endpointsChanged() -> void;
 
+    // What the configuration says of the endpoints' services may have changed.
+    auto configurationChanged() -> void;
+
     // Tells the dispatcher what the other edges have in flight.
     auto othersUse(const peer_table &peers, time_point now) -> void;
 
