--- a/packages/forwarding/forward_request.cpp
+++ b/packages/forwarding/forward_request.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+// An edge without a configuration waits for the log service, whose outages last some seconds.
+constexpr duration noConfigurationRetryAfter = std::chrono::milliseconds(2500);
 constexpr std::string_view bearerPrefix = "Bearer ";
 
 // Headers that concern one connection only, and those that the sender sets itself.
@@ -126,7 +128,7 @@
 {
     if (!routes.current()) {
         return http_error{.code = result_code::no_configuration,
-                          .retryAfter = std::chrono::milliseconds(500)};
+                          .retryAfter = noConfigurationRetryAfter};
     }
     const auto *route = routes.find(exchange->header("host"), exchange->path());
     if (route == nullptr)
