Test the forwarding path: tables, duty, decoders, the process on a stand-in store

The store stand-in joins packages/standin (conditional appends, newest values, outages, lost answers, forgotten history).

--- /dev/null
+++ b/packages/base/testing/log_output_test.cpp
@@ -0,0 +1,71 @@
+#include "base/log_output.h"
+
+#include <array>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <gtest/gtest.h>
+
+namespace mustardline {
+namespace {
+
+class LogOutputTest : public testing::Test
+{
+protected:
+    LogOutputTest() { EXPECT_EQ(pipe2(m_pipe.data(), 0), 0); }
+    ~LogOutputTest() override
+    {
+        close(m_pipe[0]);
+        close(m_pipe[1]);
+    }
+    LogOutputTest(const LogOutputTest &) = delete;
+    auto operator=(const LogOutputTest &) -> LogOutputTest & = delete;
+
+    // All that is in the pipe now.
+    auto readAll() -> std::string
+    {
+        fcntl(m_pipe[0], F_SETFL, O_NONBLOCK);
+        std::string text;
+        std::array<char, 4096> part{};
+        for (ssize_t count = 0; (count = read(m_pipe[0], part.data(), part.size())) > 0;)
+            text.append(part.data(), static_cast<std::size_t>(count));
+        return text;
+    }
+
+    std::array<int, 2> m_pipe{};
+};
+
+TEST_F(LogOutputTest, writesLinesOnceFlushed)
+{
+    log_output output({.descriptor = m_pipe[1]});
+    output.add("one");
+    output.add("two");
+    EXPECT_EQ(readAll(), "");
+    output.flush();
+    EXPECT_EQ(readAll(), "one\ntwo\n");
+}
+
+// The descriptor is a blocking one: a write that waited would hang the test.
+TEST_F(LogOutputTest, aReaderThatDoesNotReadStallsNothing)
+{
+    log_output output({.descriptor = m_pipe[1], .maxKeptBytes = 64U << 10U});
+    const std::string line(100, 'x');
+    constexpr auto lines = 100'000;
+    for (auto at = 0; at < lines; ++at)
+        output.add(line);
+    output.flush();
+    EXPECT_GT(output.droppedLines(), 0U);
+    std::string text;
+    for (auto round = 0; round < 20; ++round) {
+        text += readAll();
+        output.flush();
+    }
+    const auto written = static_cast<std::uint64_t>(std::count(text.begin(), text.end(), '\n'));
+    // Every line is there whole or counted as left out; one more line says how many those are.
+    EXPECT_EQ(written + output.droppedLines(), lines + 1U);
+    EXPECT_NE(text.find("log_lines_dropped lines="), std::string::npos);
+}
+
+} // namespace
+} // namespace mustardline
--- /dev/null
+++ b/packages/coordination/testing/keyed_follower_test.cpp
@@ -0,0 +1,153 @@
+#include "coordination/keyed_follower.h"
+
+#include <deque>
+
+#include <gtest/gtest.h>
+
+namespace mustardline {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A log whose answers a test has laid out, and that notes what was asked.
+class scripted_log
+{
+public:
+    auto read(const log_position &position, log_read_handler done) -> void
+    {
+        asked.push_back("read " + std::to_string(position.offset));
+        if (reads.empty()) {
+            onIdle();
+            return;
+        }
+        const auto outcome = reads.front();
+        reads.pop_front();
+        done(outcome);
+    }
+    auto newest(const std::string &, const std::string &after, log_newest_handler done) -> void
+    {
+        asked.push_back("newest " + after);
+        const auto outcome = pages.front();
+        pages.pop_front();
+        done(outcome);
+    }
+    auto append(const log_append &, log_append_handler done) -> void { done(log_unavailable{}); }
+
+    // "key=value" sets, "key" drops, "" is malformed.
+    static auto keyedRecord(std::string_view bytes) -> std::optional<keyed_record>
+    {
+        if (bytes.empty())
+            return std::nullopt;
+        const auto equals = bytes.find('=');
+        keyed_record record{.key = std::string(bytes.substr(0, equals))};
+        if (equals != std::string_view::npos)
+            record.value = std::string(bytes.substr(equals + 1));
+        return record;
+    }
+    static auto keyedBytes(std::string_view key, std::string_view value) -> std::string
+    {
+        return std::string(key) + "=" + std::string(value);
+    }
+
+    std::deque<log_newest_outcome> pages;
+    std::deque<log_read_outcome> reads;
+    std::vector<std::string> asked;
+    std::function<auto()->void> onIdle;
+};
+
+static_assert(shared_log<scripted_log>);
+
+class KeyedFollowerTest : public testing::Test
+{
+protected:
+    KeyedFollowerTest()
+    {
+        m_log.onIdle = [this] { m_loop.stop(); };
+        m_follower.onRecord = [this](const keyed_record &record) {
+            m_seen.push_back(record.key + (record.value ? "=" + *record.value : " dropped"));
+        };
+        m_follower.onWhole = [this](const auto &keys) {
+            m_seen.push_back("whole " + std::to_string(keys.size()));
+        };
+        m_follower.onLost = [this](const std::string &) { m_seen.emplace_back("lost"); };
+        m_follower.onReturned = [this] { m_seen.emplace_back("returned"); };
+        m_follower.onMalformed = [this](std::string_view) { m_seen.emplace_back("malformed"); };
+    }
+
+    // Follows until all answers laid out are used up.
+    auto follow() -> void
+    {
+        m_follower.start();
+        m_loop.run();
+    }
+
+    event_loop m_loop;
+    scripted_log m_log;
+    keyed_follower<scripted_log> m_follower{
+        m_loop, m_log, {.topic = "t", .pace = milliseconds(1), .retryAfter = milliseconds(1)}};
+    std::vector<std::string> m_seen;
+};
+
+auto pageOf(std::vector<keyed_record> entries, std::uint64_t end, bool more = false)
+    -> log_newest_page
+{
+    return {.entries = std::move(entries), .more = more, .endOffset = end};
+}
+
+TEST_F(KeyedFollowerTest, tellsTheNewestValuesAndThenEachRecord)
+{
+    m_log.pages = {pageOf({{.key = "a", .value = "1", .offset = 3}}, 5)};
+    m_log.reads = {log_batch{.endOffset = 7, .firstOffset = 0, .records = {"a=2", "a"}}};
+    follow();
+    EXPECT_EQ(m_seen, (std::vector<std::string>{"a=1", "whole 1", "a=2", "a dropped"}));
+    EXPECT_EQ(m_log.asked, (std::vector<std::string>{"newest ", "read 5", "read 7"}));
+}
+
+TEST_F(KeyedFollowerTest, readsOnFromTheEndOfTheFirstPage)
+{
+    m_log.pages = {pageOf({{.key = "a", .value = "1", .offset = 3}}, 5, true),
+                   pageOf({{.key = "b", .value = "new", .offset = 6}}, 8)};
+    m_log.reads
+        = {log_batch{.endOffset = 8, .firstOffset = 0, .records = {"b=old", "b=new", "c=1"}}};
+    follow();
+    // The record at offset 5 is older than what the page said of its key.
+    EXPECT_EQ(m_seen, (std::vector<std::string>{"a=1", "b=new", "whole 2", "b=new", "c=1"}));
+    EXPECT_EQ(m_log.asked[1], "newest a");
+}
+
+TEST_F(KeyedFollowerTest, beginsAnewWhereRecordsWereForgotten)
+{
+    const std::vector<log_read_outcome> gaps{log_expired{.firstOffset = 90},
+                                             log_batch{.endOffset = 99, .firstOffset = 90},
+                                             log_batch{.endOffset = 2, .firstOffset = 0}};
+    for (const auto &gap : gaps) {
+        m_seen.clear();
+        m_log.pages = {pageOf({{.key = "a", .value = "1", .offset = 3}}, 5),
+                       pageOf({{.key = "b", .value = "1", .offset = 1}}, 99)};
+        m_log.reads = {gap};
+        follow();
+        EXPECT_EQ(m_seen, (std::vector<std::string>{"a=1", "whole 1", "b=1", "whole 1"}));
+    }
+}
+
+TEST_F(KeyedFollowerTest, anOutageIsToldOnceAndNothingIsSkipped)
+{
+    m_log.pages = {log_unavailable{}, pageOf({}, 5)};
+    m_log.reads = {log_unavailable{}, log_unavailable{},
+                   log_batch{.endOffset = 6, .firstOffset = 0, .records = {"a=1"}}};
+    follow();
+    EXPECT_EQ(m_seen,
+              (std::vector<std::string>{"lost", "returned", "whole 0", "lost", "returned", "a=1"}));
+    EXPECT_EQ(m_log.asked.back(), "read 6");
+}
+
+TEST_F(KeyedFollowerTest, aMalformedRecordCostsOnlyItself)
+{
+    m_log.pages = {pageOf({}, 0)};
+    m_log.reads = {log_batch{.endOffset = 2, .firstOffset = 0, .records = {"", "a=1"}}};
+    follow();
+    EXPECT_EQ(m_seen, (std::vector<std::string>{"whole 0", "malformed", "a=1"}));
+}
+
+} // namespace
+} // namespace mustardline
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -98,7 +98,10 @@
                                 .window = m_settings.repeatWindow}}),
           m_time(m_clock.now(), m_clock.unixNow()),
           m_usage({.window = m_settings.usageWindow, .self = m_boot}),
-          m_duty({.holder = m_settings.name + "/" + m_boot}),
+          m_duty({.holder = m_settings.name + "/" + m_boot,
+                  .sealAfter = m_settings.usageDue * 3 / 10,
+                  .takeOverAfter = m_settings.usageDue * 6 / 10,
+                  .term = m_settings.leaseTerm + leaseSlack}),
           m_peers({.name = m_settings.name, .boot = m_boot, .seeds = m_settings.seeds},
                   m_clock.now()),
           m_exchange(m_loop, {.name = m_settings.name, .boot = m_boot, .address = m_settings.peers},
@@ -136,6 +139,8 @@
     static constexpr duration controlConnectTimeout = std::chrono::milliseconds(1000);
     static constexpr duration endpointConnectTimeout = std::chrono::milliseconds(300);
     static constexpr std::size_t maxIdlePerEndpoint = 100;
+    // Holders must not follow each other within the term of the settings.
+    static constexpr duration leaseSlack = std::chrono::milliseconds(500);
     // Between two messages to the other edges.
     static constexpr duration tellInterval = std::chrono::milliseconds(500);
     static constexpr duration housekeepingInterval = std::chrono::milliseconds(250);
--- a/packages/forwarding/edge_settings.cpp
+++ b/packages/forwarding/edge_settings.cpp
@@ -30,15 +30,8 @@
         reader.integer(name, {.lowest = 1, .highest = highestMilliseconds}));
 }
 
-} // namespace
-
-auto readEdgeSettings(const std::string &fileName) -> result<edge_settings>
+auto readFields(settings_reader &reader, std::optional<error> &fault) -> edge_settings
 {
-    const auto document = readJsonFile(fileName);
-    if (const auto *fault = failed(document))
-        return *fault;
-    settings_reader reader(std::get<nlohmann::json>(document));
-    std::optional<error> fault;
     edge_settings settings;
     settings.name = reader.text("name");
     settings.dataCentre = reader.text("data_centre");
@@ -65,6 +58,28 @@
     settings.usageWindow = readMilliseconds(reader, "usage_window_ms");
     settings.usageDue = readMilliseconds(reader, "usage_due_ms");
     settings.leaseTerm = readMilliseconds(reader, "lease_term_ms");
+    return settings;
+}
+
+} // namespace
+
+auto edgeSettingsFields() -> std::vector<settings_description>
+{
+    settings_reader reader(nlohmann::json::object());
+    std::optional<error> fault;
+    static_cast<void>(readFields(reader, fault));
+    const auto fields = reader.fields();
+    return {fields.begin(), fields.end()};
+}
+
+auto readEdgeSettings(const std::string &fileName) -> result<edge_settings>
+{
+    const auto document = readJsonFile(fileName);
+    if (const auto *fault = failed(document))
+        return *fault;
+    settings_reader reader(std::get<nlohmann::json>(document));
+    std::optional<error> fault;
+    auto settings = readFields(reader, fault);
     if (const auto outcome = reader.finish(); failed(outcome) != nullptr)
         return *failed(outcome);
     if (fault)
--- a/packages/forwarding/edge_settings.h
+++ b/packages/forwarding/edge_settings.h
@@ -13,6 +13,7 @@
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "base/settings_reader.h"
 #include "net/http_message.h"
 
 namespace mustardline {
@@ -45,6 +46,9 @@
     duration leaseTerm = std::chrono::seconds(3);
 };
 
+// The fields that the file may hold, for docs/settings-edge.md.
+[[nodiscard]] auto edgeSettingsFields() -> std::vector<settings_description>;
+
 [[nodiscard]] auto readEdgeSettings(const std::string &fileName) -> result<edge_settings>;
 
 } // namespace mustardline
--- /dev/null
+++ b/packages/forwarding/testing/tables_test.cpp
@@ -0,0 +1,322 @@
+// The tables of the forwarding path that need no network.
+
+#include <gtest/gtest.h>
+
+#include "base/testing/docs_table.h"
+#include "forwarding/edge_settings.h"
+#include "forwarding/endpoint_directory.h"
+#include "forwarding/events.h"
+#include "forwarding/peer_table.h"
+#include "forwarding/route_table.h"
+#include "forwarding/shared_allowance.h"
+#include "forwarding/true_time.h"
+#include "forwarding/usage_windows.h"
+
+namespace mustardline {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point start{.nanoseconds = 1'000'000'000'000};
+
+auto configurationOf(std::uint64_t version, std::vector<route_settings> routes)
+    -> std::shared_ptr<const fleet_configuration>
+{
+    fleet_configuration configuration{.version = version, .routes = std::move(routes)};
+    configuration.accounts.push_back({.name = "shop", .keys = {"key-1", "key-2"}});
+    configuration.services.push_back({.name = "orders"});
+    return std::make_shared<const fleet_configuration>(std::move(configuration));
+}
+
+TEST(ForwardingEventsTest, documentationListsExactlyTheEvents)
+{
+    EXPECT_EQ(readDocsTable(MUSTARDLINE_SOURCE_DIR "/docs/EVENTS.md", "## forwarding"),
+              eventRows(forwardingEvents));
+}
+
+TEST(EdgeSettingsTest, documentationListsExactlyTheFields)
+{
+    EXPECT_EQ(readDocsTable(MUSTARDLINE_SOURCE_DIR "/docs/settings-edge.md", ""),
+              settingsRows(edgeSettingsFields()));
+}
+
+TEST(RouteTableTest, theLongestPrefixOfTheHostWins)
+{
+    route_table routes;
+    EXPECT_EQ(routes.find("a.example", "/x/"), nullptr);
+    ASSERT_TRUE(routes.replace(
+        configurationOf(1, {{.name = "all", .host = "a.example", .pathPrefix = "/"},
+                            {.name = "x", .host = "a.example", .pathPrefix = "/x/"},
+                            {.name = "xy", .host = "a.example", .pathPrefix = "/x/y/"},
+                            {.name = "other", .host = "b.example", .pathPrefix = "/z/"}})));
+    const std::vector<std::tuple<std::string, std::string, std::string>> cases{
+        {"a.example", "/", "all"},        {"a.example", "/x/1", "x"},
+        {"a.example", "/x/y/1", "xy"},    {"a.example", "/x/y", "x"},
+        {"a.example", "/xy/1", "all"},    {"A.Example:8080", "/x/", "x"},
+        {"b.example", "/z/z/z", "other"}, {"b.example", "/x/", ""},
+        {"c.example", "/", ""},           {"a.example", "", ""},
+    };
+    for (const auto &[host, path, expected] : cases) {
+        const auto *found = routes.find(host, path);
+        EXPECT_EQ(found == nullptr ? "" : found->name, expected) << host << path;
+    }
+}
+
+TEST(RouteTableTest, anOlderVersionNeverReplacesANewerOne)
+{
+    route_table routes;
+    EXPECT_TRUE(routes.replace(configurationOf(7, {})));
+    EXPECT_FALSE(routes.replace(configurationOf(7, {})));
+    EXPECT_FALSE(routes.replace(configurationOf(3, {})));
+    EXPECT_TRUE(routes.replace(configurationOf(19, {})));
+    EXPECT_EQ(routes.current()->version, 19U);
+}
+
+TEST(RouteTableTest, aKeyBelongsToOneAccount)
+{
+    route_table routes;
+    routes.replace(configurationOf(1, {}));
+    EXPECT_EQ(routes.accountOf("key-2")->name, "shop");
+    EXPECT_EQ(routes.accountOf("key-3"), nullptr);
+    EXPECT_EQ(routes.accountOf(""), nullptr);
+    EXPECT_NE(routes.service("orders"), nullptr);
+    EXPECT_EQ(routes.service("none"), nullptr);
+}
+
+auto registrationOf(const std::string &id, std::int64_t bornAt = 1) -> endpoint_registration
+{
+    return {.id = id,
+            .service = "orders",
+            .address = {.host = "127.0.0.1", .port = 1},
+            .dataCentre = "tuzla",
+            .slots = 6,
+            .bornAt = bornAt};
+}
+
+TEST(EndpointDirectoryTest, anEndpointIsUsableWhileItsRegistrationSaysSo)
+{
+    endpoint_directory directory({});
+    directory.registered(registrationOf("a"), start);
+    EXPECT_EQ(directory.takeChanged(), std::set<std::string>{"a"});
+    EXPECT_TRUE(directory.isUsable(*directory.find("a")));
+    directory.registered(registrationOf("a"), start);
+    EXPECT_TRUE(directory.takeChanged().empty()) << "a heartbeat changes nothing";
+    auto draining = registrationOf("a");
+    draining.ready = false;
+    directory.registered(draining, start);
+    EXPECT_FALSE(directory.isUsable(*directory.find("a")));
+    directory.withdrawn("a", start);
+    EXPECT_EQ(directory.find("a"), nullptr);
+}
+
+TEST(EndpointDirectoryTest, aRecordOfAnEarlierStartChangesNothing)
+{
+    endpoint_directory directory({});
+    directory.registered(registrationOf("a", 200), start);
+    auto old = registrationOf("a", 100);
+    old.ready = false;
+    directory.registered(old, start);
+    EXPECT_TRUE(directory.isUsable(*directory.find("a")));
+    directory.addressTaken("a");
+    EXPECT_FALSE(directory.isUsable(*directory.find("a")));
+    directory.registered(registrationOf("a", 200), start);
+    EXPECT_FALSE(directory.isUsable(*directory.find("a"))) << "the address is another's still";
+    directory.registered(registrationOf("a", 300), start);
+    EXPECT_TRUE(directory.isUsable(*directory.find("a"))) << "it started anew";
+}
+
+TEST(EndpointDirectoryTest, whatLapsedInAnOutageMayComeBackForAWhile)
+{
+    endpoint_directory directory({.outageGrace = milliseconds(2500)});
+    directory.registered(registrationOf("back"), start);
+    directory.registered(registrationOf("gone"), start);
+    directory.logReturned(start);
+    directory.withdrawn("back", start);
+    directory.withdrawn("gone", start);
+    EXPECT_TRUE(directory.isUsable(*directory.find("back")));
+    directory.registered(registrationOf("back"), start + seconds(2));
+    directory.tick(start + milliseconds(2400));
+    EXPECT_NE(directory.find("gone"), nullptr);
+    directory.tick(start + milliseconds(2500));
+    EXPECT_EQ(directory.find("gone"), nullptr);
+    EXPECT_TRUE(directory.isUsable(*directory.find("back")));
+    directory.withdrawn("back", start + seconds(10));
+    EXPECT_EQ(directory.find("back"), nullptr) << "there was no outage lately";
+}
+
+TEST(EndpointDirectoryTest, anEvacuatedDataCentreGetsNothingUntilItIsBack)
+{
+    endpoint_directory directory({});
+    directory.registered(registrationOf("a"), start);
+    static_cast<void>(directory.takeChanged());
+    directory.setEvacuated({"tuzla"});
+    EXPECT_EQ(directory.takeChanged(), std::set<std::string>{"a"});
+    EXPECT_FALSE(directory.isUsable(*directory.find("a")));
+    directory.setEvacuated({"gebze"});
+    EXPECT_TRUE(directory.isUsable(*directory.find("a")));
+}
+
+TEST(EndpointDirectoryTest, aColdEndpointIsColdUntilItsTimeIsOver)
+{
+    endpoint_directory directory({});
+    auto cold = registrationOf("a");
+    cold.coldRemaining = seconds(3);
+    directory.registered(cold, start);
+    EXPECT_TRUE(directory.isCold(*directory.find("a"), start + seconds(2)));
+    EXPECT_FALSE(directory.isCold(*directory.find("a"), start + seconds(3)));
+}
+
+TEST(EndpointDirectoryTest, onlyWhatTheLogStillNamesIsKept)
+{
+    endpoint_directory directory({});
+    directory.registered(registrationOf("a"), start);
+    directory.registered(registrationOf("b"), start);
+    directory.keepOnly({"b", "c"}, start);
+    EXPECT_EQ(directory.find("a"), nullptr);
+    EXPECT_NE(directory.find("b"), nullptr);
+}
+
+// Repeats of all entries together stay within the bound in any window, however uneven the balancer
+// spreads the requests.
+TEST(SharedAllowanceTest, theSumOverEntriesKeepsTheBoundInEveryWindow)
+{
+    constexpr std::uint32_t entryCount = 5;
+    constexpr shared_allowance_options options{.ratio = 0.2, .slack = 58};
+    std::vector<shared_allowance> entries(entryCount, shared_allowance(options));
+    std::vector<std::pair<time_point, bool>> arrivals;
+    for (auto step = 0; step < 6000; ++step) {
+        const auto now = start + milliseconds(10 * step);
+        const auto which = static_cast<std::size_t>(step % 7 % entryCount);
+        // Calm first, then every request fails.
+        entries[which].requested(now);
+        arrivals.emplace_back(now, false);
+        if (step > 2000 && entries[which].take(entryCount, now))
+            arrivals.emplace_back(now, true);
+    }
+    for (std::size_t first = 0; first < arrivals.size(); first += 50) {
+        double requests = 0;
+        double repeats = 0;
+        for (auto at = first;
+             at < arrivals.size() && arrivals[at].first < arrivals[first].first + options.window;
+             ++at)
+            (arrivals[at].second ? repeats : requests) += 1;
+        EXPECT_LE(repeats, requests * options.ratio + options.slack);
+    }
+}
+
+TEST(SharedAllowanceTest, someRepeatsArePossibleAtOnce)
+{
+    shared_allowance allowance({.ratio = 0.2, .slack = 58});
+    EXPECT_TRUE(allowance.take(5, start));
+}
+
+auto stateOf(const std::string &name, std::uint64_t sequence) -> v1::EdgeState
+{
+    v1::EdgeState state;
+    state.set_name(name);
+    state.set_boot(name + "-boot");
+    state.set_address("10.0.0." + std::to_string(name.size()) + ":7000");
+    state.set_sequence(sequence);
+    auto *use = state.add_uses();
+    use->set_endpoint("e");
+    use->set_in_flight(3);
+    use->set_prompt_tokens(100);
+    return state;
+}
+
+TEST(PeerTableTest, anEdgeSharesTheAllowancesUntilItHasBeenSilentForLong)
+{
+    peer_table peers({.name = "self", .boot = "b"}, start);
+    EXPECT_EQ(peers.sharingCount(start), 5U) << "some others are assumed at first";
+    const auto settled = start + seconds(4);
+    EXPECT_EQ(peers.sharingCount(settled), 1U);
+    EXPECT_TRUE(peers.heard(stateOf("other", 1), settled));
+    EXPECT_EQ(peers.liveCount(settled), 2U);
+    EXPECT_EQ(peers.liveCount(settled + seconds(3)), 1U);
+    EXPECT_EQ(peers.sharingCount(settled + seconds(9)), 2U);
+    EXPECT_EQ(peers.sharingCount(settled + seconds(11)), 1U);
+}
+
+TEST(PeerTableTest, oldMessagesAndOurOwnAreIgnored)
+{
+    peer_table peers({.name = "self", .boot = "b"}, start);
+    EXPECT_FALSE(peers.heard(stateOf("self", 1), start));
+    EXPECT_TRUE(peers.heard(stateOf("other", 2), start));
+    EXPECT_FALSE(peers.heard(stateOf("other", 2), start));
+    EXPECT_FALSE(peers.heard(stateOf("other", 1), start));
+    auto restarted = stateOf("other", 1);
+    restarted.set_boot("another");
+    EXPECT_TRUE(peers.heard(restarted, start));
+}
+
+TEST(PeerTableTest, whatOthersHaveAtAnEndpointIsSummed)
+{
+    peer_table peers({.name = "self", .boot = "b"}, start);
+    peers.heard(stateOf("a", 1), start);
+    peers.heard(stateOf("bb", 1), start);
+    EXPECT_EQ(peers.usesOf("e", start).inFlight, 6U);
+    EXPECT_EQ(peers.usesOf("e", start).promptTokens, 200U);
+    EXPECT_EQ(peers.usesOf("f", start).inFlight, 0U);
+    EXPECT_EQ(peers.usesOf("e", start + seconds(3)).inFlight, 0U);
+}
+
+TEST(PeerTableTest, seedsAndPeersOfPeersAreAddressesToTry)
+{
+    const socket_address seed{.host = "10.1.0.1", .port = 7000};
+    peer_table peers({.name = "self", .boot = "b", .seeds = {seed}}, start);
+    auto state = stateOf("a", 1);
+    state.add_peers("10.9.9.9:7000");
+    state.add_peers("no address");
+    peers.heard(state, start);
+    EXPECT_EQ(peers.addresses(start).size(), 3U);
+    const auto later = start + seconds(60);
+    EXPECT_EQ(peers.addresses(later), std::vector<socket_address>{seed})
+        << "silent ones are dropped";
+}
+
+TEST(UsageWindowsTest, countsOfEachEdgeOnlyGrowAndAreSummed)
+{
+    usage_windows usage({.window = seconds(5), .self = "self"});
+    usage.count("shop", 12'000);
+    usage.count("shop", 14'999);
+    usage.count("shop", 15'000);
+    usage.merge("other", 2, "shop", 4);
+    usage.merge("other", 2, "shop", 3);
+    usage.merge("self", 2, "shop", 99);
+    EXPECT_EQ(usage.own(2).at("shop"), 2U);
+    EXPECT_EQ(usage.totals(2).at("shop"), 6U);
+    EXPECT_EQ(usage.totals(3).at("shop"), 1U);
+    EXPECT_TRUE(usage.totals(4).empty());
+    EXPECT_EQ(usage.endOf(2), 15'000);
+}
+
+TEST(UsageWindowsTest, oldWindowsAreForgotten)
+{
+    usage_windows usage({.window = seconds(5), .keptWindows = 3});
+    for (std::int64_t window = 0; window < 10; ++window)
+        usage.merge("other", window, "shop", 1);
+    EXPECT_TRUE(usage.totals(6).empty());
+    EXPECT_FALSE(usage.totals(7).empty());
+}
+
+TEST(TrueTimeTest, followsDriftAndNotJumps)
+{
+    true_time time(start, 5'000'000);
+    EXPECT_EQ(time.read(start + seconds(1), 5'001'010), 5'001'010) << "10 ms of drift";
+    EXPECT_EQ(time.read(start + seconds(2), 5'004'400), 5'002'010) << "a jump forward";
+    EXPECT_EQ(time.read(start + seconds(3), 4'999'000), 5'003'010) << "a jump back";
+    EXPECT_EQ(time.read(start + seconds(4), 5'004'010), 5'004'010);
+}
+
+TEST(TrueTimeTest, aProcessThatStartedInAJumpIsSetRightByTheOthers)
+{
+    true_time time(start, 5'002'400);
+    time.heard("a", start, 5'000'010);
+    EXPECT_EQ(time.read(start, 5'002'400), 5'002'400) << "one may be wrong itself";
+    time.heard("b", start, 5'000'000);
+    EXPECT_NEAR(static_cast<double>(time.read(start, 5'002'400)), 5'000'005, 10);
+}
+
+} // namespace
+} // namespace mustardline
--- a/packages/forwarding/usage_duty.h
+++ b/packages/forwarding/usage_duty.h
@@ -45,6 +45,9 @@
     std::int64_t reportedTo = 0;
     // The newest sealed windows.
     std::map<std::int64_t, usage_windows::account_counts> sealed;
+
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the rewritten 0 for a pointer.
+    auto operator<=>(const duty_record &) const = default;
 };
 
 [[nodiscard]] auto encodeDutyRecord(const duty_record &record) -> std::string;
@@ -67,6 +70,9 @@
     duration freshness = std::chrono::milliseconds(1000);
     // Sealed windows that the record keeps.
     std::size_t keptWindows = 8;
+
+    // NOLINTNEXTLINE(modernize-use-nullptr): see duty_record.
+    auto operator<=>(const usage_duty_options &) const = default;
 };
 
 // Read the record and the end of its log.
@@ -107,6 +113,9 @@
         return m_seen && m_seen->holder == m_options.holder && now < m_holdsUntil;
     }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see duty_record.
+    auto operator<=>(const usage_duty &) const = default;
+
 private:
     [[nodiscard]] auto isMine() const -> bool
     {
--- a/packages/net/testing/http_wire_test.cpp
+++ b/packages/net/testing/http_wire_test.cpp
@@ -94,8 +94,7 @@
     ASSERT_TRUE(runUntil(m_loop, [&] { return m_kept.size() == 1; }));
     EXPECT_TRUE(peer.received().empty());
     m_kept.front()->reply(200, {}, "/1");
-    ASSERT_TRUE(
-        runUntil(m_loop, [&] { return peer.received().find("/3") != std::string::npos; }));
+    ASSERT_TRUE(runUntil(m_loop, [&] { return peer.received().find("/3") != std::string::npos; }));
     const auto first = peer.received().find("/1\r\n") == std::string::npos
                            ? peer.received().find("/1HTTP")
                            : peer.received().find("/1");
--- a/packages/net/testing/raw_peer.cpp
+++ b/packages/net/testing/raw_peer.cpp
@@ -48,8 +48,7 @@
         const auto descriptor = accept(m_descriptor, nullptr, nullptr);
         if (descriptor < 0)
             return;
-        m_peers.push_back(
-            std::make_unique<raw_peer>(tcp_stream::adopt(m_loop, descriptor, {})));
+        m_peers.push_back(std::make_unique<raw_peer>(tcp_stream::adopt(m_loop, descriptor, {})));
         if (onOpen)
             onOpen(*m_peers.back());
     });
--- a/packages/policy/testing/policy_modules_test.cpp
+++ b/packages/policy/testing/policy_modules_test.cpp
@@ -295,7 +295,7 @@
 TEST(EndpointTableTest, leavesAFailedEndpointAndTriesItCarefully)
 {
     endpoint_table endpoints(1);
-    const auto index = endpoints.set({.id = "e", .maxConcurrency = 8}, {0});
+    const auto index = endpoints.set({.id = "e", .maxConcurrency = 8}, {0}, {});
     time_point now{};
     endpoints.reportLoad(index, {.window = 8}, now);
     EXPECT_TRUE(endpoints.isUsable(index, now));
@@ -321,7 +321,7 @@
         const auto index = endpoints.set({.id = "e" + std::to_string(number),
                                           .dataCentre = number % 2 == 0 ? "a" : "b",
                                           .available = available},
-                                         {0});
+                                         {0}, {});
         endpoints.reportLoad(index, {}, {});
         return index;
     };
--- /dev/null
+++ b/packages/policy/testing/prompt_placement_test.cpp
@@ -0,0 +1,228 @@
+#include "policy/prompt_placement.h"
+
+#include <map>
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include "policy/dispatcher.h"
+
+namespace mustardline {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t endpointCount = 9;
+constexpr std::uint32_t target = 0;
+
+// Endpoints that read prompts, as one entry knows them.
+class PromptPlacementTest : public testing::Test
+{
+protected:
+    PromptPlacementTest()
+    {
+        for (std::uint32_t at = 0; at < endpointCount; ++at)
+            add(at);
+    }
+
+    auto add(std::uint32_t at) -> void
+    {
+        const auto index = m_endpoints.set({.id = "endpoint-" + std::to_string(at),
+                                            .maxConcurrency = 128,
+                                            .coldConcurrency = 128,
+                                            .readsPrompts = true},
+                                           {target}, m_now);
+        m_placement.add(m_endpoints, index);
+    }
+
+    auto arrive(std::uint32_t prompt, std::uint32_t output, std::uint32_t count) -> void
+    {
+        for (std::uint32_t at = 0; at < count; ++at)
+            m_placement.arrived({.promptTokens = prompt, .outputTokens = output}, m_now);
+    }
+
+    auto choose(const prompt_wish &wish) -> std::uint32_t
+    {
+        return m_placement.choose(m_endpoints, wish, m_now).endpoint;
+    }
+
+    time_point m_now{.nanoseconds = 1'000'000'000};
+    endpoint_table m_endpoints{1};
+    prompt_placement m_placement;
+};
+
+constexpr prompt_wish shortWish{.promptTokens = 800, .firstTokenTarget = milliseconds(500)};
+constexpr prompt_wish longWish{.promptTokens = 12000, .firstTokenTarget = milliseconds(1200)};
+
+// Load pattern: catalogue questions and quick replies side by side.
+TEST_F(PromptPlacementTest, longAndShortPromptsShareNoEndpoint)
+{
+    arrive(12000, 380, 20);
+    arrive(800, 290, 30);
+    ASSERT_GT(m_placement.longLaneSize(), 0U);
+    ASSERT_LT(m_placement.longLaneSize(), endpointCount);
+    std::set<std::uint32_t> forLong;
+    std::set<std::uint32_t> forShort;
+    for (std::uint64_t prefix = 1; prefix <= 200; ++prefix) {
+        auto wish = longWish;
+        wish.prefixHash = prefix;
+        forLong.insert(choose(wish));
+        wish = shortWish;
+        wish.prefixHash = prefix;
+        forShort.insert(choose(wish));
+    }
+    for (const auto index : forLong)
+        EXPECT_FALSE(forShort.contains(index));
+    EXPECT_EQ(forLong.size() + forShort.size(), endpointCount);
+}
+
+TEST_F(PromptPlacementTest, lanesAreAsLargeAsTheirPartOfTheWork)
+{
+    arrive(12000, 0, 10);
+    EXPECT_EQ(m_placement.longLaneSize(), endpointCount - 1) << "one is always left";
+    arrive(1000, 0, 120);
+    EXPECT_NEAR(static_cast<double>(m_placement.longLaneSize()), endpointCount / 2.0, 1);
+    m_now = m_now + seconds(60);
+    arrive(1000, 0, 100);
+    EXPECT_EQ(m_placement.longLaneSize(), 1U) << "old work is forgotten";
+}
+
+// Load pattern: one subject after the other, each asked for by many callers at all entries.
+TEST_F(PromptPlacementTest, theSamePartsGoToTheSameEndpointAtEveryEntry)
+{
+    // Another entry knows the same endpoints in another order.
+    endpoint_table others(77);
+    prompt_placement elsewhere;
+    for (std::uint32_t at = endpointCount; at-- > 0;) {
+        const auto index = others.set({.id = "endpoint-" + std::to_string(at),
+                                       .maxConcurrency = 128,
+                                       .coldConcurrency = 128,
+                                       .readsPrompts = true},
+                                      {target}, m_now);
+        elsewhere.add(others, index);
+    }
+    std::map<std::uint32_t, int> used;
+    for (std::uint64_t prefix = 1; prefix <= 300; ++prefix) {
+        auto wish = shortWish;
+        wish.prefixHash = prefix * 0x9e3779b97f4a7c15ULL;
+        const auto here = choose(wish);
+        const auto there = elsewhere.choose(others, wish, m_now).endpoint;
+        ASSERT_EQ(m_endpoints.at(here).id, others.at(there).id);
+        ++used[here];
+    }
+    for (const auto &[index, count] : used)
+        EXPECT_LT(count, 300 / 2) << "no endpoint draws most subjects";
+}
+
+// Load pattern: one subject draws much of the traffic.
+TEST_F(PromptPlacementTest, aHotSubjectMovesOnOnceItsEndpointIsBehind)
+{
+    auto wish = shortWish;
+    wish.prefixHash = 42;
+    const auto first = choose(wish);
+    constexpr std::uint32_t farBehind = 100'000;
+    m_endpoints.promptSent(first, farBehind);
+    const auto second = choose(wish);
+    EXPECT_NE(second, first);
+    EXPECT_NE(second, noIndex);
+    m_endpoints.promptDone(first, farBehind);
+    EXPECT_EQ(choose(wish), first);
+}
+
+TEST_F(PromptPlacementTest, aRequestLeavesItsLaneOnlyIfAllThereAreBehind)
+{
+    arrive(12000, 380, 20);
+    arrive(800, 290, 30);
+    constexpr std::uint32_t farBehind = 1'000'000;
+    std::set<std::uint32_t> lane;
+    for (auto at = m_placement.longLaneSize(); at > 0; --at) {
+        const auto chosen = choose(longWish);
+        lane.insert(chosen);
+        m_endpoints.promptSent(chosen, farBehind);
+    }
+    EXPECT_EQ(lane.size(), m_placement.longLaneSize());
+    EXPECT_FALSE(lane.contains(choose(longWish)));
+}
+
+TEST_F(PromptPlacementTest, aFailedEndpointIsAvoidedAndLeft)
+{
+    auto wish = shortWish;
+    wish.prefixHash = 42;
+    const auto first = choose(wish);
+    wish.avoid = first;
+    EXPECT_NE(choose(wish), first);
+    wish.avoid = noIndex;
+    m_endpoints.failed(first, m_now);
+    EXPECT_NE(choose(wish), first);
+}
+
+// Load pattern: a cold endpoint joins under full load.
+TEST(ColdEndpointTest, aColdEndpointGetsNoMoreThanItsRate)
+{
+    constexpr double perSecond = 4;
+    const time_point start{.nanoseconds = 1'000'000'000};
+    dispatcher core({.dataCentre = "tuzla"});
+    core.setEndpoint({.id = "cold",
+                      .dataCentre = "tuzla",
+                      .serves = {"model"},
+                      .maxConcurrency = 128,
+                      .coldConcurrency = 128,
+                      .readsPrompts = true,
+                      .coldUntil = start + seconds(3),
+                      .coldPerSecond = perSecond},
+                     start);
+    std::vector<dispatch_action> actions;
+    std::map<std::int64_t, int> placed;
+    std::uint64_t number = 0;
+    for (auto now = start; now < start + seconds(5); now = now + milliseconds(10)) {
+        core.arrive({.request = ++number,
+                     .target = "model",
+                     .tier = 1,
+                     .firstTokenTarget = seconds(60),
+                     .deadline = seconds(60),
+                     .promptTokens = 100},
+                    now, actions);
+        core.tick(now, actions);
+        for (const auto &action : actions) {
+            const auto *place = std::get_if<place_action>(&action);
+            if (place == nullptr)
+                continue;
+            ++placed[(now - start).count() / 1'000'000'000];
+            core.firstToken(place->request, now);
+            core.finished(place->request, result_code::ok, 1, now);
+        }
+        actions.clear();
+    }
+    for (const auto second : {0, 1, 2})
+        EXPECT_LE(placed[second], perSecond + 1) << "second " << second;
+    EXPECT_GT(placed[4], perSecond * 2);
+}
+
+// A repeat goes to another endpoint if there is one, though the first is the only one at hand.
+TEST(PlacementTest, aRepeatAvoidsTheEndpointThatFailed)
+{
+    const time_point now{.nanoseconds = 1'000'000'000};
+    dispatcher core({.dataCentre = "tuzla"});
+    for (const auto *place : {"tuzla", "gebze"}) {
+        core.setEndpoint({.id = place,
+                          .dataCentre = place,
+                          .serves = {"orders"},
+                          .maxConcurrency = 6,
+                          .coldConcurrency = 6},
+                         now);
+    }
+    std::vector<dispatch_action> actions;
+    core.arrive({.request = 1, .target = "orders", .deadline = seconds(4), .idempotent = true}, now,
+                actions);
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(std::get<place_action>(actions.front()).endpoint, "tuzla");
+    actions.clear();
+    core.notRun(1, result_code::endpoint_error, now, actions);
+    core.tick(now + milliseconds(100), actions);
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(std::get<place_action>(actions.front()).endpoint, "gebze");
+}
+
+} // namespace
+} // namespace mustardline
--- /dev/null
+++ b/packages/standin/store_server.cpp
@@ -0,0 +1,151 @@
+#include "standin/store_server.h"
+
+#include <charconv>
+
+#include <openssl/evp.h>
+
+namespace mustardline::standin {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusGone = 410;
+constexpr int statusConditionFailed = 412;
+constexpr int statusNotFound = 404;
+constexpr std::size_t lengthBytes = 4;
+constexpr std::size_t offsetBytes = 8;
+// Records on one page of the newest.
+constexpr std::size_t pageSize = 500;
+
+auto bigEndian(std::uint64_t value, std::size_t size) -> std::string
+{
+    std::string bytes(size, '\0');
+    for (auto at = size; at > 0; value >>= 8U)
+        bytes[--at] = static_cast<char>(value & 0xffU);
+    return bytes;
+}
+
+auto numberOf(const std::string &text) -> std::uint64_t
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+auto base64(const std::string &bytes) -> std::string
+{
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const auto length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                                        reinterpret_cast<const unsigned char *>(bytes.data()),
+                                        static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
+} // namespace
+
+store_server::store_server(event_loop &loop) : m_loop(loop), m_server(loop, {}), m_gate(loop)
+{
+    m_server.onRequest([this](const auto &exchange) { handle(exchange); });
+}
+
+auto store_server::handle(const std::shared_ptr<http_exchange> &exchange) -> void
+{
+    auto &topic = m_topics[exchange->parameter("topic")];
+    if (exchange->path() == "/v1/log-append") {
+        m_gate.serve(exchange, call_kind::write, [&] { return appendTo(topic, *exchange); });
+    } else if (exchange->path() == "/v1/log-read") {
+        m_gate.serve(exchange, call_kind::read, [&] { return readFrom(topic, *exchange); });
+    } else if (exchange->path() == "/v1/log-newest") {
+        m_gate.serve(exchange, call_kind::read, [&] { return newestIn(topic, *exchange); });
+    } else {
+        exchange->reply(statusNotFound, {}, "");
+    }
+}
+
+auto store_server::add(topic_state &topic, std::string record) -> void
+{
+    const auto offset = topic.endOffset();
+    if (!record.empty() && record.size() > static_cast<unsigned char>(record.front())) {
+        const std::size_t keyLength = static_cast<unsigned char>(record.front());
+        const auto key = record.substr(1, keyLength);
+        const auto value = record.substr(1 + keyLength);
+        if (value.empty())
+            topic.newest.erase(key);
+        else
+            topic.newest[key] = {value, offset};
+    }
+    topic.records.push_back(std::move(record));
+}
+
+auto store_server::put(const std::string &topic, std::string_view key, std::string_view value)
+    -> void
+{
+    std::string record(1, static_cast<char>(key.size()));
+    record += key;
+    record += value;
+    add(m_topics[topic], std::move(record));
+}
+
+auto store_server::forget(const std::string &topic) -> void
+{
+    auto &state = m_topics[topic];
+    state.firstOffset = state.endOffset();
+    state.records.clear();
+}
+
+auto store_server::newestOf(const std::string &topic, const std::string &key) const
+    -> std::optional<std::string>
+{
+    const auto known = m_topics.find(topic);
+    if (known == m_topics.end() || !known->second.newest.contains(key))
+        return std::nullopt;
+    return known->second.newest.at(key).first;
+}
+
+auto store_server::appendTo(topic_state &topic, const http_exchange &exchange) -> gate_answer
+{
+    const auto at = exchange.parameter("at");
+    if (!at.empty() && numberOf(at) != topic.endOffset())
+        return jsonAnswer(statusConditionFailed, {{"end_offset", topic.endOffset()}});
+    const auto offset = topic.endOffset();
+    auto body = exchange.body();
+    while (body.size() >= lengthBytes) {
+        std::size_t length = 0;
+        for (std::size_t index = 0; index < lengthBytes; ++index)
+            length = length << 8U | static_cast<unsigned char>(body[index]);
+        add(topic, std::string(body.substr(lengthBytes, length)));
+        body.remove_prefix(std::min(body.size(), lengthBytes + length));
+    }
+    return jsonAnswer(statusOk, {{"offset", offset}, {"end_offset", topic.endOffset()}});
+}
+
+auto store_server::readFrom(const topic_state &topic, const http_exchange &exchange) -> gate_answer
+{
+    const auto from = numberOf(exchange.parameter("from"));
+    if (from < topic.firstOffset)
+        return jsonAnswer(statusGone, {{"first_offset", topic.firstOffset}});
+    auto body
+        = bigEndian(topic.endOffset(), offsetBytes) + bigEndian(topic.firstOffset, offsetBytes);
+    for (auto offset = from; offset < topic.endOffset(); ++offset) {
+        const auto &record = topic.records[offset - topic.firstOffset];
+        body += bigEndian(record.size(), lengthBytes) + record;
+    }
+    return {.status = statusOk, .contentType = "application/octet-stream", .body = std::move(body)};
+}
+
+auto store_server::newestIn(const topic_state &topic, const http_exchange &exchange) -> gate_answer
+{
+    auto entries = nlohmann::json::array();
+    auto next = topic.newest.upper_bound(exchange.parameter("after"));
+    for (; next != topic.newest.end() && entries.size() < pageSize; ++next) {
+        entries.push_back({{"key", next->first},
+                           {"value", base64(next->second.first)},
+                           {"offset", next->second.second}});
+    }
+    return jsonAnswer(statusOk, {{"entries", std::move(entries)},
+                                 {"more", next != topic.newest.end()},
+                                 {"end_offset", topic.endOffset()}});
+}
+
+} // namespace mustardline::standin
--- /dev/null
+++ b/packages/standin/store_server.h
@@ -0,0 +1,68 @@
+#pragma once
+
+// A stand-in for the shared log of the users' platform, by its published protocol: partition 0 of
+// topics, conditional appends, reads from an offset, and the newest record of each key.
+//
+//     store_server store(loop);
+//     const auto port = store.listen();
+//     store.put("keyed.op", "config", "{...}");   // as an operator would
+//     store.gate().setOutage(outage_mode::down);  // and other faults
+//     store.forget("keyed.op");                   // history is gone, the newest values stay
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/http_server.h"
+#include "standin/fault_gate.h"
+
+namespace mustardline::standin {
+
+class store_server
+{
+public:
+    explicit store_server(event_loop &loop);
+
+    [[nodiscard]] auto listen() -> result<std::uint16_t> { return m_server.listen(); }
+
+    // Appends a keyed record; without a value it drops the key.
+    auto put(const std::string &topic, std::string_view key, std::string_view value) -> void;
+    // Deletes all records; the newest of each key is kept beside.
+    auto forget(const std::string &topic) -> void;
+    [[nodiscard]] auto gate() -> fault_gate & { return m_gate; }
+
+    // The newest value of a key.
+    [[nodiscard]] auto newestOf(const std::string &topic, const std::string &key) const
+        -> std::optional<std::string>;
+
+private:
+    struct topic_state
+    {
+        std::uint64_t firstOffset = 0;
+        std::vector<std::string> records;
+        // By key: the value and its offset.
+        std::map<std::string, std::pair<std::string, std::uint64_t>> newest;
+
+        [[nodiscard]] auto endOffset() const -> std::uint64_t
+        {
+            return firstOffset + records.size();
+        }
+    };
+
+    auto handle(const std::shared_ptr<http_exchange> &exchange) -> void;
+    [[nodiscard]] auto appendTo(topic_state &topic, const http_exchange &exchange) -> gate_answer;
+    [[nodiscard]] static auto readFrom(const topic_state &topic, const http_exchange &exchange)
+        -> gate_answer;
+    [[nodiscard]] static auto newestIn(const topic_state &topic, const http_exchange &exchange)
+        -> gate_answer;
+    auto add(topic_state &topic, std::string record) -> void;
+
+    event_loop &m_loop;
+    http_server m_server;
+    fault_gate m_gate;
+    std::map<std::string, topic_state> m_topics;
+};
+
+} // namespace mustardline::standin
