Let silent and cut streams go on at another endpoint; want late answers until the deadline

Cause: requests that may run again ended at their deadline where an endpoint had run them and its answer was lost without a word, and resumable streams were cut with their endpoint. They now go on after a silence (the first-token target; three gaps within a stream) or a cut, from the last whole event.

--- a/packages/entry/command_line.cpp
+++ b/packages/entry/command_line.cpp
@@ -10,6 +10,7 @@
 #include "entry/entry_process.h"
 #include "entry/operator_commands.h"
 #include "entry/settings.h"
+#include "forwarding/edge_settings.h"
 #include "platform/edge_program.h"
 
 namespace mustardline {
@@ -25,7 +26,7 @@
 
   serve --settings FILE          run an entry until SIGTERM
   edge [--settings FILE]         run an edge on the users' platform until SIGTERM
-  check-settings FILE            check a settings file and name its first fault
+  check-settings [--edge] FILE   check a settings file and name its first fault
   --version, --help
 
 Operators' commands; each takes --entry IP:PORT --token-file FILE and --json:
@@ -35,13 +36,18 @@
 4 entry not reached, 5 outcome of a change not known yet, 6 history not held by the entry.
 )";
 
+auto printFault(const std::string &fileName, const error &fault) -> void
+{
+    fmt::print(stderr, "{}: {} ({} {})\n", fileName, fault.message, number(fault.code),
+               describe(fault.code).name);
+}
+
 // Reads settings for a command; prints the fault and returns nothing if they are not usable.
 auto loadSettings(const std::string &fileName) -> std::optional<entry_settings>
 {
     auto outcome = readEntrySettings(fileName);
     if (const auto *fault = failed(outcome)) {
-        fmt::print(stderr, "{}: {} ({} {})\n", fileName, fault->message, number(fault->code),
-                   describe(fault->code).name);
+        printFault(fileName, *fault);
         return std::nullopt;
     }
     return std::move(std::get<entry_settings>(outcome));
@@ -78,11 +84,19 @@
 {
     TCLAP::CmdLine line("Checks a settings file.", ' ', std::string(version));
     line.setExceptionHandling(false);
+    TCLAP::SwitchArg isEdge("", "edge", "The file is one of an edge.", line);
     TCLAP::UnlabeledValueArg<std::string> file("file", "Settings file (JSON).", true, "", "FILE",
                                                line);
     line.parse(arguments);
-    if (!loadSettings(file.getValue()))
+    if (isEdge.getValue()) {
+        const auto outcome = readEdgeSettings(file.getValue());
+        if (const auto *fault = failed(outcome)) {
+            printFault(file.getValue(), *fault);
+            return exitUsage;
+        }
+    } else if (!loadSettings(file.getValue())) {
         return exitUsage;
+    }
     fmt::print("{}: the settings are usable\n", file.getValue());
     return exitSuccess;
 }
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -9,6 +9,7 @@
 // What is believed and done stands in the parts that this shell connects: the route table, the
 // directory of endpoints and the router.
 
+#include <algorithm>
 #include <concepts>
 #include <csignal>
 #include <set>
@@ -109,6 +110,18 @@
           m_configurationFollower(
               m_loop, m_platform.log(),
               {.topic = Platform::configurationTopic(), .wait = configurationWait}),
+          m_version(m_metrics.add({.name = "mustardline_configuration_version",
+                                   .help = "The version of the configuration in force.",
+                                   .kind = counter_kind::gauge})),
+          m_usable(m_metrics.add({.name = "mustardline_endpoints_usable",
+                                  .help = "Endpoints that may get new work.",
+                                  .kind = counter_kind::gauge})),
+          m_peersLive(m_metrics.add({.name = "mustardline_edges_live",
+                                     .help = "Edges heard of lately, this one included.",
+                                     .kind = counter_kind::gauge})),
+          m_logAge(m_metrics.add({.name = "mustardline_log_age_milliseconds",
+                                  .help = "Time since the log service last answered.",
+                                  .kind = counter_kind::gauge})),
           m_endpointFollower(m_loop, m_platform.log(),
                              {.topic = Platform::endpointTopic(), .pace = endpointPace})
     {}
@@ -403,9 +416,21 @@
         m_router.endpointsChanged();
     }
 
+    auto updateGauges(time_point now) -> void
+    {
+        const auto &entries = m_directory.entries();
+        m_version.set(m_routes.current() ? static_cast<std::int64_t>(m_routes.current()->version)
+                                         : 0);
+        m_usable.set(std::ranges::count_if(
+            entries, [this](const auto &item) { return m_directory.isUsable(item.second); }));
+        m_peersLive.set(m_peers.liveCount(now));
+        m_logAge.set(toMilliseconds(now - m_endpointFollower.heardAt()));
+    }
+
     auto keepHouse() -> void
     {
         const auto now = m_clock.now();
+        updateGauges(now);
         m_directory.tick(now);
         m_router.endpointsChanged();
         if (const bool ready = isReady(); ready != m_wasReady) {
@@ -448,7 +473,9 @@
             m_log.write(settingsReloaded, field("error", fault->message));
             return;
         }
-        m_log.write(settingsReloaded, field("error", ""));
+        // The addresses are in use, and the parts hold the bounds that they were made with.
+        const bool differs = !(std::get<edge_settings>(outcome) == m_settings);
+        m_log.write(settingsReloaded, field("error", ""), field("restart_needed", differs));
     }
 
     std::string m_settingsFile;
@@ -475,6 +502,10 @@
     peer_table m_peers;
     peer_exchange m_exchange;
     keyed_follower<typename Platform::log_type> m_configurationFollower;
+    counter &m_version;
+    counter &m_usable;
+    counter &m_peersLive;
+    counter &m_logAge;
     keyed_follower<typename Platform::log_type> m_endpointFollower;
     // Data centres by the key of the record that evacuates them.
     std::map<std::string, std::string> m_evacuated;
--- a/packages/forwarding/edge_settings.h
+++ b/packages/forwarding/edge_settings.h
@@ -44,6 +44,8 @@
     duration usageWindow = std::chrono::seconds(5);
     duration usageDue = std::chrono::seconds(10);
     duration leaseTerm = std::chrono::seconds(3);
+
+    auto operator==(const edge_settings &) const -> bool = default;
 };
 
 // The fields that the file may hold, for docs/settings-edge.md.
--- /dev/null
+++ b/packages/forwarding/forward_metrics.h
@@ -0,0 +1,85 @@
+#pragma once
+
+// What an edge counts of the requests that it forwards.
+//
+//     forward_metrics counted(metrics);
+//     counted.ended(result_code::ok, tookSinceArrival);
+
+#include <unordered_map>
+
+#include "base/counters.h"
+#include "base/latency_histogram.h"
+#include "base/result.h"
+
+namespace mustardline {
+
+class forward_metrics
+{
+public:
+    explicit forward_metrics(counters &registry)
+        : m_registry(registry),
+          m_sends(registry.add({.name = "mustardline_forward_sends_total",
+                                .help = "Requests sent to endpoints, repeats included."})),
+          m_repeats(registry.add({.name = "mustardline_forward_repeats_total",
+                                  .help = "Requests sent to another endpoint once more."})),
+          m_repeatsDenied(registry.add({.name = "mustardline_forward_repeats_denied_total",
+                                        .help = "Repeats that the allowance or the time left did "
+                                                "not permit."})),
+          m_live(registry.add({.name = "mustardline_forward_live",
+                               .help = "Requests that wait or run.",
+                               .kind = counter_kind::gauge})),
+          m_waiting(registry.add({.name = "mustardline_forward_waiting",
+                                  .help = "Requests that wait for a place.",
+                                  .kind = counter_kind::gauge})),
+          m_firstByte(registry,
+                      {.name = "mustardline_forward_first_byte_seconds",
+                       .help = "Time from arrival to the first byte of an endpoint's answer."}),
+          m_took(registry, {.name = "mustardline_forward_seconds",
+                            .help = "Time from arrival to the end of the final answer."})
+    {}
+
+    auto sent(bool again) -> void
+    {
+        m_sends.increment();
+        if (again)
+            m_repeats.increment();
+    }
+    auto repeatDenied() -> void { m_repeatsDenied.increment(); }
+    auto firstByte(duration sinceArrival) -> void { m_firstByte.observe(sinceArrival); }
+    auto holds(std::size_t live, std::size_t waiting) -> void
+    {
+        m_live.set(static_cast<std::int64_t>(live));
+        m_waiting.set(static_cast<std::int64_t>(waiting));
+    }
+    auto ended(result_code code, duration sinceArrival) -> void
+    {
+        m_took.observe(sinceArrival);
+        refused(code);
+    }
+    // An answer that was given without considering the request.
+    auto refused(result_code code) -> void
+    {
+        auto &known = m_results[number(code)];
+        if (known == nullptr) {
+            known = &m_registry.add(
+                {.name = "mustardline_forward_requests_total",
+                 .help = "Requests by the result of their final answer.",
+                 .labels = "result=\"" + std::string(describe(code).name) + "\""});
+        }
+        known->increment();
+    }
+
+private:
+    counters &m_registry;
+    counter &m_sends;
+    counter &m_repeats;
+    counter &m_repeatsDenied;
+    counter &m_live;
+    counter &m_waiting;
+    latency_histogram m_firstByte;
+    latency_histogram m_took;
+    // By the number of the code.
+    std::unordered_map<std::uint16_t, counter *> m_results;
+};
+
+} // namespace mustardline
--- a/packages/forwarding/forward_request.cpp
+++ b/packages/forwarding/forward_request.cpp
@@ -13,6 +13,8 @@
 
 // An edge without a configuration waits for the log service, whose outages last some seconds.
 constexpr duration noConfigurationRetryAfter = std::chrono::milliseconds(2500);
+// No endpoint is taken as silent sooner.
+constexpr duration shortestSilence = std::chrono::milliseconds(400);
 constexpr std::string_view bearerPrefix = "Bearer ";
 
 // Headers that concern one connection only, and those that the sender sets itself.
@@ -172,6 +174,18 @@
     return false;
 }
 
+auto silenceLimit(const forward_request &request) -> duration
+{
+    const auto &route = *request.route;
+    // A pause between two events that is much longer than one in time.
+    constexpr int gapFactor = 3;
+    if (request.started)
+        return std::max(route.gapTarget * gapFactor, shortestSilence);
+    // A plain service's times vary more than its target says; an engine's queue shows in it.
+    const auto factor = route.kind == route_kind::idempotent ? 2 : 1;
+    return std::max(route.latencyTarget * factor, shortestSilence);
+}
+
 auto answerHeaders(std::span<const http_header> headers) -> std::vector<http_header>
 {
     const auto connection = findHeader(headers, "connection");
--- a/packages/forwarding/forward_request.h
+++ b/packages/forwarding/forward_request.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "forwarding/event_cutter.h"
 #include "forwarding/header_names.h"
 #include "forwarding/route_table.h"
 #include "net/http_client.h"
@@ -64,7 +65,12 @@
     bool hasFirstByte = false;
     // The endpoint is held back because the caller reads slowly.
     bool held = false;
+    // Of a stream that may be continued elsewhere.
+    event_cutter events;
+    time_point lastByteAt{};
     event_handle dueTimer;
+    // Looks whether the endpoint has fallen silent.
+    event_handle silenceTimer;
 };
 
 // The host and path may lead nowhere, the key be unknown, or a header missing.
@@ -76,6 +82,9 @@
 // Whether a request whose outcome is not known may run again.
 [[nodiscard]] auto mayRepeat(const forward_request &request) -> bool;
 
+// How long an endpoint may be silent before a request that may run again is sent to another one.
+[[nodiscard]] auto silenceLimit(const forward_request &request) -> duration;
+
 // The headers of an endpoint's answer that go on to the caller.
 [[nodiscard]] auto answerHeaders(std::span<const http_header> headers) -> std::vector<http_header>;
 
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -90,6 +90,7 @@
                          .betweenTokensTarget = route.gapTarget,
                          .deadline = request.dueAt - now,
                          .idempotent = route.kind == route_kind::idempotent,
+                         .wantedLate = true,
                          .promptTokens = request.promptTokens,
                          .prefixHash = request.prefixHash,
                          .sharedTokens = request.sharedTokens,
@@ -107,6 +108,7 @@
                                   const http_error &fault) -> void
 {
     const auto &info = describe(fault.code);
+    m_metrics.refused(fault.code);
     m_log.write(forwardEnded, field("request", exchange->header(m_options.names.requestId)),
                 field("status", info.httpStatus), field("result", info.name),
                 field("host", exchange->header("host")), field("path", exchange->path()),
@@ -207,6 +209,7 @@
         }
     }
     m_carryingOut = false;
+    m_metrics.holds(m_requests.size(), m_dispatcher.queuedCount());
     scheduleTick();
 }
 
@@ -258,6 +261,12 @@
                                 const endpoint_entry &endpoint) const -> std::vector<http_header>
 {
     auto headers = request.headers;
+    if (!request.events.lastId().empty()) {
+        std::erase_if(headers, [this](const auto &item) {
+            return sameHeaderName(item.name, m_options.names.lastEventId);
+        });
+        headers.push_back({.name = m_options.names.lastEventId, .value = request.events.lastId()});
+    }
     const auto left = toMilliseconds(request.dueAt - m_clock.now());
     headers.push_back({.name = m_options.names.deadline,
                        .value = fmt::format("{}", std::max<std::int64_t>(left, 1))});
@@ -274,6 +283,7 @@
 {
     const auto now = m_clock.now();
     const auto number = request.number;
+    m_metrics.sent(request.sends > 0);
     ++request.sends;
     request.sentAt = now;
     request.answer = {};
@@ -282,6 +292,11 @@
     request.invalidAnswer = false;
     request.hasFirstByte = false;
     request.inFlight = true;
+    request.lastByteAt = now;
+    if (mayGoElsewhere(request))
+        watchSilence(request, silenceLimit(request));
+    else
+        request.silenceTimer = {};
     request.call = m_http.start(
         endpoint.registration.address,
         {.method = std::string(request.exchange->method()),
@@ -326,9 +341,10 @@
         return;
     }
     auto &exchange = *request->exchange;
+    request->lastByteAt = m_clock.now();
     if (!std::exchange(request->started, true))
         exchange.startStream(request->answer.status, answerHeaders(request->answer.headers));
-    exchange.sendChunk(data);
+    exchange.sendChunk(request->route->resumable ? request->events.take(data) : data);
     m_dispatcher.progressed(number, 1);
     if (!request->held && exchange.backlogBytes() > m_options.maxBacklogBytes) {
         request->held = true;
@@ -340,6 +356,7 @@
 auto forward_router::begun(forward_request &request) -> void
 {
     request.hasFirstByte = true;
+    m_metrics.firstByte(m_clock.now() - request.arrivedAt);
     m_dispatcher.firstToken(request.number, m_clock.now());
     if (onBegun && request.account != nullptr)
         onBegun(request.account->name);
@@ -375,16 +392,20 @@
                             .sent = true});
         return;
     }
+    if (request.started && !isSuccess(status)) {
+        // The endpoint that was to continue the stream failed it.
+        request.exchange->abort();
+        finish(request, result_code::answer_cut);
+        return;
+    }
     if (request.started) {
+        request.exchange->sendChunk(request.events.rest());
         request.exchange->endStream();
         finish(request, result_code::ok);
         return;
     }
-    if (status >= firstFailureStatus && mayRepeat(request)
-        && request.sends < request.route->maxAttempts) {
+    if (status >= firstFailureStatus && mayGoElsewhere(request)) {
         tryAgain(request, result_code::endpoint_error, true);
-        if (find(request.number) == nullptr)
-            return;
         return;
     }
     if (!request.hasFirstByte)
@@ -399,18 +420,45 @@
         tryAgain(request, result_code::connection_failed, false);
         return;
     }
-    if (request.started) {
-        request.exchange->abort();
-        finish(request, result_code::answer_cut);
-        return;
-    }
-    if (mayRepeat(request) && request.sends < request.route->maxAttempts) {
+    if (mayGoElsewhere(request)) {
         tryAgain(request, failure.reason.code, true);
         return;
     }
     fail(request, {.code = result_code::outcome_unknown, .message = failure.reason.message});
 }
 
+auto forward_router::mayGoElsewhere(const forward_request &request) const -> bool
+{
+    if (!mayRepeat(request) || request.sends >= request.route->maxAttempts)
+        return false;
+    return !request.started || request.events.canContinue();
+}
+
+auto forward_router::watchSilence(forward_request &request, duration delay) -> void
+{
+    request.silenceTimer
+        = m_loop.after(delay, [this, number = request.number] { lookForSilence(number); });
+}
+
+// Sends a request on to another endpoint once the one that has it has been silent for too long; the
+// one before drops it when its connection closes.
+auto forward_router::lookForSilence(std::uint64_t number) -> void
+{
+    auto *request = find(number);
+    if (request == nullptr || !request->inFlight || !mayGoElsewhere(*request))
+        return;
+    const auto silent = m_clock.now() - request->lastByteAt;
+    const auto limit = silenceLimit(*request);
+    if (request->held || silent < limit) {
+        watchSilence(*request, request->held ? limit : limit - silent);
+        return;
+    }
+    request->call.cancel();
+    request->inFlight = false;
+    tryAgain(*request, result_code::endpoint_error, true);
+    carryOut();
+}
+
 auto forward_router::tryAgain(forward_request &request, result_code code, bool arrived) -> void
 {
     const auto now = m_clock.now();
@@ -425,16 +473,19 @@
     const bool may = request.sends < std::max(most, 2U)
                      && (!arrived || allowance.take(m_entryCount, now)) && now < request.dueAt;
     request.mayHaveRun = request.mayHaveRun || !proved;
+    // The next endpoint makes the event anew that this one did not finish.
+    static_cast<void>(request.events.rest());
     if (may) {
         m_dispatcher.notRun(number, code, now, m_actions);
         return;
     }
+    m_metrics.repeatDenied();
     if (!request.mayHaveRun) {
         fail(request, {.code = result_code::overloaded,
                        .message = "no endpoint took the request",
                        .retryAfter = defaultRetryAfter});
-    } else if (!request.answer.headers.empty() && !request.invalidAnswer
-               && code == result_code::endpoint_error) {
+    } else if (!request.started && request.answer.status >= firstFailureStatus
+               && !request.invalidAnswer) {
         request.exchange->reply(request.answer.status, answerHeaders(request.answer.headers),
                                 request.body);
         finish(request, result_code::endpoint_error);
@@ -449,10 +500,7 @@
     if (request == nullptr)
         return;
     request->call.cancel();
-    if (request->started) {
-        request->exchange->abort();
-        finish(*request, result_code::deadline_exceeded);
-    } else if (request->sends > 0) {
+    if (request->sends > 0) {
         fail(*request, {.code = result_code::deadline_exceeded});
     } else {
         fail(*request, {.code = result_code::deadline_unmeetable, .retryAfter = defaultRetryAfter});
@@ -481,6 +529,7 @@
                 field("endpoint", request.endpoint), field("sends", request.sends),
                 field("version", request.configuration->version),
                 field("took_ms", toMilliseconds(now - request.arrivedAt)));
+    m_metrics.ended(code, now - request.arrivedAt);
     if (code == result_code::cancelled)
         m_dispatcher.callerGone(request.number);
     else
@@ -490,6 +539,12 @@
 
 auto forward_router::fail(forward_request &request, const http_error &fault) -> void
 {
+    if (request.started) {
+        // The caller has a part of the answer: only a cut tells it that the rest is missing.
+        request.exchange->abort();
+        finish(request, fault.code);
+        return;
+    }
     request.answer.status = describe(fault.code).httpStatus;
     request.exchange->reply(request.answer.status, failureHeaders(fault), errorBody(fault));
     finish(request, fault.code);
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -16,6 +16,7 @@
 #include "base/counters.h"
 #include "base/log.h"
 #include "forwarding/endpoint_directory.h"
+#include "forwarding/forward_metrics.h"
 #include "forwarding/forward_request.h"
 #include "forwarding/header_names.h"
 #include "forwarding/peer_table.h"
@@ -92,6 +93,11 @@
     // Places the request again, or gives it its final answer.
     auto tryAgain(forward_request &request, result_code code, bool arrived) -> void;
 
+    // Whether a request that was sent may be sent to another endpoint as well.
+    [[nodiscard]] auto mayGoElsewhere(const forward_request &request) const -> bool;
+    auto watchSilence(forward_request &request, duration delay) -> void;
+    auto lookForSilence(std::uint64_t number) -> void;
+
     auto expire(std::uint64_t number) -> void;
     auto callerGone(std::uint64_t number) -> void;
     auto finish(forward_request &request, result_code code) -> void;
@@ -103,7 +109,7 @@
     event_loop &m_loop;
     http_client &m_http;
     logger &m_log;
-    counters &m_metrics;
+    forward_metrics m_metrics;
     route_table &m_routes;
     endpoint_directory &m_directory;
     forward_router_options m_options;
--- a/packages/policy/dispatcher.h
+++ b/packages/policy/dispatcher.h
@@ -83,6 +83,8 @@
     // Longest time from arrival to the whole answer.
     duration deadline{};
     bool idempotent = false;
+    // An answer that misses its first-token target is still wanted, until the deadline.
+    bool wantedLate = false;
     std::uint32_t promptTokens = 0;
     // Hash of the leading part of the prompt, for endpoints with a warm cache; 0 for none.
     std::uint64_t prefixHash = 0;
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -84,6 +84,7 @@
     row.promptTokens = arrival.promptTokens;
     row.sharedTokens = arrival.sharedTokens;
     row.idempotent = arrival.idempotent;
+    row.wantedLate = arrival.wantedLate;
     row.state = request_state::delayed;
     if (row.account >= accountBudgets.size())
         accountBudgets.resize(row.account + 1);
--- a/packages/policy/dispatcher_waits.cpp
+++ b/packages/policy/dispatcher_waits.cpp
@@ -67,7 +67,7 @@
     const auto &pace = targets[row.target].paces[row.queue];
     const auto placedAt = now + wait;
     const auto firstToken = fromSeconds(pace.firstTokenSeconds());
-    if (row.firstTokenTarget.count() > 0
+    if (row.firstTokenTarget.count() > 0 && !row.wantedLate
         && placedAt + firstToken > row.arrivedAt + scaled(row.firstTokenTarget, targetPart))
         return result_code::overloaded;
     const auto tokens = sizes.quantile(row.requestClass, row.account, sizeQuantile);
--- a/packages/policy/request_table.h
+++ b/packages/policy/request_table.h
@@ -61,6 +61,7 @@
     std::uint32_t queue = noIndex;
     request_state state = request_state::waiting;
     bool idempotent = false;
+    bool wantedLate = false;
     bool hasFirstToken = false;
     bool cancelling = false;
     row_link flowLink;
