--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -222,7 +222,8 @@
         .tier = row.tier,
         .warm = prefixes.find(row.prefixHash),
         .reserve = target.queue.isTurnDue(row.queue, now) ? 0 : target.reserves[row.tier],
-        .avoid = row.attempt > 0 ? row.endpoint : noIndex};
+        .avoid = row.attempt > 0 ? row.endpoint : noIndex,
+        .avoidsFailure = row.failedThere};
     placement_choice choice;
     if (row.tier < target.fullTier) {
         choice = target.subset.choose(endpoints, wish, random, now);
@@ -384,6 +385,7 @@
 {
     auto &row = requests.at(slot);
     row.state = request_state::delayed;
+    row.failedThere = code == result_code::endpoint_error;
     if (now >= row.dueAt) {
         refuse(slot, result_code::deadline_unmeetable, "expired", now, actions);
         return;
--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -114,7 +114,8 @@
     // None of the few had room: take any that has.
     for (std::uint32_t step = 0; choice.endpoint == noIndex && step < count; ++step) {
         const auto index = members[(start + step) % count].index;
-        if (index != wish.avoid && fits(endpoints, index, wish, now))
+        const bool isLeft = wish.avoidsFailure && index == wish.avoid;
+        if (!isLeft && fits(endpoints, index, wish, now))
             choice.endpoint = index;
     }
     return choice.endpoint != noIndex;
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -39,6 +39,8 @@
     double reserve = 0;
     // Tried before; taken only if no other has room.
     std::uint32_t avoid = noIndex;
+    // It failed the request itself: other data centres go before it.
+    bool avoidsFailure = false;
 };
 
 struct placement_choice
--- a/packages/policy/prompt_placement.cpp
+++ b/packages/policy/prompt_placement.cpp
@@ -19,7 +19,7 @@
 constexpr double warmWaitPart = 0.4;
 constexpr double laneWaitPart = 0.6;
 // The work of the lanes is followed over about this time.
-constexpr double workFadeSeconds = 8;
+constexpr double workFadeSeconds = 20;
 // The long lane's size changes once the work is so much of one endpoint's part away from it.
 constexpr double laneHysteresis = 0.7;
 
--- a/packages/policy/request_table.h
+++ b/packages/policy/request_table.h
@@ -62,6 +62,8 @@
     request_state state = request_state::waiting;
     bool idempotent = false;
     bool wantedLate = false;
+    // The endpoint of the last try answered with an error of its own.
+    bool failedThere = false;
     bool hasFirstToken = false;
     bool cancelling = false;
     row_link flowLink;
