--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -26,27 +26,16 @@
 #include "forwarding/header_names.h"
 #include "forwarding/peer_exchange.h"
 #include "forwarding/route_table.h"
-#include "forwarding/usage_duty.h"
+#include "forwarding/usage_tender.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 
 namespace mustardline {
 
-// Where the record of a duty is kept.
-struct duty_place
-{
-    std::string topic;
-    std::string key;
-};
-
 template<class T>
-concept edge_platform = requires(T platform, const usage_report &report, std::string_view text)
+concept edge_platform = requires(std::string_view text)
 {
-    requires shared_log<typename T::log_type>;
-    {
-        platform.log()
-        } -> std::same_as<typename T::log_type &>;
-    platform.reportUsage(report, std::function<auto(bool)->void>());
+    requires duty_platform<T>;
     {
         T::headers()
         } -> std::same_as<header_names>;
@@ -65,9 +54,6 @@
     {
         T::readinessPath()
         } -> std::same_as<std::string_view>;
-    {
-        T::usageDuty()
-        } -> std::same_as<duty_place>;
 };
 
 template<edge_platform Platform>
@@ -99,10 +85,11 @@
                                 .window = m_settings.repeatWindow}}),
           m_time(m_clock.now(), m_clock.unixNow()),
           m_usage({.window = m_settings.usageWindow, .self = m_boot}),
-          m_duty({.holder = m_settings.name + "/" + m_boot,
-                  .sealAfter = m_settings.usageDue * 3 / 10,
-                  .takeOverAfter = m_settings.usageDue * 6 / 10,
-                  .term = m_settings.leaseTerm + leaseSlack}),
+          m_tender(m_platform, m_log, m_usage, m_time,
+                   {.holder = m_settings.name + "/" + m_boot,
+                    .sealAfter = m_settings.usageDue * 3 / 10,
+                    .takeOverAfter = m_settings.usageDue * 6 / 10,
+                    .term = m_settings.leaseTerm + leaseSlack}),
           m_peers({.name = m_settings.name, .boot = m_boot, .seeds = m_settings.seeds},
                   m_clock.now()),
           m_exchange(m_loop, {.name = m_settings.name, .boot = m_boot, .address = m_settings.peers},
@@ -255,7 +242,7 @@
     {
         m_exchange.onHeard = [this](const v1::EdgeState &state) {
             if (state.sealed_window() > 0)
-                m_duty.noteSealed(state.sealed_window());
+                m_tender.duty().noteSealed(state.sealed_window());
             m_router.othersUse(m_peers, m_clock.now());
         };
         m_router.onBegun = [this](const std::string &account) {
@@ -269,83 +256,11 @@
         m_exchange.tell(
             {.uses = m_router.uses(),
              .configurationVersion = m_routes.current() ? m_routes.current()->version : 0,
-             .sealedWindow = m_duty.sealedTo(),
+             .sealedWindow = m_tender.duty().sealedTo(),
              .leaving = m_stopping});
         m_router.setEntryCount(m_peers.sharingCount(m_clock.now()));
     }
 
-    // Carries on with the duty of reporting usage.
-    auto tendDuty() -> void
-    {
-        if (!m_settings.reportsUsage || m_stopping)
-            return;
-        const auto now = m_clock.now();
-        const auto action = m_duty.tick(now, m_time.read(now, m_clock.unixNow()), m_usage);
-        if (!action)
-            return;
-        if (std::holds_alternative<read_duty>(*action))
-            readDuty();
-        else if (const auto *append = std::get_if<append_duty>(&*action))
-            appendDuty(*append);
-        else
-            reportUsage(std::get<usage_report>(*action));
-    }
-
-    auto readDuty() -> void
-    {
-        const auto place = Platform::usageDuty();
-        m_platform.log().newest(place.topic, "", [this, place](const log_newest_outcome &outcome) {
-            const auto now = m_clock.now();
-            const auto *page = std::get_if<log_newest_page>(&outcome);
-            if (page == nullptr) {
-                m_duty.readFailed(now);
-                return;
-            }
-            std::optional<duty_record> record;
-            for (const auto &entry : page->entries) {
-                if (entry.key == place.key && entry.value)
-                    record = decodeDutyRecord(*entry.value);
-            }
-            m_duty.readCame(std::move(record), page->endOffset, now);
-            tendDuty();
-        });
-    }
-
-    auto appendDuty(const append_duty &append) -> void
-    {
-        using log_type = typename Platform::log_type;
-        const auto place = Platform::usageDuty();
-        m_platform.log().append(
-            {.topic = place.topic,
-             .at = append.at,
-             .records = {log_type::keyedBytes(place.key, encodeDutyRecord(append.record))}},
-            [this, fencing = append.record.fencing](const log_append_outcome &outcome) {
-                m_duty.appendCame(outcome, m_clock.now());
-                m_log.write(dutyClaimed, field("duty", "usage"), field("fencing", fencing),
-                            field("result", outcomeName(outcome)),
-                            field("sealed_to", m_duty.sealedTo()));
-                tendDuty();
-            });
-    }
-
-    static auto outcomeName(const log_append_outcome &outcome) -> std::string_view
-    {
-        if (std::holds_alternative<log_appended>(outcome))
-            return "appended";
-        return std::holds_alternative<log_moved>(outcome) ? "lost_to_another" : "not_known";
-    }
-
-    auto reportUsage(const usage_report &report) -> void
-    {
-        m_platform.reportUsage(
-            report, [this, window = report.window, fencing = report.fencing](bool taken) {
-                m_duty.reportCame(window, taken, m_clock.now());
-                m_log.write(usageWindowReported, field("window", window), field("fencing", fencing),
-                            field("taken", taken));
-                tendDuty();
-            });
-    }
-
     auto operatorRecord(const keyed_record &record) -> void
     {
         if (const auto dataCentre = Platform::evacuatedDataCentre(record.key)) {
@@ -437,7 +352,8 @@
             m_wasReady = ready;
             m_log.write(edgeReady, field("ready", ready));
         }
-        tendDuty();
+        if (m_settings.reportsUsage && !m_stopping)
+            m_tender.tend();
         m_output.flush();
         if (m_stopping)
             goOnStopping(now);
@@ -498,7 +414,7 @@
     forward_router m_router;
     true_time m_time;
     usage_windows m_usage;
-    usage_duty m_duty;
+    usage_tender<Platform> m_tender;
     peer_table m_peers;
     peer_exchange m_exchange;
     keyed_follower<typename Platform::log_type> m_configurationFollower;
--- a/packages/net/http1_reader.cpp
+++ b/packages/net/http1_reader.cpp
@@ -299,7 +299,10 @@
         return fail(badRequest, result_code::bad_request, "the length of the body is ambiguous");
     m_bodyBytes = 0;
     m_trailerBytes = 0;
-    if (isInterim(head.status) || isBodyless(head.status) || m_expectNoBody) {
+    const bool isRequest = m_options.kind == http1_kind::request;
+    const bool hasNoBody = isInterim(head.status) || isBodyless(head.status) || m_expectNoBody
+                           || (isRequest && lengths == 0 && codings == 0);
+    if (hasNoBody) {
         m_state = state::end;
     } else if (codings == 1) {
         if (!sameHeaderName(findHeader(head.headers, "transfer-encoding"), "chunked"))
@@ -313,8 +316,6 @@
             return fail(bodyTooLarge, result_code::body_too_large, "the body is too large");
         m_left = *length;
         m_state = m_left == 0 ? state::end : state::fixed_body;
-    } else if (m_options.kind == http1_kind::request) {
-        m_state = state::end;
     } else {
         head.keepAlive = false;
         m_state = state::until_close;
