--- a/packages/coordination/testing/keyed_follower_test.cpp
+++ b/packages/coordination/testing/keyed_follower_test.cpp
@@ -13,7 +13,7 @@
 class scripted_log
 {
 public:
-    auto read(const log_position &position, log_read_handler done) -> void
+    auto read(const log_position &position, const log_read_handler &done) -> void
     {
         asked.push_back("read " + std::to_string(position.offset));
         if (reads.empty()) {
@@ -24,14 +24,18 @@
         reads.pop_front();
         done(outcome);
     }
-    auto newest(const std::string &, const std::string &after, log_newest_handler done) -> void
+    auto newest(const std::string &, const std::string &after, const log_newest_handler &done)
+        -> void
     {
         asked.push_back("newest " + after);
         const auto outcome = pages.front();
         pages.pop_front();
         done(outcome);
     }
-    auto append(const log_append &, log_append_handler done) -> void { done(log_unavailable{}); }
+    auto append(const log_append &, const log_append_handler &done) -> void
+    {
+        done(log_unavailable{});
+    }
 
     // "key=value" sets, "key" drops, "" is malformed.
     static auto keyedRecord(std::string_view bytes) -> std::optional<keyed_record>
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -223,7 +223,7 @@
     }
 
     // Logs when a topic can no longer be read, and when it can again.
-    auto watchService(auto &follower, std::string topic) -> void
+    auto watchService(auto &follower, const std::string &topic) -> void
     {
         follower.onLost = [this, topic](const std::string &reason) {
             m_log.write(logServiceLost, field("topic", topic), field("reason", reason));
