Divide an endpoint's connections among the edges, and follow their number

Each edge kept up to 100 idle connections to an endpoint that takes 110 or 630 from all, and its part of a cold endpoint's rate was reckoned with the number of edges of the moment at which the endpoint last changed.

--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -123,10 +123,15 @@
 }
 
 auto forward_router::configurationChanged() -> void
+{
+    setEndpoints();
+    endpointsChanged();
+}
+
+auto forward_router::setEndpoints() -> void
 {
     for (const auto &[id, entry] : m_directory.entries())
         setEndpoint(entry);
-    endpointsChanged();
 }
 
 auto forward_router::setEndpoint(const endpoint_entry &entry) -> void
@@ -134,11 +139,12 @@
     const auto &told = entry.registration;
     const auto *service = m_routes.service(told.service);
     const auto coldRate = service == nullptr ? 0 : service->coldRequestsPerSecond;
+    const auto places = std::min(told.slots, connectionsTo(told.service));
     m_dispatcher.setEndpoint({.id = told.id,
                               .dataCentre = told.dataCentre,
                               .serves = {told.service},
-                              .maxConcurrency = told.slots,
-                              .coldConcurrency = told.slots,
+                              .maxConcurrency = places,
+                              .coldConcurrency = places,
                               .available = m_directory.isUsable(entry),
                               .readsPrompts = service != nullptr && service->cacheTokens > 0,
                               .assumedFirstToken = assumedFirstToken,
@@ -147,6 +153,15 @@
                              m_clock.now());
 }
 
+// Connections that this edge may have to an endpoint of that service.
+auto forward_router::connectionsTo(std::string_view service) const -> std::uint32_t
+{
+    const auto *settings = m_routes.service(service);
+    if (settings == nullptr || settings->maxConnections == 0)
+        return UINT32_MAX;
+    return connectionShare(settings->maxConnections, m_entryCount);
+}
+
 auto forward_router::uses() const -> std::map<std::string, endpoint_use>
 {
     std::map<std::string, endpoint_use> uses;
@@ -168,7 +183,8 @@
         const auto others = peers.usesOf(id, now);
         m_dispatcher.reportLoad(id,
                                 {.running = mine + others.inFlight,
-                                 .window = entry.registration.slots,
+                                 .window = std::min(entry.registration.slots,
+                                                    connectionsTo(entry.registration.service)),
                                  .othersPromptTokens = others.promptTokens},
                                 now);
     }
@@ -176,8 +192,12 @@
 
 auto forward_router::setEntryCount(std::uint32_t count) -> void
 {
+    if (m_entryCount == std::max(count, 1U))
+        return;
     m_entryCount = std::max(count, 1U);
     m_dispatcher.setEntryCount(m_entryCount);
+    // This edge's parts of what the endpoints bear have changed.
+    setEndpoints();
 }
 
 auto forward_router::carryOut() -> void
@@ -296,6 +316,7 @@
          .body = std::string(request.exchange->body()),
          .echo = {.name = m_options.names.requestId, .value = request.id},
          .idleTimeout = std::max(request.dueAt - now, duration(0)) + dueSlack * 2,
+         .maxIdle = connectionsTo(endpoint.registration.service),
          .maxAnswerBytes = m_options.maxAnswerBytes},
         {.onHeaders = [this, number](const http_answer &answer) { answered(number, answer); },
          .onData = [this, number](std::string_view data) { received(number, data); },
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -76,6 +76,8 @@
     auto refuseAtOnce(const std::shared_ptr<http_exchange> &exchange, const http_error &fault)
         -> void;
     auto setEndpoint(const endpoint_entry &entry) -> void;
+    auto setEndpoints() -> void;
+    [[nodiscard]] auto connectionsTo(std::string_view service) const -> std::uint32_t;
 
     auto carryOut() -> void;
     auto place(const place_action &action) -> void;
--- a/packages/forwarding/shared_allowance.h
+++ b/packages/forwarding/shared_allowance.h
@@ -10,6 +10,7 @@
 //     allowance.requested(now);
 //     if (allowance.take(entryCount, now)) ...
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 
@@ -17,6 +18,17 @@
 
 namespace mustardline {
 
+// This entry's part of the connections that an endpoint takes from all entries together. An
+// endpoint resets those beyond its number, so some are left over for entries that are not known
+// yet.
+[[nodiscard]] inline auto connectionShare(std::uint32_t whole, std::uint32_t entryCount)
+    -> std::uint32_t
+{
+    constexpr std::uint32_t usedTenths = 9;
+    constexpr std::uint32_t tenths = 10;
+    return std::max(whole * usedTenths / tenths / std::max(entryCount, 1U), 1U);
+}
+
 struct shared_allowance_options
 {
     double ratio = 0.2;
--- a/packages/forwarding/testing/tables_test.cpp
+++ b/packages/forwarding/testing/tables_test.cpp
@@ -205,6 +205,18 @@
     }
 }
 
+TEST(SharedAllowanceTest, connectionsOfAllEntriesStayWithinTheEndpointsNumber)
+{
+    for (const std::uint32_t whole : {1U, 96U, 110U, 630U}) {
+        for (std::uint32_t entryCount = 1; entryCount <= whole; ++entryCount) {
+            EXPECT_LE(connectionShare(whole, entryCount) * entryCount, whole);
+            EXPECT_GE(connectionShare(whole, entryCount), 1U);
+        }
+    }
+    EXPECT_EQ(connectionShare(630, 5), 113U);
+    EXPECT_EQ(connectionShare(10, 1000), 1U);
+}
+
 TEST(SharedAllowanceTest, someRepeatsArePossibleAtOnce)
 {
     shared_allowance allowance({.ratio = 0.2, .slack = 58});
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -82,10 +82,11 @@
         return nullptr;
     }
 
-    auto giveBack(const socket_address &address, const std::shared_ptr<tcp_stream> &stream) -> void
+    auto giveBack(const socket_address &address, const std::shared_ptr<tcp_stream> &stream,
+                  std::size_t maxIdle) -> void
     {
         auto &connections = idle[address];
-        if (closed || connections.size() >= options.maxIdlePerAddress) {
+        if (closed || connections.size() >= maxIdle) {
             stream->close();
             return;
         }
@@ -265,7 +266,8 @@
         if (!keep)
             return;
         if (std::holds_alternative<std::monostate>(outcome) && keepAlive && !stream->isClosed())
-            pool->giveBack(address, stream);
+            pool->giveBack(address, stream,
+                           request.maxIdle > 0 ? request.maxIdle : pool->options.maxIdlePerAddress);
         else if (stream)
             stream->close();
         const auto done = std::exchange(callbacks, {});
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -60,6 +60,8 @@
     http_header echo;
     // Longest silence of the peer.
     duration idleTimeout = std::chrono::seconds(60);
+    // Idle connections kept to this peer after the call; the client's number if zero.
+    std::size_t maxIdle = 0;
     // An answer with a larger body fails with `answer_too_large`.
     std::size_t maxAnswerBytes = 64U << 20U;
 };
