Let an endpoint go on after its slow caller has caught up; say when the log forgot records

A stream held back for its caller was never resumed, and ended at its route's timeout. The event log_history_lost was documented and never written. Fields that nothing read are gone.

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -49,6 +49,8 @@
     std::function<auto(const std::string &reason)->void> onLost;
     std::function<auto()->void> onReturned;
     std::function<auto(std::string_view bytes)->void> onMalformed;
+    // Records from `offset` on were forgotten unread; the newest values are read again.
+    std::function<auto(std::uint64_t offset)->void> onForgotten;
 
     auto start() -> void { readNewest(""); }
 
@@ -112,6 +114,8 @@
         // Records are gone unread, or the log ends before what was read of it.
         if (batch == nullptr || batch->endOffset < *m_readFrom
             || batch->firstOffset > *m_readFrom) {
+            if (onForgotten)
+                onForgotten(*m_readFrom);
             m_newestTold.clear();
             again(m_options.pace, [this] { readNewest(""); });
             return;
--- a/packages/coordination/testing/keyed_follower_test.cpp
+++ b/packages/coordination/testing/keyed_follower_test.cpp
@@ -75,6 +75,9 @@
         };
         m_follower.onLost = [this](const std::string &) { m_seen.emplace_back("lost"); };
         m_follower.onReturned = [this] { m_seen.emplace_back("returned"); };
+        m_follower.onForgotten = [this](std::uint64_t offset) {
+            m_seen.push_back("forgotten from " + std::to_string(offset));
+        };
         m_follower.onMalformed = [this](std::string_view) { m_seen.emplace_back("malformed"); };
     }
 
@@ -130,7 +133,8 @@
                        pageOf({{.key = "b", .value = "1", .offset = 1}}, 99)};
         m_log.reads = {gap};
         follow();
-        EXPECT_EQ(m_seen, (std::vector<std::string>{"a=1", "whole 1", "b=1", "whole 1"}));
+        EXPECT_EQ(m_seen, (std::vector<std::string>{"a=1", "whole 1", "forgotten from 5", "b=1",
+                                                    "whole 1"}));
     }
 }
 
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -233,6 +233,9 @@
             if (then)
                 then();
         };
+        follower.onForgotten = [this, topic](std::uint64_t offset) {
+            m_log.write(logHistoryLost, field("topic", topic), field("offset", offset));
+        };
         follower.onMalformed = [this, topic](std::string_view bytes) {
             m_log.write(recordMalformed, field("topic", topic), field("bytes", bytes.size()));
         };
--- a/packages/forwarding/fleet_configuration.h
+++ b/packages/forwarding/fleet_configuration.h
@@ -42,8 +42,6 @@
     bool resumable = false;
     // Needs no key.
     bool isOpen = false;
-    // Its requests name the parts of their prompts.
-    bool namesPrompts = false;
     // Longest time from arrival to the answer.
     duration timeout{};
     // Time within which an answer, or the first event, is in time.
@@ -60,7 +58,6 @@
 struct service_settings
 {
     std::string name;
-    std::string healthPath;
     // Connections that one endpoint takes from all entries together.
     std::uint32_t maxConnections = 0;
     // Requests a second that a cold endpoint bears from all entries together; 0 for no bound.
--- a/packages/forwarding/forward_request.h
+++ b/packages/forwarding/forward_request.h
@@ -69,6 +69,7 @@
     event_cutter events;
     time_point lastByteAt{};
     event_handle dueTimer;
+    event_handle backlogTimer;
     // Looks whether the endpoint has fallen silent.
     event_handle silenceTimer;
 };
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -99,6 +99,7 @@
     [[nodiscard]] auto mayGoElsewhere(const forward_request &request) const -> bool;
     auto watchSilence(forward_request &request, duration delay) -> void;
     auto lookForSilence(std::uint64_t number) -> void;
+    auto lookForBacklog(std::uint64_t number) -> void;
 
     auto expire(std::uint64_t number) -> void;
     auto callerGone(std::uint64_t number) -> void;
--- a/packages/forwarding/forward_router_answers.cpp
+++ b/packages/forwarding/forward_router_answers.cpp
@@ -13,6 +13,8 @@
 constexpr int firstFailureStatus = 500;
 constexpr int firstSuccess = 200;
 constexpr int firstRedirect = 300;
+// Between looks at what a slow caller has left unread.
+constexpr duration backlogInterval = std::chrono::milliseconds(50);
 // When to come back if no endpoint took the request.
 constexpr duration nobodyRetryAfter = std::chrono::milliseconds(500);
 
@@ -61,9 +63,26 @@
     if (!request->held && exchange.backlogBytes() > m_options.maxBacklogBytes) {
         request->held = true;
         request->call.pause();
+        lookForBacklog(number);
     }
 }
 
+// Lets the endpoint go on once its slow caller has taken half of what it may leave unread.
+auto forward_router::lookForBacklog(std::uint64_t number) -> void
+{
+    auto *request = find(number);
+    if (request == nullptr || !request->held)
+        return;
+    if (request->exchange->backlogBytes() <= m_options.maxBacklogBytes / 2) {
+        request->held = false;
+        request->lastByteAt = m_clock.now();
+        request->call.resume();
+        return;
+    }
+    request->backlogTimer
+        = m_loop.after(backlogInterval, [this, number] { lookForBacklog(number); });
+}
+
 // The first byte of an answer shows that the endpoint has begun to run the request.
 auto forward_router::begun(forward_request &request) -> void
 {
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -331,7 +331,7 @@
 }
 
 http_client::http_client(event_loop &loop, http_client_options options)
-    : m_loop(loop), m_options(options), m_pool(std::make_shared<connection_pool>(loop, options))
+    : m_pool(std::make_shared<connection_pool>(loop, options))
 {
     m_pool->sweep = loop.every(idleSweepInterval, [pool = m_pool.get()] { pool->closeOld(); });
 }
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -133,8 +133,6 @@
     friend class http_call;
     struct connection_pool;
 
-    event_loop &m_loop;
-    http_client_options m_options;
     std::shared_ptr<connection_pool> m_pool;
 };
 
