Let the server own connections that linger after their last answer

Cause: HttpTest.refusesBodiesAndHeadersOverTheLimit under the sanitizers (688 bytes leaked): a connection that lingers so that its answer is not lost by a reset held itself alive, and nobody closed it where the loop ended first. A peer that has ended its own side still gets what waits to be sent. Ruled out: the client, whose streams its pool owns.

--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -54,6 +54,8 @@
     time_point begunAt;
     bool closesAfterAnswer = false;
     bool processing = false;
+    // What was sent is on its way; the connection then ends.
+    bool ending = false;
 
     connection(http_server &owner, std::shared_ptr<tcp_stream> channel)
         : server(owner),
@@ -172,8 +174,14 @@
 
     auto finishConnection() -> void
     {
+        if (stream->isClosed()) {
+            forget();
+            return;
+        }
+        ending = true;
+        if (const auto left = std::exchange(current, nullptr))
+            left->detach();
         stream->closeAfterSending();
-        forget();
     }
 
     auto cut() -> void
@@ -193,7 +201,7 @@
     // Ends a connection that has been silent, or slow in sending its headers, for too long.
     auto checkTime(time_point now) -> void
     {
-        if (current)
+        if (current || ending)
             return;
         const auto &limits = server.m_options;
         const bool inHead = reader.isInside() && !incoming;
@@ -417,7 +425,8 @@
 {
     const std::vector<std::shared_ptr<connection>> open(m_connections.begin(), m_connections.end());
     for (const auto &each : open) {
-        if (!each->current && !each->reader.isInside() && !each->stream->hasUnread())
+        if (!each->ending && !each->current && !each->reader.isInside()
+            && !each->stream->hasUnread())
             each->finishConnection();
     }
 }
--- a/packages/net/tcp_stream.cpp
+++ b/packages/net/tcp_stream.cpp
@@ -142,8 +142,11 @@
         return;
     }
     if (m_lingering) {
-        if (count == 0)
+        if (count == 0) {
+            m_peerEnded = true;
+            setReading(false);
             finishLingering();
+        }
         return;
     }
     if (count == 0) {
@@ -236,32 +239,30 @@
     event_del(m_writeEvent);
     ::close(std::exchange(m_descriptor, -1));
     m_lingerTimer = {};
-    m_self.reset();
 }
 
 auto tcp_stream::closeAfterSending() -> void
 {
     if (isClosed() || m_lingering)
         return;
-    const auto keep = shared_from_this();
-    m_self = keep;
     m_lingering = true;
     setReading(true);
-    m_lingerTimer = m_loop.after(lingerLimit, [this] { close(); });
-    if (backlogBytes() == 0)
-        finishLingering();
+    m_lingerTimer = m_loop.after(lingerLimit, [this] {
+        const auto keep = shared_from_this();
+        ended(true);
+    });
+    finishLingering();
 }
 
-// Called when all is sent, and again when the peer has ended its side.
+// Ends our side once all is sent, and the connection once the peer has ended its own.
 auto tcp_stream::finishLingering() -> void
 {
-    if (!m_shutDown && backlogBytes() == 0) {
-        m_shutDown = true;
-        shutdown(m_descriptor, SHUT_WR);
+    if (backlogBytes() > 0)
         return;
-    }
-    const auto keep = shared_from_this();
-    close();
+    if (!std::exchange(m_shutDown, true))
+        shutdown(m_descriptor, SHUT_WR);
+    if (m_peerEnded)
+        ended(true);
 }
 
 auto tcp_stream::ended(bool orderly) -> void
@@ -269,7 +270,7 @@
     if (isClosed())
         return;
     const auto keep = shared_from_this();
-    const auto report = m_lingering ? nullptr : onEnd;
+    const auto report = onEnd;
     close();
     if (report)
         report(orderly);
--- a/packages/net/tcp_stream.h
+++ b/packages/net/tcp_stream.h
@@ -61,8 +61,9 @@
 
     // Ends the connection; no callback follows.
     auto close() -> void;
-    // Sends what waits, then ends the connection. Input is read and dropped meanwhile, because
-    // closing with unread input would reset the connection and lose what was sent.
+    // Sends what waits, then ends the connection, and calls `onEnd`. Input is read and dropped
+    // meanwhile, because closing with unread input would reset the connection and lose what was
+    // sent.
     auto closeAfterSending() -> void;
     [[nodiscard]] auto isClosed() const -> bool { return m_descriptor < 0; }
 
@@ -88,9 +89,8 @@
     bool m_reading = false;
     bool m_lingering = false;
     bool m_shutDown = false;
+    bool m_peerEnded = false;
     event_handle m_lingerTimer;
-    // Held while the stream lingers, when nobody else holds it.
-    std::shared_ptr<tcp_stream> m_self;
 };
 
 } // namespace mustardline
