Read decimal numbers in one place; drop what nothing uses

The request, the HTTP reader and the HTTP client each had a decimal parser of their own: net/decimal.h serves all three. Gone: the time a request was sent and the header of the cold time, which nothing read, and a function of one line with one caller. A comment of keyed_follower.h named a topic of the platform's.

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -2,7 +2,7 @@
 
 // Follows one keyed topic of a shared log: its newest values first, then each record as it comes.
 //
-//     keyed_follower follower(loop, log, {.topic = "keyed.op", .wait = 2s});
+//     keyed_follower follower(loop, log, {.topic = "settings", .wait = 2s});
 //     follower.onRecord = [](const keyed_record &record) { ... };
 //     follower.onWhole = [](const std::set<std::string> &keys) { ... };
 //     follower.start();
--- a/packages/forwarding/forward_request.cpp
+++ b/packages/forwarding/forward_request.cpp
@@ -2,10 +2,9 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
-#include <optional>
 
 #include "base/hashing.h"
+#include "net/decimal.h"
 
 namespace mustardline {
 
@@ -44,17 +43,6 @@
     return false;
 }
 
-template<class Number>
-auto readNumber(std::string_view text) -> std::optional<Number>
-{
-    Number value = 0;
-    const auto *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, value);
-    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end)
-        return std::nullopt;
-    return value;
-}
-
 auto findAccount(const http_exchange &exchange, const route_table &routes)
     -> const account_settings *
 {
@@ -94,7 +82,7 @@
         shared.remove_prefix(std::min(comma + 1, shared.size()));
         const auto colon = part.find(':');
         if (colon != std::string_view::npos)
-            request.sharedTokens += readNumber<std::uint32_t>(part.substr(colon + 1)).value_or(0);
+            request.sharedTokens += parseDecimal<std::uint32_t>(part.substr(colon + 1)).value_or(0);
     }
 }
 
@@ -117,9 +105,9 @@
 auto readTokens(forward_request &request, std::string_view text) -> void
 {
     const auto comma = std::min(text.find(','), text.size());
-    request.promptTokens = readNumber<std::uint32_t>(text.substr(0, comma)).value_or(0);
+    request.promptTokens = parseDecimal<std::uint32_t>(text.substr(0, comma)).value_or(0);
     if (comma < text.size())
-        request.maxOutputTokens = readNumber<std::uint32_t>(text.substr(comma + 1)).value_or(0);
+        request.maxOutputTokens = parseDecimal<std::uint32_t>(text.substr(comma + 1)).value_or(0);
 }
 
 } // namespace
@@ -153,7 +141,7 @@
     readSharedParts(request, exchange->header(names.promptParts));
     request.arrivedAt = now;
     request.dueAt = now + route->timeout;
-    if (const auto left = readNumber<std::int64_t>(exchange->header(names.deadline)))
+    if (const auto left = parseDecimal<std::int64_t>(exchange->header(names.deadline)))
         request.dueAt = std::min(request.dueAt, now + std::chrono::milliseconds(*left));
     request.headers = forwardedHeaders(*exchange, names);
     if (request.account != nullptr)
--- a/packages/forwarding/forward_request.h
+++ b/packages/forwarding/forward_request.h
@@ -52,7 +52,6 @@
     std::string endpoint;
     bool inFlight = false;
     std::uint32_t sends = 0;
-    time_point sentAt{};
     http_answer answer;
     std::string body;
     // An earlier try may have run it.
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -296,7 +296,6 @@
     const auto number = request.number;
     m_metrics.sent(request.sends > 0);
     ++request.sends;
-    request.sentAt = now;
     request.answer = {};
     request.body.clear();
     request.notRun = false;
@@ -363,7 +362,7 @@
         m_dispatcher.callerGone(request.number);
     else
         m_dispatcher.finished(request.number, code, 0, now);
-    forget(request.number);
+    m_requests.erase(request.number);
 }
 
 auto forward_router::fail(forward_request &request, const http_error &fault) -> void
@@ -379,11 +378,6 @@
     finish(request, fault.code);
 }
 
-auto forward_router::forget(std::uint64_t number) -> void
-{
-    m_requests.erase(number);
-}
-
 auto forward_router::find(std::uint64_t number) -> forward_request *
 {
     const auto known = m_requests.find(number);
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -105,7 +105,6 @@
     auto callerGone(std::uint64_t number) -> void;
     auto finish(forward_request &request, result_code code) -> void;
     auto fail(forward_request &request, const http_error &fault) -> void;
-    auto forget(std::uint64_t number) -> void;
     [[nodiscard]] auto find(std::uint64_t number) -> forward_request *;
     auto scheduleTick() -> void;
 
--- a/packages/forwarding/header_names.h
+++ b/packages/forwarding/header_names.h
@@ -30,8 +30,6 @@
     std::string promptParts;
     // Tokens of the prompt and the most that may be generated, separated by a comma.
     std::string tokenCounts;
-    // How long an endpoint stays cold, in milliseconds.
-    std::string coldRemaining;
     // Headers that only the system may set; a caller's are dropped.
     std::vector<std::string> systemOnly;
 };
--- a/packages/net/http1_reader.cpp
+++ b/packages/net/http1_reader.cpp
@@ -7,6 +7,8 @@
 
 #include <http_parser.h>
 
+#include "net/decimal.h"
+
 namespace mustardline {
 
 namespace {
@@ -114,16 +116,6 @@
         head.headers, [name](const auto &item) { return sameHeaderName(item.name, name); });
 }
 
-auto readDecimal(std::string_view text) -> std::optional<std::uint64_t>
-{
-    std::uint64_t value = 0;
-    const auto *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, value);
-    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end)
-        return std::nullopt;
-    return value;
-}
-
 // The size in the first line of a chunk, `line` being without its end.
 auto readChunkLine(std::string_view line) -> std::optional<std::uint64_t>
 {
@@ -309,7 +301,7 @@
             return fail(notImplemented, result_code::bad_request, "unknown transfer encoding");
         m_state = state::chunk_size;
     } else if (lengths == 1) {
-        const auto length = readDecimal(findHeader(head.headers, "content-length"));
+        const auto length = parseDecimal<std::uint64_t>(findHeader(head.headers, "content-length"));
         if (!length)
             return fail(badRequest, result_code::bad_request, "the content length is no number");
         if (!bodyGrows(*length))
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -1,11 +1,11 @@
 #include "net/http_client.h"
 
-#include <charconv>
 #include <set>
 #include <utility>
 
 #include <fmt/format.h>
 
+#include "net/decimal.h"
 #include "net/http1_reader.h"
 
 namespace mustardline {
@@ -35,16 +35,6 @@
     return text;
 }
 
-auto lengthOf(const http1_head &head) -> std::optional<std::uint64_t>
-{
-    const auto text = findHeader(head.headers, "content-length");
-    std::uint64_t value = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (text.empty() || parsed.ec != std::errc())
-        return std::nullopt;
-    return value;
-}
-
 } // namespace
 
 // Idle connections by address, and the calls under way.
@@ -231,7 +221,7 @@
                 return;
             }
         }
-        const auto length = lengthOf(head);
+        const auto length = parseDecimal<std::uint64_t>(findHeader(head.headers, "content-length"));
         if (length && *length > request.maxAnswerBytes) {
             fail(result_code::answer_too_large, "the answer is over the limit", true);
             return;
