Count what other entries hold of lower tiers

Cause: an entry's estimate of its wait knew its own requests alone. Where other entries held the places it took them for never coming free, and where it held none itself it expected none at all (perSecond 0.16 to 0.3 with four places of 0.11 s); the time a place is held included the wait at the agent for the place to be made (0.58 s measured, 0.11 s true).

Change: agents report by tier what they run and may stop; above the lowest tier a class counts on what earlier classes leave of the entry's part of all places; the agent tells how long a request waited there and the entry leaves that out of the holding time.

New tests were red without their parts.

--- a/packages/agent/run_report.h
+++ b/packages/agent/run_report.h
@@ -10,6 +10,7 @@
 // Every line names the request, its account and tier, the reason, and the load that the decision
 // was made under.
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -21,6 +22,7 @@
 #include "base/counters.h"
 #include "base/log.h"
 #include "base/result.h"
+#include "base/tiers.h"
 
 namespace mustardline {
 
@@ -30,6 +32,8 @@
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
     std::uint32_t window = 0;
+    // By tier: what runs and may be stopped in favour of a higher tier.
+    std::array<std::uint32_t, lowestTier + 1> stoppable{};
     duration firstToken{};
 };
 
--- a/packages/agent/run_service.cpp
+++ b/packages/agent/run_service.cpp
@@ -202,6 +202,7 @@
     if (!std::exchange(live.outputBegun, true)) {
         m_scheduler->firstToken(live.number, m_clock.now());
         auto headers = resultHeaders(live.request, result_code::ok);
+        headers.push_back(queuedHeader(live));
         std::ranges::copy(live.answer.headers(), std::back_inserter(headers));
         live.exchange->startStream(live.answer.status(), headers);
     }
@@ -415,6 +416,7 @@
     return {.running = m_scheduler->runningCount(),
             .queued = m_scheduler->queuedCount(),
             .window = m_scheduler->window(),
+            .stoppable = m_scheduler->stoppableCounts(),
             .firstToken = m_scheduler->firstTokenLatency()};
 }
 
--- a/packages/agent/run_service.h
+++ b/packages/agent/run_service.h
@@ -101,6 +101,8 @@
                        const run_verdict &verdict) -> void;
     auto tick() -> void;
     auto renewScheduler() -> void;
+    // Tells how long the run waited here.
+    [[nodiscard]] static auto queuedHeader(const live_run &live) -> http_header;
     auto resultHeaders(const run_request &request, result_code code) const
         -> std::vector<http_header>;
     auto replyFate(http_exchange &exchange, const request_id &id) -> void;
--- a/packages/agent/run_service_answers.cpp
+++ b/packages/agent/run_service_answers.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <charconv>
+#include <span>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
 
 #include "agent/live_run.h"
@@ -18,6 +20,7 @@
     exchange.onGone(nullptr);
     if (ending.code == result_code::ok && !live.outputBegun) {
         auto headers = resultHeaders(live.request, result_code::ok);
+        headers.push_back(queuedHeader(live));
         std::ranges::copy(live.answer.headers(), std::back_inserter(headers));
         exchange.reply(live.answer.status(), headers, "");
     } else if (ending.code == result_code::ok) {
@@ -99,7 +102,14 @@
     return {{.name = "mustardline-boot", .value = std::to_string(m_options.boot)},
             {.name = "mustardline-offset", .value = std::to_string(m_config.offset())},
             {.name = "mustardline-load",
-             .value = fmt::format("{}/{}/{}", current.running, current.queued, current.window)}};
+             .value = fmt::format("{}/{}/{}/{}", current.running, current.queued, current.window,
+                                  fmt::join(std::span(current.stoppable).subspan(1), ","))}};
+}
+
+auto run_service::queuedHeader(const live_run &live) -> http_header
+{
+    return {.name = "mustardline-queued-ms",
+            .value = std::to_string(toMilliseconds(live.startedAt - live.arrivedAt))};
 }
 
 auto run_service::resultHeaders(const run_request &request, result_code code) const
--- a/packages/entry/agent_call.cpp
+++ b/packages/entry/agent_call.cpp
@@ -1,5 +1,6 @@
 #include "entry/agent_call.h"
 
+#include <algorithm>
 #include <charconv>
 #include <memory>
 
@@ -25,19 +26,32 @@
     return number;
 }
 
-// Parses "running/queued/window".
+// Takes the text up to the next `separator` off the front of `text`.
+auto takeField(std::string_view &text, char separator) -> std::string_view
+{
+    const auto length = std::min(text.find(separator), text.size());
+    const auto taken = text.substr(0, length);
+    text.remove_prefix(std::min(length + 1, text.size()));
+    return taken;
+}
+
+// Parses "running/queued/window/stoppable", the last one number for each tier, with commas. Agents
+// of an earlier version leave it out.
 auto readLoad(std::string_view text) -> std::optional<endpoint_load>
 {
-    const auto first = text.find('/');
-    const auto second = text.find('/', first == std::string_view::npos ? first : first + 1);
-    if (second == std::string_view::npos)
-        return std::nullopt;
-    const auto running = readNumber<std::uint32_t>(text.substr(0, first));
-    const auto queued = readNumber<std::uint32_t>(text.substr(first + 1, second - first - 1));
-    const auto window = readNumber<std::uint32_t>(text.substr(second + 1));
+    const auto running = readNumber<std::uint32_t>(takeField(text, '/'));
+    const auto queued = readNumber<std::uint32_t>(takeField(text, '/'));
+    const auto window = readNumber<std::uint32_t>(takeField(text, '/'));
     if (!running || !queued || !window)
         return std::nullopt;
-    return endpoint_load{.running = *running, .queued = *queued, .window = *window};
+    endpoint_load load{.running = *running, .queued = *queued, .window = *window};
+    for (std::uint32_t tier = 1; tier <= lowestTier && !text.empty(); ++tier) {
+        const auto count = readNumber<std::uint32_t>(takeField(text, ','));
+        if (!count)
+            return std::nullopt;
+        load.stoppable[tier] = *count;
+    }
+    return text.empty() ? std::optional(load) : std::nullopt;
 }
 
 auto reportOf(const http_answer &answer) -> agent_report
@@ -75,9 +89,12 @@
             refusal = static_cast<result_code>(*code);
         } else {
             started = true;
+            const auto queued
+                = readNumber<std::uint32_t>(findHeader(answer.headers, "mustardline-queued-ms"));
             callbacks.onStart(
                 {.status = answer.status,
-                 .contentType = std::string(findHeader(answer.headers, "content-type"))});
+                 .contentType = std::string(findHeader(answer.headers, "content-type")),
+                 .queued = std::chrono::milliseconds(queued.value_or(0))});
         }
     }
 
--- a/packages/entry/agent_call.h
+++ b/packages/entry/agent_call.h
@@ -52,6 +52,8 @@
 {
     int status = 0;
     std::string contentType;
+    // The request waited so long at the agent before it was run.
+    duration queued{};
 };
 
 // The endpoint's answer came to its proper end.
--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -62,6 +62,7 @@
 
 auto dispatcher::setEntryCount(std::uint32_t count) -> void
 {
+    m_state->options.entryCount = std::max(count, 1U);
     m_state->limits.setEntryCount(count);
 }
 
@@ -123,6 +124,12 @@
     m_state->paceOf(row).firstToken(latency, now);
 }
 
+auto dispatcher::queuedThere(std::uint64_t request, duration queued) -> void
+{
+    if (const auto slot = m_state->requests.find(request); slot != noIndex)
+        m_state->requests.at(slot).queuedThere = queued;
+}
+
 auto dispatcher::progressed(std::uint64_t request, std::uint32_t tokens) -> void
 {
     if (const auto slot = m_state->requests.find(request); slot != noIndex)
@@ -144,7 +151,7 @@
     if (code == result_code::ok) {
         m_state->endpoints.answered(row.endpoint);
         m_state->sizes.learn(row.requestClass, row.account, completionTokens);
-        pace.answered(now - row.placedAt);
+        pace.answered(now - row.placedAt - row.queuedThere);
         if (row.hasFirstToken && completionTokens > 1)
             pace.token(toSeconds(now - row.firstTokenAt) / (completionTokens - 1));
     } else if (isEndpointFailure(code)) {
--- a/packages/policy/dispatcher.h
+++ b/packages/policy/dispatcher.h
@@ -20,6 +20,7 @@
 // Tier 1 is the highest. No request is refused or delayed in favour of one of a lower tier, except
 // for the bounded share that keeps every class moving (see docs/DESIGN.md).
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <span>
@@ -30,6 +31,7 @@
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "base/tiers.h"
 
 namespace mustardline {
 
@@ -61,6 +63,8 @@
     std::uint32_t queued = 0;
     // Requests that the agent would run at once.
     std::uint32_t window = 1;
+    // By tier: those of any entry that run and may be stopped in favour of a higher tier.
+    std::array<std::uint32_t, lowestTier + 1> stoppable{};
     // Time since it was measured.
     duration age{};
     // Tokens of prompts that other entries sent and that were not read yet.
@@ -171,6 +175,8 @@
     auto arrive(const request_arrival &arrival, time_point now,
                 std::vector<dispatch_action> &actions) -> void;
     auto firstToken(std::uint64_t request, time_point now) -> void;
+    // It waited so long at its endpoint before it was run there.
+    auto queuedThere(std::uint64_t request, duration queued) -> void;
     auto progressed(std::uint64_t request, std::uint32_t tokens) -> void;
 
     // The request ended with an answer of the endpoint, good or bad.
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -17,6 +17,8 @@
 // Standard deviations of the higher tiers' load that lower tiers keep free.
 constexpr double reserveDeviations = 2;
 constexpr double loadFadeSeconds = 10;
+// Between sums over a target's endpoints, whose reports are believed for five times as long.
+constexpr duration placesInterval = std::chrono::milliseconds(200);
 
 auto appendNumber(std::string &text, std::uint32_t number) -> void
 {
@@ -277,6 +279,10 @@
     followLoad(target, now);
     for (std::uint32_t tier = 1; tier <= lowestTier; ++tier)
         target.reserves[tier] = reserveFor(target, tier);
+    if (now - target.placesAt >= placesInterval) {
+        target.places = target.subset.places(endpoints, now);
+        target.placesAt = now;
+    }
     expireWaiting(target, now, actions);
     // Some endpoints get room by time alone: their reports age and their pauses end.
     target.fullTier = lowestTier + 1;
@@ -311,6 +317,7 @@
     row.placedAt = now;
     row.endpoint = choice.endpoint;
     row.hasFirstToken = false;
+    row.queuedThere = {};
     row.cancelling = false;
     ++row.attempt;
     paceOf(row).started(row.idempotent);
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -45,6 +45,8 @@
         std::array<double, lowestTier + 1> reserves{};
         // Delayed retries by tier.
         std::array<std::uint32_t, lowestTier + 1> delayed{};
+        subset_places places;
+        time_point placesAt{};
         time_point loadsAt{};
         // No endpoint had room for this tier and those below it at the last search.
         std::uint32_t fullTier = lowestTier + 1;
@@ -54,7 +56,7 @@
     // The places that a class can count on.
     struct place_supply
     {
-        // Held by lower tiers, and may be stopped.
+        // Held by lower tiers of any entry, and may be stopped.
         std::uint32_t atOnce = 0;
         // Come free each second; 0 if not known.
         double perSecond = 0;
--- a/packages/policy/dispatcher_waits.cpp
+++ b/packages/policy/dispatcher_waits.cpp
@@ -23,7 +23,9 @@
 
 } // namespace
 
-// The places that the class would take: those that it or a later class holds now.
+// The places that the class would take: those that it or a later class holds now. Above the lowest
+// tier, it is at least what the classes before it leave of this entry's part of all places: an
+// entry that happens to hold few must not refuse what is higher than others' requests.
 auto dispatcher::state::supplyOf(const target_row &target, std::uint32_t queue) const
     -> place_supply
 {
@@ -32,21 +34,32 @@
         return std::pair(options.tier, options.priority);
     };
     const auto own = orderOf(queue);
+    const auto &ownPace = target.paces[queue];
     place_supply supply;
     double all = 0;
+    double before = 0;
+    bool isLowest = target.places.stoppableBelow[own.first] == 0;
     for (std::uint32_t number = 0; number < target.paces.size(); ++number) {
         const auto &pace = target.paces[number];
         const auto order = orderOf(number);
         const auto freed = pace.freedPerSecond();
         all += freed;
-        if (order < own)
+        if (order < own) {
+            before += std::max<double>(pace.inFlight(), pace.load());
             continue;
+        }
+        isLowest = isLowest && order.first == own.first;
         const auto stoppable = order.first > own.first ? pace.stoppable() : 0;
         supply.atOnce += stoppable;
-        supply.perSecond += std::max(freed, target.paces[queue].freedPerSecond(stoppable));
+        supply.perSecond += std::max(freed, ownPace.freedPerSecond(stoppable));
     }
-    supply.perSecond = std::max(supply.perSecond, all * leastPart);
-    return supply;
+    // Other entries' requests of lower tiers make way as well.
+    supply.atOnce = std::max(supply.atOnce, target.places.stoppableBelow[own.first]);
+    const auto part
+        = isLowest ? 0 : static_cast<double>(target.places.all) / options.entryCount - before;
+    return {.atOnce = supply.atOnce,
+            .perSecond = std::max(
+                {supply.perSecond, all * leastPart, ownPace.freedPerSecond(std::max(part, 0.0))})};
 }
 
 // Time until a request of the class with `ahead` others before it is placed; zero if nothing is
--- a/packages/policy/drain_estimate.h
+++ b/packages/policy/drain_estimate.h
@@ -78,7 +78,7 @@
         return m_holdSeconds == 0 ? 0 : std::max<double>(m_inFlight, m_load) / m_holdSeconds;
     }
     // As many places as `places` come free so often if this class holds them; 0 if not known.
-    [[nodiscard]] auto freedPerSecond(std::uint32_t places) const -> double
+    [[nodiscard]] auto freedPerSecond(double places) const -> double
     {
         return m_holdSeconds == 0 ? 0 : places / m_holdSeconds;
     }
--- a/packages/policy/endpoint_scheduler.cpp
+++ b/packages/policy/endpoint_scheduler.cpp
@@ -286,6 +286,16 @@
     return static_cast<std::uint32_t>(m_state->waiting.size());
 }
 
+auto endpoint_scheduler::stoppableCounts() const -> std::array<std::uint32_t, lowestTier + 1>
+{
+    std::array<std::uint32_t, lowestTier + 1> counts{};
+    for (const auto &row : m_state->running) {
+        if (row.request.preemptible && !row.stopping)
+            ++counts[std::min(row.request.tier, lowestTier)];
+    }
+    return counts;
+}
+
 auto endpoint_scheduler::firstTokenLatency() const -> duration
 {
     return m_state->window.typicalLatency();
--- a/packages/policy/endpoint_scheduler.h
+++ b/packages/policy/endpoint_scheduler.h
@@ -16,6 +16,7 @@
 // A request of a higher tier may preempt one of a lower tier that can be run again, never the
 // reverse and never within a tier.
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <variant>
@@ -23,6 +24,7 @@
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "base/tiers.h"
 
 namespace mustardline {
 
@@ -117,6 +119,8 @@
     [[nodiscard]] auto window() const -> std::uint32_t;
     [[nodiscard]] auto runningCount() const -> std::uint32_t;
     [[nodiscard]] auto queuedCount() const -> std::uint32_t;
+    // By tier: running requests that may be stopped in favour of a higher tier.
+    [[nodiscard]] auto stoppableCounts() const -> std::array<std::uint32_t, lowestTier + 1>;
 
     // Typical time to the first token now; zero if nothing was measured.
     [[nodiscard]] auto firstTokenLatency() const -> duration;
--- a/packages/policy/endpoint_table.cpp
+++ b/packages/policy/endpoint_table.cpp
@@ -91,6 +91,8 @@
     const auto weight = load.age > freshAge ? staleWeight : 1;
     row.others += (others - row.others) * weight;
     row.othersCount = static_cast<std::uint32_t>(std::lround(row.others));
+    for (auto tier = lowestTier; tier > 0; --tier)
+        row.stoppableBelow[tier - 1] = row.stoppableBelow[tier] + load.stoppable[tier];
     row.window = load.window + (load.age > freshAge ? staleSlack : 0);
     row.reportedAt = now;
     row.othersPromptTokens = load.othersPromptTokens;
@@ -196,13 +198,14 @@
         row.owing -= std::min(row.owing, 1U);
 }
 
-auto endpoint_table::ownBelow(std::uint32_t index, std::uint32_t tier) const -> std::uint32_t
+auto endpoint_table::yieldingBelow(std::uint32_t index, std::uint32_t tier, time_point now) const
+    -> std::uint32_t
 {
     const auto &counts = m_rows[index].ownByTier;
-    std::uint32_t sum = 0;
+    std::uint32_t own = 0;
     for (auto lower = tier + 1; lower < counts.size(); ++lower)
-        sum += counts[lower];
-    return sum;
+        own += counts[lower];
+    return std::max(own, stoppableBelow(index, tier, now));
 }
 
 auto endpoint_table::newestOfLowest(std::uint32_t index) const -> time_point
--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -55,6 +55,8 @@
     std::array<std::uint16_t, 16> ownHistory{};
     std::int64_t historySpan = 0;
     std::uint32_t window = 0;
+    // By tier: those of any entry that may be stopped in favour of it, as reported.
+    std::array<std::uint32_t, lowestTier + 1> stoppableBelow{};
     time_point reportedAt{};
 
     // Mean time to the first token in nanoseconds; 0 before the first.
@@ -118,6 +120,12 @@
     // Time until the prompts that were sent there are read.
     [[nodiscard]] auto promptWait(std::uint32_t index) const -> duration;
 
+    // Takes requests as far as is known, though perhaps not at this moment.
+    [[nodiscard]] auto isServing(std::uint32_t index, time_point now) const -> bool
+    {
+        const auto &row = m_rows[index];
+        return row.available && row.failures == 0 && now >= row.ejectedUntil;
+    }
     // May be sent a request at all, whether or not it has room.
     [[nodiscard]] auto isUsable(std::uint32_t index, time_point now) const -> bool;
     // Requests there, as far as is known.
@@ -127,8 +135,17 @@
     {
         return load(index, now) < window(index);
     }
-    // Requests of this entry there of a lower tier than `tier`.
-    [[nodiscard]] auto ownBelow(std::uint32_t index, std::uint32_t tier) const -> std::uint32_t;
+    // Requests there of a lower tier than `tier` that can make way: those of this entry, or those
+    // of all entries that a fresh report calls stoppable, whichever are more.
+    [[nodiscard]] auto yieldingBelow(std::uint32_t index, std::uint32_t tier, time_point now) const
+        -> std::uint32_t;
+    // The reported ones alone; 0 without a fresh report.
+    [[nodiscard]] auto stoppableBelow(std::uint32_t index, std::uint32_t tier, time_point now) const
+        -> std::uint32_t
+    {
+        const auto &row = m_rows[index];
+        return now - row.reportedAt < reportFreshness * 2 ? row.stoppableBelow[tier] : 0;
+    }
 
     // When the newest request of the lowest tier there was placed: what would be preempted.
     [[nodiscard]] auto newestOfLowest(std::uint32_t index) const -> time_point;
--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -167,8 +167,8 @@
             const auto load = endpoints.load(item.index, now);
             const auto window = endpoints.window(item.index);
             const auto over = load > window ? load - window : 0;
-            if (endpoints.ownBelow(item.index, wish.tier) <= over || item.index == wish.avoid
-                || !endpoints.isUsable(item.index, now))
+            if (endpoints.yieldingBelow(item.index, wish.tier, now) <= over
+                || item.index == wish.avoid || !endpoints.isUsable(item.index, now))
                 continue;
             const auto placedAt = endpoints.newestOfLowest(item.index);
             if (choice.endpoint != noIndex && placedAt <= newest)
@@ -182,4 +182,19 @@
     return choice;
 }
 
+auto endpoint_subset::places(const endpoint_table &endpoints, time_point now) const -> subset_places
+{
+    subset_places places;
+    for (const auto *members : {&m_own, &m_others}) {
+        for (const auto &item : *members) {
+            if (!endpoints.isServing(item.index, now))
+                continue;
+            places.all += endpoints.window(item.index);
+            for (std::uint32_t tier = 1; tier < lowestTier; ++tier)
+                places.stoppableBelow[tier] += endpoints.stoppableBelow(item.index, tier, now);
+        }
+    }
+    return places;
+}
+
 } // namespace mustardline
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -71,6 +71,14 @@
     }
 };
 
+// Places of the endpoints that serve, those of requests of other entries among them.
+struct subset_places
+{
+    std::uint32_t all = 0;
+    // By tier: held by requests that may be stopped in favour of it, by fresh reports.
+    std::array<std::uint32_t, lowestTier + 1> stoppableBelow{};
+};
+
 class endpoint_subset
 {
 public:
@@ -92,6 +100,10 @@
     [[nodiscard]] auto chooseOver(const endpoint_table &endpoints, const placement_wish &wish,
                                   time_point now) const -> placement_choice;
 
+    // What all members together have for each tier.
+    [[nodiscard]] auto places(const endpoint_table &endpoints, time_point now) const
+        -> subset_places;
+
     [[nodiscard]] auto empty() const -> bool { return m_own.empty() && m_others.empty(); }
     [[nodiscard]] auto size() const -> std::size_t { return m_own.size() + m_others.size(); }
 
--- a/packages/policy/request_table.h
+++ b/packages/policy/request_table.h
@@ -62,6 +62,8 @@
     request_state state = request_state::waiting;
     bool idempotent = false;
     bool wantedLate = false;
+    // Time that it waited at its endpoint before it was run.
+    duration queuedThere{};
     // The endpoint of the last try answered with an error of its own.
     bool failedThere = false;
     bool hasFirstToken = false;
--- a/packages/policy/testing/shedding_promise_test.cpp
+++ b/packages/policy/testing/shedding_promise_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include "base/clock.h"
+#include "base/tiers.h"
 #include "policy/dispatcher.h"
 
 namespace mustardline {
@@ -98,6 +99,114 @@
     EXPECT_EQ(refusedBehindLongAnswers(), 0U);
 }
 
+// As above, but the places are held for another entry: this one knows of them by reports alone.
+TEST(PromiseTest, p1NothingIsShedWhileAnotherEntryHoldsThePlacesForALowerTier)
+{
+    constexpr std::uint32_t places = 4;
+    constexpr std::uint64_t highCalls = 12;
+    constexpr auto highHold = 60s; // far longer than the first token may take
+    manual_clock clock;
+    dispatcher core({.dataCentre = "a"});
+    core.setEndpoint({.id = "e", .dataCentre = "a", .serves = {"model"}, .maxConcurrency = places},
+                     clock.now());
+    std::vector<dispatch_action> actions;
+    const auto arrive = [&](std::uint64_t number) {
+        core.arrive({.request = number,
+                     .clientAccount = "shop",
+                     .requestClass = "quick",
+                     .target = "model",
+                     .tier = 1,
+                     .firstTokenTarget = 5s,
+                     .deadline = 600s,
+                     .idempotent = true},
+                    clock.now(), actions);
+    };
+    core.reportLoad("e", {.window = places}, clock.now());
+    arrive(1);
+    core.firstToken(1, clock.now());
+    clock.advance(highHold);
+    core.finished(1, result_code::ok, 10, clock.now());
+    actions.clear();
+    endpoint_load load{.running = 2 * places, .window = places};
+    load.stoppable[lowestTier] = 2 * places;
+    core.reportLoad("e", load, clock.now());
+    core.tick(clock.now(), actions);
+    for (std::uint64_t number = 2; number < 2 + highCalls; ++number)
+        arrive(number);
+    const auto refused = [&](std::size_t least) {
+        return std::ranges::count_if(
+                   actions,
+                   [](const auto &action) { return std::holds_alternative<refuse_action>(action); })
+               <= static_cast<std::ptrdiff_t>(least);
+    };
+    // Eight of them can take a place; only the other four would wait for long.
+    EXPECT_TRUE(refused(highCalls - 2 * places));
+    EXPECT_EQ(core.queuedCount(), std::size_t{2} * places);
+    // Once they are urgent, they are sent for the agent to make room.
+    actions.clear();
+    clock.advance(2s);
+    core.reportLoad("e", load, clock.now());
+    core.tick(clock.now(), actions);
+    const auto placed = std::ranges::count_if(
+        actions, [](const auto &action) { return std::holds_alternative<place_action>(action); });
+    EXPECT_GT(placed, 0);
+}
+
+// How many of eight requests are refused at once by an entry that holds none of the four places
+// just now. An earlier request of theirs was answered in `answered` after it had waited at the
+// endpoint for `queued` of that.
+auto refusedWithNothingInFlight(duration answered, duration queued) -> std::ptrdiff_t
+{
+    constexpr std::uint32_t places = 4;
+    constexpr std::uint64_t calls = 8;
+    manual_clock clock;
+    dispatcher core({.dataCentre = "a", .entryCount = 2});
+    core.setEndpoint({.id = "e", .dataCentre = "a", .serves = {"model"}, .maxConcurrency = places},
+                     clock.now());
+    std::vector<dispatch_action> actions;
+    const auto arrive = [&](std::uint64_t number, std::uint32_t tier = 1) {
+        core.arrive({.request = number,
+                     .clientAccount = "shop",
+                     .requestClass = tier == lowestTier ? "bulk" : "quick",
+                     .target = "model",
+                     .tier = tier,
+                     .firstTokenTarget = 5s,
+                     .deadline = 60s,
+                     .idempotent = true},
+                    clock.now(), actions);
+    };
+    core.reportLoad("e", {.window = places}, clock.now());
+    constexpr std::uint64_t bulk = 100; // there is a lower tier
+    arrive(bulk, lowestTier);
+    core.finished(bulk, result_code::cancelled, 0, clock.now());
+    arrive(1);
+    clock.advance(answered);
+    core.queuedThere(1, queued);
+    core.finished(1, result_code::ok, 10, clock.now());
+    for (int second = 0; second < 60; ++second) {
+        clock.advance(1s);
+        core.tick(clock.now(), actions);
+    }
+    actions.clear();
+    core.reportLoad("e", {.running = places, .window = places}, clock.now());
+    core.tick(clock.now(), actions);
+    for (std::uint64_t number = 2; number < 2 + calls; ++number)
+        arrive(number);
+    return std::ranges::count_if(
+        actions, [](const auto &action) { return std::holds_alternative<refuse_action>(action); });
+}
+
+TEST(PromiseTest, p1PlacesThatOtherEntriesHoldComeFreeForThisOneToo)
+{
+    EXPECT_EQ(refusedWithNothingInFlight(500ms, {}), 0);
+}
+
+TEST(PromiseTest, p1WaitingAtAnEndpointIsNotTakenForHoldingAPlace)
+{
+    EXPECT_GT(refusedWithNothingInFlight(3s, {}), 0);
+    EXPECT_EQ(refusedWithNothingInFlight(3s, 2500ms), 0);
+}
+
 } // namespace
 
 } // namespace mustardline
