Use all endpoints of a large fleet for prompts; run the dispatcher on changes only

Cause: prompt_placement kept the 64 endpoints with the lowest hashes, alike at all entries, so in a fleet of 3,000 the others got no prompt at all; and each record by which an endpoint says that it still lives made an edge run the dispatcher's systems (3,000 times a second there).

Change: endpoints are divided by hash into groups of 32 to 64 with lanes of their own; the shared parts name the group, other prompts take them in turn, and a group without room passes a request on to two more. Up to 64 endpoints there is one group, as before. An endpoint that leaves is taken out instead of all being put in anew.

New tests: a fleet of 1,000 is used whole and alike by two entries (red before: 64 used), a full group passes on, an endpoint that leaves moves only its own subjects.

--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -345,6 +345,7 @@
         updateGauges(now);
         m_directory.tick(now);
         m_router.endpointsChanged();
+        m_router.tick();
         if (const bool ready = isReady(); ready != m_wasReady) {
             m_wasReady = ready;
             m_log.write(edgeReady, field("ready", ready));
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -109,7 +109,11 @@
 
 auto forward_router::endpointsChanged() -> void
 {
-    for (const auto &id : m_directory.takeChanged()) {
+    // Most records of endpoints only say that they still live.
+    const auto changed = m_directory.takeChanged();
+    if (changed.empty())
+        return;
+    for (const auto &id : changed) {
         if (const auto *entry = m_directory.find(id))
             setEndpoint(*entry);
         else
@@ -118,14 +122,20 @@
         m_log.write(endpointChanged, field("endpoint", id), field("known", entry != nullptr),
                     field("usable", entry != nullptr && m_directory.isUsable(*entry)));
     }
-    m_dispatcher.tick(m_clock.now(), m_actions);
-    carryOut();
+    tick();
 }
 
 auto forward_router::configurationChanged() -> void
 {
     setEndpoints();
     endpointsChanged();
+    tick();
+}
+
+auto forward_router::tick() -> void
+{
+    m_dispatcher.tick(m_clock.now(), m_actions);
+    carryOut();
 }
 
 auto forward_router::setEndpoints() -> void
@@ -256,8 +266,7 @@
     m_tickSet = true;
     m_tick = m_loop.after(tickInterval, [this] {
         m_tickSet = false;
-        m_dispatcher.tick(m_clock.now(), m_actions);
-        carryOut();
+        tick();
     });
 }
 
@@ -356,8 +365,7 @@
         return;
     request->call.cancel();
     finish(*request, result_code::cancelled);
-    m_dispatcher.tick(m_clock.now(), m_actions);
-    carryOut();
+    tick();
 }
 
 // The request has its final answer; tells the dispatcher and forgets it.
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -58,6 +58,9 @@
     // What the configuration says of the endpoints' services may have changed.
     auto configurationChanged() -> void;
 
+    // Runs the dispatcher's systems; call some times a second.
+    auto tick() -> void;
+
     // Tells the dispatcher what the other edges have in flight at those endpoints that changed.
     auto othersUse(peer_table &peers) -> void;
     // The same for all endpoints; what was told is believed for a second.
--- a/packages/forwarding/forward_router_answers.cpp
+++ b/packages/forwarding/forward_router_answers.cpp
@@ -103,8 +103,7 @@
         endedLost(*request, *failure);
     else
         endedWhole(*request);
-    m_dispatcher.tick(m_clock.now(), m_actions);
-    carryOut();
+    tick();
 }
 
 auto forward_router::endedWhole(forward_request &request) -> void
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -57,7 +57,7 @@
         if (targets[target].subset.contains(index) && !(row.available && serves))
             targets[target].subset.rebuild(endpoints, target);
         if (row.readsPrompts && !(row.available && serves))
-            targets[target].prompts.rebuild(endpoints, target);
+            targets[target].prompts.remove(index);
     }
     if (!row.available)
         return;
@@ -242,8 +242,8 @@
     return choice;
 }
 
-auto dispatcher::state::choosePrompt(const target_row &target, std::uint32_t slot,
-                                     time_point now) const -> placement_choice
+auto dispatcher::state::choosePrompt(target_row &target, std::uint32_t slot, time_point now)
+    -> placement_choice
 {
     const auto &row = requests.at(slot);
     prompt_wish wish{.tier = row.tier,
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -91,8 +91,8 @@
     auto placeWaiting(target_row &target, time_point now, dispatch_actions &actions) -> void;
     [[nodiscard]] auto chooseFor(target_row &target, std::uint32_t slot, time_point now)
         -> placement_choice;
-    [[nodiscard]] auto choosePrompt(const target_row &target, std::uint32_t slot,
-                                    time_point now) const -> placement_choice;
+    [[nodiscard]] auto choosePrompt(target_row &target, std::uint32_t slot, time_point now)
+        -> placement_choice;
     [[nodiscard]] auto reserveFor(const target_row &target, std::uint32_t tier) const -> double;
     [[nodiscard]] auto isUrgent(const request_row &row, time_point now) const -> bool;
     auto place(target_row &target, std::uint32_t slot, const placement_choice &choice,
--- a/packages/policy/prompt_placement.cpp
+++ b/packages/policy/prompt_placement.cpp
@@ -9,8 +9,11 @@
 
 namespace {
 
-// Members beyond this are left out, so that a choice costs the same in a fleet of any size.
-constexpr std::size_t maxMembers = 64;
+// Most members of a group on average, so that a choice costs the same in a fleet of any size.
+constexpr std::size_t groupMembers = 64;
+// Groups that a request tries before it waits.
+constexpr std::size_t triedGroups = 3;
+constexpr std::uint32_t hashBits = 64;
 // A token that is generated costs about as much of an endpoint as so many of a prompt: a step makes
 // one for each of some forty requests in the time in which it reads several hundred.
 constexpr double promptTokensPerOutput = 12;
@@ -43,19 +46,20 @@
         return;
     const member added{.hash = fastHash(endpoints.at(index).id), .index = index};
     m_members.insert(std::ranges::lower_bound(m_members, added.hash, {}, &member::hash), added);
-    if (m_members.size() > maxMembers)
-        m_members.pop_back();
-    resizeLanes();
+    resized();
 }
 
-auto prompt_placement::rebuild(const endpoint_table &endpoints, std::uint32_t target) -> void
+auto prompt_placement::remove(std::uint32_t index) -> void
 {
-    m_members.clear();
-    for (std::uint32_t index = 0; index < endpoints.size(); ++index) {
-        const auto &row = endpoints.at(index);
-        if (row.available && std::ranges::find(row.serves, target) != row.serves.end())
-            add(endpoints, index);
-    }
+    if (std::erase_if(m_members, [index](const member &item) { return item.index == index; }) > 0)
+        resized();
+}
+
+auto prompt_placement::resized() -> void
+{
+    m_groupBits = 0;
+    while (m_members.size() > groupMembers * groupCount())
+        ++m_groupBits;
     resizeLanes();
 }
 
@@ -85,18 +89,46 @@
     m_longLane = std::clamp<std::size_t>(m_longLane, 1, count - 1);
 }
 
-auto prompt_placement::laneOf(const prompt_wish &wish) const -> std::span<const member>
+auto prompt_placement::groupAt(std::size_t number) const -> std::span<const member>
+{
+    if (m_groupBits == 0)
+        return m_members;
+    const auto startOf = [this](std::uint64_t group) {
+        const auto hash = group << (hashBits - m_groupBits);
+        return std::ranges::lower_bound(m_members, hash, {}, &member::hash);
+    };
+    const auto end = number + 1 == groupCount() ? m_members.end() : startOf(number + 1);
+    return {startOf(number), end};
+}
+
+auto prompt_placement::laneOf(std::span<const member> group, const prompt_wish &wish) const
+    -> std::span<const member>
 {
-    const std::span<const member> all(m_members);
-    if (all.size() < 2)
-        return all;
-    return wish.promptTokens >= longPromptTokens ? all.first(m_longLane) : all.subspan(m_longLane);
+    if (group.size() < 2)
+        return group;
+    const auto wanted = m_longLane * group.size() / m_members.size();
+    const auto longLane = std::clamp<std::size_t>(wanted, 1, group.size() - 1);
+    return wish.promptTokens >= longPromptTokens ? group.first(longLane) : group.subspan(longLane);
 }
 
 auto prompt_placement::choose(const endpoint_table &endpoints, const prompt_wish &wish,
-                              time_point now) const -> placement_choice
+                              time_point now) -> placement_choice
+{
+    const auto groups = groupCount();
+    const auto first = wish.prefixHash != 0 ? mixed(wish.prefixHash) : m_turn++;
+    placement_choice choice;
+    for (std::size_t tried = 0; tried < std::min(groups, triedGroups); ++tried) {
+        choice = chooseIn(groupAt((first + tried) % groups), endpoints, wish, now);
+        if (choice.endpoint != noIndex)
+            break;
+    }
+    return choice;
+}
+
+auto prompt_placement::chooseIn(std::span<const member> group, const endpoint_table &endpoints,
+                                const prompt_wish &wish, time_point now) const -> placement_choice
 {
-    const auto lane = laneOf(wish);
+    const auto lane = laneOf(group, wish);
     if (wish.prefixHash != 0) {
         auto choice = chooseWarm(lane, endpoints, wish, now);
         if (choice.endpoint != noIndex)
@@ -108,7 +140,7 @@
         choice.reason = "lane";
         return choice;
     }
-    const auto other = chooseShortest(m_members, endpoints, wish, now);
+    const auto other = chooseShortest(group, endpoints, wish, now);
     if (other.endpoint != noIndex)
         choice.endpoint = other.endpoint;
     choice.reason = "other_lane";
--- a/packages/policy/prompt_placement.h
+++ b/packages/policy/prompt_placement.h
@@ -10,9 +10,13 @@
 //   entries choose alike without talk. The next one in that order takes over while the first has
 //   more prompt tokens to read than a request can wait for.
 // - A burst of long prompts. They delay every answer that runs beside them, so they are kept to
-// some
-//   of the endpoints (`lanes`): as large a part of the fleet as their part of the work. A request
-//   leaves its lane only if all endpoints there keep it waiting for too long.
+//   some of the endpoints (`lanes`): as large a part of the fleet as their part of the work. A
+//   request leaves its lane only if all endpoints there keep it waiting for too long.
+//
+// In a large fleet the endpoints are divided by their hash into groups of 32 to 64, each with its
+// own lanes. The shared parts name the group, others take the groups in turn, so that a choice
+// costs the same in a fleet of any size while all of it is used. A group without room passes a
+// request on.
 //
 //     prompt_placement placement;
 //     placement.add(endpoints, index);
@@ -55,14 +59,14 @@
     static constexpr std::uint32_t longPromptTokens = 4096;
 
     auto add(const endpoint_table &endpoints, std::uint32_t index) -> void;
-    auto rebuild(const endpoint_table &endpoints, std::uint32_t target) -> void;
+    auto remove(std::uint32_t index) -> void;
 
     // Counts a request's work towards the sizes of the lanes.
     auto arrived(const prompt_work &work, time_point now) -> void;
 
     // An endpoint with room, or none.
     [[nodiscard]] auto choose(const endpoint_table &endpoints, const prompt_wish &wish,
-                              time_point now) const -> placement_choice;
+                              time_point now) -> placement_choice;
 
     // Endpoints of the lane for long prompts.
     [[nodiscard]] auto longLaneSize() const -> std::size_t { return m_longLane; }
@@ -76,7 +80,13 @@
         std::uint32_t index = 0;
     };
 
-    [[nodiscard]] auto laneOf(const prompt_wish &wish) const -> std::span<const member>;
+    [[nodiscard]] auto groupCount() const -> std::size_t { return std::size_t{1} << m_groupBits; }
+    // The members of a group, in the order of their hashes.
+    [[nodiscard]] auto groupAt(std::size_t number) const -> std::span<const member>;
+    [[nodiscard]] auto laneOf(std::span<const member> group, const prompt_wish &wish) const
+        -> std::span<const member>;
+    [[nodiscard]] auto chooseIn(std::span<const member> group, const endpoint_table &endpoints,
+                                const prompt_wish &wish, time_point now) const -> placement_choice;
     [[nodiscard]] static auto chooseWarm(std::span<const member> lane,
                                          const endpoint_table &endpoints, const prompt_wish &wish,
                                          time_point now) -> placement_choice;
@@ -84,9 +94,14 @@
                                              const endpoint_table &endpoints,
                                              const prompt_wish &wish, time_point now)
         -> placement_choice;
+    auto resized() -> void;
     auto resizeLanes() -> void;
 
     std::vector<member> m_members;
+    // A member's group is so many of the first bits of its hash.
+    std::uint32_t m_groupBits = 0;
+    // The group for the next request without shared parts.
+    std::size_t m_turn = 0;
     std::size_t m_longLane = 0;
     // Work of each lane lately, in prompt tokens.
     double m_longWork = 0;
--- a/packages/policy/testing/prompt_placement_test.cpp
+++ b/packages/policy/testing/prompt_placement_test.cpp
@@ -158,6 +158,85 @@
 }
 
 // Load pattern: a cold endpoint joins under full load.
+// Load pattern: many subjects and plain requests in a fleet larger than one choice can look at.
+TEST_F(PromptPlacementTest, aLargeFleetIsUsedWholeAndAlikeByAllEntries)
+{
+    constexpr std::uint32_t fleet = 1000;
+    constexpr std::uint64_t subjects = 20'000;
+    for (std::uint32_t at = endpointCount; at < fleet; ++at)
+        add(at);
+    prompt_placement other;
+    for (std::uint32_t index = fleet; index > 0; --index)
+        other.add(m_endpoints, index - 1);
+    arrive(800, 100, 1);
+    other.arrived({.promptTokens = 800, .outputTokens = 100}, m_now);
+    std::map<std::uint32_t, std::uint32_t> warm;
+    std::set<std::uint32_t> plain;
+    for (std::uint64_t prefix = 1; prefix <= subjects; ++prefix) {
+        auto wish = shortWish;
+        wish.prefixHash = prefix * 0x9e3779b97f4a7c15ULL;
+        const auto chosen = choose(wish);
+        ++warm[chosen];
+        ASSERT_EQ(other.choose(m_endpoints, wish, m_now).endpoint, chosen);
+    }
+    // Not one for the long lane of each of the 16 groups.
+    constexpr std::uint32_t shortLanes = fleet - 16;
+    EXPECT_GE(warm.size(), shortLanes - 16);
+    const auto most
+        = std::ranges::max_element(warm, {}, [](const auto &item) { return item.second; });
+    EXPECT_LT(most->second, 4 * subjects / fleet);
+    for (std::uint32_t at = 0; at < 2 * fleet; ++at) {
+        const auto chosen = choose(shortWish);
+        m_endpoints.placed(chosen, lowestTier, m_now);
+        plain.insert(chosen);
+    }
+    EXPECT_GE(plain.size(), shortLanes - 16);
+}
+
+TEST_F(PromptPlacementTest, aFullGroupPassesRequestsOn)
+{
+    constexpr std::uint32_t fleet = 200;
+    for (std::uint32_t at = endpointCount; at < fleet; ++at)
+        add(at);
+    auto wish = shortWish;
+    wish.prefixHash = 7;
+    std::set<std::uint32_t> used;
+    // Three of the four groups take all that they can.
+    for (std::uint32_t at = 0; at < fleet * 128; ++at) {
+        const auto chosen = choose(wish);
+        if (chosen == noIndex)
+            break;
+        m_endpoints.placed(chosen, lowestTier, m_now);
+        used.insert(chosen);
+    }
+    EXPECT_GT(used.size(), fleet / 2);
+}
+
+TEST_F(PromptPlacementTest, anEndpointThatLeavesMovesOnlyItsOwnSubjects)
+{
+    constexpr std::uint32_t fleet = 300;
+    constexpr std::uint64_t subjects = 2000;
+    for (std::uint32_t at = endpointCount; at < fleet; ++at)
+        add(at);
+    arrive(800, 100, 1); // the lanes are settled
+    const auto placesOf = [&] {
+        std::vector<std::uint32_t> places;
+        for (std::uint64_t prefix = 1; prefix <= subjects; ++prefix) {
+            auto wish = shortWish;
+            wish.prefixHash = prefix * 0x9e3779b97f4a7c15ULL;
+            places.push_back(choose(wish));
+        }
+        return places;
+    };
+    const auto before = placesOf();
+    m_placement.remove(before.front());
+    const auto after = placesOf();
+    std::uint32_t moved = 0;
+    for (std::size_t at = 0; at < before.size(); ++at)
+        moved += before[at] != before.front() && before[at] != after[at] ? 1 : 0;
+    EXPECT_EQ(moved, 0U);
+}
+
 TEST(ColdEndpointTest, aColdEndpointGetsNoMoreThanItsRate)
 {
     constexpr double perSecond = 4;
