Let one edge read the topic of endpoints and tell the others

An edge that the store refused learnt nothing of endpoints.

Change: after a read an edge passes on at once the records that changed something, with the span of offsets; an edge that takes them reads later. Each reads 70 ms later than the one before it by name, at most half a second, so that one reads and the next takes over when nothing comes. Calls that fail are no loss of the service while others' reads come. Ruled out: sharing the operators' topic in the same way (a reader that is killed would cost others up to 2 s, which is the bound for a configuration).

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -11,9 +11,16 @@
 // records were forgotten before they were read; a key that is not among them was dropped. The same
 // record may be told twice, never an older one after a newer one of the same key. `onLost` and
 // `onReturned` tell when the service stops answering and when it answers again.
+//
+// Processes that follow the same topic may share their reads: each passes on what it read by
+// `onRead`, and takes what others read by `offer`, which puts its own next read off. With a delay
+// of its own for each (`setDelay`), one of them reads and the others take over when it does not.
 
+#include <algorithm>
 #include <functional>
+#include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -32,6 +39,8 @@
     duration pace = std::chrono::milliseconds(100);
     // Pause after a call that failed.
     duration retryAfter = std::chrono::milliseconds(400);
+    // While others' reads were offered so lately, a call that fails is no loss of the service.
+    duration offerTrust = std::chrono::seconds(2);
 };
 
 template<shared_log Log>
@@ -51,9 +60,31 @@
     std::function<auto(std::string_view bytes)->void> onMalformed;
     // Records from `offset` on were forgotten unread; the newest values are read again.
     std::function<auto(std::uint64_t offset)->void> onForgotten;
+    // All records from `from` up to `end` were read and told.
+    std::function<auto(std::uint64_t from, std::uint64_t end)->void> onRead;
 
     auto start() -> void { readNewest(""); }
 
+    // Another process has read the records from `from` up to `end`, and passes on those that
+    // matter. Those told already and those that do not follow on what was read are left out.
+    auto offer(std::uint64_t from, std::uint64_t end, std::span<const keyed_record> records) -> void
+    {
+        if (!m_following || from > *m_readFrom || end < *m_readFrom)
+            return;
+        m_offeredAt = system_runtime_clock().now();
+        heard();
+        const auto readFrom = std::exchange(m_readFrom, end);
+        for (const auto &record : records) {
+            if (record.offset >= *readFrom)
+                tell(record);
+        }
+        if (!m_calling)
+            again(m_options.pace + m_delay, [this] { readOn(); });
+    }
+
+    // Waits so much longer between two reads than others that follow the same topic.
+    auto setDelay(duration delay) -> void { m_delay = delay; }
+
     // When the service last answered; the origin of the clock if it never did.
     [[nodiscard]] auto heardAt() const -> time_point { return m_heardAt; }
     // Whether the topic has been read to its end at least once.
@@ -65,6 +96,7 @@
         if (after.empty()) {
             m_keys.clear();
             m_readFrom.reset();
+            m_following = false;
         }
         m_log.newest(m_options.topic, after,
                      [this](const log_newest_outcome &outcome) { newestCame(outcome); });
@@ -91,6 +123,7 @@
             return;
         }
         m_whole = true;
+        m_following = true;
         if (onWhole)
             onWhole(m_keys);
         again(m_options.pace, [this] { readOn(); });
@@ -98,11 +131,16 @@
 
     auto readOn() -> void
     {
+        m_calling = true;
         m_log.read({.topic = m_options.topic, .offset = *m_readFrom, .wait = m_options.wait},
-                   [this](const log_read_outcome &outcome) { recordsCame(outcome); });
+                   [this, from = *m_readFrom](const log_read_outcome &outcome) {
+                       m_calling = false;
+                       recordsCame(from, outcome);
+                   });
     }
 
-    auto recordsCame(const log_read_outcome &outcome) -> void
+    // What was asked for from `from` on; some of it may have been offered since.
+    auto recordsCame(std::uint64_t from, const log_read_outcome &outcome) -> void
     {
         if (const auto *fault = std::get_if<log_unavailable>(&outcome)) {
             lost(fault->reason);
@@ -112,16 +150,19 @@
         heard();
         const auto *batch = std::get_if<log_batch>(&outcome);
         // Records are gone unread, or the log ends before what was read of it.
-        if (batch == nullptr || batch->endOffset < *m_readFrom
-            || batch->firstOffset > *m_readFrom) {
+        if (batch == nullptr || batch->endOffset < from || batch->firstOffset > from) {
             if (onForgotten)
-                onForgotten(*m_readFrom);
+                onForgotten(from);
             m_newestTold.clear();
+            m_following = false;
             again(m_options.pace, [this] { readNewest(""); });
             return;
         }
+        auto next = from;
         for (const auto &bytes : batch->records) {
-            const auto offset = (*m_readFrom)++;
+            const auto offset = next++;
+            if (offset < *m_readFrom)
+                continue;
             auto record = Log::keyedRecord(bytes);
             if (!record) {
                 if (onMalformed)
@@ -131,7 +172,10 @@
             record->offset = offset;
             tell(*record);
         }
-        again(m_options.pace, [this] { readOn(); });
+        m_readFrom = std::max(*m_readFrom, next);
+        if (onRead)
+            onRead(from, *m_readFrom);
+        again(m_options.pace + m_delay, [this] { readOn(); });
     }
 
     auto tell(const keyed_record &record) -> void
@@ -160,6 +204,9 @@
 
     auto lost(const std::string &reason) -> void
     {
+        const auto now = system_runtime_clock().now();
+        if (m_offeredAt && now - *m_offeredAt < m_options.offerTrust)
+            return;
         if (!std::exchange(m_lost, true) && onLost)
             onLost(reason);
     }
@@ -172,8 +219,14 @@
     // The newest offset told of each key.
     std::unordered_map<std::string, std::uint64_t> m_newestTold;
     time_point m_heardAt{};
+    std::optional<time_point> m_offeredAt;
+    duration m_delay{};
+    // A read is under way.
+    bool m_calling = false;
     bool m_lost = false;
     bool m_whole = false;
+    // The newest values are read, and records are read on from there.
+    bool m_following = false;
     event_handle m_timer;
 };
 
--- a/packages/coordination/testing/keyed_follower_test.cpp
+++ b/packages/coordination/testing/keyed_follower_test.cpp
@@ -16,6 +16,8 @@
     auto read(const log_position &position, const log_read_handler &done) -> void
     {
         asked.push_back("read " + std::to_string(position.offset));
+        if (beforeAnswer)
+            std::exchange(beforeAnswer, nullptr)();
         if (reads.empty()) {
             onIdle();
             return;
@@ -57,6 +59,8 @@
     std::deque<log_read_outcome> reads;
     std::vector<std::string> asked;
     std::function<auto()->void> onIdle;
+    // Called once, while the next read is under way.
+    std::function<auto()->void> beforeAnswer;
 };
 
 static_assert(shared_log<scripted_log>);
@@ -95,6 +99,12 @@
     std::vector<std::string> m_seen;
 };
 
+auto recordOf(const std::string &key, const std::string &value, std::uint64_t offset)
+    -> keyed_record
+{
+    return {.key = key, .value = value, .offset = offset};
+}
+
 auto pageOf(std::vector<keyed_record> entries, std::uint64_t end, bool more = false)
     -> log_newest_page
 {
@@ -157,5 +167,58 @@
     EXPECT_EQ(m_seen, (std::vector<std::string>{"whole 0", "malformed", "a=1"}));
 }
 
+TEST_F(KeyedFollowerTest, whatOthersReadIsNotReadAgain)
+{
+    m_log.pages = {pageOf({}, 5)};
+    m_follower.onWhole = [this](const auto &) {
+        const std::vector<keyed_record> news{recordOf("old", "1", 4), recordOf("a", "1", 6)};
+        m_follower.offer(4, 8, news);
+        m_follower.offer(3, 5, news);                                // older than what is known
+        m_follower.offer(9, 12, std::vector{recordOf("b", "1", 9)}); // leaves a gap
+    };
+    follow();
+    EXPECT_EQ(m_seen, (std::vector<std::string>{"a=1"}));
+    EXPECT_EQ(m_log.asked, (std::vector<std::string>{"newest ", "read 8"}));
+}
+
+TEST_F(KeyedFollowerTest, whatIsOfferedDuringAReadIsToldOnce)
+{
+    m_log.pages = {pageOf({}, 5)};
+    m_log.reads = {log_batch{.endOffset = 8, .firstOffset = 0, .records = {"a=1", "b=1", "c=1"}},
+                   log_batch{.endOffset = 8, .firstOffset = 0}};
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> read;
+    m_follower.onRead
+        = [&read](std::uint64_t from, std::uint64_t end) { read.emplace_back(from, end); };
+    m_log.beforeAnswer = [this] {
+        m_follower.offer(5, 7, std::vector{recordOf("a", "1", 5), recordOf("b", "1", 6)});
+    };
+    follow();
+    EXPECT_EQ(m_seen, (std::vector<std::string>{"whole 0", "a=1", "b=1", "c=1"}));
+    EXPECT_EQ(m_log.asked, (std::vector<std::string>{"newest ", "read 5", "read 8", "read 8"}));
+    EXPECT_EQ(read.front(), std::pair(std::uint64_t{5}, std::uint64_t{8}));
+}
+
+TEST_F(KeyedFollowerTest, nothingIsTakenFromOthersUntilTheNewestValuesAreReadAgain)
+{
+    m_log.pages = {pageOf({}, 5), pageOf({}, 99)};
+    m_log.reads = {log_expired{.firstOffset = 90}};
+    m_follower.onForgotten = [this](std::uint64_t) {
+        m_loop.post([this] { m_follower.offer(5, 6, std::vector{recordOf("a", "1", 5)}); });
+    };
+    follow();
+    EXPECT_EQ(m_seen, (std::vector<std::string>{"whole 0", "whole 0"}));
+    EXPECT_EQ(m_log.asked.back(), "read 99");
+}
+
+TEST_F(KeyedFollowerTest, aServiceThatOthersReachIsNotLost)
+{
+    m_log.pages = {pageOf({}, 5)};
+    m_log.reads = {log_unavailable{}, log_unavailable{},
+                   log_batch{.endOffset = 6, .firstOffset = 0, .records = {"a=1"}}};
+    m_follower.onWhole = [this](const auto &) { m_follower.offer(5, 5, {}); };
+    follow();
+    EXPECT_EQ(m_seen, (std::vector<std::string>{"a=1"}));
+}
+
 } // namespace
 } // namespace mustardline
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -137,6 +137,11 @@
     // Every endpoint writes about once a second, so that the topic is read at a pace of its own; a
     // leaving endpoint must get nothing new after 2 s.
     static constexpr duration endpointPace = std::chrono::milliseconds(900);
+    // The first edge by name reads; the others wait this much longer each, so that one of them
+    // reads when it does not and what it passes on comes in time. At most half a second: with the
+    // pace that is within the 2 s.
+    static constexpr duration readDelayStep = std::chrono::milliseconds(70);
+    static constexpr duration longestReadDelay = std::chrono::milliseconds(500);
     static constexpr duration controlConnectTimeout = std::chrono::milliseconds(1000);
     static constexpr duration endpointConnectTimeout = std::chrono::milliseconds(300);
     static constexpr std::size_t maxIdlePerEndpoint = 100;
@@ -206,8 +211,13 @@
             = [this](const keyed_record &record) { endpointRecord(record); };
         m_endpointFollower.onWhole = [this](const auto &keys) {
             m_directory.keepOnly(keys, m_clock.now());
+            m_newRecords.clear();
             m_router.endpointsChanged();
         };
+        m_endpointFollower.onRead = [this](std::uint64_t from, std::uint64_t end) {
+            tellPeers(endpoint_news{
+                .from = from, .end = end, .records = std::exchange(m_newRecords, {})});
+        };
         m_endpointFollower.onReturned = [this] { m_directory.logReturned(m_clock.now()); };
         watchService(m_configurationFollower, "configuration");
         watchService(m_endpointFollower, "endpoints");
@@ -241,21 +251,33 @@
                 m_tender.duty().noteSealed(state.sealed_window());
             m_router.othersUse(m_peers);
         };
+        m_exchange.onNews = [this](const endpoint_news &news) {
+            m_endpointFollower.offer(news.from, news.end, news.records);
+            m_newRecords.clear();
+        };
         m_router.onBegun = [this](const std::string &account) {
             m_usage.count(account, m_time.read(m_clock.now(), m_clock.unixNow()));
         };
-        m_telling = m_loop.every(tellInterval, [this] { tellPeers(); });
+        m_telling = m_loop.every(tellInterval, [this] { keepPeers(); });
     }
 
-    auto tellPeers() -> void
+    auto keepPeers() -> void
+    {
+        const auto now = m_clock.now();
+        tellPeers();
+        m_router.refreshUses(m_peers);
+        m_router.setEntryCount(m_peers.sharingCount(now));
+        m_endpointFollower.setDelay(std::min(readDelayStep * m_peers.rank(now), longestReadDelay));
+    }
+
+    auto tellPeers(std::optional<endpoint_news> news = std::nullopt) -> void
     {
         m_exchange.tell(
             {.uses = m_router.uses(),
              .configurationVersion = m_routes.current() ? m_routes.current()->version : 0,
              .sealedWindow = m_tender.duty().sealedTo(),
-             .leaving = m_stopping});
-        m_router.refreshUses(m_peers);
-        m_router.setEntryCount(m_peers.sharingCount(m_clock.now()));
+             .leaving = m_stopping,
+             .news = std::move(news)});
     }
 
     auto operatorRecord(const keyed_record &record) -> void
@@ -309,25 +331,27 @@
 
     auto endpointRecord(const keyed_record &record) -> void
     {
-        const auto now = m_clock.now();
-        if (!record.value) {
-            m_directory.withdrawn(record.key, now);
-        } else {
-            auto outcome = Platform::decodeRegistration(record.key, *record.value);
-            if (const auto *fault = failed(outcome)) {
-                // Told once for each writer: such a record may come each second.
-                if (m_malformedEndpoints.insert(record.key).second) {
-                    m_log.write(recordMalformed, field("key", record.key),
-                                field("offset", record.offset), field("reason", fault->message));
-                }
-                m_directory.withdrawn(record.key, now);
-            } else {
-                m_directory.registered(std::get<endpoint_registration>(std::move(outcome)), now);
-            }
-        }
+        if (takeEndpointRecord(record, m_clock.now()))
+            m_newRecords.push_back(record);
         m_router.endpointsChanged();
     }
 
+    // False if it says no more than that an endpoint still lives.
+    auto takeEndpointRecord(const keyed_record &record, time_point now) -> bool
+    {
+        if (!record.value)
+            return m_directory.withdrawn(record.key, now);
+        auto outcome = Platform::decodeRegistration(record.key, *record.value);
+        if (auto *registration = std::get_if<endpoint_registration>(&outcome))
+            return m_directory.registered(std::move(*registration), now);
+        // Told once for each writer: such a record may come each second.
+        if (m_malformedEndpoints.insert(record.key).second) {
+            m_log.write(recordMalformed, field("key", record.key), field("offset", record.offset),
+                        field("reason", failed(outcome)->message));
+        }
+        return m_directory.withdrawn(record.key, now);
+    }
+
     auto updateGauges(time_point now) -> void
     {
         const auto &entries = m_directory.entries();
@@ -423,6 +447,8 @@
     // Data centres by the key of the record that evacuates them.
     std::map<std::string, std::string> m_evacuated;
     std::set<std::string> m_malformedEndpoints;
+    // Of endpoints that were read and changed something, to be passed on to the other edges.
+    std::vector<keyed_record> m_newRecords;
     event_handle m_housekeeping;
     event_handle m_telling;
     bool m_wasReady = false;
--- a/packages/forwarding/endpoint_directory.cpp
+++ b/packages/forwarding/endpoint_directory.cpp
@@ -4,14 +4,14 @@
 
 namespace mustardline {
 
-auto endpoint_directory::registered(endpoint_registration registration, time_point now) -> void
+auto endpoint_directory::registered(endpoint_registration registration, time_point now) -> bool
 {
     auto &entry = m_entries[registration.id];
     const bool isNew = entry.registration.id.empty();
     const bool isRestart = !isNew && registration.bornAt > entry.registration.bornAt;
     // A record of an earlier start may be read late.
     if (!isNew && registration.bornAt < entry.registration.bornAt)
-        return;
+        return false;
     if (registration.coldRemaining.count() > 0)
         entry.coldUntil = now + registration.coldRemaining;
     const bool changes
@@ -23,18 +23,20 @@
     if (changes)
         m_changed.insert(registration.id);
     entry.registration = std::move(registration);
+    return changes;
 }
 
-auto endpoint_directory::withdrawn(std::string_view id, time_point now) -> void
+auto endpoint_directory::withdrawn(std::string_view id, time_point now) -> bool
 {
     const auto known = m_entries.find(id);
     if (known == m_entries.end())
-        return;
+        return false;
     m_changed.insert(known->first);
     if (!m_logReturnedAt || now - *m_logReturnedAt >= m_options.outageGrace)
         m_entries.erase(known);
     else if (!known->second.withdrawnUntil)
         known->second.withdrawnUntil = *m_logReturnedAt + m_options.outageGrace;
+    return true;
 }
 
 auto endpoint_directory::keepOnly(const std::set<std::string, std::less<>> &ids, time_point now)
--- a/packages/forwarding/endpoint_directory.h
+++ b/packages/forwarding/endpoint_directory.h
@@ -70,8 +70,10 @@
 public:
     explicit endpoint_directory(endpoint_directory_options options) : m_options(options) {}
 
-    auto registered(endpoint_registration registration, time_point now) -> void;
-    auto withdrawn(std::string_view id, time_point now) -> void;
+    // False if it says no more than that the endpoint still lives.
+    auto registered(endpoint_registration registration, time_point now) -> bool;
+    // False if it is not known.
+    auto withdrawn(std::string_view id, time_point now) -> bool;
     // Withdraws all that are not in `ids`: the log forgot what happened to them.
     auto keepOnly(const std::set<std::string, std::less<>> &ids, time_point now) -> void;
 
--- a/packages/forwarding/peer_exchange.cpp
+++ b/packages/forwarding/peer_exchange.cpp
@@ -17,6 +17,36 @@
     return fmt::format("{}:{}", address.host, address.port);
 }
 
+// News that are larger are not passed on; the others read them themselves.
+constexpr std::size_t maxNewsBytes = 32U << 10U;
+
+auto addNews(v1::EdgeState &state, const endpoint_news &news) -> void
+{
+    auto *told = state.mutable_news();
+    told->set_from(news.from);
+    told->set_end(news.end);
+    for (const auto &record : news.records) {
+        auto *item = told->add_records();
+        item->set_offset(record.offset);
+        item->set_key(record.key);
+        if (record.value)
+            item->set_value(*record.value);
+    }
+    if (told->ByteSizeLong() > maxNewsBytes)
+        state.clear_news();
+}
+
+auto newsOf(const v1::EndpointNews &told) -> endpoint_news
+{
+    endpoint_news news{.from = told.from(), .end = told.end()};
+    for (const auto &item : told.records()) {
+        news.records.push_back({.key = item.key(), .offset = item.offset()});
+        if (item.has_value())
+            news.records.back().value = item.value();
+    }
+    return news;
+}
+
 } // namespace
 
 peer_exchange::peer_exchange(event_loop &loop, peer_exchange_options options, peer_table &peers,
@@ -54,6 +84,8 @@
         use->set_in_flight(used.inFlight);
         use->set_prompt_tokens(used.promptTokens);
     }
+    if (report.news)
+        addNews(state, *report.news);
     const auto current = m_usage.windowOf(unixNow);
     for (auto window = current - toldWindows + 1; window <= current; ++window) {
         const auto counts = m_usage.own(window);
@@ -90,6 +122,8 @@
     }
     if (onHeard)
         onHeard(state);
+    if (onNews && state.has_news())
+        onNews(newsOf(state.news()));
 }
 
 } // namespace mustardline
--- a/packages/forwarding/peer_exchange.h
+++ b/packages/forwarding/peer_exchange.h
@@ -10,7 +10,10 @@
 // edge learns of others by its seeds, by the shared log and by what its peers name.
 
 #include <functional>
+#include <optional>
+#include <vector>
 
+#include "coordination/shared_log.h"
 #include "forwarding/peer_table.h"
 #include "forwarding/true_time.h"
 #include "forwarding/usage_windows.h"
@@ -25,6 +28,15 @@
     socket_address address;
 };
 
+// What an edge has read of the topic of endpoints: the records from `from` up to `end` that changed
+// something.
+struct endpoint_news
+{
+    std::uint64_t from = 0;
+    std::uint64_t end = 0;
+    std::vector<keyed_record> records;
+};
+
 // What this edge tells beside its counts.
 struct edge_report
 {
@@ -33,6 +45,8 @@
     std::uint64_t configurationVersion = 0;
     std::int64_t sealedWindow = 0;
     bool leaving = false;
+    // What was just read of the endpoints, if anything.
+    std::optional<endpoint_news> news;
 };
 
 class peer_exchange
@@ -46,6 +60,7 @@
 
     // Called for each message that was taken.
     std::function<auto(const v1::EdgeState &state)->void> onHeard;
+    std::function<auto(const endpoint_news &news)->void> onNews;
 
 private:
     auto received(std::string_view bytes) -> void;
--- a/packages/forwarding/peer_table.cpp
+++ b/packages/forwarding/peer_table.cpp
@@ -90,6 +90,14 @@
     return static_cast<std::uint32_t>(live) + 1;
 }
 
+auto peer_table::rank(time_point now) const -> std::uint32_t
+{
+    const auto before = std::ranges::count_if(m_rows, [this, now](const auto &item) {
+        return item.first < m_options.name && isLive(item.second, now);
+    });
+    return static_cast<std::uint32_t>(before);
+}
+
 auto peer_table::sharingCount(time_point now) const -> std::uint32_t
 {
     const auto sharing = std::ranges::count_if(m_rows, [this, now](const auto &item) {
--- a/packages/forwarding/peer_table.h
+++ b/packages/forwarding/peer_table.h
@@ -88,6 +88,8 @@
     [[nodiscard]] auto addresses(time_point now) -> std::vector<socket_address>;
     // Edges that live, this one included.
     [[nodiscard]] auto liveCount(time_point now) const -> std::uint32_t;
+    // Live edges whose names come before our own.
+    [[nodiscard]] auto rank(time_point now) const -> std::uint32_t;
     // Edges that may use the fleet's allowances, this one included.
     [[nodiscard]] auto sharingCount(time_point now) const -> std::uint32_t;
     // What the other live edges have at an endpoint.
