Write the logs of all processes to standard output, never waiting for the reader

Change: a logger without a sink of its own writes through log_output (one write a line, whole lines left out and counted when the reader does not take them). The tests' harness takes lines from both streams. Also: the age that an edge logs with a placement (`heard_ms`) is that of all it knows of the endpoints, since records that change nothing are no longer passed on.

--- a/packages/base/log.cpp
+++ b/packages/base/log.cpp
@@ -1,10 +1,11 @@
 #include "base/log.h"
 
-#include <cstdio>
+#include <memory>
 
 #include <nlohmann/json.hpp>
 
 #include "base/clock.h"
+#include "base/log_output.h"
 
 namespace mustardline {
 
@@ -43,8 +44,12 @@
 {
     if (!m_options.unixNow)
         m_options.unixNow = [] { return system_runtime_clock().unixNow(); };
-    if (!m_options.sink)
-        m_options.sink = [](std::string_view line) { fmt::print(stderr, "{}\n", line); };
+    if (m_options.sink)
+        return;
+    m_options.sink = [output = std::make_shared<log_output>(log_output_options{})](auto line) {
+        output->add(line);
+        output->flush();
+    };
 }
 
 auto logger::begin(const log_event &event) -> void
--- a/packages/base/log.h
+++ b/packages/base/log.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Structured log of numbered events, one line each, on standard error.
+// Structured log of numbered events, one line each, on standard output.
 //
 // Each package declares its events as constants, so that the catalogue in docs/EVENTS.md can be
 // held equal to the code by a test:
@@ -56,7 +56,8 @@
     log_level lowest = log_level::info;
     // Name of the process, written on each line; empty for none.
     std::string process;
-    // Receives each finished line without its newline. Standard error if not set.
+    // Receives each finished line without its newline. If not set, it goes to standard output
+    // at once, as far as that takes it (`log_output`).
     std::function<auto(std::string_view line)->void> sink;
     // Source of the time stamp in Unix milliseconds. The wall clock if not set.
     std::function<auto()->std::int64_t> unixNow;
--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -66,11 +66,11 @@
     auto start() -> void { readNewest(""); }
 
     // Another process has read the records from `from` up to `end`, and passes on those that
-    // matter. Those told already and those that do not follow on what was read are left out.
-    auto offer(std::uint64_t from, std::uint64_t end, std::span<const keyed_record> records) -> void
+    // matter. Those told already are left out; false if they do not follow on what was read.
+    auto offer(std::uint64_t from, std::uint64_t end, std::span<const keyed_record> records) -> bool
     {
         if (!m_following || from > *m_readFrom || end < *m_readFrom)
-            return;
+            return false;
         m_offeredAt = system_runtime_clock().now();
         heard();
         const auto readFrom = std::exchange(m_readFrom, end);
@@ -80,6 +80,7 @@
         }
         if (!m_calling)
             again(m_options.pace + m_delay, [this] { readOn(); });
+        return true;
     }
 
     // Waits so much longer between two reads than others that follow the same topic.
--- a/packages/coordination/testing/keyed_follower_test.cpp
+++ b/packages/coordination/testing/keyed_follower_test.cpp
@@ -172,9 +172,9 @@
     m_log.pages = {pageOf({}, 5)};
     m_follower.onWhole = [this](const auto &) {
         const std::vector<keyed_record> news{recordOf("old", "1", 4), recordOf("a", "1", 6)};
-        m_follower.offer(4, 8, news);
-        m_follower.offer(3, 5, news);                                // older than what is known
-        m_follower.offer(9, 12, std::vector{recordOf("b", "1", 9)}); // leaves a gap
+        EXPECT_TRUE(m_follower.offer(4, 8, news));
+        EXPECT_FALSE(m_follower.offer(3, 5, news)) << "older than what is known";
+        EXPECT_FALSE(m_follower.offer(9, 12, std::vector{recordOf("b", "1", 9)})) << "leaves a gap";
     };
     follow();
     EXPECT_EQ(m_seen, (std::vector<std::string>{"a=1"}));
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -211,10 +211,12 @@
             = [this](const keyed_record &record) { endpointRecord(record); };
         m_endpointFollower.onWhole = [this](const auto &keys) {
             m_directory.keepOnly(keys, m_clock.now());
+            m_directory.heard(m_clock.now());
             m_newRecords.clear();
             m_router.endpointsChanged();
         };
         m_endpointFollower.onRead = [this](std::uint64_t from, std::uint64_t end) {
+            m_directory.heard(m_clock.now());
             tellPeers(endpoint_news{
                 .from = from, .end = end, .records = std::exchange(m_newRecords, {})});
         };
@@ -252,7 +254,8 @@
             m_router.othersUse(m_peers);
         };
         m_exchange.onNews = [this](const endpoint_news &news) {
-            m_endpointFollower.offer(news.from, news.end, news.records);
+            if (m_endpointFollower.offer(news.from, news.end, news.records))
+                m_directory.heard(m_clock.now());
             m_newRecords.clear();
         };
         m_router.onBegun = [this](const std::string &account) {
--- a/packages/forwarding/endpoint_directory.cpp
+++ b/packages/forwarding/endpoint_directory.cpp
@@ -18,7 +18,6 @@
         = isNew || isRestart || entry.withdrawnUntil || !(entry.registration == registration);
     if (isRestart)
         entry.replaced = false;
-    entry.heardAt = now;
     entry.withdrawnUntil.reset();
     if (changes)
         m_changed.insert(registration.id);
--- a/packages/forwarding/endpoint_directory.h
+++ b/packages/forwarding/endpoint_directory.h
@@ -50,7 +50,6 @@
 struct endpoint_entry
 {
     endpoint_registration registration;
-    time_point heardAt{};
     // Until when it is cold; of the past if it is not.
     time_point coldUntil{};
     // Its registration is gone; it may be used until then all the same.
@@ -77,6 +76,10 @@
     // Withdraws all that are not in `ids`: the log forgot what happened to them.
     auto keepOnly(const std::set<std::string, std::less<>> &ids, time_point now) -> void;
 
+    // All that the log had to say until now was told.
+    auto heard(time_point now) -> void { m_heardAt = now; }
+    [[nodiscard]] auto heardAt() const -> time_point { return m_heardAt; }
+
     // The log service answered again after it had not.
     auto logReturned(time_point now) -> void { m_logReturnedAt = now; }
 
@@ -108,6 +111,7 @@
     std::set<std::string, std::less<>> m_evacuated;
     std::set<std::string> m_changed;
     std::optional<time_point> m_logReturnedAt;
+    time_point m_heardAt{};
 };
 
 } // namespace mustardline
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -285,7 +285,7 @@
                 field("route", request->route->name), field("service", request->service),
                 field("endpoint", action.endpoint), field("reason", action.reason),
                 field("considered", action.considered),
-                field("heard_ms", toMilliseconds(m_clock.now() - endpoint->heardAt)),
+                field("heard_ms", toMilliseconds(m_clock.now() - m_directory.heardAt())),
                 field("waited_ms", toMilliseconds(m_clock.now() - request->arrivedAt)));
     send(*request, *endpoint);
 }
--- a/packages/standin/testing/process.cpp
+++ b/packages/standin/testing/process.cpp
@@ -108,37 +108,33 @@
     close(output.writing);
     close(errors.writing);
     m_endDescriptor = static_cast<int>(syscall(SYS_pidfd_open, m_pid, 0));
-    m_lineReader = std::thread([this, errors] { readLines(errors.reading); });
-    m_outputReader = std::thread([this, output] { readOutput(output.reading); });
+    m_errorReader = std::thread([this, errors] { readLines(errors.reading, nullptr); });
+    m_outputReader = std::thread([this, output] { readLines(output.reading, &m_output); });
 }
 
-auto process::readLines(int descriptor) -> void
+auto process::readLines(int descriptor, std::string *whole) -> void
 {
     std::string rest;
     readAll(descriptor, [&](std::string_view data) {
         const std::scoped_lock lock(m_mutex);
+        if (whole != nullptr)
+            *whole += data;
         rest += data;
-        for (auto end = rest.find('\n'); end != std::string::npos; end = rest.find('\n')) {
-            m_lines.push_back(rest.substr(0, end));
-            rest.erase(0, end + 1);
+        std::size_t begin = 0;
+        for (auto end = rest.find('\n'); end != std::string::npos; end = rest.find('\n', begin)) {
+            m_lines.push_back(rest.substr(begin, end - begin));
+            begin = end + 1;
         }
+        rest.erase(0, begin);
         m_changed.notify_all();
     });
     const std::scoped_lock lock(m_mutex);
     if (!rest.empty())
         m_lines.push_back(rest);
-    m_linesEnded = true;
+    ++m_endedReaders;
     m_changed.notify_all();
 }
 
-auto process::readOutput(int descriptor) -> void
-{
-    readAll(descriptor, [&](std::string_view data) {
-        const std::scoped_lock lock(m_mutex);
-        m_output += data;
-    });
-}
-
 auto process::lineCount() const -> std::size_t
 {
     const std::scoped_lock lock(m_mutex);
@@ -163,7 +159,7 @@
     std::unique_lock lock(m_mutex);
     for (auto next = firstLine;; ++next) {
         const auto arrived = m_changed.wait_until(
-            lock, deadline, [&] { return next < m_lines.size() || m_linesEnded; });
+            lock, deadline, [&] { return next < m_lines.size() || linesEnded(); });
         if (!arrived || next >= m_lines.size()) {
             lock.unlock();
             throw harness_error(fmt::format("{}: {} before a line \"{}\"; the last lines:\n{}",
@@ -239,7 +235,7 @@
     }
     m_status = WIFEXITED(state) ? WEXITSTATUS(state) : signalStatusBase + WTERMSIG(state);
     m_ended = true;
-    m_lineReader.join();
+    m_errorReader.join();
     m_outputReader.join();
 }
 
--- a/packages/standin/testing/process.h
+++ b/packages/standin/testing/process.h
@@ -60,7 +60,8 @@
     [[nodiscard]] auto id() const -> pid_t { return m_pid; }
     [[nodiscard]] auto name() const -> const std::string & { return m_options.name; }
 
-    // Lines of standard error so far. As an argument of `waitFor`, skips what came before.
+    // Lines of standard output and standard error so far. As an argument of `waitFor`, skips what
+    // came before.
     [[nodiscard]] auto lineCount() const -> std::size_t;
     [[nodiscard]] auto lines() const -> std::vector<std::string>;
     // Standard output so far.
@@ -88,8 +89,9 @@
 
 private:
     auto start() -> void;
-    auto readLines(int descriptor) -> void;
-    auto readOutput(int descriptor) -> void;
+    // Appends the lines that come; all that comes to `whole` as well, if given.
+    auto readLines(int descriptor, std::string *whole) -> void;
+    [[nodiscard]] auto linesEnded() const -> bool { return m_endedReaders == 2; }
     auto reap() -> void;
     [[nodiscard]] auto lastLines() const -> std::string;
 
@@ -103,9 +105,9 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     std::vector<std::string> m_lines;
-    bool m_linesEnded = false;
+    int m_endedReaders = 0;
     std::string m_output;
-    std::thread m_lineReader;
+    std::thread m_errorReader;
     std::thread m_outputReader;
 };
 
