Tell many edges in turn

Change: beyond 16 edges those are told in turn, all within four rounds (2 s); an edge counts as silent after as many times the usual silence. What is new of endpoints and a farewell still go to all at once. A message names 8 other edges instead of 16. Test: 1 to 860 edges, each told once in a turn, silence in step.

--- a/packages/forwarding/peer_exchange.cpp
+++ b/packages/forwarding/peer_exchange.cpp
@@ -10,7 +10,7 @@
 constexpr std::int64_t toldWindows = 3;
 // Other edges named in a message. Each message names others, so that all are named within the time
 // for which an address is kept: 30 s at two messages a second, by each of the edges that tell.
-constexpr std::size_t toldPeers = 16;
+constexpr std::size_t toldPeers = 8;
 
 auto addressText(const socket_address &address) -> std::string
 {
@@ -100,7 +100,9 @@
         }
     }
     const auto bytes = state.SerializeAsString();
-    for (const auto &address : m_peers.addresses(now)) {
+    // What is new and a farewell concern all at once.
+    const auto isUrgent = report.leaving || report.news;
+    for (const auto &address : isUrgent ? m_peers.addresses(now) : m_peers.addressesInTurn(now)) {
         if (address != m_options.address)
             m_socket.send(address, bytes);
     }
--- a/packages/forwarding/peer_table.cpp
+++ b/packages/forwarding/peer_table.cpp
@@ -59,7 +59,7 @@
 auto peer_table::tick(time_point now) -> void
 {
     for (auto &[name, row] : m_rows) {
-        if (now - row.heardAt > m_options.silence)
+        if (now - row.heardAt > silence())
             clearUses(row);
     }
 }
@@ -80,9 +80,21 @@
     std::vector<socket_address> addresses;
     for (const auto &[address, at] : m_addresses)
         addresses.push_back(address);
+    const auto rounds = (addresses.size() + m_options.roundSize - 1) / m_options.roundSize;
+    m_rounds = std::clamp<std::size_t>(rounds, 1, mostRounds);
     return addresses;
 }
 
+auto peer_table::addressesInTurn(time_point now) -> std::vector<socket_address>
+{
+    const auto all = addresses(now);
+    const auto turn = m_round++ % m_rounds;
+    std::vector<socket_address> chosen;
+    for (auto at = turn; at < all.size(); at += m_rounds)
+        chosen.push_back(all[at]);
+    return chosen;
+}
+
 auto peer_table::liveCount(time_point now) const -> std::uint32_t
 {
     const auto live = std::ranges::count_if(
--- a/packages/forwarding/peer_table.h
+++ b/packages/forwarding/peer_table.h
@@ -13,6 +13,10 @@
 // longest window in which those are counted, so that its part is not given out twice. A new process
 // that has heard of nobody yet assumes some others rather than take all for itself.
 //
+// Where there are many edges, each is told in turn, all within four rounds, and is taken to be
+// silent only after as many times the usual silence: bytes grow by a fourth of what they would
+// otherwise.
+//
 // What the others have at an endpoint is summed as they tell it: a message costs as much as it
 // names endpoints, however many edges and endpoints there are.
 
@@ -42,6 +46,8 @@
     duration sharing = std::chrono::seconds(10);
     // Addresses are tried for so long without an answer.
     duration forgetting = std::chrono::seconds(30);
+    // Edges told in one round, or a fourth of all if that is more.
+    std::size_t roundSize = 16;
     // Edges assumed until `settling` after the start.
     std::uint32_t assumedCount = 5;
     duration settling = std::chrono::seconds(3);
@@ -81,11 +87,12 @@
 
     [[nodiscard]] auto isLive(const peer_row &row, time_point now) const -> bool
     {
-        return !row.leaving && now - row.heardAt <= m_options.silence;
+        return !row.leaving && now - row.heardAt <= silence();
     }
 
-    // Where to send to.
+    // Where to send to: all that are known, or those whose turn it is.
     [[nodiscard]] auto addresses(time_point now) -> std::vector<socket_address>;
+    [[nodiscard]] auto addressesInTurn(time_point now) -> std::vector<socket_address>;
     // Edges that live, this one included.
     [[nodiscard]] auto liveCount(time_point now) const -> std::uint32_t;
     // Live edges whose names come before our own.
@@ -106,7 +113,14 @@
     [[nodiscard]] auto rows() const -> const std::map<std::string, peer_row> & { return m_rows; }
 
 private:
+    static constexpr std::size_t mostRounds = 4;
+
     auto clearUses(peer_row &row) -> void;
+    // After this an edge counts as silent.
+    [[nodiscard]] auto silence() const -> duration
+    {
+        return m_options.silence * static_cast<std::int64_t>(m_rounds);
+    }
 
     peer_table_options m_options;
     time_point m_startedAt;
@@ -115,6 +129,9 @@
     // By endpoint.
     std::unordered_map<std::string, endpoint_use> m_sums;
     std::unordered_set<std::string> m_changed;
+    // Rounds in which all addresses are told once, and the number of the next one.
+    std::size_t m_rounds = 1;
+    std::size_t m_round = 0;
     // The name after which the next addresses are taken.
     std::string m_lastNamed;
     // When each address was first named or last heard.
--- a/packages/forwarding/testing/tables_test.cpp
+++ b/packages/forwarding/testing/tables_test.cpp
@@ -339,6 +339,29 @@
     }
 }
 
+TEST(PeerTableTest, manyEdgesAreToldInTurnAndMayBeSilentForLonger)
+{
+    for (const std::size_t edges : {1U, 16U, 17U, 40U, 100U, 860U}) {
+        peer_table peers({.name = "self", .boot = "b"}, start);
+        for (std::size_t i = 0; i < edges; ++i) {
+            auto state = stateOf("edge-" + std::to_string(i), 1);
+            state.set_address("10.0.0.1:" + std::to_string(7000 + i));
+            peers.heard(state, start);
+        }
+        std::set<socket_address> told;
+        std::size_t rounds = 0;
+        while (told.size() < edges) {
+            const auto some = peers.addressesInTurn(start);
+            EXPECT_LE(some.size(), std::max<std::size_t>(16, edges / 4 + 1));
+            for (const auto &address : some)
+                EXPECT_TRUE(told.insert(address).second) << "told twice in a turn";
+            ASSERT_LE(++rounds, 4U) << edges;
+        }
+        EXPECT_EQ(peers.liveCount(start + milliseconds(2500) * rounds), edges + 1) << edges;
+        EXPECT_EQ(peers.liveCount(start + milliseconds(2501) * rounds), 1U) << edges;
+    }
+}
+
 TEST(PeerTableTest, allEdgesAreNamedInTurn)
 {
     constexpr std::size_t edges = 20;
