Let an edge that the store refuses at its start learn from a peer

Change: after 0.6 s without them it asks a live peer with the newest configuration for both topics (knowledge_exchange, HTTP on the peers' address), takes them as if read, and follows the store from there; one that cannot say all answers 503 and the next is asked. keyed_follower keeps the newest record of each key instead of its offset alone.

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -43,6 +43,13 @@
     duration offerTrust = std::chrono::seconds(2);
 };
 
+// The newest record of each key of a topic, and up to where the topic was read.
+struct topic_knowledge
+{
+    std::uint64_t end = 0;
+    std::vector<keyed_record> records;
+};
+
 template<shared_log Log>
 class keyed_follower
 {
@@ -83,6 +90,32 @@
         return true;
     }
 
+    // What is known now, for a process that the service refuses; nothing before it was read whole.
+    [[nodiscard]] auto knowledge() const -> std::optional<topic_knowledge>
+    {
+        if (!m_following)
+            return std::nullopt;
+        topic_knowledge known{.end = *m_readFrom};
+        for (const auto &[key, record] : m_newest)
+            known.records.push_back(record);
+        return known;
+    }
+
+    // Takes what another process knows, and reads on from there. False if the topic was read
+    // whole already: what is known then may be newer.
+    auto adopt(const topic_knowledge &known) -> bool
+    {
+        if (m_whole)
+            return false;
+        m_readFrom = known.end;
+        for (const auto &record : known.records) {
+            m_keys.insert(record.key);
+            tell(record);
+        }
+        whole();
+        return true;
+    }
+
     // Waits so much longer between two reads than others that follow the same topic.
     auto setDelay(duration delay) -> void { m_delay = delay; }
 
@@ -107,7 +140,9 @@
     {
         if (const auto *fault = std::get_if<log_unavailable>(&outcome)) {
             lost(fault->reason);
-            again(m_options.retryAfter, [this] { readNewest(""); });
+            // Another process may have told all since the call began.
+            if (!m_following)
+                again(m_options.retryAfter, [this] { readNewest(""); });
             return;
         }
         heard();
@@ -123,6 +158,11 @@
             readNewest(page.entries.back().key);
             return;
         }
+        whole();
+    }
+
+    auto whole() -> void
+    {
         m_whole = true;
         m_following = true;
         if (onWhole)
@@ -154,7 +194,7 @@
         if (batch == nullptr || batch->endOffset < from || batch->firstOffset > from) {
             if (onForgotten)
                 onForgotten(from);
-            m_newestTold.clear();
+            m_newest.clear();
             m_following = false;
             again(m_options.pace, [this] { readNewest(""); });
             return;
@@ -181,14 +221,14 @@
 
     auto tell(const keyed_record &record) -> void
     {
-        const auto known = m_newestTold.find(record.key);
-        if (known != m_newestTold.end() && record.offset < known->second)
+        const auto known = m_newest.find(record.key);
+        if (known != m_newest.end() && record.offset < known->second.offset)
             return;
-        m_newestTold[record.key] = record.offset;
+        m_newest[record.key] = record;
         if (onRecord)
             onRecord(record);
         if (!record.value)
-            m_newestTold.erase(record.key);
+            m_newest.erase(record.key);
     }
 
     auto again(duration delay, std::function<auto()->void> step) -> void
@@ -217,8 +257,8 @@
     keyed_follower_options m_options;
     std::optional<std::uint64_t> m_readFrom;
     std::set<std::string, std::less<>> m_keys;
-    // The newest offset told of each key.
-    std::unordered_map<std::string, std::uint64_t> m_newestTold;
+    // The newest record told of each key.
+    std::unordered_map<std::string, keyed_record> m_newest;
     time_point m_heardAt{};
     std::optional<time_point> m_offeredAt;
     duration m_delay{};
--- a/packages/coordination/testing/keyed_follower_test.cpp
+++ b/packages/coordination/testing/keyed_follower_test.cpp
@@ -220,5 +220,36 @@
     EXPECT_EQ(m_seen, (std::vector<std::string>{"a=1"}));
 }
 
+TEST_F(KeyedFollowerTest, whatAnotherProcessKnowsTakesThePlaceOfTheFirstRead)
+{
+    m_log.pages = {log_unavailable{}};
+    m_log.reads = {log_batch{.endOffset = 9, .firstOffset = 0, .records = {"b=3"}}};
+    m_follower.onLost = [this](const std::string &) {
+        EXPECT_FALSE(m_follower.knowledge()) << "nothing is known yet";
+        const topic_knowledge known{.end = 8,
+                                    .records = {recordOf("a", "1", 3), recordOf("b", "2", 6)}};
+        EXPECT_TRUE(m_follower.adopt(known));
+        EXPECT_FALSE(m_follower.adopt(known)) << "all is known already";
+    };
+    follow();
+    EXPECT_EQ(m_seen, (std::vector<std::string>{"a=1", "b=2", "whole 2", "returned", "b=3"}));
+    EXPECT_EQ(m_log.asked, (std::vector<std::string>{"newest ", "read 8", "read 9"}));
+    const auto known = m_follower.knowledge();
+    ASSERT_TRUE(known);
+    EXPECT_EQ(known->end, 9U);
+    EXPECT_EQ(known->records.size(), 2U);
+}
+
+TEST_F(KeyedFollowerTest, knowledgeLeavesOutWhatWasDropped)
+{
+    m_log.pages = {pageOf({recordOf("a", "1", 3), recordOf("b", "1", 4)}, 5)};
+    m_log.reads = {log_batch{.endOffset = 7, .firstOffset = 0, .records = {"a=2", "b"}}};
+    follow();
+    const auto known = m_follower.knowledge();
+    ASSERT_TRUE(known);
+    ASSERT_EQ(known->records.size(), 1U);
+    EXPECT_EQ(known->records.front().value, "2");
+}
+
 } // namespace
 } // namespace mustardline
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -18,12 +18,13 @@
 #include "base/hashing.h"
 #include "base/log.h"
 #include "base/log_output.h"
-#include "coordination/keyed_follower.h"
 #include "forwarding/edge_settings.h"
 #include "forwarding/endpoint_directory.h"
 #include "forwarding/events.h"
+#include "forwarding/fleet_view.h"
 #include "forwarding/forward_router.h"
 #include "forwarding/header_names.h"
+#include "forwarding/knowledge_exchange.h"
 #include "forwarding/peer_exchange.h"
 #include "forwarding/route_table.h"
 #include "forwarding/stop_schedule.h"
@@ -34,24 +35,11 @@
 namespace mustardline {
 
 template<class T>
-concept edge_platform = requires(std::string_view text)
+concept edge_platform = fleet_platform<T> && duty_platform<T> && requires
 {
-    requires duty_platform<T>;
     {
         T::headers()
         } -> std::same_as<header_names>;
-    {
-        T::decodeConfiguration(text)
-        } -> std::same_as<result<fleet_configuration>>;
-    {
-        T::decodeRegistration(text, text)
-        } -> std::same_as<result<endpoint_registration>>;
-    {
-        T::evacuatedDataCentre(text)
-        } -> std::same_as<std::optional<std::string>>;
-    {
-        T::isConfiguration(text)
-        } -> std::same_as<bool>;
     {
         T::readinessPath()
         } -> std::same_as<std::string_view>;
@@ -95,9 +83,8 @@
                   m_clock.now()),
           m_exchange(m_loop, {.name = m_settings.name, .boot = m_boot, .address = m_settings.peers},
                      m_peers, m_usage, m_time),
-          m_configurationFollower(
-              m_loop, m_platform.log(),
-              {.topic = Platform::configurationTopic(), .wait = configurationWait}),
+          m_knowledge(m_loop, m_controlHttp, m_settings.peers),
+          m_view(m_loop, m_platform.log(), m_log, m_routes, m_directory),
           m_version(m_metrics.add({.name = "mustardline_configuration_version",
                                    .help = "The version of the configuration in force.",
                                    .kind = counter_kind::gauge})),
@@ -109,9 +96,7 @@
                                      .kind = counter_kind::gauge})),
           m_logAge(m_metrics.add({.name = "mustardline_log_age_milliseconds",
                                   .help = "Time since the log service last answered.",
-                                  .kind = counter_kind::gauge})),
-          m_endpointFollower(m_loop, m_platform.log(),
-                             {.topic = Platform::endpointTopic(), .pace = endpointPace})
+                                  .kind = counter_kind::gauge}))
     {}
 
     // Serves until SIGTERM; returns the exit status of the program.
@@ -132,16 +117,14 @@
 
 private:
     static constexpr int exitCannotListen = 3;
-    // A record of the operators must be in force within 2 s; a silent call costs this at most.
-    static constexpr duration configurationWait = std::chrono::milliseconds(2000);
-    // Every endpoint writes about once a second, so that the topic is read at a pace of its own; a
-    // leaving endpoint must get nothing new after 2 s.
-    static constexpr duration endpointPace = std::chrono::milliseconds(900);
     // The first edge by name reads; the others wait this much longer each, so that one of them
     // reads when it does not and what it passes on comes in time. At most half a second: with the
     // pace that is within the 2 s.
     static constexpr duration readDelayStep = std::chrono::milliseconds(70);
     static constexpr duration longestReadDelay = std::chrono::milliseconds(500);
+    // The log is given this long to answer before another edge is asked, and a peer before the
+    // next.
+    static constexpr duration askInterval = std::chrono::milliseconds(600);
     static constexpr duration controlConnectTimeout = std::chrono::milliseconds(1000);
     static constexpr duration endpointConnectTimeout = std::chrono::milliseconds(300);
     static constexpr std::size_t maxIdlePerEndpoint = 100;
@@ -162,8 +145,8 @@
             m_output.flush();
             return false;
         }
-        for (auto *server : {&m_callers, &m_readiness, &m_metricsServer}) {
-            const auto port = server->listen();
+        for (const auto &port : {m_knowledge.listen(), m_callers.listen(), m_readiness.listen(),
+                                 m_metricsServer.listen()}) {
             if (const auto *fault = failed(port)) {
                 m_log.write(edgeFailed, field("reason", fault->message));
                 m_output.flush();
@@ -195,55 +178,22 @@
 
     [[nodiscard]] auto isReady() const -> bool
     {
-        return !m_stopping && m_routes.current() && m_endpointFollower.isWhole();
+        return !m_stopping && m_routes.current() && m_view.hasEndpoints();
     }
 
     auto followLog() -> void
     {
-        m_configurationFollower.onRecord
-            = [this](const keyed_record &record) { operatorRecord(record); };
-        m_configurationFollower.onWhole = [this](const auto &keys) {
-            std::erase_if(m_evacuated,
-                          [&keys](const auto &item) { return !keys.contains(item.first); });
-            applyEvacuation();
-        };
-        m_endpointFollower.onRecord
-            = [this](const keyed_record &record) { endpointRecord(record); };
-        m_endpointFollower.onWhole = [this](const auto &keys) {
-            m_directory.keepOnly(keys, m_clock.now());
-            m_directory.heard(m_clock.now());
-            m_newRecords.clear();
-            m_router.endpointsChanged();
-        };
-        m_endpointFollower.onRead = [this](std::uint64_t from, std::uint64_t end) {
-            m_directory.heard(m_clock.now());
-            tellPeers(endpoint_news{
-                .from = from, .end = end, .records = std::exchange(m_newRecords, {})});
-        };
-        m_endpointFollower.onReturned = [this] { m_directory.logReturned(m_clock.now()); };
-        watchService(m_configurationFollower, "configuration");
-        watchService(m_endpointFollower, "endpoints");
-        m_configurationFollower.start();
-        m_endpointFollower.start();
-    }
-
-    // Logs when a topic can no longer be read, and when it can again.
-    auto watchService(auto &follower, const std::string &topic) -> void
-    {
-        follower.onLost = [this, topic](const std::string &reason) {
-            m_log.write(logServiceLost, field("topic", topic), field("reason", reason));
-        };
-        follower.onReturned = [this, topic, then = std::move(follower.onReturned)] {
-            m_log.write(logServiceBack, field("topic", topic));
-            if (then)
-                then();
-        };
-        follower.onForgotten = [this, topic](std::uint64_t offset) {
-            m_log.write(logHistoryLost, field("topic", topic), field("offset", offset));
-        };
-        follower.onMalformed = [this, topic](std::string_view bytes) {
-            m_log.write(recordMalformed, field("topic", topic), field("bytes", bytes.size()));
+        m_view.onConfiguration = [this](const fleet_configuration &configuration) {
+            const auto &limits = configuration.limits;
+            m_callers.setLimits({.maxBodyBytes = limits.maxBodyBytes,
+                                 .maxHeaderBytes = limits.maxHeaderBytes,
+                                 .idleTimeout = limits.idleTimeout,
+                                 .headerTimeout = limits.headerTimeout});
+            m_router.configurationChanged();
         };
+        m_view.onEndpoints = [this] { m_router.endpointsChanged(); };
+        m_view.onNews = [this](endpoint_news news) { tellPeers(std::move(news)); };
+        m_view.start();
     }
 
     auto followPeers() -> void
@@ -253,14 +203,11 @@
                 m_tender.duty().noteSealed(state.sealed_window());
             m_router.othersUse(m_peers);
         };
-        m_exchange.onNews = [this](const endpoint_news &news) {
-            if (m_endpointFollower.offer(news.from, news.end, news.records))
-                m_directory.heard(m_clock.now());
-            m_newRecords.clear();
-        };
+        m_exchange.onNews = [this](const endpoint_news &news) { m_view.offer(news); };
         m_router.onBegun = [this](const std::string &account) {
             m_usage.count(account, m_time.read(m_clock.now(), m_clock.unixNow()));
         };
+        m_knowledge.onAsked = [this] { return m_view.knowledge(); };
         m_telling = m_loop.every(tellInterval, [this] { keepPeers(); });
     }
 
@@ -270,7 +217,23 @@
         tellPeers();
         m_router.refreshUses(m_peers);
         m_router.setEntryCount(m_peers.sharingCount(now));
-        m_endpointFollower.setDelay(std::min(readDelayStep * m_peers.rank(now), longestReadDelay));
+        m_view.setReadDelay(std::min(readDelayStep * m_peers.rank(now), longestReadDelay));
+    }
+
+    // The log refuses this process, or is slow: another edge tells what it knows.
+    auto askPeer(time_point now) -> void
+    {
+        const auto *peer = m_peers.bestInformed(now);
+        if (peer == nullptr || now < m_nextAsk)
+            return;
+        m_nextAsk = now + askInterval;
+        m_knowledge.ask(peer->address, [this, address = peer->address](const auto &outcome) {
+            const auto *fault = failed(outcome);
+            m_log.write(knowledgeAsked, field("peer", address.host), field("port", address.port),
+                        field("reason", fault == nullptr ? "" : fault->message));
+            if (fault == nullptr)
+                m_view.adopt(std::get<edge_knowledge>(outcome));
+        });
     }
 
     auto tellPeers(std::optional<endpoint_news> news = std::nullopt) -> void
@@ -283,78 +246,6 @@
              .news = std::move(news)});
     }
 
-    auto operatorRecord(const keyed_record &record) -> void
-    {
-        if (const auto dataCentre = Platform::evacuatedDataCentre(record.key)) {
-            if (record.value)
-                m_evacuated[record.key] = *dataCentre;
-            else
-                m_evacuated.erase(record.key);
-            applyEvacuation();
-        } else if (Platform::isConfiguration(record.key) && record.value) {
-            applyConfiguration(record);
-        }
-    }
-
-    auto applyEvacuation() -> void
-    {
-        std::set<std::string, std::less<>> places;
-        std::string names;
-        for (const auto &[key, place] : m_evacuated) {
-            places.insert(place);
-            names += names.empty() ? place : "," + place;
-        }
-        m_directory.setEvacuated(std::move(places));
-        m_log.write(evacuationChanged, field("data_centres", names));
-        m_router.endpointsChanged();
-    }
-
-    auto applyConfiguration(const keyed_record &record) -> void
-    {
-        auto outcome = Platform::decodeConfiguration(*record.value);
-        if (const auto *fault = failed(outcome)) {
-            m_log.write(recordMalformed, field("key", record.key), field("offset", record.offset),
-                        field("reason", fault->message));
-            return;
-        }
-        auto configuration = std::make_shared<const fleet_configuration>(
-            std::get<fleet_configuration>(std::move(outcome)));
-        const auto limits = configuration->limits;
-        if (!m_routes.replace(configuration))
-            return;
-        m_callers.setLimits({.maxBodyBytes = limits.maxBodyBytes,
-                             .maxHeaderBytes = limits.maxHeaderBytes,
-                             .idleTimeout = limits.idleTimeout,
-                             .headerTimeout = limits.headerTimeout});
-        m_router.configurationChanged();
-        m_log.write(configurationInForce, field("version", configuration->version),
-                    field("offset", record.offset), field("routes", configuration->routes.size()),
-                    field("accounts", configuration->accounts.size()));
-    }
-
-    auto endpointRecord(const keyed_record &record) -> void
-    {
-        if (takeEndpointRecord(record, m_clock.now()))
-            m_newRecords.push_back(record);
-        m_router.endpointsChanged();
-    }
-
-    // False if it says no more than that an endpoint still lives.
-    auto takeEndpointRecord(const keyed_record &record, time_point now) -> bool
-    {
-        if (!record.value)
-            return m_directory.withdrawn(record.key, now);
-        auto outcome = Platform::decodeRegistration(record.key, *record.value);
-        if (auto *registration = std::get_if<endpoint_registration>(&outcome))
-            return m_directory.registered(std::move(*registration), now);
-        // Told once for each writer: such a record may come each second.
-        if (m_malformedEndpoints.insert(record.key).second) {
-            m_log.write(recordMalformed, field("key", record.key), field("offset", record.offset),
-                        field("reason", failed(outcome)->message));
-        }
-        return m_directory.withdrawn(record.key, now);
-    }
-
     auto updateGauges(time_point now) -> void
     {
         const auto &entries = m_directory.entries();
@@ -363,7 +254,7 @@
         m_usable.set(std::ranges::count_if(
             entries, [this](const auto &item) { return m_directory.isUsable(item.second); }));
         m_peersLive.set(m_peers.liveCount(now));
-        m_logAge.set(toMilliseconds(now - m_endpointFollower.heardAt()));
+        m_logAge.set(toMilliseconds(now - m_directory.heardAt()));
     }
 
     auto keepHouse() -> void
@@ -377,6 +268,8 @@
             m_wasReady = ready;
             m_log.write(edgeReady, field("ready", ready));
         }
+        if (!isReady() && !m_stopping)
+            askPeer(now);
         if (m_settings.reportsUsage && !m_stopping)
             m_tender.tend();
         m_output.flush();
@@ -441,19 +334,15 @@
     usage_tender<Platform> m_tender;
     peer_table m_peers;
     peer_exchange m_exchange;
-    keyed_follower<typename Platform::log_type> m_configurationFollower;
+    knowledge_exchange m_knowledge;
+    fleet_view<Platform> m_view;
     counter &m_version;
     counter &m_usable;
     counter &m_peersLive;
     counter &m_logAge;
-    keyed_follower<typename Platform::log_type> m_endpointFollower;
-    // Data centres by the key of the record that evacuates them.
-    std::map<std::string, std::string> m_evacuated;
-    std::set<std::string> m_malformedEndpoints;
-    // Of endpoints that were read and changed something, to be passed on to the other edges.
-    std::vector<keyed_record> m_newRecords;
     event_handle m_housekeeping;
     event_handle m_telling;
+    time_point m_nextAsk = m_clock.now() + askInterval;
     bool m_wasReady = false;
     bool m_stopping = false;
     time_point m_stopAt{};
--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -43,6 +43,9 @@
 inline constexpr log_event logHistoryLost{5026, "log_history_lost", log_level::warning,
                                           "Records were forgotten unread; the newest are read."};
 
+inline constexpr log_event knowledgeAsked{5027, "knowledge_asked", log_level::info,
+                                          "Another edge was asked for what the log holds."};
+
 inline constexpr log_event dutyClaimed{5030, "duty_claimed", log_level::info,
                                        "The log decided on a claim to a duty."};
 inline constexpr log_event usageWindowReported{5031, "usage_window_reported", log_level::info,
@@ -51,7 +54,7 @@
 inline constexpr auto forwardingEvents = std::to_array<log_event>(
     {edgeStarted, edgeReady, edgeStopping, edgeStopped, edgeFailed, settingsReloaded, forwardPlaced,
      forwardEnded, forwardRetried, configurationInForce, recordMalformed, endpointChanged,
-     evacuationChanged, logServiceLost, logServiceBack, logHistoryLost, dutyClaimed,
+     evacuationChanged, logServiceLost, logServiceBack, logHistoryLost, knowledgeAsked, dutyClaimed,
      usageWindowReported});
 
 } // namespace mustardline
--- a/packages/forwarding/peer_exchange.cpp
+++ b/packages/forwarding/peer_exchange.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/peer_exchange.h"
 
+#include "forwarding/knowledge_exchange.h"
+
 #include <fmt/format.h>
 
 namespace mustardline {
@@ -25,13 +27,8 @@
     auto *told = state.mutable_news();
     told->set_from(news.from);
     told->set_end(news.end);
-    for (const auto &record : news.records) {
-        auto *item = told->add_records();
-        item->set_offset(record.offset);
-        item->set_key(record.key);
-        if (record.value)
-            item->set_value(*record.value);
-    }
+    for (const auto &record : news.records)
+        *told->add_records() = toMessage(record);
     if (told->ByteSizeLong() > maxNewsBytes)
         state.clear_news();
 }
@@ -39,11 +36,8 @@
 auto newsOf(const v1::EndpointNews &told) -> endpoint_news
 {
     endpoint_news news{.from = told.from(), .end = told.end()};
-    for (const auto &item : told.records()) {
-        news.records.push_back({.key = item.key(), .offset = item.offset()});
-        if (item.has_value())
-            news.records.back().value = item.value();
-    }
+    for (const auto &item : told.records())
+        news.records.push_back(fromMessage(item));
     return news;
 }
 
--- a/packages/forwarding/peer_table.cpp
+++ b/packages/forwarding/peer_table.cpp
@@ -102,6 +102,20 @@
     return static_cast<std::uint32_t>(live) + 1;
 }
 
+auto peer_table::bestInformed(time_point now) -> const peer_row *
+{
+    std::vector<const peer_row *> best;
+    for (const auto &[name, row] : m_rows) {
+        if (!isLive(row, now) || row.configurationVersion == 0)
+            continue;
+        if (!best.empty() && row.configurationVersion > best.front()->configurationVersion)
+            best.clear();
+        if (best.empty() || row.configurationVersion == best.front()->configurationVersion)
+            best.push_back(&row);
+    }
+    return best.empty() ? nullptr : best[m_asked++ % best.size()];
+}
+
 auto peer_table::rank(time_point now) const -> std::uint32_t
 {
     const auto before = std::ranges::count_if(m_rows, [this, now](const auto &item) {
--- a/packages/forwarding/peer_table.h
+++ b/packages/forwarding/peer_table.h
@@ -95,6 +95,9 @@
     [[nodiscard]] auto addressesInTurn(time_point now) -> std::vector<socket_address>;
     // Edges that live, this one included.
     [[nodiscard]] auto liveCount(time_point now) const -> std::uint32_t;
+    // A live edge with the newest configuration that any has, others at each call; none if no
+    // live edge has one.
+    [[nodiscard]] auto bestInformed(time_point now) -> const peer_row *;
     // Live edges whose names come before our own.
     [[nodiscard]] auto rank(time_point now) const -> std::uint32_t;
     // Edges that may use the fleet's allowances, this one included.
@@ -132,6 +135,8 @@
     // Rounds in which all addresses are told once, and the number of the next one.
     std::size_t m_rounds = 1;
     std::size_t m_round = 0;
+    // Counts the calls of `bestInformed`.
+    std::size_t m_asked = 0;
     // The name after which the next addresses are taken.
     std::string m_lastNamed;
     // When each address was first named or last heard.
