Do not pass on as read what was offered during the read

Cause, found by reading: a read that was under way while another edge's news came passed on its whole span but only the records that were not offered. An edge that had missed those news took the span for whole and would have kept a leaving endpoint until it read again itself.

Change: what is passed on begins where the offers ended; an edge that missed them sees a gap and reads. The test expects that span (red before).

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -67,7 +67,7 @@
     std::function<auto(std::string_view bytes)->void> onMalformed;
     // Records from `offset` on were forgotten unread; the newest values are read again.
     std::function<auto(std::uint64_t offset)->void> onForgotten;
-    // All records from `from` up to `end` were read and told.
+    // All records from `from` up to `end` were read and told; none of them was offered.
     std::function<auto(std::uint64_t from, std::uint64_t end)->void> onRead;
 
     auto start() -> void { readNewest(""); }
@@ -199,10 +199,11 @@
             again(m_options.pace, [this] { readNewest(""); });
             return;
         }
+        const auto toldFrom = *m_readFrom;
         auto next = from;
         for (const auto &bytes : batch->records) {
             const auto offset = next++;
-            if (offset < *m_readFrom)
+            if (offset < toldFrom)
                 continue;
             auto record = Log::keyedRecord(bytes);
             if (!record) {
@@ -213,9 +214,9 @@
             record->offset = offset;
             tell(*record);
         }
-        m_readFrom = std::max(*m_readFrom, next);
+        m_readFrom = std::max(toldFrom, next);
         if (onRead)
-            onRead(from, *m_readFrom);
+            onRead(toldFrom, *m_readFrom);
         again(m_options.pace + m_delay, [this] { readOn(); });
     }
 
--- a/packages/coordination/testing/keyed_follower_test.cpp
+++ b/packages/coordination/testing/keyed_follower_test.cpp
@@ -195,7 +195,8 @@
     follow();
     EXPECT_EQ(m_seen, (std::vector<std::string>{"whole 0", "a=1", "b=1", "c=1"}));
     EXPECT_EQ(m_log.asked, (std::vector<std::string>{"newest ", "read 5", "read 8", "read 8"}));
-    EXPECT_EQ(read.front(), std::pair(std::uint64_t{5}, std::uint64_t{8}));
+    // What was offered is not passed on again, so it must not look as if it were.
+    EXPECT_EQ(read.front(), std::pair(std::uint64_t{7}, std::uint64_t{8}));
 }
 
 TEST_F(KeyedFollowerTest, nothingIsTakenFromOthersUntilTheNewestValuesAreReadAgain)
