--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -192,7 +192,7 @@
             m_router.configurationChanged();
         };
         m_view.onEndpoints = [this] { m_router.endpointsChanged(); };
-        m_view.onNews = [this](endpoint_news news) { tellPeers(std::move(news)); };
+        m_view.onNews = [this](const endpoint_news &news) { tellPeers(news); };
         m_view.start();
     }
 
@@ -236,14 +236,14 @@
         });
     }
 
-    auto tellPeers(std::optional<endpoint_news> news = std::nullopt) -> void
+    auto tellPeers(const std::optional<endpoint_news> &news = std::nullopt) -> void
     {
         m_exchange.tell(
             {.uses = m_router.uses(),
              .configurationVersion = m_routes.current() ? m_routes.current()->version : 0,
              .sealedWindow = m_tender.duty().sealedTo(),
              .leaving = m_stopping,
-             .news = std::move(news)});
+             .news = news});
     }
 
     auto updateGauges(time_point now) -> void
--- a/packages/forwarding/fleet_view.h
+++ b/packages/forwarding/fleet_view.h
@@ -6,7 +6,7 @@
 //     fleet_view<Platform> view(loop, log, logger, routes, directory);
 //     view.onConfiguration = [](const fleet_configuration &configuration) { ... };
 //     view.onEndpoints = [] { ... };
-//     view.onNews = [](endpoint_news news) { pass it on to the other edges };
+//     view.onNews = [](const endpoint_news &news) { pass it on to the other edges };
 //     view.start();
 //
 // `routes` and `directory` are kept up to date before the callbacks. A record that cannot be read
@@ -80,7 +80,7 @@
     // The directory may have changed.
     std::function<auto()->void> onEndpoints;
     // This edge has read the topic of endpoints; the others need not.
-    std::function<auto(endpoint_news)->void> onNews;
+    std::function<auto(const endpoint_news &)->void> onNews;
 
     auto start() -> void
     {
