Do not wait in calls to the store while it is lost

Its time-out is longer by the 2 s that it may wait for a record, so all edges read version 6 at 11.28 s, 2.6 s after it was acked; the topic of endpoints, whose calls do not wait, was back at 9.43 s.

Change: while the service is lost, calls do not wait.

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -173,7 +173,9 @@
     auto readOn() -> void
     {
         m_calling = true;
-        m_log.read({.topic = m_options.topic, .offset = *m_readFrom, .wait = m_options.wait},
+        // A service that was lost may swallow calls; one that does not wait ends the sooner.
+        const auto wait = m_lost ? duration{} : m_options.wait;
+        m_log.read({.topic = m_options.topic, .offset = *m_readFrom, .wait = wait},
                    [this, from = *m_readFrom](const log_read_outcome &outcome) {
                        m_calling = false;
                        recordsCame(from, outcome);
--- a/packages/coordination/testing/keyed_follower_test.cpp
+++ b/packages/coordination/testing/keyed_follower_test.cpp
@@ -16,6 +16,7 @@
     auto read(const log_position &position, const log_read_handler &done) -> void
     {
         asked.push_back("read " + std::to_string(position.offset));
+        waits.push_back(position.wait);
         if (beforeAnswer)
             std::exchange(beforeAnswer, nullptr)();
         if (reads.empty()) {
@@ -58,6 +59,7 @@
     std::deque<log_newest_outcome> pages;
     std::deque<log_read_outcome> reads;
     std::vector<std::string> asked;
+    std::vector<duration> waits;
     std::function<auto()->void> onIdle;
     // Called once, while the next read is under way.
     std::function<auto()->void> beforeAnswer;
@@ -159,6 +161,20 @@
     EXPECT_EQ(m_log.asked.back(), "read 6");
 }
 
+TEST_F(KeyedFollowerTest, aCallWaitsForNoRecordUntilTheServiceIsBack)
+{
+    keyed_follower<scripted_log> waiting(m_loop, m_log,
+                                         {.topic = "t",
+                                          .wait = milliseconds(2000),
+                                          .pace = milliseconds(1),
+                                          .retryAfter = milliseconds(1)});
+    m_log.pages = {pageOf({}, 5)};
+    m_log.reads = {log_unavailable{}, log_unavailable{}, log_batch{.endOffset = 5}};
+    waiting.start();
+    m_loop.run();
+    EXPECT_EQ(m_log.waits, (std::vector<duration>{milliseconds(2000), {}, {}, milliseconds(2000)}));
+}
+
 TEST_F(KeyedFollowerTest, aMalformedRecordCostsOnlyItself)
 {
     m_log.pages = {pageOf({}, 0)};
