--- a/packages/agent/run_request.cpp
+++ b/packages/agent/run_request.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "base/tiers.h"
+#include "net/decimal.h"
 
 namespace mustardline {
 
@@ -45,14 +46,12 @@
         -> std::uint64_t
     {
         const auto value = findHeader(m_headers, name);
-        std::uint64_t number = 0;
-        const auto *end = value.data() + value.size();
-        const auto parsed = std::from_chars(value.data(), end, number);
-        if (parsed.ec != std::errc() || parsed.ptr != end || number < lowest || number > highest) {
+        const auto number = parseDecimal<std::uint64_t>(value);
+        if (!number || *number < lowest || *number > highest) {
             fail(name, value);
             return lowest;
         }
-        return number;
+        return *number;
     }
 
     auto fail(std::string_view name, std::string_view value) -> void
--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -108,10 +108,8 @@
         if (m_whole)
             return false;
         m_readFrom = known.end;
-        for (const auto &record : known.records) {
-            m_keys.insert(record.key);
+        for (const auto &record : known.records)
             tell(record);
-        }
         whole();
         return true;
     }
@@ -119,8 +117,6 @@
     // Waits so much longer between two reads than others that follow the same topic.
     auto setDelay(duration delay) -> void { m_delay = delay; }
 
-    // When the service last answered; the origin of the clock if it never did.
-    [[nodiscard]] auto heardAt() const -> time_point { return m_heardAt; }
     // Whether the topic has been read to its end at least once.
     [[nodiscard]] auto isWhole() const -> bool { return m_whole; }
 
@@ -128,7 +124,7 @@
     auto readNewest(const std::string &after) -> void
     {
         if (after.empty()) {
-            m_keys.clear();
+            m_newest.clear();
             m_readFrom.reset();
             m_following = false;
         }
@@ -150,10 +146,8 @@
         // Pages are not a snapshot: reading on from the end of the first one misses nothing.
         if (!m_readFrom)
             m_readFrom = page.endOffset;
-        for (const auto &record : page.entries) {
-            m_keys.insert(record.key);
+        for (const auto &record : page.entries)
             tell(record);
-        }
         if (page.more && !page.entries.empty()) {
             readNewest(page.entries.back().key);
             return;
@@ -165,8 +159,11 @@
     {
         m_whole = true;
         m_following = true;
+        std::set<std::string, std::less<>> keys;
+        for (const auto &[key, record] : m_newest)
+            keys.insert(key);
         if (onWhole)
-            onWhole(m_keys);
+            onWhole(keys);
         again(m_options.pace, [this] { readOn(); });
     }
 
@@ -196,7 +193,6 @@
         if (batch == nullptr || batch->endOffset < from || batch->firstOffset > from) {
             if (onForgotten)
                 onForgotten(from);
-            m_newest.clear();
             m_following = false;
             again(m_options.pace, [this] { readNewest(""); });
             return;
@@ -241,7 +237,6 @@
 
     auto heard() -> void
     {
-        m_heardAt = system_runtime_clock().now();
         if (std::exchange(m_lost, false) && onReturned)
             onReturned();
     }
@@ -259,10 +254,8 @@
     Log &m_log;
     keyed_follower_options m_options;
     std::optional<std::uint64_t> m_readFrom;
-    std::set<std::string, std::less<>> m_keys;
     // The newest record told of each key.
     std::unordered_map<std::string, keyed_record> m_newest;
-    time_point m_heardAt{};
     std::optional<time_point> m_offeredAt;
     duration m_delay{};
     // A read is under way.
--- a/packages/entry/agent_call.cpp
+++ b/packages/entry/agent_call.cpp
@@ -1,12 +1,13 @@
 #include "entry/agent_call.h"
 
-#include <algorithm>
-#include <charconv>
 #include <memory>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "base/text_fields.h"
+#include "net/decimal.h"
+
 namespace mustardline {
 
 namespace {
@@ -15,38 +16,18 @@
 constexpr auto silenceMargin = std::chrono::seconds(5);
 constexpr auto askTimeout = std::chrono::seconds(1);
 
-template<class Number>
-auto readNumber(std::string_view text) -> std::optional<Number>
-{
-    Number number{};
-    const auto *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, number);
-    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end)
-        return std::nullopt;
-    return number;
-}
-
-// Takes the text up to the next `separator` off the front of `text`.
-auto takeField(std::string_view &text, char separator) -> std::string_view
-{
-    const auto length = std::min(text.find(separator), text.size());
-    const auto taken = text.substr(0, length);
-    text.remove_prefix(std::min(length + 1, text.size()));
-    return taken;
-}
-
 // Parses "running/queued/window/stoppable", the last one number for each tier, with commas. Agents
 // of an earlier version leave it out.
 auto readLoad(std::string_view text) -> std::optional<endpoint_load>
 {
-    const auto running = readNumber<std::uint32_t>(takeField(text, '/'));
-    const auto queued = readNumber<std::uint32_t>(takeField(text, '/'));
-    const auto window = readNumber<std::uint32_t>(takeField(text, '/'));
+    const auto running = parseDecimal<std::uint32_t>(takeField(text, '/'));
+    const auto queued = parseDecimal<std::uint32_t>(takeField(text, '/'));
+    const auto window = parseDecimal<std::uint32_t>(takeField(text, '/'));
     if (!running || !queued || !window)
         return std::nullopt;
     endpoint_load load{.running = *running, .queued = *queued, .window = *window};
     for (std::uint32_t tier = 1; tier <= lowestTier && !text.empty(); ++tier) {
-        const auto count = readNumber<std::uint32_t>(takeField(text, ','));
+        const auto count = parseDecimal<std::uint32_t>(takeField(text, ','));
         if (!count)
             return std::nullopt;
         load.stoppable[tier] = *count;
@@ -57,7 +38,8 @@
 auto reportOf(const http_answer &answer) -> agent_report
 {
     agent_report report{.boot = std::string(findHeader(answer.headers, "mustardline-boot"))};
-    const auto offset = readNumber<std::uint64_t>(findHeader(answer.headers, "mustardline-offset"));
+    const auto offset
+        = parseDecimal<std::uint64_t>(findHeader(answer.headers, "mustardline-offset"));
     report.configurationOffset = offset.value_or(0);
     if (const auto load = readLoad(findHeader(answer.headers, "mustardline-load"))) {
         report.hasLoad = true;
@@ -82,7 +64,7 @@
         mismatched = findHeader(answer.headers, "mustardline-request") != requestId
                      || findHeader(answer.headers, "mustardline-attempt") != attempt;
         const auto code
-            = readNumber<std::uint16_t>(findHeader(answer.headers, "mustardline-result"));
+            = parseDecimal<std::uint16_t>(findHeader(answer.headers, "mustardline-result"));
         if (mismatched || !code) {
             mismatched = true;
         } else if (*code != number(result_code::ok)) {
@@ -90,7 +72,7 @@
         } else {
             started = true;
             const auto queued
-                = readNumber<std::uint32_t>(findHeader(answer.headers, "mustardline-queued-ms"));
+                = parseDecimal<std::uint32_t>(findHeader(answer.headers, "mustardline-queued-ms"));
             callbacks.onStart(
                 {.status = answer.status,
                  .contentType = std::string(findHeader(answer.headers, "content-type")),
--- a/packages/entry/caller_request.cpp
+++ b/packages/entry/caller_request.cpp
@@ -2,13 +2,13 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "base/hashing.h"
 #include "entry/key_text.h"
+#include "net/decimal.h"
 
 namespace mustardline {
 
@@ -96,14 +96,12 @@
     const auto text = findHeader(message.headers, "mustardline-deadline-ms");
     if (text.empty())
         return longest;
-    std::uint32_t milliseconds = 0;
-    const auto *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, milliseconds);
-    if (parsed.ec != std::errc() || parsed.ptr != end || milliseconds == 0) {
+    const auto milliseconds = parseDecimal<std::uint32_t>(text);
+    if (!milliseconds || *milliseconds == 0) {
         return fault(result_code::bad_request,
                      "mustardline-deadline-ms must be a positive whole number");
     }
-    return std::min<duration>(longest, std::chrono::milliseconds(milliseconds));
+    return std::min<duration>(longest, std::chrono::milliseconds(*milliseconds));
 }
 
 auto isJson(const caller_message &message) -> bool
--- a/packages/entry/operator_commands.cpp
+++ b/packages/entry/operator_commands.cpp
@@ -7,6 +7,7 @@
 #include <tclap/CmdLine.h>
 
 #include "base/hashing.h"
+#include "base/text_fields.h"
 #include "coordination/configuration.h"
 #include "entry/command_line.h"
 #include "entry/history_commands.h"
@@ -30,11 +31,8 @@
 {
     std::vector<std::string> items;
     auto rest = std::string_view(text);
-    while (!rest.empty()) {
-        const auto comma = std::min(rest.find(','), rest.size());
-        items.emplace_back(rest.substr(0, comma));
-        rest = rest.substr(std::min(comma + 1, rest.size()));
-    }
+    while (!rest.empty())
+        items.emplace_back(takeField(rest, ','));
     return items;
 }
 
--- a/packages/entry/request_router.cpp
+++ b/packages/entry/request_router.cpp
@@ -6,6 +6,7 @@
 
 #include "base/hashing.h"
 #include "entry/events.h"
+#include "policy/action_loop.h"
 
 namespace mustardline {
 
@@ -199,25 +200,10 @@
 
 auto request_router::carryOut() -> void
 {
-    // Carrying out an action may lead to more of them, which the outermost call takes on.
-    if (m_carryingOut)
-        return;
-    m_carryingOut = true;
-    while (!m_actions.empty()) {
-        const auto batch = std::exchange(m_actions, {});
-        for (const auto &action : batch) {
-            if (const auto *placed = std::get_if<place_action>(&action))
-                place(*placed);
-            else if (const auto *refused = std::get_if<refuse_action>(&action))
-                refuse(*refused);
-            else if (const auto *cancelled = std::get_if<cancel_action>(&action))
-                cancel(*cancelled);
-        }
-    }
-    m_carryingOut = false;
+    carryOutActions(m_actions, m_carryingOut, [this](const auto &action) { carryOut(action); });
 }
 
-auto request_router::place(const place_action &action) -> void
+auto request_router::carryOut(const place_action &action) -> void
 {
     auto *live = find(action.request);
     if (live == nullptr)
@@ -295,7 +281,7 @@
          .onEnd = [this, number](const agent_call_end &end) { ended(number, end); }});
 }
 
-auto request_router::refuse(const refuse_action &action) -> void
+auto request_router::carryOut(const refuse_action &action) -> void
 {
     auto *live = find(action.request);
     if (live == nullptr)
@@ -308,7 +294,7 @@
     fail(*live, {.code = action.code, .retryAfter = action.retryAfter});
 }
 
-auto request_router::cancel(const cancel_action &action) -> void
+auto request_router::carryOut(const cancel_action &action) -> void
 {
     if (auto *live = find(action.request))
         stop(*live, action.code);
--- a/packages/entry/request_router.h
+++ b/packages/entry/request_router.h
@@ -88,10 +88,10 @@
     auto fetch(live_request &live, const owner_found &owner, const std::string &ownerId) -> void;
 
     auto carryOut() -> void;
-    auto place(const place_action &action) -> void;
+    auto carryOut(const place_action &action) -> void;
     auto send(live_request &live, const socket_address &agent) -> void;
-    auto refuse(const refuse_action &action) -> void;
-    auto cancel(const cancel_action &action) -> void;
+    auto carryOut(const refuse_action &action) -> void;
+    auto carryOut(const cancel_action &action) -> void;
 
     auto started(std::uint64_t number, const answer_start &start) -> void;
     auto received(std::uint64_t number, std::string_view data) -> void;
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -140,13 +140,8 @@
         m_readiness.onRequest([this](const auto &exchange) { answerReadiness(exchange); });
         m_metricsServer.onRequest(
             [this](const auto &exchange) { exchange->reply(200, {}, m_metrics.text()); });
-        if (const auto bound = m_exchange.start(); failed(bound) != nullptr) {
-            m_log.write(edgeFailed, field("reason", failed(bound)->message));
-            m_output.flush();
-            return false;
-        }
-        for (const auto &port : {m_knowledge.listen(), m_callers.listen(), m_readiness.listen(),
-                                 m_metricsServer.listen()}) {
+        for (const auto &port : {m_exchange.start(), m_knowledge.listen(), m_callers.listen(),
+                                 m_readiness.listen(), m_metricsServer.listen()}) {
             if (const auto *fault = failed(port)) {
                 m_log.write(edgeFailed, field("reason", fault->message));
                 m_output.flush();
@@ -223,8 +218,10 @@
     // The log refuses this process, or is slow: another edge tells what it knows.
     auto askPeer(time_point now) -> void
     {
+        if (now < m_nextAsk)
+            return;
         const auto *peer = m_peers.bestInformed(now);
-        if (peer == nullptr || now < m_nextAsk)
+        if (peer == nullptr)
             return;
         m_nextAsk = now + askInterval;
         m_knowledge.ask(peer->address, [this, address = peer->address](const auto &outcome) {
--- a/packages/forwarding/forward_metrics.h
+++ b/packages/forwarding/forward_metrics.h
@@ -54,10 +54,13 @@
     auto ended(result_code code, duration sinceArrival) -> void
     {
         m_took.observe(sinceArrival);
-        refused(code);
+        countResult(code);
     }
     // An answer that was given without considering the request.
-    auto refused(result_code code) -> void
+    auto refused(result_code code) -> void { countResult(code); }
+
+private:
+    auto countResult(result_code code) -> void
     {
         auto &known = m_results[number(code)];
         if (known == nullptr) {
@@ -69,7 +72,6 @@
         known->increment();
     }
 
-private:
     counters &m_registry;
     counter &m_sends;
     counter &m_repeats;
--- a/packages/forwarding/forward_request.cpp
+++ b/packages/forwarding/forward_request.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "base/hashing.h"
+#include "base/text_fields.h"
 #include "net/decimal.h"
 
 namespace mustardline {
@@ -31,9 +32,7 @@
 auto isNamedByConnection(std::string_view name, std::string_view connection) -> bool
 {
     while (!connection.empty()) {
-        const auto comma = std::min(connection.find(','), connection.size());
-        auto item = connection.substr(0, comma);
-        connection.remove_prefix(std::min(comma + 1, connection.size()));
+        auto item = takeField(connection, ',');
         const auto first = std::min(item.find_first_not_of(" \t"), item.size());
         item.remove_prefix(first);
         item = item.substr(0, item.find_last_not_of(" \t") + 1);
@@ -77,9 +76,7 @@
     auto shared = parts.substr(0, last);
     request.prefixHash = fastHash(shared);
     while (!shared.empty()) {
-        const auto comma = std::min(shared.find(','), shared.size());
-        const auto part = shared.substr(0, comma);
-        shared.remove_prefix(std::min(comma + 1, shared.size()));
+        const auto part = takeField(shared, ',');
         const auto colon = part.find(':');
         if (colon != std::string_view::npos)
             request.sharedTokens += parseDecimal<std::uint32_t>(part.substr(colon + 1)).value_or(0);
@@ -104,10 +101,8 @@
 
 auto readTokens(forward_request &request, std::string_view text) -> void
 {
-    const auto comma = std::min(text.find(','), text.size());
-    request.promptTokens = parseDecimal<std::uint32_t>(text.substr(0, comma)).value_or(0);
-    if (comma < text.size())
-        request.maxOutputTokens = parseDecimal<std::uint32_t>(text.substr(comma + 1)).value_or(0);
+    request.promptTokens = parseDecimal<std::uint32_t>(takeField(text, ',')).value_or(0);
+    request.maxOutputTokens = parseDecimal<std::uint32_t>(text).value_or(0);
 }
 
 } // namespace
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "forwarding/events.h"
+#include "policy/action_loop.h"
 #include "policy/durations.h"
 
 namespace mustardline {
@@ -22,8 +23,6 @@
 constexpr double coldPart = 0.8;
 // The balancer has other processes.
 constexpr duration drainingRetryAfter = std::chrono::milliseconds(50);
-// When to come back if nothing better is known.
-constexpr duration defaultRetryAfter = std::chrono::milliseconds(500);
 
 // As errorHeaders, but the time to come back keeps its fraction of a second: callers here read it.
 auto failureHeaders(const http_error &fault) -> std::vector<http_header>
@@ -225,38 +224,32 @@
 
 auto forward_router::carryOut() -> void
 {
-    // Carrying out an action may lead to more of them, which the outermost call takes on.
-    if (m_carryingOut)
+    const auto isOutermost = carryOutActions(m_actions, m_carryingOut,
+                                             [this](const auto &action) { carryOut(action); });
+    if (!isOutermost)
         return;
-    m_carryingOut = true;
-    while (!m_actions.empty()) {
-        const auto batch = std::exchange(m_actions, {});
-        for (const auto &action : batch) {
-            if (const auto *placed = std::get_if<place_action>(&action)) {
-                place(*placed);
-            } else if (const auto *refused = std::get_if<refuse_action>(&action)) {
-                if (auto *request = find(refused->request))
-                    refuse(*request, *refused);
-            } else if (const auto *cancelled = std::get_if<cancel_action>(&action)) {
-                expire(cancelled->request);
-            }
-        }
-    }
-    m_carryingOut = false;
     m_metrics.holds(m_requests.size(), m_dispatcher.queuedCount());
     scheduleTick();
 }
 
-auto forward_router::refuse(forward_request &request, const refuse_action &action) -> void
+auto forward_router::carryOut(const refuse_action &action) -> void
 {
+    auto *request = find(action.request);
+    if (request == nullptr)
+        return;
     // A refusal promises that nothing ran.
-    if (request.mayHaveRun) {
-        fail(request, {.code = result_code::outcome_unknown});
+    if (request->mayHaveRun) {
+        fail(*request, {.code = result_code::outcome_unknown});
         return;
     }
-    fail(request, {.code = action.code,
-                   .message = std::string(action.reason),
-                   .retryAfter = std::max(action.retryAfter, duration(1))});
+    fail(*request, {.code = action.code,
+                    .message = std::string(action.reason),
+                    .retryAfter = std::max(action.retryAfter, duration(1))});
+}
+
+auto forward_router::carryOut(const cancel_action &action) -> void
+{
+    expire(action.request);
 }
 
 auto forward_router::scheduleTick() -> void
@@ -270,7 +263,7 @@
     });
 }
 
-auto forward_router::place(const place_action &action) -> void
+auto forward_router::carryOut(const place_action &action) -> void
 {
     auto *request = find(action.request);
     if (request == nullptr)
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -78,6 +78,9 @@
     std::function<auto(const std::string &account)->void> onBegun;
 
 private:
+    // When to come back if nothing better is known.
+    static constexpr duration defaultRetryAfter = std::chrono::milliseconds(500);
+
     auto refuseAtOnce(const std::shared_ptr<http_exchange> &exchange, const http_error &fault)
         -> void;
     auto setEndpoint(const endpoint_entry &entry) -> void;
@@ -86,8 +89,9 @@
     [[nodiscard]] auto connectionsTo(std::string_view service) const -> std::uint32_t;
 
     auto carryOut() -> void;
-    auto place(const place_action &action) -> void;
-    auto refuse(forward_request &request, const refuse_action &action) -> void;
+    auto carryOut(const place_action &action) -> void;
+    auto carryOut(const refuse_action &action) -> void;
+    auto carryOut(const cancel_action &action) -> void;
     auto send(forward_request &request, const endpoint_entry &endpoint) -> void;
     [[nodiscard]] auto headersFor(const forward_request &request,
                                   const endpoint_entry &endpoint) const -> std::vector<http_header>;
@@ -97,6 +101,8 @@
     auto ended(std::uint64_t number, const http_outcome &outcome) -> void;
     auto endedWhole(forward_request &request) -> void;
     auto endedLost(forward_request &request, const http_failure &failure) -> void;
+    // Gives the caller the endpoint's own answer.
+    auto passOn(forward_request &request) -> void;
     auto begun(forward_request &request) -> void;
     // Places the request again, or gives it its final answer.
     auto tryAgain(forward_request &request, result_code code, bool arrived) -> void;
--- a/packages/forwarding/forward_router_answers.cpp
+++ b/packages/forwarding/forward_router_answers.cpp
@@ -15,8 +15,6 @@
 constexpr int firstRedirect = 300;
 // Between looks at what a slow caller has left unread.
 constexpr duration backlogInterval = std::chrono::milliseconds(50);
-// When to come back if no endpoint took the request.
-constexpr duration nobodyRetryAfter = std::chrono::milliseconds(500);
 
 auto isSuccess(int status) -> bool
 {
@@ -140,8 +138,14 @@
     }
     if (!request.hasFirstByte)
         begun(request);
-    request.exchange->reply(status, answerHeaders(request.answer.headers), request.body);
-    finish(request, isSuccess(status) ? result_code::ok : result_code::endpoint_error);
+    passOn(request);
+}
+
+auto forward_router::passOn(forward_request &request) -> void
+{
+    const auto &answer = request.answer;
+    request.exchange->reply(answer.status, answerHeaders(answer.headers), request.body);
+    finish(request, isSuccess(answer.status) ? result_code::ok : result_code::endpoint_error);
 }
 
 auto forward_router::endedLost(forward_request &request, const http_failure &failure) -> void
@@ -213,12 +217,10 @@
     if (!request.mayHaveRun) {
         fail(request, {.code = result_code::overloaded,
                        .message = "no endpoint took the request",
-                       .retryAfter = nobodyRetryAfter});
+                       .retryAfter = defaultRetryAfter});
     } else if (!request.started && request.answer.status >= firstFailureStatus
                && !request.invalidAnswer) {
-        request.exchange->reply(request.answer.status, answerHeaders(request.answer.headers),
-                                request.body);
-        finish(request, result_code::endpoint_error);
+        passOn(request);
     } else {
         fail(request, {.code = result_code::outcome_unknown});
     }
--- a/packages/forwarding/peer_exchange.cpp
+++ b/packages/forwarding/peer_exchange.cpp
@@ -48,13 +48,10 @@
     : m_options(std::move(options)), m_peers(peers), m_usage(usage), m_time(time), m_socket(loop)
 {}
 
-auto peer_exchange::start() -> status
+auto peer_exchange::start() -> result<std::uint16_t>
 {
     m_socket.onMessage([this](const socket_address &, std::string_view bytes) { received(bytes); });
-    const auto port = m_socket.bind(m_options.address.host, m_options.address.port);
-    if (const auto *fault = failed(port))
-        return *fault;
-    return std::monostate();
+    return m_socket.bind(m_options.address.host, m_options.address.port);
 }
 
 auto peer_exchange::tell(const edge_report &report) -> void
--- a/packages/forwarding/peer_exchange.h
+++ b/packages/forwarding/peer_exchange.h
@@ -55,7 +55,8 @@
     peer_exchange(event_loop &loop, peer_exchange_options options, peer_table &peers,
                   usage_windows &usage, true_time &time);
 
-    [[nodiscard]] auto start() -> status;
+    // Answers the port, or `listen_failed`.
+    [[nodiscard]] auto start() -> result<std::uint16_t>;
     auto tell(const edge_report &report) -> void;
 
     // Called for each message that was taken.
--- a/packages/forwarding/testing/tables_test.cpp
+++ b/packages/forwarding/testing/tables_test.cpp
@@ -339,15 +339,21 @@
     }
 }
 
+// A message of each of so many edges, at addresses of their own.
+auto hearAll(peer_table &peers, std::size_t edges) -> void
+{
+    for (std::size_t i = 0; i < edges; ++i) {
+        auto state = stateOf("edge-" + std::to_string(i), 1);
+        state.set_address("10.0.0.1:" + std::to_string(7000 + i));
+        peers.heard(state, start);
+    }
+}
+
 TEST(PeerTableTest, manyEdgesAreToldInTurnAndMayBeSilentForLonger)
 {
     for (const std::size_t edges : {1U, 16U, 17U, 40U, 100U, 860U}) {
         peer_table peers({.name = "self", .boot = "b"}, start);
-        for (std::size_t i = 0; i < edges; ++i) {
-            auto state = stateOf("edge-" + std::to_string(i), 1);
-            state.set_address("10.0.0.1:" + std::to_string(7000 + i));
-            peers.heard(state, start);
-        }
+        hearAll(peers, edges);
         std::set<socket_address> told;
         std::size_t rounds = 0;
         while (told.size() < edges) {
@@ -367,11 +373,7 @@
     constexpr std::size_t edges = 20;
     constexpr std::size_t most = 8;
     peer_table peers({.name = "self", .boot = "b"}, start);
-    for (std::size_t i = 0; i < edges; ++i) {
-        auto state = stateOf("edge-" + std::to_string(i), 1);
-        state.set_address("10.0.0.1:" + std::to_string(7000 + i));
-        peers.heard(state, start);
-    }
+    hearAll(peers, edges);
     std::set<socket_address> named;
     for (std::size_t call = 0; call * most < edges; ++call) {
         const auto some = peers.someAddresses(most, start);
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "net/decimal.h"
+#include "net/header_text.h"
 #include "net/http1_reader.h"
 
 namespace mustardline {
@@ -21,12 +22,7 @@
     auto text = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.path);
     if (findHeader(request.headers, "host").empty())
         text += fmt::format("Host: {}\r\n", address.host);
-    for (const auto &item : request.headers) {
-        text += item.name;
-        text += ": ";
-        text += item.value;
-        text += "\r\n";
-    }
+    appendHeaders(text, request.headers);
     const bool hasBody = !request.body.empty() || request.method == "POST"
                          || request.method == "PUT" || request.method == "PATCH";
     if (hasBody)
--- a/packages/net/http_message.cpp
+++ b/packages/net/http_message.cpp
@@ -1,7 +1,8 @@
 #include "net/http_message.h"
 
 #include <algorithm>
-#include <charconv>
+
+#include "net/decimal.h"
 
 namespace mustardline {
 
@@ -44,11 +45,8 @@
     const auto colon = text.rfind(':');
     if (colon == std::string_view::npos || colon == 0)
         return {};
-    const auto digits = text.substr(colon + 1);
-    std::uint16_t port = 0;
-    const auto *end = digits.data() + digits.size();
-    const auto parsed = std::from_chars(digits.data(), end, port);
-    if (parsed.ec != std::errc() || parsed.ptr != end || port == 0)
+    const auto port = parseDecimal<std::uint16_t>(text.substr(colon + 1)).value_or(0);
+    if (port == 0)
         return {};
     return {.host = std::string(text.substr(0, colon)), .port = port};
 }
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 #include <http_parser.h>
 
+#include "net/header_text.h"
 #include "net/http1_reader.h"
 #include "net/http_error.h"
 
@@ -28,16 +29,6 @@
     return http_status_str(static_cast<http_status>(status));
 }
 
-auto appendHeaders(std::string &text, std::span<const http_header> headers) -> void
-{
-    for (const auto &item : headers) {
-        text += item.name;
-        text += ": ";
-        text += item.value;
-        text += "\r\n";
-    }
-}
-
 } // namespace
 
 // One connection of a caller. The server's set and the callbacks under way hold it alive.
--- a/packages/policy/testing/prompt_placement_test.cpp
+++ b/packages/policy/testing/prompt_placement_test.cpp
@@ -36,6 +36,12 @@
         m_placement.add(m_endpoints, index);
     }
 
+    auto growTo(std::uint32_t count) -> void
+    {
+        for (std::uint32_t at = endpointCount; at < count; ++at)
+            add(at);
+    }
+
     auto arrive(std::uint32_t prompt, std::uint32_t output, std::uint32_t count) -> void
     {
         for (std::uint32_t at = 0; at < count; ++at)
@@ -55,6 +61,14 @@
 constexpr prompt_wish shortWish{.promptTokens = 800, .firstTokenTarget = milliseconds(500)};
 constexpr prompt_wish longWish{.promptTokens = 12000, .firstTokenTarget = milliseconds(1200)};
 
+// Of one of many subjects, numbered from 1.
+auto shortWishOn(std::uint64_t subject) -> prompt_wish
+{
+    auto wish = shortWish;
+    wish.prefixHash = subject * 0x9e3779b97f4a7c15ULL;
+    return wish;
+}
+
 // Load pattern: catalogue questions and quick replies side by side.
 TEST_F(PromptPlacementTest, longAndShortPromptsShareNoEndpoint)
 {
@@ -104,8 +118,7 @@
     }
     std::map<std::uint32_t, int> used;
     for (std::uint64_t prefix = 1; prefix <= 300; ++prefix) {
-        auto wish = shortWish;
-        wish.prefixHash = prefix * 0x9e3779b97f4a7c15ULL;
+        const auto wish = shortWishOn(prefix);
         const auto here = choose(wish);
         const auto there = elsewhere.choose(others, wish, m_now).endpoint;
         ASSERT_EQ(m_endpoints.at(here).id, others.at(there).id);
@@ -176,14 +189,12 @@
     EXPECT_NE(choose(wish), first);
 }
 
-// Load pattern: a cold endpoint joins under full load.
 // Load pattern: many subjects and plain requests in a fleet larger than one choice can look at.
 TEST_F(PromptPlacementTest, aLargeFleetIsUsedWholeAndAlikeByAllEntries)
 {
     constexpr std::uint32_t fleet = 1000;
     constexpr std::uint64_t subjects = 20'000;
-    for (std::uint32_t at = endpointCount; at < fleet; ++at)
-        add(at);
+    growTo(fleet);
     prompt_placement other;
     for (std::uint32_t index = fleet; index > 0; --index)
         other.add(m_endpoints, index - 1);
@@ -192,8 +203,7 @@
     std::map<std::uint32_t, std::uint32_t> warm;
     std::set<std::uint32_t> plain;
     for (std::uint64_t prefix = 1; prefix <= subjects; ++prefix) {
-        auto wish = shortWish;
-        wish.prefixHash = prefix * 0x9e3779b97f4a7c15ULL;
+        const auto wish = shortWishOn(prefix);
         const auto chosen = choose(wish);
         ++warm[chosen];
         ASSERT_EQ(other.choose(m_endpoints, wish, m_now).endpoint, chosen);
@@ -215,8 +225,7 @@
 TEST_F(PromptPlacementTest, aFullGroupPassesRequestsOn)
 {
     constexpr std::uint32_t fleet = 200;
-    for (std::uint32_t at = endpointCount; at < fleet; ++at)
-        add(at);
+    growTo(fleet);
     auto wish = shortWish;
     wish.prefixHash = 7;
     std::set<std::uint32_t> used;
@@ -235,15 +244,12 @@
 {
     constexpr std::uint32_t fleet = 300;
     constexpr std::uint64_t subjects = 2000;
-    for (std::uint32_t at = endpointCount; at < fleet; ++at)
-        add(at);
+    growTo(fleet);
     arrive(800, 100, 1); // the lanes are settled
     const auto placesOf = [&] {
         std::vector<std::uint32_t> places;
         for (std::uint64_t prefix = 1; prefix <= subjects; ++prefix) {
-            auto wish = shortWish;
-            wish.prefixHash = prefix * 0x9e3779b97f4a7c15ULL;
-            places.push_back(choose(wish));
+            places.push_back(choose(shortWishOn(prefix)));
         }
         return places;
     };
@@ -256,6 +262,7 @@
     EXPECT_EQ(moved, 0U);
 }
 
+// Load pattern: a cold endpoint joins under full load.
 TEST(ColdEndpointTest, aColdEndpointGetsNoMoreThanItsRate)
 {
     constexpr double perSecond = 4;
--- a/packages/policy/testing/shedding_promise_test.cpp
+++ b/packages/policy/testing/shedding_promise_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <span>
 
 #include <gtest/gtest.h>
 
@@ -15,6 +16,26 @@
 
 using namespace std::chrono_literals;
 
+auto requestOf(std::uint64_t number, std::uint32_t tier, duration deadline) -> request_arrival
+{
+    const auto isLow = tier == lowestTier;
+    return {.request = number,
+            .clientAccount = isLow ? "bulk" : "shop",
+            .requestClass = isLow ? "bulk" : "quick",
+            .target = "model",
+            .tier = tier,
+            .firstTokenTarget = 5s,
+            .deadline = deadline,
+            .idempotent = true};
+}
+
+template<class Action>
+auto countOf(std::span<const dispatch_action> actions) -> std::ptrdiff_t
+{
+    return std::ranges::count_if(
+        actions, [](const auto &action) { return std::holds_alternative<Action>(action); });
+}
+
 // The lowest tier holds every place with long answers that may be stopped, and nothing lower waits
 // when the highest arrives. Returns how many of the highest tier are refused before their own time
 // is up.
@@ -52,16 +73,7 @@
         }
     };
     const auto arrive = [&](std::uint64_t number) {
-        const auto low = isLow(number);
-        core.arrive({.request = number,
-                     .clientAccount = low ? "bulk" : "shop",
-                     .requestClass = low ? "bulk" : "quick",
-                     .target = "model",
-                     .tier = low ? 6U : 1U,
-                     .firstTokenTarget = 5s,
-                     .deadline = 60s,
-                     .idempotent = true},
-                    clock.now(), actions);
+        core.arrive(requestOf(number, isLow(number) ? lowestTier : 1, 60s), clock.now(), actions);
         carryOut();
     };
     const auto step = [&](duration length) {
@@ -111,15 +123,7 @@
                      clock.now());
     std::vector<dispatch_action> actions;
     const auto arrive = [&](std::uint64_t number) {
-        core.arrive({.request = number,
-                     .clientAccount = "shop",
-                     .requestClass = "quick",
-                     .target = "model",
-                     .tier = 1,
-                     .firstTokenTarget = 5s,
-                     .deadline = 600s,
-                     .idempotent = true},
-                    clock.now(), actions);
+        core.arrive(requestOf(number, 1, 600s), clock.now(), actions);
     };
     core.reportLoad("e", {.window = places}, clock.now());
     arrive(1);
@@ -133,23 +137,16 @@
     core.tick(clock.now(), actions);
     for (std::uint64_t number = 2; number < 2 + highCalls; ++number)
         arrive(number);
-    const auto refused = [&](std::size_t least) {
-        return std::ranges::count_if(
-                   actions,
-                   [](const auto &action) { return std::holds_alternative<refuse_action>(action); })
-               <= static_cast<std::ptrdiff_t>(least);
-    };
     // Eight of them can take a place; only the other four would wait for long.
-    EXPECT_TRUE(refused(highCalls - std::size_t{2} * places));
+    constexpr std::ptrdiff_t others = highCalls - std::uint64_t{2} * places;
+    EXPECT_LE(countOf<refuse_action>(actions), others);
     EXPECT_EQ(core.queuedCount(), std::size_t{2} * places);
     // Once they are urgent, they are sent for the agent to make room.
     actions.clear();
     clock.advance(2s);
     core.reportLoad("e", load, clock.now());
     core.tick(clock.now(), actions);
-    const auto placed = std::ranges::count_if(
-        actions, [](const auto &action) { return std::holds_alternative<place_action>(action); });
-    EXPECT_GT(placed, 0);
+    EXPECT_GT(countOf<place_action>(actions), 0);
 }
 
 // How many of eight requests are refused at once by an entry that holds none of the four places
@@ -165,15 +162,7 @@
                      clock.now());
     std::vector<dispatch_action> actions;
     const auto arrive = [&](std::uint64_t number, std::uint32_t tier = 1) {
-        core.arrive({.request = number,
-                     .clientAccount = "shop",
-                     .requestClass = tier == lowestTier ? "bulk" : "quick",
-                     .target = "model",
-                     .tier = tier,
-                     .firstTokenTarget = 5s,
-                     .deadline = 60s,
-                     .idempotent = true},
-                    clock.now(), actions);
+        core.arrive(requestOf(number, tier, 60s), clock.now(), actions);
     };
     core.reportLoad("e", {.window = places}, clock.now());
     constexpr std::uint64_t bulk = 100; // there is a lower tier
@@ -192,8 +181,7 @@
     core.tick(clock.now(), actions);
     for (std::uint64_t number = 2; number < 2 + calls; ++number)
         arrive(number);
-    return std::ranges::count_if(
-        actions, [](const auto &action) { return std::holds_alternative<refuse_action>(action); });
+    return countOf<refuse_action>(actions);
 }
 
 TEST(PromiseTest, p1PlacesThatOtherEntriesHoldComeFreeForThisOneToo)
--- a/packages/proofs/testing/session_entry.cpp
+++ b/packages/proofs/testing/session_entry.cpp
@@ -5,6 +5,7 @@
 #include "base/hashing.h"
 #include "entry/agent_call.h"
 #include "entry/live_request.h"
+#include "policy/action_loop.h"
 #include "proofs/testing/session.h"
 
 namespace mustardline::proofs {
@@ -131,27 +132,18 @@
 
 auto session_entry::carryOut() -> void
 {
-    if (std::exchange(m_carryingOut, true))
+    carryOutActions(m_actions, m_carryingOut, [this](const auto &action) { carryOut(action); });
+}
+
+auto session_entry::carryOut(const cancel_action &action) -> void
+{
+    if (!m_live.contains(action.request))
         return;
-    while (!m_actions.empty()) {
-        const auto batch = std::exchange(m_actions, {});
-        for (const auto &action : batch) {
-            if (const auto *placed = std::get_if<place_action>(&action)) {
-                place(*placed);
-            } else if (const auto *refused = std::get_if<refuse_action>(&action)) {
-                refuse(*refused);
-            } else if (const auto *cancelled = std::get_if<cancel_action>(&action)) {
-                if (m_live.contains(cancelled->request)) {
-                    m_core.callerGone(cancelled->request);
-                    finish(cancelled->request, cancelled->code, "");
-                }
-            }
-        }
-    }
-    m_carryingOut = false;
+    m_core.callerGone(action.request);
+    finish(action.request, action.code, "");
 }
 
-auto session_entry::place(const place_action &action) -> void
+auto session_entry::carryOut(const place_action &action) -> void
 {
     auto &live = m_live.at(action.request);
     live.endpoint = action.endpoint;
@@ -163,7 +155,7 @@
     send(live);
 }
 
-auto session_entry::refuse(const refuse_action &action) -> void
+auto session_entry::carryOut(const refuse_action &action) -> void
 {
     const auto &refused = m_live.at(action.request).request;
     note(fmt::format("refuse request={} code={} reason={} retry_after={}ms", action.request,
--- a/packages/proofs/testing/session_entry.h
+++ b/packages/proofs/testing/session_entry.h
@@ -74,8 +74,9 @@
     auto decideClaims() -> void;
     auto dispatch(live_call &live) -> void;
     auto carryOut() -> void;
-    auto place(const place_action &action) -> void;
-    auto refuse(const refuse_action &action) -> void;
+    auto carryOut(const place_action &action) -> void;
+    auto carryOut(const refuse_action &action) -> void;
+    auto carryOut(const cancel_action &action) -> void;
     auto send(live_call &live) -> void;
     auto lose(std::uint64_t caller, std::uint32_t attempt, bool sent) -> void;
     auto resolveFate(std::uint64_t caller) -> void;
--- a/packages/standin/load_main.cpp
+++ b/packages/standin/load_main.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "base/settings_reader.h"
+#include "base/text_fields.h"
 #include "standin/arguments.h"
 #include "standin/load_run.h"
 #include "standin/process_time.h"
@@ -35,11 +36,10 @@
 {
     process_times times;
     while (!list.empty()) {
-        const auto end = std::min(list.find(','), list.size());
+        const auto item = takeField(list, ',');
         pid_t pid = 0;
-        std::from_chars(list.data(), list.data() + end, pid);
+        std::from_chars(item.data(), item.data() + item.size(), pid);
         times[pid] = processTime(pid);
-        list.remove_prefix(std::min(end + 1, list.size()));
     }
     return times;
 }
--- a/packages/standin/platform_log.cpp
+++ b/packages/standin/platform_log.cpp
@@ -1,10 +1,10 @@
 #include "standin/platform_log.h"
 
-#include <charconv>
 #include <optional>
 #include <utility>
 
 #include "log.pb.h"
+#include "net/decimal.h"
 
 namespace mustardline::standin {
 
@@ -25,12 +25,7 @@
     const auto text = exchange->parameter(name);
     if (text.empty())
         return fallback;
-    std::uint64_t value = 0;
-    const auto *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, value);
-    if (parsed.ec != std::errc() || parsed.ptr != end)
-        return {};
-    return value;
+    return parseDecimal<std::uint64_t>(text);
 }
 
 auto protobufAnswer(int status, const google::protobuf::MessageLite &message) -> gate_answer
