Let a request leave the dispatcher's table by one way only

Cause: the router's own time limit ends a request that still waits. `finished` then forgot its row without taking it out of its queue, the row was used again, and the queue's lists and heaps pointed at rows of other requests: one request was placed up to a hundred times in a millisecond, and the process ended with code 139. Ruled out: an action that comes back while it is carried out (the loop takes actions in their order), a place whose call ends while it starts (the call's end is another turn of the loop).

--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -144,7 +144,7 @@
         return;
     const auto &row = m_state->requests.at(slot);
     if (row.state != request_state::placed) {
-        m_state->forget(slot);
+        m_state->forget(slot, 0, now);
         return;
     }
     auto &pace = m_state->paceOf(row);
@@ -157,8 +157,7 @@
     } else if (isEndpointFailure(code)) {
         m_state->endpoints.failed(row.endpoint, now);
     }
-    m_state->release(slot, std::max(completionTokens, row.generatedTokens), now);
-    m_state->forget(slot);
+    m_state->forget(slot, std::max(completionTokens, row.generatedTokens), now);
 }
 
 auto dispatcher::notRun(std::uint64_t request, result_code code, time_point now,
@@ -172,21 +171,15 @@
         m_state->endpoints.failed(endpoint, now);
     else if (code == result_code::not_run)
         m_state->endpoints.busy(endpoint, now);
-    m_state->release(slot, m_state->requests.at(slot).generatedTokens, now);
+    m_state->leave(slot, m_state->requests.at(slot).generatedTokens, now);
     m_state->retry(slot, code, now, actions);
 }
 
 auto dispatcher::callerGone(std::uint64_t request) -> void
 {
     const auto slot = m_state->requests.find(request);
-    if (slot == noIndex)
-        return;
-    auto &row = m_state->requests.at(slot);
-    if (row.state == request_state::placed)
-        m_state->release(slot, row.generatedTokens, m_state->latest);
-    else if (row.state == request_state::waiting)
-        m_state->targets[row.target].queue.remove(m_state->requests, slot);
-    m_state->forget(slot);
+    if (slot != noIndex)
+        m_state->forget(slot, m_state->requests.at(slot).generatedTokens, m_state->latest);
 }
 
 auto dispatcher::refuseQueued(std::string_view clientAccount, result_code code,
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <iterator>
 
 #include "policy/durations.h"
 
@@ -87,7 +88,6 @@
     row.sharedTokens = arrival.sharedTokens;
     row.idempotent = arrival.idempotent;
     row.wantedLate = arrival.wantedLate;
-    row.state = request_state::delayed;
     if (row.account >= accountBudgets.size())
         accountBudgets.resize(row.account + 1);
     accountBudgets[row.account].requested();
@@ -186,8 +186,7 @@
 {
     const auto &row = requests.at(slot);
     auto &target = targets[row.target];
-    if (row.state == request_state::waiting)
-        target.queue.remove(requests, slot);
+    leave(slot, row.generatedTokens, now);
     auto wait = noEndpointRetry;
     if (!target.subset.empty())
         wait = predictedWait(target, row.queue, target.queue.ahead(row.queue, row.account));
@@ -197,7 +196,7 @@
         .retryAfter
         = target.returns.retryAfter(wait, supplyOf(target, row.queue).perSecond, random, now),
         .reason = reason});
-    forget(slot);
+    forget(slot, row.generatedTokens, now);
 }
 
 auto dispatcher::state::placeWaiting(target_row &target, time_point now, dispatch_actions &actions)
@@ -378,11 +377,29 @@
     --placedCount;
 }
 
-auto dispatcher::state::forget(std::uint32_t slot) -> void
+auto dispatcher::state::leave(std::uint32_t slot, std::uint32_t usedTokens, time_point now) -> void
 {
-    limits.ended(requests.at(slot).account);
-    if (requests.at(slot).state == request_state::delayed)
+    auto &row = requests.at(slot);
+    switch (row.state) {
+    case request_state::unlisted:
+        return;
+    case request_state::waiting:
+        targets[row.target].queue.remove(requests, slot);
+        break;
+    case request_state::delayed:
         undelay(slot);
+        break;
+    case request_state::placed:
+        release(slot, usedTokens, now);
+        break;
+    }
+    row.state = request_state::unlisted;
+}
+
+auto dispatcher::state::forget(std::uint32_t slot, std::uint32_t usedTokens, time_point now) -> void
+{
+    leave(slot, usedTokens, now);
+    limits.ended(requests.at(slot).account);
     requests.remove(slot);
 }
 
@@ -391,7 +408,6 @@
                               dispatch_actions &actions) -> void
 {
     auto &row = requests.at(slot);
-    row.state = request_state::delayed;
     row.failedThere = code == result_code::endpoint_error;
     if (now >= row.dueAt) {
         refuse(slot, result_code::deadline_unmeetable, "expired", now, actions);
@@ -412,7 +428,8 @@
 
 auto dispatcher::state::delay(std::uint32_t slot) -> void
 {
-    const auto &row = requests.at(slot);
+    auto &row = requests.at(slot);
+    row.state = request_state::delayed;
     ++targets[row.target].delayed[row.tier];
     delayed.push_back(slot);
 }
@@ -420,24 +437,23 @@
 auto dispatcher::state::undelay(std::uint32_t slot) -> void
 {
     const auto &row = requests.at(slot);
-    if (std::erase(delayed, slot) > 0)
-        --targets[row.target].delayed[row.tier];
+    std::erase(delayed, slot);
+    --targets[row.target].delayed[row.tier];
 }
 
 auto dispatcher::state::releaseDelayed(time_point now, dispatch_actions &actions) -> void
 {
     if (delayed.empty())
         return;
-    const auto due = std::partition(delayed.begin(), delayed.end(), [&](std::uint32_t slot) {
-        return requests.at(slot).retryAt > now;
+    std::vector<std::uint32_t> ready;
+    std::ranges::copy_if(delayed, std::back_inserter(ready), [&](std::uint32_t slot) {
+        return requests.at(slot).retryAt <= now;
     });
-    const std::vector<std::uint32_t> ready(due, delayed.end());
-    delayed.erase(due, delayed.end());
     for (const auto slot : ready) {
         auto &row = requests.at(slot);
         auto &target = targets[row.target];
+        leave(slot, row.generatedTokens, now);
         row.state = request_state::waiting;
-        --target.delayed[row.tier];
         target.queue.pushFront(requests, slot, now);
         if (row.generatedTokens == 0 && isLate(slot, now) && !holdsLowerTier(target, row.tier))
             refuse(slot, result_code::overloaded, "late", now, actions);
--- a/packages/policy/request_table.h
+++ b/packages/policy/request_table.h
@@ -15,9 +15,10 @@
 namespace mustardline {
 
 enum class request_state : std::uint8_t {
-    waiting, // in a queue
-    delayed, // waits for its retry backoff
-    placed,  // at an endpoint
+    unlisted, // in no list: it has just arrived, or is on its way from one list to another
+    waiting,  // in a queue
+    delayed,  // waits for its retry backoff
+    placed,   // at an endpoint
 };
 
 // Neighbours of a row in an intrusive list.
@@ -59,7 +60,7 @@
     std::uint32_t endpoint = noIndex;
     // Queue of its class within its target.
     std::uint32_t queue = noIndex;
-    request_state state = request_state::waiting;
+    request_state state = request_state::unlisted;
     bool idempotent = false;
     bool wantedLate = false;
     // Time that it waited at its endpoint before it was run.
