Share out cold endpoints, size lanes alike at all edges, learn the reading pace

A cold endpoint now belongs to a few edges (`warm_up_shares`: the first by rendezvous hashing, one fewer than the endpoint's slack), whose sum holds by design. Weighed and left: turns by the time of day (it jumps), handing out work by messages (lost ones stop it). - Endpoints counted as full at a part of their places: the share of connections bounded the sum of what all edges had there (16 of 64 places), so most requests went elsewhere and read their parts again. `mostOwn` bounds an edge's own requests alone. - The time to read what waits at an endpoint was up to 20 times too long: the pace was a mean of late answers, by edge and endpoint, so one backlog made all endpoints look full. `reading_pace` follows quantiles over all endpoints of a service; what others told is a mean over two seconds. - Long prompts went where streams with short pauses run, and a full lane held up the other. A request leaves its lane only where the pauses bear it, else it waits, and only its own kind waits with it. - Each edge sized the lanes by its own requests, so that they disagreed on the border; a burst of one kind left the other two endpoints. Edges tell each other what their requests need (`lane_needs`), the rest is divided by the square roots of the needs.

--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -71,7 +71,9 @@
                     .seed = randomBits(),
                     .retries = {.ratio = m_settings.repeatRatio,
                                 .slack = m_settings.repeatSlack,
-                                .window = m_settings.repeatWindow}}),
+                                .window = m_settings.repeatWindow},
+                    .warmUp = {.self = m_settings.name,
+                               .senders = std::max(m_settings.coldSlack - 1, 1U)}}),
           m_time(m_clock.now(), m_clock.unixNow()),
           m_usage({.window = m_settings.usageWindow, .self = m_boot}),
           m_tender(m_platform, m_log, m_usage, m_time,
@@ -211,7 +213,10 @@
         const auto now = m_clock.now();
         tellPeers();
         m_router.refreshUses(m_peers);
+        m_router.setOthersLaneNeeds(m_peers.laneNeeds(now));
         m_router.setEntryCount(m_peers.sharingCount(now));
+        if (m_peers.isSettled(now))
+            m_router.setWarmUpEntries(m_peers.knownNames(now));
         m_view.setReadDelay(std::min(readDelayStep * m_peers.rank(now), longestReadDelay));
     }
 
@@ -237,6 +242,7 @@
     {
         m_exchange.tell(
             {.uses = m_router.uses(),
+             .lanes = m_router.laneNeeds(),
              .configurationVersion = m_routes.current() ? m_routes.current()->version : 0,
              .sealedWindow = m_tender.duty().sealedTo(),
              .leaving = m_stopping,
--- a/packages/forwarding/edge_settings.cpp
+++ b/packages/forwarding/edge_settings.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::int64_t highestPort = 65535;
 constexpr std::int64_t highestMilliseconds = 3'600'000;
+constexpr std::int64_t highestColdSlack = 10'000;
 
 // An address field, which must be IP:PORT; the first fault goes to `fault`.
 auto readAddress(settings_reader &reader, std::string_view name, std::optional<error> &fault)
@@ -54,6 +55,8 @@
     settings.repeatRatio = reader.number("repeat_ratio", {.lowest = 0, .highest = 1});
     settings.repeatSlack = reader.number("repeat_slack", {.lowest = 0});
     settings.repeatWindow = readMilliseconds(reader, "repeat_window_ms");
+    settings.coldSlack = static_cast<std::uint32_t>(
+        reader.integer("cold_slack", {.lowest = 1, .highest = highestColdSlack}));
     settings.stopGrace = readMilliseconds(reader, "stop_grace_ms");
     settings.usageWindow = readMilliseconds(reader, "usage_window_ms");
     settings.usageDue = readMilliseconds(reader, "usage_due_ms");
--- a/packages/forwarding/edge_settings.h
+++ b/packages/forwarding/edge_settings.h
@@ -39,6 +39,8 @@
     double repeatRatio = 0.2;
     double repeatSlack = 50;
     duration repeatWindow = std::chrono::seconds(10);
+    // Requests that an endpoint bears in a second beyond the rate it names while it is cold.
+    std::uint32_t coldSlack = 5;
     // Time from SIGTERM until the process is killed.
     duration stopGrace = std::chrono::seconds(8);
     duration usageWindow = std::chrono::seconds(5);
--- a/packages/forwarding/forward_request.cpp
+++ b/packages/forwarding/forward_request.cpp
@@ -132,6 +132,7 @@
     request.priority = route->priority;
     if (request.account != nullptr)
         request.priority = request.account->priority.value_or(route->priority);
+    request.urgency = routes.urgencyOf(request.priority, route->priority);
     readTokens(request, exchange->header(names.tokenCounts));
     readSharedParts(request, exchange->header(names.promptParts));
     request.arrivedAt = now;
--- a/packages/forwarding/forward_request.h
+++ b/packages/forwarding/forward_request.h
@@ -35,6 +35,8 @@
     std::string service;
     // 0 is the highest.
     std::uint32_t priority = 0;
+    // The order that endpoints are told: by priority, and by the route's among equals.
+    std::uint32_t urgency = 0;
     std::uint32_t promptTokens = 0;
     std::uint32_t maxOutputTokens = 0;
     // Of the parts of the prompt that other requests share; 0 for none.
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -48,7 +48,8 @@
       m_directory(directory),
       m_options(std::move(options)),
       m_random(m_options.seed),
-      m_dispatcher({.dataCentre = m_options.dataCentre, .seed = m_options.seed})
+      m_dispatcher({.dataCentre = m_options.dataCentre, .seed = m_options.seed}),
+      m_warmUp(m_options.warmUp)
 {}
 
 auto forward_router::handle(const std::shared_ptr<http_exchange> &exchange) -> void
@@ -148,17 +149,17 @@
     const auto &told = entry.registration;
     const auto *service = m_routes.service(told.service);
     const auto coldRate = service == nullptr ? 0 : service->coldRequestsPerSecond;
-    const auto places = std::min(told.slots, connectionsTo(told.service));
     m_dispatcher.setEndpoint({.id = told.id,
                               .dataCentre = told.dataCentre,
                               .serves = {told.service},
-                              .maxConcurrency = places,
-                              .coldConcurrency = places,
+                              .maxConcurrency = told.slots,
+                              .coldConcurrency = told.slots,
+                              .mostOwn = connectionsTo(told.service),
                               .available = m_directory.isUsable(entry),
                               .readsPrompts = service != nullptr && service->cacheTokens > 0,
                               .assumedFirstToken = assumedFirstToken,
                               .coldUntil = coldRate > 0 ? entry.coldUntil : time_point(),
-                              .coldPerSecond = coldRate * coldPart / m_entryCount},
+                              .coldPerSecond = coldRate * coldPart * m_warmUp.partOf(told.id)},
                              m_clock.now());
 }
 
@@ -207,7 +208,7 @@
     const auto &told = entry.registration;
     m_dispatcher.reportLoad(told.id,
                             {.running = m_dispatcher.inFlightAt(told.id) + others.inFlight,
-                             .window = std::min(told.slots, connectionsTo(told.service)),
+                             .window = told.slots,
                              .othersPromptTokens = others.promptTokens},
                             now);
 }
@@ -222,6 +223,17 @@
     setEndpoints();
 }
 
+auto forward_router::setWarmUpEntries(std::vector<std::string> names) -> void
+{
+    if (!m_warmUp.setOthers(std::move(names)))
+        return;
+    const auto now = m_clock.now();
+    for (const auto &[id, entry] : m_directory.entries()) {
+        if (m_directory.isCold(entry, now))
+            setEndpoint(entry);
+    }
+}
+
 auto forward_router::carryOut() -> void
 {
     const auto isOutermost = carryOutActions(m_actions, m_carryingOut,
@@ -276,6 +288,8 @@
     request->endpoint = action.endpoint;
     m_log.write(forwardPlaced, field("request", request->id), field("attempt", action.attempt),
                 field("route", request->route->name), field("service", request->service),
+                field("priority", request->priority),
+                field("urgency", request->urgency),
                 field("endpoint", action.endpoint), field("reason", action.reason),
                 field("considered", action.considered),
                 field("heard_ms", toMilliseconds(m_clock.now() - m_directory.heardAt())),
@@ -298,9 +312,8 @@
                        .value = fmt::format("{}", std::max<std::int64_t>(left, 1))});
     headers.push_back({.name = m_options.names.expectEndpoint, .value = endpoint.registration.id});
     if (request.route->kind == route_kind::stream) {
-        constexpr std::uint32_t lowestPriority = 9;
         headers.push_back({.name = m_options.names.priority,
-                           .value = fmt::format("{}", std::min(request.priority, lowestPriority))});
+                           .value = fmt::format("{}", request.urgency)});
     }
     return headers;
 }
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -24,6 +24,7 @@
 #include "forwarding/shared_allowance.h"
 #include "policy/dispatcher.h"
 #include "policy/random.h"
+#include "policy/warm_up_shares.h"
 
 namespace mustardline {
 
@@ -37,6 +38,8 @@
     // Longest answer that is not a stream.
     std::size_t maxAnswerBytes = 8U << 20U;
     shared_allowance_options retries;
+    // Which edges may send to a cold endpoint.
+    warm_up_options warmUp;
 };
 
 class forward_router
@@ -66,11 +69,23 @@
     // The same for all endpoints; what was told is believed for a second.
     auto refreshUses(peer_table &peers) -> void;
 
+    // What the requests here, and those of the other edges, ask of the endpoints that read prompts.
+    [[nodiscard]] auto laneNeeds() const -> std::map<std::string, lane_needs>
+    {
+        return m_dispatcher.laneNeeds();
+    }
+    auto setOthersLaneNeeds(const std::map<std::string, lane_needs> &needs) -> void
+    {
+        m_dispatcher.setOthersLaneNeeds(needs);
+    }
+
     // Requests of this edge in flight, by endpoint.
     [[nodiscard]] auto uses() const -> std::map<std::string, endpoint_use>;
 
     // Entries that share the fleet's allowances.
     auto setEntryCount(std::uint32_t count) -> void;
+    // The other entries that may send to cold endpoints, once they are known.
+    auto setWarmUpEntries(std::vector<std::string> names) -> void;
 
     [[nodiscard]] auto liveCount() const -> std::size_t { return m_requests.size(); }
 
@@ -130,6 +145,7 @@
     system_runtime_clock m_clock;
     random_source m_random;
     dispatcher m_dispatcher;
+    warm_up_shares m_warmUp;
     // By service.
     std::unordered_map<std::string, shared_allowance> m_allowances;
     std::vector<dispatch_action> m_actions;
--- a/packages/forwarding/peer_exchange.cpp
+++ b/packages/forwarding/peer_exchange.cpp
@@ -33,6 +33,16 @@
         state.clear_news();
 }
 
+auto addLanes(v1::EdgeState &state, const std::string &target, const lane_needs &needs) -> void
+{
+    auto *told = state.add_lanes();
+    told->set_target(target);
+    told->set_short_reading(needs.lanes[0].reading);
+    told->set_short_holding(needs.lanes[0].holding);
+    told->set_long_reading(needs.lanes[1].reading);
+    told->set_long_holding(needs.lanes[1].holding);
+}
+
 auto newsOf(const v1::EndpointNews &told) -> endpoint_news
 {
     endpoint_news news{.from = told.from(), .end = told.end()};
@@ -75,6 +85,8 @@
         use->set_in_flight(used.inFlight);
         use->set_prompt_tokens(used.promptTokens);
     }
+    for (const auto &[target, needs] : report.lanes)
+        addLanes(state, target, needs);
     if (report.news)
         addNews(state, *report.news);
     const auto current = m_usage.windowOf(unixNow);
--- a/packages/forwarding/peer_exchange.h
+++ b/packages/forwarding/peer_exchange.h
@@ -42,6 +42,8 @@
 {
     // By endpoint.
     std::map<std::string, endpoint_use> uses;
+    // By model or service.
+    std::map<std::string, lane_needs> lanes;
     std::uint64_t configurationVersion = 0;
     std::int64_t sealedWindow = 0;
     bool leaving = false;
--- a/packages/forwarding/peer_table.cpp
+++ b/packages/forwarding/peer_table.cpp
@@ -24,6 +24,12 @@
     row.heardAt = now;
     row.leaving = state.leaving();
     row.configurationVersion = state.configuration_version();
+    row.lanes.clear();
+    for (const auto &needs : state.lanes()) {
+        row.lanes[needs.target()]
+            = {.lanes = {{{.reading = needs.short_reading(), .holding = needs.short_holding()},
+                          {.reading = needs.long_reading(), .holding = needs.long_holding()}}}};
+    }
     clearUses(row);
     for (const auto &use : state.uses()) {
         const endpoint_use used{.inFlight = use.in_flight(), .promptTokens = use.prompt_tokens()};
@@ -130,8 +136,17 @@
         return now - item.second.heardAt <= m_options.sharing;
     });
     const auto count = static_cast<std::uint32_t>(sharing) + 1;
-    const bool settled = now - m_startedAt > m_options.settling;
-    return settled ? count : std::max(count, m_options.assumedCount);
+    return isSettled(now) ? count : std::max(count, m_options.assumedCount);
+}
+
+auto peer_table::knownNames(time_point now) const -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    for (const auto &[name, row] : m_rows) {
+        if (now - row.heardAt <= m_options.forgetting)
+            names.push_back(name);
+    }
+    return names;
 }
 
 auto peer_table::usesOf(const std::string &endpoint) const -> endpoint_use
@@ -140,6 +155,18 @@
     return sum == m_sums.end() ? endpoint_use() : sum->second;
 }
 
+auto peer_table::laneNeeds(time_point now) const -> std::map<std::string, lane_needs>
+{
+    std::map<std::string, lane_needs> sums;
+    for (const auto &[name, row] : m_rows) {
+        if (!isLive(row, now))
+            continue;
+        for (const auto &[target, needs] : row.lanes)
+            sums[target] += needs;
+    }
+    return sums;
+}
+
 auto peer_table::someAddresses(std::size_t most, time_point now) -> std::vector<socket_address>
 {
     std::vector<socket_address> addresses;
--- a/packages/forwarding/peer_table.h
+++ b/packages/forwarding/peer_table.h
@@ -31,6 +31,7 @@
 #include "base/clock.h"
 #include "net/http_message.h"
 #include "peer.pb.h"
+#include "policy/lane_needs.h"
 
 namespace mustardline {
 
@@ -70,6 +71,7 @@
     bool leaving = false;
     // What it told last, and is part of the sums.
     std::vector<std::pair<std::string, endpoint_use>> uses;
+    std::map<std::string, lane_needs> lanes;
     std::uint64_t configurationVersion = 0;
 };
 
@@ -102,8 +104,17 @@
     [[nodiscard]] auto rank(time_point now) const -> std::uint32_t;
     // Edges that may use the fleet's allowances, this one included.
     [[nodiscard]] auto sharingCount(time_point now) const -> std::uint32_t;
+    // True once the other edges have had the time to tell of themselves.
+    [[nodiscard]] auto isSettled(time_point now) const -> bool
+    {
+        return now - m_startedAt > m_options.settling;
+    }
+    // The names of the other edges that were heard of lately, also of those that may be gone.
+    [[nodiscard]] auto knownNames(time_point now) const -> std::vector<std::string>;
     // What the other live edges have at an endpoint.
     [[nodiscard]] auto usesOf(const std::string &endpoint) const -> endpoint_use;
+    // What the other live edges' requests ask for, by model or service.
+    [[nodiscard]] auto laneNeeds(time_point now) const -> std::map<std::string, lane_needs>;
     // Endpoints of which that may have changed since the last call.
     [[nodiscard]] auto takeChanged() -> std::unordered_set<std::string>
     {
--- a/packages/forwarding/route_table.cpp
+++ b/packages/forwarding/route_table.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
+#include <optional>
+#include <set>
 
 namespace mustardline {
 
@@ -30,9 +33,35 @@
         for (const auto &key : each.keys)
             m_accounts.emplace(key, &each);
     }
+    rankUrgencies();
     return true;
 }
 
+auto route_table::rankUrgencies() -> void
+{
+    m_urgencies.clear();
+    std::set<std::optional<std::uint32_t>> ofAccounts{std::nullopt};
+    for (const auto &account : m_current->accounts)
+        ofAccounts.insert(account.priority);
+    for (const auto &route : m_current->routes) {
+        for (const auto &priority : ofAccounts)
+            m_urgencies.emplace_back(priority.value_or(route.priority), route.priority);
+    }
+    std::ranges::sort(m_urgencies);
+    const auto repeated = std::ranges::unique(m_urgencies);
+    m_urgencies.erase(repeated.begin(), repeated.end());
+}
+
+auto route_table::urgencyOf(std::uint32_t priority, std::uint32_t routePriority) const
+    -> std::uint32_t
+{
+    const auto place = std::ranges::lower_bound(m_urgencies, std::pair(priority, routePriority));
+    const auto rank = static_cast<std::size_t>(std::distance(m_urgencies.begin(), place));
+    const auto count = std::max<std::size_t>(m_urgencies.size(), urgencyLevels);
+    return static_cast<std::uint32_t>(
+        std::min<std::size_t>(rank * urgencyLevels / count, urgencyLevels - 1));
+}
+
 auto route_table::find(std::string_view host, std::string_view path) const -> const route_settings *
 {
     const auto known = m_hosts.find(hostName(host));
--- a/packages/forwarding/route_table.h
+++ b/packages/forwarding/route_table.h
@@ -15,6 +15,8 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "forwarding/fleet_configuration.h"
 
@@ -43,11 +45,23 @@
     // Null for a service that the configuration does not name.
     [[nodiscard]] auto service(std::string_view name) const -> const service_settings *;
 
+    // Where a request stands in the order of urgency that endpoints are told, from 0, the first, to
+    // 9. The account's or, without one, the route's `priority` goes before the route's own; the
+    // ten levels are spread over the pairs that the configuration in force allows.
+    [[nodiscard]] auto urgencyOf(std::uint32_t priority, std::uint32_t routePriority) const
+        -> std::uint32_t;
+
 private:
+    static constexpr std::size_t urgencyLevels = 10;
+
+    auto rankUrgencies() -> void;
+
     std::shared_ptr<const fleet_configuration> m_current;
     // Routes of a host by prefix.
     std::unordered_map<std::string, std::map<std::string_view, const route_settings *>> m_hosts;
     std::unordered_map<std::string_view, const account_settings *> m_accounts;
+    // All pairs of a request's priority and its route's, in order.
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> m_urgencies;
 };
 
 } // namespace mustardline
--- a/packages/forwarding/testing/tables_test.cpp
+++ b/packages/forwarding/testing/tables_test.cpp
@@ -46,6 +46,32 @@
               settingsRows(edgeSettingsFields()));
 }
 
+TEST(RouteTableTest, urgencyIsThePriorityAndAmongEqualsTheRoutes)
+{
+    fleet_configuration configuration{.version = 1};
+    for (const std::uint32_t priority : {0U, 1U, 2U})
+        configuration.routes.push_back({.name = "r", .host = "a", .priority = priority});
+    for (const std::uint32_t priority : {0U, 1U})
+        configuration.accounts.push_back({.name = "account", .priority = priority});
+    route_table routes;
+    ASSERT_TRUE(routes.replace(std::make_shared<const fleet_configuration>(configuration)));
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> order{{0, 0}, {0, 1}, {0, 2}, {1, 0},
+                                                               {1, 1}, {1, 2}, {2, 2}};
+    for (std::size_t at = 1; at < order.size(); ++at) {
+        const auto before = routes.urgencyOf(order[at - 1].first, order[at - 1].second);
+        EXPECT_LT(before, routes.urgencyOf(order[at].first, order[at].second)) << at;
+    }
+    EXPECT_EQ(routes.urgencyOf(0, 0), 0U);
+    // More pairs than levels: the order stands, some share a level.
+    configuration.version = 2;
+    for (std::uint32_t priority = 2; priority < 40; ++priority)
+        configuration.accounts.push_back({.name = "account", .priority = priority});
+    ASSERT_TRUE(routes.replace(std::make_shared<const fleet_configuration>(configuration)));
+    EXPECT_LE(routes.urgencyOf(0, 0), routes.urgencyOf(20, 1));
+    EXPECT_LE(routes.urgencyOf(39, 2), 9U);
+    EXPECT_EQ(routes.urgencyOf(1000, 1000), 9U) << "of a configuration that is no longer in force";
+}
+
 TEST(RouteTableTest, theLongestPrefixOfTheHostWins)
 {
     route_table routes;
--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -152,6 +152,8 @@
         m_state->endpoints.answered(row.endpoint);
         m_state->sizes.learn(row.requestClass, row.account, completionTokens);
         pace.answered(now - row.placedAt - row.queuedThere);
+        m_state->targets[row.target].prompts.ended(row.promptTokens, now - row.placedAt,
+                                                   m_state->endpoints.window(row.endpoint));
         if (row.hasFirstToken && completionTokens > 1)
             pace.token(toSeconds(now - row.firstTokenAt) / (completionTokens - 1));
     } else if (isEndpointFailure(code)) {
@@ -210,6 +212,26 @@
     m_state->cancelOverdue(now, actions);
 }
 
+auto dispatcher::laneNeeds() const -> std::map<std::string, lane_needs>
+{
+    std::map<std::string, lane_needs> needs;
+    for (std::uint32_t number = 0; number < m_state->targets.size(); ++number) {
+        const auto &prompts = m_state->targets[number].prompts;
+        if (prompts.size() > 0)
+            needs.emplace(m_state->targetNames.name(number), prompts.ownNeeds());
+    }
+    return needs;
+}
+
+auto dispatcher::setOthersLaneNeeds(const std::map<std::string, lane_needs> &needs) -> void
+{
+    for (std::uint32_t number = 0; number < m_state->targets.size(); ++number) {
+        const auto told = needs.find(m_state->targetNames.name(number));
+        m_state->targets[number].prompts.setOthersNeeds(told == needs.end() ? lane_needs()
+                                                                            : told->second);
+    }
+}
+
 auto dispatcher::inFlightAt(std::string_view endpoint) const -> std::uint32_t
 {
     const auto index = m_state->endpoints.find(endpoint);
--- a/packages/policy/dispatcher.h
+++ b/packages/policy/dispatcher.h
@@ -22,6 +22,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -32,6 +33,7 @@
 #include "base/clock.h"
 #include "base/result.h"
 #include "base/tiers.h"
+#include "policy/lane_needs.h"
 
 namespace mustardline {
 
@@ -45,6 +47,9 @@
     std::uint32_t maxConcurrency = 1;
     // Requests that it bears at once while nothing is known of it; 0 for the usual two.
     std::uint32_t coldConcurrency = 0;
+    // Most requests of this entry there, whatever others have; 0 for no such bound. Connections are
+    // shared out by entry, places are not.
+    std::uint32_t mostOwn = 0;
     // Takes new work: neither leaving nor in a data centre that is out.
     bool available = true;
     // Reads prompts in between the tokens of its requests and caches their shared parts.
@@ -111,7 +116,8 @@
     std::uint32_t resumeFrom = 0;
     // Usual time to the first token of its class at all endpoints; zero if not known.
     duration expectedFirstToken{};
-    // For the log: why this endpoint, and which others were weighed, as "id:in_flight/window".
+    // For the log: why this endpoint, and which others were weighed, as "id:in_flight/window",
+    // and for endpoints that read prompts "/ms" until those sent there are read.
     std::string_view reason;
     std::string considered;
 };
@@ -198,6 +204,11 @@
     // milliseconds, and after any call that may have freed capacity.
     auto tick(time_point now, std::vector<dispatch_action> &actions) -> void;
 
+    // What the requests of this entry ask of the endpoints that read prompts, by model or service,
+    // and what those of the other entries do, as they told.
+    [[nodiscard]] auto laneNeeds() const -> std::map<std::string, lane_needs>;
+    auto setOthersLaneNeeds(const std::map<std::string, lane_needs> &needs) -> void;
+
     // Requests that this entry has at an endpoint.
     [[nodiscard]] auto inFlightAt(std::string_view endpoint) const -> std::uint32_t;
     // Tokens of prompts that this entry sent to an endpoint and that were not read yet.
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -114,9 +114,11 @@
     auto &target = targets[row.target];
     row.queue = target.queue.queueOf(row.requestClass, row.tier, row.priority);
     if (target.prompts.size() > 0) {
+        const auto own
+            = arrival.promptTokens - std::min(arrival.promptTokens, arrival.sharedTokens);
         target.prompts.arrived({.promptTokens = arrival.promptTokens,
-                                .sharedTokens = arrival.sharedTokens,
-                                .outputTokens = arrival.outputTokens},
+                                .reading = endpoints.paceOf(row.target).timeFor(own),
+                                .betweenTokensTarget = arrival.betweenTokensTarget},
                                now);
     }
     if (target.paces.size() < target.queue.queueCount())
@@ -202,14 +204,26 @@
 auto dispatcher::state::placeWaiting(target_row &target, time_point now, dispatch_actions &actions)
     -> void
 {
+    // Long and short prompts have endpoints of their own, so a class that finds no room leaves the
+    // others of its kind waiting, and only those.
+    const bool hasLanes = target.prompts.size() > 0;
+    std::array<bool, 2> isFull{};
+    std::vector<bool> passed(hasLanes ? target.queue.queueCount() : 0);
     for (;;) {
-        const auto slot = target.queue.next(requests, now);
+        const auto slot = target.queue.next(requests, now, passed);
         if (slot == noIndex)
             return;
-        const auto choice = chooseFor(target, slot, now);
-        if (choice.endpoint == noIndex)
+        const auto &row = requests.at(slot);
+        auto &full = isFull[prompt_placement::isLong(row.promptTokens) ? 1 : 0];
+        const auto choice = full ? placement_choice() : chooseFor(target, slot, now);
+        if (choice.endpoint != noIndex) {
+            place(target, slot, choice, now, actions);
+        } else if (hasLanes) {
+            full = true;
+            passed[row.queue] = true;
+        } else {
             return;
-        place(target, slot, choice, now, actions);
+        }
     }
 }
 
@@ -250,6 +264,7 @@
                      .sharedTokens = row.sharedTokens,
                      .prefixHash = row.prefixHash,
                      .firstTokenTarget = row.firstTokenTarget,
+                     .betweenTokensTarget = row.betweenTokensTarget,
                      .avoid = row.attempt > 0 ? row.endpoint : noIndex};
     auto choice = target.prompts.choose(endpoints, wish, now);
     if (choice.endpoint == noIndex && wish.avoid != noIndex) {
@@ -337,7 +352,8 @@
         = row.promptTokens - std::min(row.promptTokens, isCached ? row.sharedTokens : 0);
     endpoints.promptSent(choice.endpoint, row.unreadTokens);
     const auto &there = endpoints.at(choice.endpoint);
-    row.tokensAhead = there.ownPromptTokens + there.othersPromptTokens;
+    row.tokensAhead
+        = there.ownPromptTokens + static_cast<std::uint32_t>(there.othersPromptTokens);
 }
 
 // Written by hand: this is the costliest part of a placement otherwise.
@@ -359,6 +375,10 @@
         appendNumber(text, endpoints.load(index, now));
         text += '/';
         appendNumber(text, endpoints.window(index));
+        if (!endpoints.at(index).readsPrompts)
+            continue;
+        text += '/';
+        appendNumber(text, static_cast<std::uint32_t>(toMilliseconds(endpoints.promptWait(index))));
     }
     return text;
 }
--- a/packages/policy/endpoint_table.cpp
+++ b/packages/policy/endpoint_table.cpp
@@ -19,10 +19,8 @@
 // Requests sent beyond the window on an old report; they wait in the agent's queue for a place that
 // the report could not show.
 constexpr std::uint32_t staleSlack = 1;
-// The time to a first token that does not depend on the prompt, as tokens of a prompt.
-constexpr double promptOverheadTokens = 4000;
-// Taken before an endpoint has shown its own.
-constexpr double assumedSecondsPerPromptToken = 1e-5;
+// What other entries' prompts make an endpoint read is followed over about this time.
+constexpr double promptFadeSeconds = 2;
 constexpr duration historySpanLength = std::chrono::milliseconds(200);
 
 } // namespace
@@ -53,8 +51,14 @@
     row.id = info.id;
     row.dataCentre = info.dataCentre;
     row.serves = std::move(serves);
+    if (!row.serves.empty())
+        row.pace = row.serves.front();
+    for (const auto target : row.serves)
+        m_paces.resize(std::max<std::size_t>(m_paces.size(), target + 1));
+    m_paces.resize(std::max<std::size_t>(m_paces.size(), 1));
     const auto cold = info.coldConcurrency > 0 ? info.coldConcurrency : unknownWindow;
     row.coldConcurrency = std::min(cold, info.maxConcurrency);
+    row.mostOwn = info.mostOwn;
     row.present = true;
     row.available = info.available;
     row.readsPrompts = info.readsPrompts;
@@ -95,11 +99,20 @@
         row.stoppableBelow[tier - 1] = row.stoppableBelow[tier] + load.stoppable[tier];
     row.window = load.window + (load.age > freshAge ? staleSlack : 0);
     row.reportedAt = now;
-    row.othersPromptTokens = load.othersPromptTokens;
+    followOthersPrompts(row, load.othersPromptTokens, now);
     if (total < load.window && load.age <= freshAge)
         row.busyUntil = {};
 }
 
+// The reports come at any pace, so a new one weighs as much as the time since the last.
+auto endpoint_table::followOthersPrompts(endpoint_row &row, std::uint32_t tokens, time_point now)
+    -> void
+{
+    const auto kept = std::exp(-toSeconds(now - row.othersPromptAt) / promptFadeSeconds);
+    row.othersPromptTokens = tokens + (row.othersPromptTokens - tokens) * kept;
+    row.othersPromptAt = now;
+}
+
 // Fills the spans of time up to now with the present count.
 auto endpoint_table::recordOwn(endpoint_row &row, time_point now) -> void
 {
@@ -156,22 +169,15 @@
     ++row.owing;
 }
 
-auto endpoint_table::promptRead(std::uint32_t index, duration latency, std::uint32_t tokens) -> void
+auto endpoint_table::readingTime(std::uint32_t index, double tokens) const -> duration
 {
-    auto &row = m_rows[index];
-    const auto sample = toSeconds(latency) / (tokens + promptOverheadTokens);
-    row.secondsPerPromptToken
-        = row.secondsPerPromptToken == 0
-              ? sample
-              : row.secondsPerPromptToken + (sample - row.secondsPerPromptToken) * firstTokenWeight;
+    return m_paces[m_rows[index].pace].timeFor(tokens);
 }
 
 auto endpoint_table::promptWait(std::uint32_t index) const -> duration
 {
     const auto &row = m_rows[index];
-    const auto pace
-        = row.secondsPerPromptToken == 0 ? assumedSecondsPerPromptToken : row.secondsPerPromptToken;
-    return fromSeconds(pace * (row.ownPromptTokens + row.othersPromptTokens));
+    return readingTime(index, row.ownPromptTokens + row.othersPromptTokens);
 }
 
 auto endpoint_table::firstToken(std::uint32_t index, duration latency, time_point now) -> void
--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -26,6 +26,7 @@
 #include "policy/durations.h"
 #include "policy/name_table.h"
 #include "policy/random.h"
+#include "policy/reading_pace.h"
 #include "policy/retry_budget.h"
 #include "policy/token_bucket.h"
 
@@ -39,6 +40,8 @@
     std::vector<std::uint32_t> serves;
     // The window before the first report.
     std::uint32_t coldConcurrency = 1;
+    // Bound on `own`; 0 for none.
+    std::uint32_t mostOwn = 0;
     bool present = false;
     bool available = false;
 
@@ -73,11 +76,14 @@
     time_point busyUntil{};
 
     bool readsPrompts = false;
+    // The number of its reading pace: that of the first model or service that it serves or served.
+    std::uint32_t pace = 0;
     // Tokens of prompts there that were not read yet, by the first tokens that are owed.
     std::uint32_t ownPromptTokens = 0;
-    std::uint32_t othersPromptTokens = 0;
-    // Time to read one token of a prompt; 0 before the first.
-    double secondsPerPromptToken = 0;
+    // Of other entries: a mean of what was told lately, since each report is as old as a prompt is
+    // long.
+    double othersPromptTokens = 0;
+    time_point othersPromptAt{};
 
     // While it is cold, requests are sent at a rate of their own.
     time_point coldUntil{};
@@ -116,7 +122,17 @@
         m_rows[index].ownPromptTokens -= std::min(m_rows[index].ownPromptTokens, tokens);
     }
     // The first token of a request came `latency` after it was sent, behind so many prompt tokens.
-    auto promptRead(std::uint32_t index, duration latency, std::uint32_t tokens) -> void;
+    auto promptRead(std::uint32_t index, duration latency, std::uint32_t tokens) -> void
+    {
+        m_paces[m_rows[index].pace].firstToken(latency, tokens);
+    }
+    // How fast the endpoints of a model or service read, by its number; it must have one.
+    [[nodiscard]] auto paceOf(std::uint32_t target) const -> const reading_pace &
+    {
+        return m_paces[target];
+    }
+    // Time in which it reads so many tokens of prompts.
+    [[nodiscard]] auto readingTime(std::uint32_t index, double tokens) const -> duration;
     // Time until the prompts that were sent there are read.
     [[nodiscard]] auto promptWait(std::uint32_t index) const -> duration;
 
@@ -133,7 +149,13 @@
     [[nodiscard]] auto window(std::uint32_t index) const -> std::uint32_t;
     [[nodiscard]] auto hasRoom(std::uint32_t index, time_point now) const -> bool
     {
-        return load(index, now) < window(index);
+        return load(index, now) < window(index) && isWithinOwn(index);
+    }
+    // This entry may send one more there, whatever others have.
+    [[nodiscard]] auto isWithinOwn(std::uint32_t index) const -> bool
+    {
+        const auto &row = m_rows[index];
+        return row.mostOwn == 0 || row.own < row.mostOwn;
     }
     // Requests there of a lower tier than `tier` that can make way: those of this entry, or those
     // of all entries that a fresh report calls stoppable, whichever are more.
@@ -161,6 +183,8 @@
 
 private:
     auto freeRow() -> std::uint32_t;
+    static auto followOthersPrompts(endpoint_row &row, std::uint32_t tokens, time_point now)
+        -> void;
     static auto recordOwn(endpoint_row &row, time_point now) -> void;
     [[nodiscard]] static auto ownAt(const endpoint_row &row, time_point when) -> std::uint32_t;
 
@@ -175,6 +199,8 @@
     std::vector<endpoint_row> m_rows;
     std::vector<std::uint32_t> m_removed;
     std::unordered_map<std::string, std::uint32_t> m_indexes;
+    // By the number of the model or service.
+    std::vector<reading_pace> m_paces;
     random_source m_random;
 };
 
--- /dev/null
+++ b/packages/policy/lane_needs.h
@@ -0,0 +1,37 @@
+#pragma once
+
+// What requests ask of the endpoints that read prompts, by lane; entries tell each other these sums
+// so that all divide the endpoints alike (see prompt_placement.h).
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+
+namespace mustardline {
+
+// What the requests of each lane, short prompts first, asked for lately, in seconds of an endpoint.
+struct lane_needs
+{
+    struct lane
+    {
+        double reading = 0;
+        double holding = 0;
+    };
+    std::array<lane, 2> lanes;
+
+    auto operator+=(const lane_needs &other) -> lane_needs &
+    {
+        for (std::size_t at = 0; at < lanes.size(); ++at) {
+            lanes[at].reading += other.lanes[at].reading;
+            lanes[at].holding += other.lanes[at].holding;
+        }
+        return *this;
+    }
+    // Both resources are there at once, so the one that is short counts.
+    [[nodiscard]] auto of(std::size_t lane) const -> double
+    {
+        return std::max(lanes[lane].reading, lanes[lane].holding);
+    }
+};
+
+} // namespace mustardline
--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -42,7 +42,7 @@
 {
     const auto load = endpoints.load(index, now);
     const auto window = endpoints.window(index);
-    if (load >= window || !endpoints.isUsable(index, now))
+    if (!endpoints.hasRoom(index, now) || !endpoints.isUsable(index, now))
         return false;
     return wish.reserve == 0 || load + reserveAt(index, wish.reserve) < window;
 }
@@ -168,7 +168,8 @@
             const auto window = endpoints.window(item.index);
             const auto over = load > window ? load - window : 0;
             if (endpoints.yieldingBelow(item.index, wish.tier, now) <= over
-                || item.index == wish.avoid || !endpoints.isUsable(item.index, now))
+                || item.index == wish.avoid || !endpoints.isUsable(item.index, now)
+                || !endpoints.isWithinOwn(item.index))
                 continue;
             const auto placedAt = endpoints.newestOfLowest(item.index);
             if (choice.endpoint != noIndex && placedAt <= newest)
--- a/packages/policy/prompt_placement.cpp
+++ b/packages/policy/prompt_placement.cpp
@@ -14,15 +14,17 @@
 // Groups that a request tries before it waits.
 constexpr std::size_t triedGroups = 3;
 constexpr std::uint32_t hashBits = 64;
-// A token that is generated costs about as much of an endpoint as so many of a prompt: a step makes
-// one for each of some forty requests in the time in which it reads several hundred.
-constexpr double promptTokensPerOutput = 12;
 // The part of its first-token target that a request may wait for prompts before it at the endpoint
 // that has its prefix, and at the others of its lane.
 constexpr double warmWaitPart = 0.65;
 constexpr double laneWaitPart = 0.6;
-// The work of the lanes is followed over about this time.
-constexpr double workFadeSeconds = 20;
+// The part of a pause that reading prompts may fill; the steps of the event itself fill the rest.
+constexpr double pauseReadingPart = 0.5;
+// What the lanes need is followed over about this time.
+constexpr double needFadeSeconds = 20;
+constexpr double heldWeight = 0.05; // of a new sample
+// The part of its time that an endpoint is filled on average; above it requests wait for long.
+constexpr double fillable = 0.6;
 // The long lane's size changes once the work is so much of one endpoint's part away from it.
 constexpr double laneHysteresis = 0.7;
 
@@ -65,25 +67,49 @@
 
 auto prompt_placement::arrived(const prompt_work &work, time_point now) -> void
 {
-    const auto fade = std::exp(-toSeconds(now - m_workAt) / workFadeSeconds);
-    m_workAt = now;
-    m_longWork *= fade;
-    m_shortWork *= fade;
-    const auto read = work.promptTokens - std::min(work.promptTokens, work.sharedTokens);
-    const auto tokens = read + work.outputTokens * promptTokensPerOutput;
-    (work.promptTokens >= longPromptTokens ? m_longWork : m_shortWork) += tokens;
+    const auto fade = std::exp(-toSeconds(now - m_needsAt) / needFadeSeconds);
+    m_needsAt = now;
+    for (auto &lane : m_own.lanes) {
+        lane.reading *= fade;
+        lane.holding *= fade;
+    }
+    const auto number = isLong(work.promptTokens) ? 1U : 0U;
+    m_own.lanes[number].reading += toSeconds(work.reading);
+    m_own.lanes[number].holding += m_heldByOne[number];
+    const bool isOld = toSeconds(now - m_pauseAt) > needFadeSeconds;
+    const auto pause = work.betweenTokensTarget;
+    if (pause.count() > 0 && (m_shortestPause.count() == 0 || pause <= m_shortestPause || isOld)) {
+        m_shortestPause = pause;
+        m_pauseAt = now;
+    }
     resizeLanes();
 }
 
+auto prompt_placement::ended(std::uint32_t promptTokens, duration held, std::uint32_t window)
+    -> void
+{
+    auto &mean = m_heldByOne[isLong(promptTokens) ? 1 : 0];
+    const auto sample = toSeconds(held) / std::max(window, 1U);
+    mean = mean == 0 ? sample : mean + (sample - mean) * heldWeight;
+}
+
 auto prompt_placement::resizeLanes() -> void
 {
     const auto count = m_members.size();
-    const auto work = m_longWork + m_shortWork;
-    if (count < 2 || work == 0) {
+    auto needs = m_own;
+    needs += m_others;
+    const auto shortNeed = needs.of(0) / (needFadeSeconds * fillable);
+    const auto longNeed = needs.of(1) / (needFadeSeconds * fillable);
+    if (count < 2 || shortNeed + longNeed == 0) {
         m_longLane = count / 2;
         return;
     }
-    const auto wanted = m_longWork / work * static_cast<double>(count);
+    const auto endpoints = static_cast<double>(count);
+    const auto scale = std::min(1.0, endpoints / (shortNeed + longNeed));
+    const auto spare = endpoints - (shortNeed + longNeed) * scale;
+    const auto spareForLong
+        = std::sqrt(longNeed) / (std::sqrt(longNeed) + std::sqrt(shortNeed));
+    const auto wanted = longNeed * scale + spare * spareForLong;
     if (std::abs(wanted - static_cast<double>(m_longLane)) > laneHysteresis)
         m_longLane = static_cast<std::size_t>(std::lround(wanted));
     m_longLane = std::clamp<std::size_t>(m_longLane, 1, count - 1);
@@ -101,14 +127,14 @@
     return {startOf(number), end};
 }
 
-auto prompt_placement::laneOf(std::span<const member> group, const prompt_wish &wish) const
-    -> std::span<const member>
+auto prompt_placement::lanesOf(std::span<const member> group) const
+    -> std::array<std::span<const member>, laneCount>
 {
     if (group.size() < 2)
-        return group;
+        return {group, group};
     const auto wanted = m_longLane * group.size() / m_members.size();
     const auto longLane = std::clamp<std::size_t>(wanted, 1, group.size() - 1);
-    return wish.promptTokens >= longPromptTokens ? group.first(longLane) : group.subspan(longLane);
+    return {group.subspan(longLane), group.first(longLane)};
 }
 
 auto prompt_placement::choose(const endpoint_table &endpoints, const prompt_wish &wish,
@@ -128,22 +154,41 @@
 auto prompt_placement::chooseIn(std::span<const member> group, const endpoint_table &endpoints,
                                 const prompt_wish &wish, time_point now) const -> placement_choice
 {
-    const auto lane = laneOf(group, wish);
-    if (wish.prefixHash != 0) {
-        auto choice = chooseWarm(lane, endpoints, wish, now);
-        if (choice.endpoint != noIndex)
-            return choice;
-    }
-    auto choice = chooseShortest(lane, endpoints, wish, now);
+    const auto lanes = lanesOf(group);
+    const std::size_t own = isLong(wish.promptTokens) ? 1 : 0;
+    placement_choice warm;
+    if (wish.prefixHash != 0)
+        warm = chooseWarm(lanes[own], endpoints, wish, now);
+    if (warm.endpoint != noIndex)
+        return warm;
+    auto choice = chooseShortest(lanes[own], endpoints, wish, now);
+    choice.reason = "lane";
     const auto bound = scaled(wish.firstTokenTarget, laneWaitPart);
-    if (choice.endpoint != noIndex && endpoints.promptWait(choice.endpoint) <= bound) {
-        choice.reason = "lane";
-        return choice;
-    }
-    const auto other = chooseShortest(group, endpoints, wish, now);
-    if (other.endpoint != noIndex)
-        choice.endpoint = other.endpoint;
+    if (choice.endpoint == noIndex || endpoints.promptWait(choice.endpoint) > bound)
+        choice = chooseGuest(lanes[1 - own], endpoints, wish, now);
+    // The log tells first why none of those was taken that may have its parts.
+    for (std::uint32_t at = 0; at < choice.consideredCount; ++at)
+        warm.consider(choice.considered[at]);
+    warm.endpoint = choice.endpoint;
+    warm.reason = choice.reason;
+    return warm;
+}
+
+auto prompt_placement::chooseGuest(std::span<const member> lane, const endpoint_table &endpoints,
+                                   const prompt_wish &wish, time_point now) const
+    -> placement_choice
+{
+    auto choice = chooseShortest(lane, endpoints, wish, now);
     choice.reason = "other_lane";
+    if (choice.endpoint == noIndex)
+        return choice;
+    const auto wait = endpoints.promptWait(choice.endpoint);
+    const auto reading = wait + endpoints.readingTime(choice.endpoint, wish.promptTokens);
+    const bool isInTime = wait <= scaled(wish.firstTokenTarget, laneWaitPart);
+    const bool isBorne = m_shortestPause.count() == 0
+                         || reading <= scaled(m_shortestPause, pauseReadingPart);
+    if (!isInTime || !isBorne)
+        choice.endpoint = noIndex;
     return choice;
 }
 
--- a/packages/policy/target_queue.cpp
+++ b/packages/policy/target_queue.cpp
@@ -91,12 +91,13 @@
     return now - oldest.arrivedAt < target / 2;
 }
 
-auto target_queue::next(const request_table &requests, time_point now) const -> std::uint32_t
+auto target_queue::next(const request_table &requests, time_point now,
+                        const std::vector<bool> &passed) const -> std::uint32_t
 {
     std::uint32_t first = noIndex;
     for (const auto number : m_order) {
         const auto &row = m_classes[number];
-        if (row.queue.empty())
+        if (row.queue.empty() || (number < passed.size() && passed[number]))
             continue;
         if (first == noIndex)
             first = number;
--- a/packages/policy/target_queue.h
+++ b/packages/policy/target_queue.h
@@ -50,8 +50,10 @@
     auto pushFront(request_table &requests, std::uint32_t slot, time_point now) -> void;
     auto remove(request_table &requests, std::uint32_t slot) -> void;
 
-    // The request to place next, or noIndex.
-    [[nodiscard]] auto next(const request_table &requests, time_point now) const -> std::uint32_t;
+    // The request to place next, or noIndex. Classes marked in `passed`, by their numbers, are left
+    // out; a vector that is too short marks none beyond its end.
+    [[nodiscard]] auto next(const request_table &requests, time_point now,
+                            const std::vector<bool> &passed = {}) const -> std::uint32_t;
     auto start(request_table &requests, std::uint32_t slot, std::uint32_t tokens, time_point now)
         -> void;
     auto finish(const request_row &row, std::uint32_t usedTokens) -> void;
--- a/packages/policy/testing/dispatcher_test.cpp
+++ b/packages/policy/testing/dispatcher_test.cpp
@@ -57,6 +57,57 @@
     EXPECT_EQ(m_core.inFlightCount(), 1U);
 }
 
+// Load pattern: many entries share an endpoint with many places and few connections for each.
+TEST_F(DispatcherTest, aBoundOnItsOwnRequestsIsNoBoundOnThoseOfOthers)
+{
+    constexpr std::uint32_t places = 10;
+    m_core.setEndpoint({.id = "a",
+                        .serves = {"model"},
+                        .maxConcurrency = places,
+                        .coldConcurrency = places,
+                        .mostOwn = 2},
+                       m_clock.now());
+    m_core.reportLoad("a", {.running = 5, .window = places}, m_clock.now());
+    arrive(1);
+    arrive(2);
+    EXPECT_EQ(m_core.inFlightCount(), 2U) << "others hold more than this one may";
+    arrive(3);
+    EXPECT_EQ(m_core.inFlightCount(), 2U);
+}
+
+// Load pattern: long prompts fill their lane while short ones come.
+TEST_F(DispatcherTest, aFullLaneHoldsUpOnlyItsOwnPrompts)
+{
+    for (const auto *id : {"a", "b", "c", "d"}) {
+        m_core.setEndpoint({.id = id,
+                            .serves = {"model"},
+                            .maxConcurrency = 2,
+                            .coldConcurrency = 2,
+                            .readsPrompts = true},
+                           m_clock.now());
+    }
+    const auto arriveOf = [this](std::uint64_t request, std::uint32_t tier, std::uint32_t tokens) {
+        m_actions.clear();
+        m_core.arrive({.request = request,
+                       .requestClass = tokens > 1000 ? "long" : "short",
+                       .target = "model",
+                       .tier = tier,
+                       .firstTokenTarget = 1s,
+                       .betweenTokensTarget = 100ms,
+                       .deadline = 60s,
+                       .wantedLate = true,
+                       .promptTokens = tokens},
+                      m_clock.now(), m_actions);
+    };
+    constexpr std::uint32_t longPrompt = 50'000;
+    std::uint64_t request = 0;
+    while (m_core.queuedCount() == 0 && request < 20)
+        arriveOf(++request, 1, longPrompt);
+    ASSERT_EQ(m_core.queuedCount(), 1U) << "the lane of long prompts is full";
+    arriveOf(++request, 6, 100);
+    EXPECT_NE(only<place_action>(), nullptr) << "no other prompt makes the higher tier wait";
+}
+
 TEST_F(DispatcherTest, refusesAtOnceWithoutAnEndpoint)
 {
     arrive(1);
--- a/packages/policy/token_bucket.h
+++ b/packages/policy/token_bucket.h
@@ -23,7 +23,7 @@
 class token_bucket
 {
 public:
-    // Starts full; a changed rate keeps what is in the bucket.
+    // Starts full; a changed rate keeps what is in the bucket. Without a rate it is empty.
     auto configure(token_bucket_options options, time_point now) -> void
     {
         if (options.perSecond == m_options.perSecond && options.burst == m_options.burst)
@@ -32,6 +32,8 @@
         refill(now);
         m_options = options;
         m_tokens = isNew ? options.burst : std::min(m_tokens, options.burst);
+        if (options.perSecond == 0)
+            m_tokens = 0;
         m_refilledAt = now;
     }
 
