--- a/packages/policy/dispatcher_waits.cpp
+++ b/packages/policy/dispatcher_waits.cpp
@@ -73,14 +73,18 @@
     return fromSeconds((ahead - supply.atOnce + 1) / supply.perSecond);
 }
 
-// `ok` if a request that waits for `wait` more can still be in time for its targets.
+// `ok` if a request that waits for `wait` more can still be in time for its targets. One that is
+// wanted late as well may miss its first token's, unless it keeps others waiting that could be in
+// time.
 auto dispatcher::state::lateness(const request_row &row, duration wait, time_point now) const
     -> result_code
 {
     const auto &pace = targets[row.target].paces[row.queue];
     const auto placedAt = now + wait;
     const auto firstToken = fromSeconds(pace.firstTokenSeconds());
-    if (row.firstTokenTarget.count() > 0 && !row.wantedLate
+    const bool mayBeLate
+        = row.wantedLate && targets[row.target].queue.queue(row.queue).size() <= 1;
+    if (row.firstTokenTarget.count() > 0 && !mayBeLate
         && placedAt + firstToken > row.arrivedAt + scaled(row.firstTokenTarget, targetPart))
         return result_code::overloaded;
     const auto tokens = sizes.quantile(row.requestClass, row.account, sizeQuantile);
--- a/packages/policy/prompt_placement.cpp
+++ b/packages/policy/prompt_placement.cpp
@@ -35,6 +35,14 @@
     return value ^ (value >> 31U);
 }
 
+// Until the parts that others share would be read at an endpoint that does not have them: what they
+// cost counts against the choice, since all that wait there wait for them too.
+auto coldWait(const endpoint_table &endpoints, std::uint32_t index, const prompt_wish &wish)
+    -> duration
+{
+    return endpoints.promptWait(index) + endpoints.readingTime(index, wish.sharedTokens);
+}
+
 auto fits(const endpoint_table &endpoints, std::uint32_t index, time_point now) -> bool
 {
     return endpoints.isUsable(index, now) && endpoints.hasRoom(index, now);
@@ -164,7 +172,7 @@
     auto choice = chooseShortest(lanes[own], endpoints, wish, now);
     choice.reason = "lane";
     const auto bound = scaled(wish.firstTokenTarget, laneWaitPart);
-    if (choice.endpoint == noIndex || endpoints.promptWait(choice.endpoint) > bound)
+    if (choice.endpoint == noIndex || coldWait(endpoints, choice.endpoint, wish) > bound)
         choice = chooseGuest(lanes[1 - own], endpoints, wish, now);
     // The log tells first why none of those was taken that may have its parts.
     for (std::uint32_t at = 0; at < choice.consideredCount; ++at)
@@ -214,7 +222,9 @@
         if (best == noIndex)
             return choice;
         choice.consider(best);
-        if (endpoints.promptWait(best) <= bound) {
+        const auto wait
+            = turn == 0 ? endpoints.promptWait(best) : coldWait(endpoints, best, wish);
+        if (wait <= bound) {
             choice.endpoint = best;
             choice.reason = turn == 0 ? "prefix" : "prefix_second";
             return choice;
--- a/packages/policy/prompt_placement.h
+++ b/packages/policy/prompt_placement.h
@@ -7,8 +7,9 @@
 //
 // - Many requests share parts of their prompts. Requests with the same shared parts go to the same
 //   endpoint, chosen by rendezvous hashing, so that each part is read once in the fleet and all
-//   entries choose alike without talk. The next one in that order takes over while the first has
-//   more prompt tokens to read than a request can wait for.
+//   entries choose alike without talk. Another one takes over while the first has more prompt
+//   tokens to read than a request can wait for, and only if it could read the shared parts as well
+//   in that time: else a burst makes all endpoints read all parts, and none is in time.
 // - A burst of long prompts. They delay every answer that runs beside them, so they are kept to
 //   some of the endpoints (`lanes`). Each lane has the endpoints that it needs, to read its prompts
 //   or for the places that they hold, whichever are more. What is left over is divided by the
