--- a/packages/policy/lane_needs.h
+++ b/packages/policy/lane_needs.h
@@ -27,11 +27,18 @@
         }
         return *this;
     }
-    // Both resources are there at once, so the one that is short counts.
+    // The time of endpoints that a lane needs. Both resources are there at once, so the one that is
+    // short counts.
     [[nodiscard]] auto of(std::size_t lane) const -> double
     {
-        return std::max(lanes[lane].reading, lanes[lane].holding);
+        return std::max(lanes[lane].reading / readingFill, lanes[lane].holding / holdingFill);
     }
+
+private:
+    // The part of its time that an endpoint reads at most, for prompts not to wait for long.
+    static constexpr double readingFill = 0.6;
+    // The part of its places that is held at most: all answers slow down as places fill.
+    static constexpr double holdingFill = 0.35;
 };
 
 } // namespace mustardline
--- a/packages/policy/prompt_placement.cpp
+++ b/packages/policy/prompt_placement.cpp
@@ -23,8 +23,6 @@
 // What the lanes need is followed over about this time.
 constexpr double needFadeSeconds = 20;
 constexpr double heldWeight = 0.05; // of a new sample
-// The part of its time that an endpoint is filled on average; above it requests wait for long.
-constexpr double fillable = 0.6;
 // The long lane's size changes once the work is so much of one endpoint's part away from it.
 constexpr double laneHysteresis = 0.7;
 
@@ -106,8 +104,8 @@
     const auto count = m_members.size();
     auto needs = m_own;
     needs += m_others;
-    const auto shortNeed = needs.of(0) / (needFadeSeconds * fillable);
-    const auto longNeed = needs.of(1) / (needFadeSeconds * fillable);
+    const auto shortNeed = needs.of(0) / needFadeSeconds;
+    const auto longNeed = needs.of(1) / needFadeSeconds;
     if (count < 2 || shortNeed + longNeed == 0) {
         m_longLane = count / 2;
         return;
