Heed endpoints that say in an answer that they leave or want a pause

New rules of the wire. `Server-Leaving` in an answer takes the endpoint out until it starts anew or registers as ready after leaving; 503 with `Retry-After` leaves it alone for that time, whatever reports of its load say. What others know of a pause is not passed on to them: the rule counts each edge alone.

--- a/packages/forwarding/endpoint_directory.cpp
+++ b/packages/forwarding/endpoint_directory.cpp
@@ -18,6 +18,8 @@
         = isNew || isRestart || entry.withdrawnUntil || !(entry.registration == registration);
     if (isRestart)
         entry.replaced = false;
+    if (isRestart || (registration.ready && !entry.registration.ready))
+        entry.leaving = false;
     entry.withdrawnUntil.reset();
     if (changes)
         m_changed.insert(registration.id);
@@ -58,6 +60,15 @@
     m_changed.insert(known->first);
 }
 
+auto endpoint_directory::saidItLeaves(std::string_view id) -> bool
+{
+    const auto known = m_entries.find(id);
+    if (known == m_entries.end() || std::exchange(known->second.leaving, true))
+        return false;
+    m_changed.insert(known->first);
+    return true;
+}
+
 auto endpoint_directory::setEvacuated(std::set<std::string, std::less<>> dataCentres) -> void
 {
     for (const auto &[id, entry] : m_entries) {
@@ -87,7 +98,7 @@
 
 auto endpoint_directory::isUsable(const endpoint_entry &entry) const -> bool
 {
-    return entry.registration.ready && !entry.replaced
+    return entry.registration.ready && !entry.replaced && !entry.leaving
            && !m_evacuated.contains(entry.registration.dataCentre);
 }
 
--- a/packages/forwarding/endpoint_directory.h
+++ b/packages/forwarding/endpoint_directory.h
@@ -56,6 +56,8 @@
     std::optional<time_point> withdrawnUntil;
     // An answer from its address named another endpoint.
     bool replaced = false;
+    // An answer of its own said that it takes no new work.
+    bool leaving = false;
 };
 
 struct endpoint_directory_options
@@ -85,6 +87,9 @@
 
     // Another endpoint has that address now.
     auto addressTaken(std::string_view id) -> void;
+    // The endpoint said in an answer that it leaves; that holds until it starts anew, or registers
+    // as ready after it had registered as leaving. False if that was known.
+    auto saidItLeaves(std::string_view id) -> bool;
 
     auto setEvacuated(std::set<std::string, std::less<>> dataCentres) -> void;
 
--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -46,15 +46,21 @@
 inline constexpr log_event knowledgeAsked{5027, "knowledge_asked", log_level::info,
                                           "Another edge was asked for what the log holds."};
 
+inline constexpr log_event endpointLeaves{5028, "endpoint_leaves", log_level::info,
+                                          "An endpoint's answer says that it will end."};
+inline constexpr log_event endpointPauses{5029, "endpoint_pauses", log_level::info,
+                                          "An endpoint wants no requests for a time."};
+
 inline constexpr log_event dutyClaimed{5030, "duty_claimed", log_level::info,
                                        "The log decided on a claim to a duty."};
 inline constexpr log_event usageWindowReported{5031, "usage_window_reported", log_level::info,
                                                "A usage window was reported to the platform."};
 
 inline constexpr auto forwardingEvents = std::to_array<log_event>(
-    {edgeStarted, edgeReady, edgeStopping, edgeStopped, edgeFailed, settingsReloaded, forwardPlaced,
-     forwardEnded, forwardRetried, configurationInForce, recordMalformed, endpointChanged,
-     evacuationChanged, logServiceLost, logServiceBack, logHistoryLost, knowledgeAsked, dutyClaimed,
+    {edgeStarted,        edgeReady,       edgeStopping,      edgeStopped,    edgeFailed,
+     settingsReloaded,   forwardPlaced,   forwardEnded,      forwardRetried, configurationInForce,
+     recordMalformed,    endpointChanged, evacuationChanged, logServiceLost, logServiceBack,
+     logHistoryLost,     knowledgeAsked,  endpointLeaves,    endpointPauses, dutyClaimed,
      usageWindowReported});
 
 } // namespace mustardline
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -288,8 +288,7 @@
     request->endpoint = action.endpoint;
     m_log.write(forwardPlaced, field("request", request->id), field("attempt", action.attempt),
                 field("route", request->route->name), field("service", request->service),
-                field("priority", request->priority),
-                field("urgency", request->urgency),
+                field("priority", request->priority), field("urgency", request->urgency),
                 field("endpoint", action.endpoint), field("reason", action.reason),
                 field("considered", action.considered),
                 field("heard_ms", toMilliseconds(m_clock.now() - m_directory.heardAt())),
@@ -312,8 +311,8 @@
                        .value = fmt::format("{}", std::max<std::int64_t>(left, 1))});
     headers.push_back({.name = m_options.names.expectEndpoint, .value = endpoint.registration.id});
     if (request.route->kind == route_kind::stream) {
-        headers.push_back({.name = m_options.names.priority,
-                           .value = fmt::format("{}", request.urgency)});
+        headers.push_back(
+            {.name = m_options.names.priority, .value = fmt::format("{}", request.urgency)});
     }
     return headers;
 }
@@ -356,7 +355,8 @@
     if (request == nullptr)
         return;
     request->call.cancel();
-    if (request->sends > 0) {
+    // What endpoints turned away has not run, however often it was sent.
+    if (request->inFlight || request->mayHaveRun) {
         fail(*request, {.code = result_code::deadline_exceeded});
     } else {
         fail(*request, {.code = result_code::deadline_unmeetable, .retryAfter = defaultRetryAfter});
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -112,6 +112,7 @@
                                   const endpoint_entry &endpoint) const -> std::vector<http_header>;
 
     auto answered(std::uint64_t number, const http_answer &answer) -> void;
+    auto heardOfEndpoint(const forward_request &request, const http_answer &answer) -> void;
     auto received(std::uint64_t number, std::string_view data) -> void;
     auto ended(std::uint64_t number, const http_outcome &outcome) -> void;
     auto endedWhole(forward_request &request) -> void;
--- a/packages/forwarding/forward_router_answers.cpp
+++ b/packages/forwarding/forward_router_answers.cpp
@@ -1,9 +1,11 @@
 // What becomes of a request that was sent to an endpoint: its answer, its loss, its silence.
 
+#include <charconv>
 #include <utility>
 
 #include "forwarding/events.h"
 #include "forwarding/forward_router.h"
+#include "policy/durations.h"
 
 namespace mustardline {
 
@@ -11,6 +13,9 @@
 
 constexpr int misdirected = 421;
 constexpr int firstFailureStatus = 500;
+constexpr int unavailable = 503;
+// An endpoint that names a longer time is asked again after this one: it may have started anew.
+constexpr duration longestPause = std::chrono::seconds(60);
 constexpr int firstSuccess = 200;
 constexpr int firstRedirect = 300;
 // Between looks at what a slow caller has left unread.
@@ -21,6 +26,17 @@
     return status >= firstSuccess && status < firstRedirect;
 }
 
+// Seconds, with a fraction or without; zero for what is no such number.
+auto readSeconds(std::string_view text) -> duration
+{
+    double seconds = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    const bool isWhole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+    if (!isWhole || !(seconds > 0) || seconds > toSeconds(longestPause))
+        return isWhole && seconds > 0 ? longestPause : duration(0);
+    return fromSeconds(seconds);
+}
+
 } // namespace
 
 auto forward_router::answered(std::uint64_t number, const http_answer &answer) -> void
@@ -37,6 +53,26 @@
           || (isSuccess(answer.status) && findHeader(answer.headers, names.seal).empty());
     if (answer.status == misdirected)
         m_directory.addressTaken(request->endpoint);
+    else
+        heardOfEndpoint(*request, answer);
+}
+
+// What an endpoint's answer says of the endpoint itself.
+auto forward_router::heardOfEndpoint(const forward_request &request, const http_answer &answer)
+    -> void
+{
+    const auto leaving = findHeader(answer.headers, m_options.names.leaving);
+    if (!leaving.empty() && leaving != "0" && m_directory.saidItLeaves(request.endpoint))
+        m_log.write(endpointLeaves, field("request", request.id),
+                    field("endpoint", request.endpoint));
+    if (answer.status != unavailable)
+        return;
+    const auto pause = readSeconds(findHeader(answer.headers, "retry-after"));
+    if (pause.count() == 0)
+        return;
+    m_dispatcher.pauseEndpoint(request.endpoint, m_clock.now() + std::min(pause, longestPause));
+    m_log.write(endpointPauses, field("request", request.id), field("endpoint", request.endpoint),
+                field("pause_ms", toMilliseconds(pause)));
 }
 
 auto forward_router::received(std::uint64_t number, std::string_view data) -> void
@@ -101,6 +137,7 @@
         endedLost(*request, *failure);
     else
         endedWhole(*request);
+    endpointsChanged();
     tick();
 }
 
--- a/packages/forwarding/header_names.h
+++ b/packages/forwarding/header_names.h
@@ -22,6 +22,8 @@
     std::string seal;
     // Stands in answers to requests that were not run.
     std::string notRun;
+    // Stands in all answers of an endpoint that takes no new work because it will end.
+    std::string leaving;
     // 0 to 9, 0 first; set by the system.
     std::string priority;
     // The last event of a stream that the caller has.
--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -85,6 +85,12 @@
         m_state->endpoints.failed(index, now);
 }
 
+auto dispatcher::pauseEndpoint(std::string_view endpoint, time_point until) -> void
+{
+    if (const auto index = m_state->endpoints.find(endpoint); index != noIndex)
+        m_state->endpoints.pause(index, until);
+}
+
 auto dispatcher::prefixCached(std::string_view endpoint, std::uint64_t prefixHash, bool isCached)
     -> void
 {
--- a/packages/policy/dispatcher.h
+++ b/packages/policy/dispatcher.h
@@ -173,6 +173,9 @@
     // The agent could not be reached or did not answer.
     auto reportFailure(std::string_view endpoint, time_point now) -> void;
 
+    // The endpoint wants no requests until then.
+    auto pauseEndpoint(std::string_view endpoint, time_point until) -> void;
+
     // An endpoint's cache event: it holds the prompt prefix of that hash, or does so no longer.
     // Events may be late or missing.
     auto prefixCached(std::string_view endpoint, std::uint64_t prefixHash, bool isCached) -> void;
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -352,8 +352,7 @@
         = row.promptTokens - std::min(row.promptTokens, isCached ? row.sharedTokens : 0);
     endpoints.promptSent(choice.endpoint, row.unreadTokens);
     const auto &there = endpoints.at(choice.endpoint);
-    row.tokensAhead
-        = there.ownPromptTokens + static_cast<std::uint32_t>(there.othersPromptTokens);
+    row.tokensAhead = there.ownPromptTokens + static_cast<std::uint32_t>(there.othersPromptTokens);
 }
 
 // Written by hand: this is the costliest part of a placement otherwise.
@@ -466,9 +465,8 @@
     if (delayed.empty())
         return;
     std::vector<std::uint32_t> ready;
-    std::ranges::copy_if(delayed, std::back_inserter(ready), [&](std::uint32_t slot) {
-        return requests.at(slot).retryAt <= now;
-    });
+    std::ranges::copy_if(delayed, std::back_inserter(ready),
+                         [&](std::uint32_t slot) { return requests.at(slot).retryAt <= now; });
     for (const auto slot : ready) {
         auto &row = requests.at(slot);
         auto &target = targets[row.target];
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -4,8 +4,8 @@
 //
 // A request row is in exactly one place: in its class's queue (waiting), in the list of delayed
 // retries (delayed) or counted at an endpoint (placed); `leave` takes it out of whichever it is in,
-// and `forget` is the only way out of the table. Systems that change the place of a row are the only
-// ones that touch the counters that go with it.
+// and `forget` is the only way out of the table. Systems that change the place of a row are the
+// only ones that touch the counters that go with it.
 
 #include <array>
 #include <span>
--- a/packages/policy/dispatcher_waits.cpp
+++ b/packages/policy/dispatcher_waits.cpp
@@ -82,8 +82,7 @@
     const auto &pace = targets[row.target].paces[row.queue];
     const auto placedAt = now + wait;
     const auto firstToken = fromSeconds(pace.firstTokenSeconds());
-    const bool mayBeLate
-        = row.wantedLate && targets[row.target].queue.queue(row.queue).size() <= 1;
+    const bool mayBeLate = row.wantedLate && targets[row.target].queue.queue(row.queue).size() <= 1;
     if (row.firstTokenTarget.count() > 0 && !mayBeLate
         && placedAt + firstToken > row.arrivedAt + scaled(row.firstTokenTarget, targetPart))
         return result_code::overloaded;
--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -74,6 +74,8 @@
     time_point ejectedUntil{};
     // It refused a request for want of room; it is left alone until then.
     time_point busyUntil{};
+    // It asked to be left alone until then; no report of its load changes that.
+    time_point pausedUntil{};
 
     bool readsPrompts = false;
     // The number of its reading pace: that of the first model or service that it serves or served.
@@ -105,6 +107,10 @@
     auto failed(std::uint32_t index, time_point now) -> void;
     auto busy(std::uint32_t index, time_point now) -> void;
     auto answered(std::uint32_t index) -> void;
+    auto pause(std::uint32_t index, time_point until) -> void
+    {
+        m_rows[index].pausedUntil = std::max(m_rows[index].pausedUntil, until);
+    }
     // True if a failure of this endpoint may be retried elsewhere; counts it.
     auto takeRetry(std::uint32_t index) -> bool { return m_rows[index].retries.take(); }
 
@@ -209,7 +215,7 @@
 inline auto endpoint_table::isUsable(std::uint32_t index, time_point now) const -> bool
 {
     const auto &row = m_rows[index];
-    if (!row.available || now < row.ejectedUntil || now < row.busyUntil)
+    if (!row.available || now < row.ejectedUntil || now < row.busyUntil || now < row.pausedUntil)
         return false;
     if (now < row.coldUntil && !row.coldRate.hasToken(now))
         return false;
--- a/packages/policy/prompt_placement.cpp
+++ b/packages/policy/prompt_placement.cpp
@@ -113,8 +113,7 @@
     const auto endpoints = static_cast<double>(count);
     const auto scale = std::min(1.0, endpoints / (shortNeed + longNeed));
     const auto spare = endpoints - (shortNeed + longNeed) * scale;
-    const auto spareForLong
-        = std::sqrt(longNeed) / (std::sqrt(longNeed) + std::sqrt(shortNeed));
+    const auto spareForLong = std::sqrt(longNeed) / (std::sqrt(longNeed) + std::sqrt(shortNeed));
     const auto wanted = longNeed * scale + spare * spareForLong;
     if (std::abs(wanted - static_cast<double>(m_longLane)) > laneHysteresis)
         m_longLane = static_cast<std::size_t>(std::lround(wanted));
@@ -191,8 +190,8 @@
     const auto wait = endpoints.promptWait(choice.endpoint);
     const auto reading = wait + endpoints.readingTime(choice.endpoint, wish.promptTokens);
     const bool isInTime = wait <= scaled(wish.firstTokenTarget, laneWaitPart);
-    const bool isBorne = m_shortestPause.count() == 0
-                         || reading <= scaled(m_shortestPause, pauseReadingPart);
+    const bool isBorne
+        = m_shortestPause.count() == 0 || reading <= scaled(m_shortestPause, pauseReadingPart);
     if (!isInTime || !isBorne)
         choice.endpoint = noIndex;
     return choice;
@@ -220,8 +219,7 @@
         if (best == noIndex)
             return choice;
         choice.consider(best);
-        const auto wait
-            = turn == 0 ? endpoints.promptWait(best) : coldWait(endpoints, best, wish);
+        const auto wait = turn == 0 ? endpoints.promptWait(best) : coldWait(endpoints, best, wish);
         if (wait <= bound) {
             choice.endpoint = best;
             choice.reason = turn == 0 ? "prefix" : "prefix_second";
--- a/packages/policy/testing/dispatcher_random_test.cpp
+++ b/packages/policy/testing/dispatcher_random_test.cpp
@@ -47,8 +47,8 @@
             break;
         case 5:
             endPlaced([this](auto request) {
-                const auto code = m_random.below(2) == 0 ? result_code::not_run
-                                                         : result_code::endpoint_error;
+                const auto code
+                    = m_random.below(2) == 0 ? result_code::not_run : result_code::endpoint_error;
                 m_live[request].endpoint.clear();
                 m_core.notRun(request, code, m_clock.now(), m_actions);
             });
--- a/packages/policy/testing/prompt_placement_test.cpp
+++ b/packages/policy/testing/prompt_placement_test.cpp
@@ -120,10 +120,9 @@
 // Load pattern: a burst of long prompts beside streams that may pause only briefly.
 TEST_F(PromptPlacementTest, aLongPromptWaitsRatherThanHoldUpStreamsOfTheOtherLane)
 {
-    m_placement.arrived({.promptTokens = 800,
-                         .reading = perToken * 800,
-                         .betweenTokensTarget = milliseconds(200)},
-                        m_now);
+    m_placement.arrived(
+        {.promptTokens = 800, .reading = perToken * 800, .betweenTokensTarget = milliseconds(200)},
+        m_now);
     arrive(12000, 20);
     arrive(800, 30);
     constexpr std::uint32_t farBehind = 1'000'000;
--- a/packages/policy/testing/warm_up_shares_test.cpp
+++ b/packages/policy/testing/warm_up_shares_test.cpp
@@ -38,8 +38,8 @@
         : m_random(seed), m_heardPart(heardPart)
     {
         for (std::uint32_t at = 0; at < count; ++at)
-            m_entries.push_back({.shares = warm_up_shares({.self = entryName(at),
-                                                           .senders = senders})});
+            m_entries.push_back(
+                {.shares = warm_up_shares({.self = entryName(at), .senders = senders})});
         for (std::uint32_t at = 0; at < count; ++at)
             hear(at);
     }
