--- a/packages/forwarding/route_table.cpp
+++ b/packages/forwarding/route_table.cpp
@@ -48,8 +48,7 @@
             m_urgencies.emplace_back(priority.value_or(route.priority), route.priority);
     }
     std::ranges::sort(m_urgencies);
-    const auto repeated = std::ranges::unique(m_urgencies);
-    m_urgencies.erase(repeated.begin(), repeated.end());
+    m_urgencies.erase(std::unique(m_urgencies.begin(), m_urgencies.end()), m_urgencies.end());
 }
 
 auto route_table::urgencyOf(std::uint32_t priority, std::uint32_t routePriority) const
--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -158,8 +158,10 @@
         m_state->endpoints.answered(row.endpoint);
         m_state->sizes.learn(row.requestClass, row.account, completionTokens);
         pace.answered(now - row.placedAt - row.queuedThere);
-        m_state->targets[row.target].prompts.ended(row.promptTokens, now - row.placedAt,
-                                                   m_state->endpoints.window(row.endpoint));
+        if (m_state->endpoints.at(row.endpoint).readsPrompts) {
+            m_state->targets[row.target].prompts.ended(row.promptTokens, now - row.placedAt,
+                                                       m_state->endpoints.window(row.endpoint));
+        }
         if (row.hasFirstToken && completionTokens > 1)
             pace.token(toSeconds(now - row.firstTokenAt) / (completionTokens - 1));
     } else if (isEndpointFailure(code)) {
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -198,32 +198,48 @@
         .retryAfter
         = target.returns.retryAfter(wait, supplyOf(target, row.queue).perSecond, random, now),
         .reason = reason});
-    forget(slot, row.generatedTokens, now);
+    freeRow(slot);
 }
 
 auto dispatcher::state::placeWaiting(target_row &target, time_point now, dispatch_actions &actions)
     -> void
 {
-    // Long and short prompts have endpoints of their own, so a class that finds no room leaves the
-    // others of its kind waiting, and only those.
-    const bool hasLanes = target.prompts.size() > 0;
+    if (target.prompts.size() > 0) {
+        placePrompts(target, now, actions);
+        return;
+    }
+    for (;;) {
+        const auto slot = target.queue.next(requests, now);
+        if (slot == noIndex)
+            return;
+        const auto choice = chooseFor(target, slot, now);
+        if (choice.endpoint == noIndex)
+            return;
+        place(target, slot, choice, now, actions);
+    }
+}
+
+// Long and short prompts have endpoints of their own, so a class that finds no room leaves the
+// others of its kind waiting, and only those.
+auto dispatcher::state::placePrompts(target_row &target, time_point now, dispatch_actions &actions)
+    -> void
+{
     std::array<bool, 2> isFull{};
-    std::vector<bool> passed(hasLanes ? target.queue.queueCount() : 0);
+    std::vector<bool> passed;
     for (;;) {
-        const auto slot = target.queue.next(requests, now, passed);
+        const auto slot = target.queue.nextWithout(passed, requests, now);
         if (slot == noIndex)
             return;
         const auto &row = requests.at(slot);
         auto &full = isFull[prompt_placement::isLong(row.promptTokens) ? 1 : 0];
-        const auto choice = full ? placement_choice() : chooseFor(target, slot, now);
+        const auto choice = full ? placement_choice() : choosePrompt(target, slot, now);
         if (choice.endpoint != noIndex) {
             place(target, slot, choice, now, actions);
-        } else if (hasLanes) {
-            full = true;
-            passed[row.queue] = true;
-        } else {
-            return;
+            continue;
         }
+        full = true;
+        passed.resize(target.queue.queueCount());
+        passed[row.queue] = true;
     }
 }
 
@@ -231,8 +247,6 @@
     -> placement_choice
 {
     const auto &row = requests.at(slot);
-    if (target.prompts.size() > 0)
-        return choosePrompt(target, slot, now);
     const placement_wish wish{
         .tier = row.tier,
         .warm = prefixes.find(row.prefixHash),
@@ -362,6 +376,7 @@
     constexpr std::size_t numbersLength = 24;
     std::string text;
     std::size_t length = 0;
+    const bool readsPrompts = endpoints.at(choice.endpoint).readsPrompts;
     for (std::uint32_t at = 0; at < choice.consideredCount; ++at)
         length += endpoints.at(choice.considered[at]).id.size() + numbersLength;
     text.reserve(length);
@@ -374,10 +389,11 @@
         appendNumber(text, endpoints.load(index, now));
         text += '/';
         appendNumber(text, endpoints.window(index));
-        if (!endpoints.at(index).readsPrompts)
-            continue;
-        text += '/';
-        appendNumber(text, static_cast<std::uint32_t>(toMilliseconds(endpoints.promptWait(index))));
+        if (readsPrompts) {
+            text += '/';
+            appendNumber(text,
+                         static_cast<std::uint32_t>(toMilliseconds(endpoints.promptWait(index))));
+        }
     }
     return text;
 }
@@ -418,6 +434,11 @@
 auto dispatcher::state::forget(std::uint32_t slot, std::uint32_t usedTokens, time_point now) -> void
 {
     leave(slot, usedTokens, now);
+    freeRow(slot);
+}
+
+auto dispatcher::state::freeRow(std::uint32_t slot) -> void
+{
     limits.ended(requests.at(slot).account);
     requests.remove(slot);
 }
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -4,7 +4,7 @@
 //
 // A request row is in exactly one place: in its class's queue (waiting), in the list of delayed
 // retries (delayed) or counted at an endpoint (placed); `leave` takes it out of whichever it is in,
-// and `forget` is the only way out of the table. Systems that change the place of a row are the
+// and comes before its row is freed. Systems that change the place of a row are the
 // only ones that touch the counters that go with it.
 
 #include <array>
@@ -90,6 +90,7 @@
 
     // Placement.
     auto placeWaiting(target_row &target, time_point now, dispatch_actions &actions) -> void;
+    auto placePrompts(target_row &target, time_point now, dispatch_actions &actions) -> void;
     [[nodiscard]] auto chooseFor(target_row &target, std::uint32_t slot, time_point now)
         -> placement_choice;
     [[nodiscard]] auto choosePrompt(target_row &target, std::uint32_t slot, time_point now)
@@ -114,6 +115,8 @@
     // The end of a request: it leaves where it is, and its row is free.
     auto forget(std::uint32_t slot, std::uint32_t usedTokens, time_point now) -> void;
     auto release(std::uint32_t slot, std::uint32_t usedTokens, time_point now) -> void;
+    // Of a request that is in no list.
+    auto freeRow(std::uint32_t slot) -> void;
     auto retry(std::uint32_t slot, result_code code, time_point now, dispatch_actions &actions)
         -> void;
 
--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -40,10 +40,12 @@
     std::vector<std::uint32_t> serves;
     // The window before the first report.
     std::uint32_t coldConcurrency = 1;
-    // Bound on `own`; 0 for none.
-    std::uint32_t mostOwn = 0;
+    // Bound on `own`.
+    std::uint32_t mostOwn = UINT32_MAX;
     bool present = false;
     bool available = false;
+    // It is available, and this entry has not as many requests there as it may.
+    bool isOpen = false;
 
     // Requests of this entry there, in all and by tier.
     std::uint32_t own = 0;
@@ -72,9 +74,9 @@
     // Retries that its failures may cause.
     retry_budget retries;
     time_point ejectedUntil{};
-    // It refused a request for want of room; it is left alone until then.
+    // It refused a request for want of room or asked for a pause; it is left alone until then.
     time_point busyUntil{};
-    // It asked to be left alone until then; no report of its load changes that.
+    // The end of the pause that it asked for, which no report of its load shortens.
     time_point pausedUntil{};
 
     bool readsPrompts = false;
@@ -109,7 +111,9 @@
     auto answered(std::uint32_t index) -> void;
     auto pause(std::uint32_t index, time_point until) -> void
     {
-        m_rows[index].pausedUntil = std::max(m_rows[index].pausedUntil, until);
+        auto &row = m_rows[index];
+        row.pausedUntil = std::max(row.pausedUntil, until);
+        row.busyUntil = std::max(row.busyUntil, until);
     }
     // True if a failure of this endpoint may be retried elsewhere; counts it.
     auto takeRetry(std::uint32_t index) -> bool { return m_rows[index].retries.take(); }
@@ -148,20 +152,26 @@
         const auto &row = m_rows[index];
         return row.available && row.failures == 0 && now >= row.ejectedUntil;
     }
-    // May be sent a request at all, whether or not it has room.
-    [[nodiscard]] auto isUsable(std::uint32_t index, time_point now) const -> bool;
+    // May be sent a request by this entry, whether or not it has room.
+    [[nodiscard]] auto isUsable(std::uint32_t index, time_point now) const -> bool
+    {
+        return isUsable(m_rows[index], now);
+    }
+    [[nodiscard]] static auto isUsable(const endpoint_row &row, time_point now) -> bool;
     // Requests there, as far as is known.
-    [[nodiscard]] auto load(std::uint32_t index, time_point now) const -> std::uint32_t;
-    [[nodiscard]] auto window(std::uint32_t index) const -> std::uint32_t;
-    [[nodiscard]] auto hasRoom(std::uint32_t index, time_point now) const -> bool
+    [[nodiscard]] auto load(std::uint32_t index, time_point now) const -> std::uint32_t
     {
-        return load(index, now) < window(index) && isWithinOwn(index);
+        return load(m_rows[index], now);
     }
-    // This entry may send one more there, whatever others have.
-    [[nodiscard]] auto isWithinOwn(std::uint32_t index) const -> bool
+    [[nodiscard]] static auto load(const endpoint_row &row, time_point now) -> std::uint32_t;
+    [[nodiscard]] auto window(std::uint32_t index) const -> std::uint32_t
     {
-        const auto &row = m_rows[index];
-        return row.mostOwn == 0 || row.own < row.mostOwn;
+        return window(m_rows[index]);
+    }
+    [[nodiscard]] static auto window(const endpoint_row &row) -> std::uint32_t;
+    [[nodiscard]] auto hasRoom(std::uint32_t index, time_point now) const -> bool
+    {
+        return load(index, now) < window(index);
     }
     // Requests there of a lower tier than `tier` that can make way: those of this entry, or those
     // of all entries that a fresh report calls stoppable, whichever are more.
@@ -191,6 +201,10 @@
     auto freeRow() -> std::uint32_t;
     static auto followOthersPrompts(endpoint_row &row, std::uint32_t tokens, time_point now)
         -> void;
+    static auto countsChanged(endpoint_row &row) -> void
+    {
+        row.isOpen = row.available && row.own < row.mostOwn;
+    }
     static auto recordOwn(endpoint_row &row, time_point now) -> void;
     [[nodiscard]] static auto ownAt(const endpoint_row &row, time_point when) -> std::uint32_t;
 
@@ -212,10 +226,9 @@
 
 // The checks that every choice makes of every member of a subset are inlined.
 
-inline auto endpoint_table::isUsable(std::uint32_t index, time_point now) const -> bool
+inline auto endpoint_table::isUsable(const endpoint_row &row, time_point now) -> bool
 {
-    const auto &row = m_rows[index];
-    if (!row.available || now < row.ejectedUntil || now < row.busyUntil || now < row.pausedUntil)
+    if (!row.isOpen || now < row.ejectedUntil || now < row.busyUntil)
         return false;
     if (now < row.coldUntil && !row.coldRate.hasToken(now))
         return false;
@@ -228,9 +241,8 @@
     return now - row.owingSince < std::max(stalled, shortestStall);
 }
 
-inline auto endpoint_table::load(std::uint32_t index, time_point now) const -> std::uint32_t
+inline auto endpoint_table::load(const endpoint_row &row, time_point now) -> std::uint32_t
 {
-    const auto &row = m_rows[index];
     const auto age = now - row.reportedAt;
     const auto others = row.othersCount;
     if (age < reportFreshness)
@@ -240,9 +252,8 @@
     return row.own;
 }
 
-inline auto endpoint_table::window(std::uint32_t index) const -> std::uint32_t
+inline auto endpoint_table::window(const endpoint_row &row) -> std::uint32_t
 {
-    const auto &row = m_rows[index];
     return row.window == 0 ? row.coldConcurrency : row.window;
 }
 
--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -40,9 +40,10 @@
 auto fits(const endpoint_table &endpoints, std::uint32_t index, const placement_wish &wish,
           time_point now) -> bool
 {
-    const auto load = endpoints.load(index, now);
-    const auto window = endpoints.window(index);
-    if (!endpoints.hasRoom(index, now) || !endpoints.isUsable(index, now))
+    const auto &row = endpoints.at(index);
+    const auto load = endpoint_table::load(row, now);
+    const auto window = endpoint_table::window(row);
+    if (load >= window || !endpoint_table::isUsable(row, now))
         return false;
     return wish.reserve == 0 || load + reserveAt(index, wish.reserve) < window;
 }
@@ -168,8 +169,7 @@
             const auto window = endpoints.window(item.index);
             const auto over = load > window ? load - window : 0;
             if (endpoints.yieldingBelow(item.index, wish.tier, now) <= over
-                || item.index == wish.avoid || !endpoints.isUsable(item.index, now)
-                || !endpoints.isWithinOwn(item.index))
+                || item.index == wish.avoid || !endpoints.isUsable(item.index, now))
                 continue;
             const auto placedAt = endpoints.newestOfLowest(item.index);
             if (choice.endpoint != noIndex && placedAt <= newest)
--- a/packages/policy/target_queue.cpp
+++ b/packages/policy/target_queue.cpp
@@ -91,13 +91,27 @@
     return now - oldest.arrivedAt < target / 2;
 }
 
-auto target_queue::next(const request_table &requests, time_point now,
-                        const std::vector<bool> &passed) const -> std::uint32_t
+auto target_queue::next(const request_table &requests, time_point now) const -> std::uint32_t
+{
+    return nextOf(requests, now, [](std::uint32_t) { return false; });
+}
+
+auto target_queue::nextWithout(const std::vector<bool> &passed, const request_table &requests,
+                               time_point now) const -> std::uint32_t
+{
+    return nextOf(requests, now, [&passed](std::uint32_t number) {
+        return number < passed.size() && passed[number];
+    });
+}
+
+template<class IsPassed>
+auto target_queue::nextOf(const request_table &requests, time_point now,
+                          const IsPassed &isPassed) const -> std::uint32_t
 {
     std::uint32_t first = noIndex;
     for (const auto number : m_order) {
         const auto &row = m_classes[number];
-        if (row.queue.empty() || (number < passed.size() && passed[number]))
+        if (row.queue.empty() || isPassed(number))
             continue;
         if (first == noIndex)
             first = number;
--- a/packages/policy/target_queue.h
+++ b/packages/policy/target_queue.h
@@ -15,7 +15,6 @@
 //     while (const auto *next = queue.next(requests, now)) ...
 
 #include <cstdint>
-#include <deque>
 #include <vector>
 
 #include "policy/class_queue.h"
@@ -50,10 +49,12 @@
     auto pushFront(request_table &requests, std::uint32_t slot, time_point now) -> void;
     auto remove(request_table &requests, std::uint32_t slot) -> void;
 
-    // The request to place next, or noIndex. Classes marked in `passed`, by their numbers, are left
-    // out; a vector that is too short marks none beyond its end.
-    [[nodiscard]] auto next(const request_table &requests, time_point now,
-                            const std::vector<bool> &passed = {}) const -> std::uint32_t;
+    // The request to place next, or noIndex.
+    [[nodiscard]] auto next(const request_table &requests, time_point now) const -> std::uint32_t;
+    // The same without the classes marked in `passed`, by their numbers; a vector that is too short
+    // marks none beyond its end.
+    [[nodiscard]] auto nextWithout(const std::vector<bool> &passed, const request_table &requests,
+                                   time_point now) const -> std::uint32_t;
     auto start(request_table &requests, std::uint32_t slot, std::uint32_t tokens, time_point now)
         -> void;
     auto finish(const request_row &row, std::uint32_t usedTokens) -> void;
@@ -91,13 +92,16 @@
         std::uint32_t passed = 0;
     };
 
+    template<class IsPassed>
+    [[nodiscard]] auto nextOf(const request_table &requests, time_point now,
+                              const IsPassed &isPassed) const -> std::uint32_t;
     [[nodiscard]] auto mayYield(const request_table &requests, const class_row &row,
                                 time_point now) const -> bool;
     [[nodiscard]] auto turnDue(const class_row &row, time_point now) const -> bool;
     auto noteWaiting(class_row &row, time_point now) -> void;
 
     target_queue_options m_options;
-    std::deque<class_row> m_classes;
+    std::vector<class_row> m_classes;
     // Numbers of the classes in the order of service.
     std::vector<std::uint32_t> m_order;
     std::uint32_t m_size = 0;
