Wait in no call to the store before it has answered this process

The store swallowed it as it came back, and the call's time-out is longer by the wait, so version 23, acked at 26.93 s, was in force there at 29.93 s. The rule of the last such mend, "not while the service is lost", missed it: nothing had been lost yet, and what peers tell counted as an answer. A call waits now only after the last call of this process was answered. Ruled out: the time-out of calls that do not wait (1.5 s; with it the version is in force in time).

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -134,7 +134,9 @@
 
     auto newestCame(const log_newest_outcome &outcome) -> void
     {
-        if (const auto *fault = std::get_if<log_unavailable>(&outcome)) {
+        const auto *fault = std::get_if<log_unavailable>(&outcome);
+        m_answers = fault == nullptr;
+        if (fault != nullptr) {
             lost(fault->reason);
             // Another process may have told all since the call began.
             if (!m_following)
@@ -170,8 +172,9 @@
     auto readOn() -> void
     {
         m_calling = true;
-        // A service that was lost may swallow calls; one that does not wait ends the sooner.
-        const auto wait = m_lost ? duration{} : m_options.wait;
+        // A service that did not answer the last call may swallow this one; one that does not wait
+        // ends the sooner.
+        const auto wait = m_answers ? m_options.wait : duration{};
         m_log.read({.topic = m_options.topic, .offset = *m_readFrom, .wait = wait},
                    [this, from = *m_readFrom](const log_read_outcome &outcome) {
                        m_calling = false;
@@ -182,7 +185,9 @@
     // What was asked for from `from` on; some of it may have been offered since.
     auto recordsCame(std::uint64_t from, const log_read_outcome &outcome) -> void
     {
-        if (const auto *fault = std::get_if<log_unavailable>(&outcome)) {
+        const auto *fault = std::get_if<log_unavailable>(&outcome);
+        m_answers = fault == nullptr;
+        if (fault != nullptr) {
             lost(fault->reason);
             again(m_options.retryAfter, [this] { readOn(); });
             return;
@@ -258,6 +263,8 @@
     std::unordered_map<std::string, keyed_record> m_newest;
     std::optional<time_point> m_offeredAt;
     duration m_delay{};
+    // The service answered the last call of this process, whatever others told.
+    bool m_answers = false;
     // A read is under way.
     bool m_calling = false;
     bool m_lost = false;
--- a/packages/coordination/testing/keyed_follower_test.cpp
+++ b/packages/coordination/testing/keyed_follower_test.cpp
@@ -175,6 +175,20 @@
     EXPECT_EQ(m_log.waits, (std::vector<duration>{milliseconds(2000), {}, {}, milliseconds(2000)}));
 }
 
+// What another process told, at the start or later, does not show that the service answers this one.
+TEST_F(KeyedFollowerTest, aCallWaitsForNoRecordBeforeTheServiceHasAnswered)
+{
+    keyed_follower<scripted_log> waiting(m_loop, m_log,
+                                         {.topic = "t",
+                                          .wait = milliseconds(2000),
+                                          .pace = milliseconds(1),
+                                          .retryAfter = milliseconds(1)});
+    m_log.reads = {log_batch{.endOffset = 5}};
+    ASSERT_TRUE(waiting.adopt({.end = 5}));
+    m_loop.run();
+    EXPECT_EQ(m_log.waits, (std::vector<duration>{{}, milliseconds(2000)}));
+}
+
 TEST_F(KeyedFollowerTest, aMalformedRecordCostsOnlyItself)
 {
     m_log.pages = {pageOf({}, 0)};
