--- a/packages/coordination/testing/keyed_follower_test.cpp
+++ b/packages/coordination/testing/keyed_follower_test.cpp
@@ -175,7 +175,8 @@
     EXPECT_EQ(m_log.waits, (std::vector<duration>{milliseconds(2000), {}, {}, milliseconds(2000)}));
 }
 
-// What another process told, at the start or later, does not show that the service answers this one.
+// What another process told, at the start or later, does not show that the service answers this
+// one.
 TEST_F(KeyedFollowerTest, aCallWaitsForNoRecordBeforeTheServiceHasAnswered)
 {
     keyed_follower<scripted_log> waiting(m_loop, m_log,
--- a/packages/forwarding/forward_request.cpp
+++ b/packages/forwarding/forward_request.cpp
@@ -102,7 +102,6 @@
 auto readTokens(forward_request &request, std::string_view text) -> void
 {
     request.promptTokens = parseDecimal<std::uint32_t>(takeField(text, ',')).value_or(0);
-    request.maxOutputTokens = parseDecimal<std::uint32_t>(text).value_or(0);
 }
 
 } // namespace
--- a/packages/forwarding/forward_request.h
+++ b/packages/forwarding/forward_request.h
@@ -38,7 +38,6 @@
     // The order that endpoints are told: by priority, and by the route's among equals.
     std::uint32_t urgency = 0;
     std::uint32_t promptTokens = 0;
-    std::uint32_t maxOutputTokens = 0;
     // Of the parts of the prompt that other requests share; 0 for none.
     std::uint32_t sharedTokens = 0;
     std::uint64_t prefixHash = 0;
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -84,8 +84,7 @@
                          .wantedLate = true,
                          .promptTokens = request.promptTokens,
                          .prefixHash = request.prefixHash,
-                         .sharedTokens = request.sharedTokens,
-                         .outputTokens = request.maxOutputTokens},
+                         .sharedTokens = request.sharedTokens},
                         now, m_actions);
     carryOut();
 }
--- a/packages/policy/dispatcher.h
+++ b/packages/policy/dispatcher.h
@@ -97,9 +97,8 @@
     std::uint32_t promptTokens = 0;
     // Hash of the leading part of the prompt, for endpoints with a warm cache; 0 for none.
     std::uint64_t prefixHash = 0;
-    // Tokens of that leading part, and the most that may be generated; 0 if not known.
+    // Tokens of that leading part; 0 if not known.
     std::uint32_t sharedTokens = 0;
-    std::uint32_t outputTokens = 0;
     // The client account's limits over the whole fleet; 0 for none.
     std::uint32_t requestsPerSecond = 0;
     std::uint32_t concurrentRequests = 0;
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -278,7 +278,6 @@
                      .sharedTokens = row.sharedTokens,
                      .prefixHash = row.prefixHash,
                      .firstTokenTarget = row.firstTokenTarget,
-                     .betweenTokensTarget = row.betweenTokensTarget,
                      .avoid = row.attempt > 0 ? row.endpoint : noIndex};
     auto choice = target.prompts.choose(endpoints, wish, now);
     if (choice.endpoint == noIndex && wish.avoid != noIndex) {
--- a/packages/policy/prompt_placement.h
+++ b/packages/policy/prompt_placement.h
@@ -48,8 +48,6 @@
     std::uint32_t sharedTokens = 0;
     std::uint64_t prefixHash = 0;
     duration firstTokenTarget{};
-    // Longest pause between two events of its stream; zero if it may pause for any time.
-    duration betweenTokensTarget{};
     // Tried before; taken only if no other has room.
     std::uint32_t avoid = noIndex;
 };
@@ -60,6 +58,7 @@
     std::uint32_t promptTokens = 0;
     // Time to read what other requests do not share.
     duration reading{};
+    // Longest pause between two events of its stream; zero if it may pause for any time.
     duration betweenTokensTarget{};
 };
 
