Take back what the change made more complicated than it needs to be

`nextWithout` and the loop for prompts stay: they are the rule for full lanes. - The tokens that a request used stand in its row; `leave`, `forget` and `release` no longer take them. - One `mixBits` for the random source and for rendezvous hashing, one `laneOf` for the number of a lane, one constant for how many there are. - `Retry-After` of an endpoint is read by `parseDecimal`, and bounded once. - What an answer said of its endpoint is applied once, at the head of `ended`, not in one branch and again at its end. The branch also held a reference to the request across a call that may end it; the request is looked up after that call now. Found by reading; no test shows it. - The two calls of keyed_follower note by one function whether the service answered.

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -134,16 +134,12 @@
 
     auto newestCame(const log_newest_outcome &outcome) -> void
     {
-        const auto *fault = std::get_if<log_unavailable>(&outcome);
-        m_answers = fault == nullptr;
-        if (fault != nullptr) {
-            lost(fault->reason);
+        if (!isAnswered(outcome)) {
             // Another process may have told all since the call began.
             if (!m_following)
                 again(m_options.retryAfter, [this] { readNewest(""); });
             return;
         }
-        heard();
         const auto &page = std::get<log_newest_page>(outcome);
         // Pages are not a snapshot: reading on from the end of the first one misses nothing.
         if (!m_readFrom)
@@ -185,14 +181,10 @@
     // What was asked for from `from` on; some of it may have been offered since.
     auto recordsCame(std::uint64_t from, const log_read_outcome &outcome) -> void
     {
-        const auto *fault = std::get_if<log_unavailable>(&outcome);
-        m_answers = fault == nullptr;
-        if (fault != nullptr) {
-            lost(fault->reason);
+        if (!isAnswered(outcome)) {
             again(m_options.retryAfter, [this] { readOn(); });
             return;
         }
-        heard();
         const auto *batch = std::get_if<log_batch>(&outcome);
         // Records are gone unread, or the log ends before what was read of it.
         if (batch == nullptr || batch->endOffset < from || batch->firstOffset > from) {
@@ -240,6 +232,19 @@
         m_timer = m_loop.after(delay, std::move(step));
     }
 
+    // Notes whether the service answered a call of this process.
+    template<class Outcome>
+    auto isAnswered(const Outcome &outcome) -> bool
+    {
+        const auto *fault = std::get_if<log_unavailable>(&outcome);
+        m_answers = fault == nullptr;
+        if (m_answers)
+            heard();
+        else
+            lost(fault->reason);
+        return m_answers;
+    }
+
     auto heard() -> void
     {
         if (std::exchange(m_lost, false) && onReturned)
--- a/packages/forwarding/forward_router_answers.cpp
+++ b/packages/forwarding/forward_router_answers.cpp
@@ -1,10 +1,11 @@
 // What becomes of a request that was sent to an endpoint: its answer, its loss, its silence.
 
-#include <charconv>
+#include <algorithm>
 #include <utility>
 
 #include "forwarding/events.h"
 #include "forwarding/forward_router.h"
+#include "net/decimal.h"
 #include "policy/durations.h"
 
 namespace mustardline {
@@ -26,15 +27,11 @@
     return status >= firstSuccess && status < firstRedirect;
 }
 
-// Seconds, with a fraction or without; zero for what is no such number.
-auto readSeconds(std::string_view text) -> duration
+// Seconds, with a fraction or without, up to the longest pause; zero for what is no such number.
+auto readPause(std::string_view text) -> duration
 {
-    double seconds = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), seconds);
-    const bool isWhole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
-    if (!isWhole || !(seconds > 0) || seconds > toSeconds(longestPause))
-        return isWhole && seconds > 0 ? longestPause : duration(0);
-    return fromSeconds(seconds);
+    const auto seconds = parseDecimal<double>(text).value_or(0);
+    return seconds > 0 ? fromSeconds(std::min(seconds, toSeconds(longestPause))) : duration(0);
 }
 
 } // namespace
@@ -67,10 +64,10 @@
                     field("endpoint", request.endpoint));
     if (answer.status != unavailable)
         return;
-    const auto pause = readSeconds(findHeader(answer.headers, "retry-after"));
+    const auto pause = readPause(findHeader(answer.headers, "retry-after"));
     if (pause.count() == 0)
         return;
-    m_dispatcher.pauseEndpoint(request.endpoint, m_clock.now() + std::min(pause, longestPause));
+    m_dispatcher.pauseEndpoint(request.endpoint, m_clock.now() + pause);
     m_log.write(endpointPauses, field("request", request.id), field("endpoint", request.endpoint),
                 field("pause_ms", toMilliseconds(pause)));
 }
@@ -129,6 +126,8 @@
 
 auto forward_router::ended(std::uint64_t number, const http_outcome &outcome) -> void
 {
+    // What the answer said of its endpoint counts before the request is placed again.
+    endpointsChanged();
     auto *request = find(number);
     if (request == nullptr)
         return;
@@ -137,7 +136,6 @@
         endedLost(*request, *failure);
     else
         endedWhole(*request);
-    endpointsChanged();
     tick();
 }
 
@@ -145,7 +143,6 @@
 {
     const auto status = request.answer.status;
     if (request.notRun) {
-        endpointsChanged();
         tryAgain(request,
                  status == misdirected ? result_code::endpoint_unreachable : result_code::not_run,
                  true);
--- a/packages/net/decimal.h
+++ b/packages/net/decimal.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// Reads a whole number that is written in decimal digits and nothing else.
+// Reads a number that is written in decimal digits and nothing else: a whole one, or for a type
+// that holds fractions one with a fraction.
 //
 //     if (const auto length = parseDecimal<std::uint64_t>(findHeader(headers, "content-length")))
 //     ...
--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -148,9 +148,9 @@
     const auto slot = m_state->requests.find(request);
     if (slot == noIndex)
         return;
-    const auto &row = m_state->requests.at(slot);
+    auto &row = m_state->requests.at(slot);
     if (row.state != request_state::placed) {
-        m_state->forget(slot, 0, now);
+        m_state->forget(slot, now);
         return;
     }
     auto &pace = m_state->paceOf(row);
@@ -167,7 +167,8 @@
     } else if (isEndpointFailure(code)) {
         m_state->endpoints.failed(row.endpoint, now);
     }
-    m_state->forget(slot, std::max(completionTokens, row.generatedTokens), now);
+    row.generatedTokens = std::max(completionTokens, row.generatedTokens);
+    m_state->forget(slot, now);
 }
 
 auto dispatcher::notRun(std::uint64_t request, result_code code, time_point now,
@@ -181,7 +182,7 @@
         m_state->endpoints.failed(endpoint, now);
     else if (code == result_code::not_run)
         m_state->endpoints.busy(endpoint, now);
-    m_state->leave(slot, m_state->requests.at(slot).generatedTokens, now);
+    m_state->leave(slot, now);
     m_state->retry(slot, code, now, actions);
 }
 
@@ -189,7 +190,7 @@
 {
     const auto slot = m_state->requests.find(request);
     if (slot != noIndex)
-        m_state->forget(slot, m_state->requests.at(slot).generatedTokens, m_state->latest);
+        m_state->forget(slot, m_state->latest);
 }
 
 auto dispatcher::refuseQueued(std::string_view clientAccount, result_code code,
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -188,7 +188,7 @@
 {
     const auto &row = requests.at(slot);
     auto &target = targets[row.target];
-    leave(slot, row.generatedTokens, now);
+    leave(slot, now);
     auto wait = noEndpointRetry;
     if (!target.subset.empty())
         wait = predictedWait(target, row.queue, target.queue.ahead(row.queue, row.account));
@@ -198,7 +198,7 @@
         .retryAfter
         = target.returns.retryAfter(wait, supplyOf(target, row.queue).perSecond, random, now),
         .reason = reason});
-    freeRow(slot);
+    forget(slot, now);
 }
 
 auto dispatcher::state::placeWaiting(target_row &target, time_point now, dispatch_actions &actions)
@@ -224,14 +224,14 @@
 auto dispatcher::state::placePrompts(target_row &target, time_point now, dispatch_actions &actions)
     -> void
 {
-    std::array<bool, 2> isFull{};
+    std::array<bool, promptLanes> isFull{};
     std::vector<bool> passed;
     for (;;) {
         const auto slot = target.queue.nextWithout(passed, requests, now);
         if (slot == noIndex)
             return;
         const auto &row = requests.at(slot);
-        auto &full = isFull[prompt_placement::isLong(row.promptTokens) ? 1 : 0];
+        auto &full = isFull[prompt_placement::laneOf(row.promptTokens)];
         const auto choice = full ? placement_choice() : choosePrompt(target, slot, now);
         if (choice.endpoint != noIndex) {
             place(target, slot, choice, now, actions);
@@ -398,20 +398,19 @@
 }
 
 // Takes a placed request out of its endpoint's and its account's counts.
-auto dispatcher::state::release(std::uint32_t slot, std::uint32_t usedTokens, time_point now)
-    -> void
+auto dispatcher::state::release(std::uint32_t slot, time_point now) -> void
 {
     auto &row = requests.at(slot);
     auto &target = targets[row.target];
     promptDone(row);
     endpoints.released(row.endpoint, row.tier, row.hasFirstToken, now);
-    target.queue.finish(row, usedTokens);
+    target.queue.finish(row, row.generatedTokens);
     target.freed.add(row.endpoint);
     paceOf(row).ended(row.idempotent);
     --placedCount;
 }
 
-auto dispatcher::state::leave(std::uint32_t slot, std::uint32_t usedTokens, time_point now) -> void
+auto dispatcher::state::leave(std::uint32_t slot, time_point now) -> void
 {
     auto &row = requests.at(slot);
     switch (row.state) {
@@ -424,20 +423,15 @@
         undelay(slot);
         break;
     case request_state::placed:
-        release(slot, usedTokens, now);
+        release(slot, now);
         break;
     }
     row.state = request_state::unlisted;
 }
 
-auto dispatcher::state::forget(std::uint32_t slot, std::uint32_t usedTokens, time_point now) -> void
-{
-    leave(slot, usedTokens, now);
-    freeRow(slot);
-}
-
-auto dispatcher::state::freeRow(std::uint32_t slot) -> void
+auto dispatcher::state::forget(std::uint32_t slot, time_point now) -> void
 {
+    leave(slot, now);
     limits.ended(requests.at(slot).account);
     requests.remove(slot);
 }
@@ -490,7 +484,7 @@
     for (const auto slot : ready) {
         auto &row = requests.at(slot);
         auto &target = targets[row.target];
-        leave(slot, row.generatedTokens, now);
+        leave(slot, now);
         row.state = request_state::waiting;
         target.queue.pushFront(requests, slot, now);
         if (row.generatedTokens == 0 && isLate(slot, now) && !holdsLowerTier(target, row.tier))
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -4,8 +4,8 @@
 //
 // A request row is in exactly one place: in its class's queue (waiting), in the list of delayed
 // retries (delayed) or counted at an endpoint (placed); `leave` takes it out of whichever it is in,
-// and comes before its row is freed. Systems that change the place of a row are the
-// only ones that touch the counters that go with it.
+// and `forget`, the only way out of the table, always does so. Systems that change the place of a
+// row are the only ones that touch the counters that go with it.
 
 #include <array>
 #include <span>
@@ -109,14 +109,11 @@
         row.unreadTokens = 0;
     }
 
-    // Takes a request out of its queue, its delay or its endpoint's counts. `usedTokens` were
-    // generated, if it was placed.
-    auto leave(std::uint32_t slot, std::uint32_t usedTokens, time_point now) -> void;
+    // Takes a request out of its queue, its delay or its endpoint's counts.
+    auto leave(std::uint32_t slot, time_point now) -> void;
     // The end of a request: it leaves where it is, and its row is free.
-    auto forget(std::uint32_t slot, std::uint32_t usedTokens, time_point now) -> void;
-    auto release(std::uint32_t slot, std::uint32_t usedTokens, time_point now) -> void;
-    // Of a request that is in no list.
-    auto freeRow(std::uint32_t slot) -> void;
+    auto forget(std::uint32_t slot, time_point now) -> void;
+    auto release(std::uint32_t slot, time_point now) -> void;
     auto retry(std::uint32_t slot, result_code code, time_point now, dispatch_actions &actions)
         -> void;
 
--- a/packages/policy/endpoint_table.cpp
+++ b/packages/policy/endpoint_table.cpp
@@ -53,15 +53,13 @@
     row.serves = std::move(serves);
     if (!row.serves.empty())
         row.pace = row.serves.front();
-    for (const auto target : row.serves)
-        m_paces.resize(std::max<std::size_t>(m_paces.size(), target + 1));
-    m_paces.resize(std::max<std::size_t>(m_paces.size(), 1));
+    const auto last = row.serves.empty() ? row.pace : std::ranges::max(row.serves);
+    m_paces.resize(std::max<std::size_t>(m_paces.size(), last + 1));
     const auto cold = info.coldConcurrency > 0 ? info.coldConcurrency : unknownWindow;
     row.coldConcurrency = std::min(cold, info.maxConcurrency);
     row.mostOwn = info.mostOwn > 0 ? info.mostOwn : UINT32_MAX;
     row.present = true;
     row.available = info.available;
-    countsChanged(row);
     row.readsPrompts = info.readsPrompts;
     if (row.firstTokenMean == 0)
         row.firstTokenMean = static_cast<double>(info.assumedFirstToken.count());
@@ -75,7 +73,6 @@
     m_indexes.erase(m_rows[index].id);
     m_rows[index].present = false;
     m_rows[index].available = false;
-    countsChanged(m_rows[index]);
     m_removed.push_back(index);
 }
 
@@ -103,7 +100,7 @@
     row.reportedAt = now;
     followOthersPrompts(row, load.othersPromptTokens, now);
     if (total < load.window && load.age <= freshAge)
-        row.busyUntil = row.pausedUntil;
+        row.busyUntil = {};
 }
 
 // The reports come at any pace, so a new one weighs as much as the time since the last.
@@ -148,8 +145,7 @@
 
 auto endpoint_table::busy(std::uint32_t index, time_point now) -> void
 {
-    auto &row = m_rows[index];
-    row.busyUntil = std::max(row.pausedUntil, now + busyPause);
+    m_rows[index].busyUntil = now + busyPause;
 }
 
 auto endpoint_table::answered(std::uint32_t index) -> void
@@ -162,7 +158,6 @@
     auto &row = m_rows[index];
     recordOwn(row, now);
     ++row.own;
-    countsChanged(row);
     ++row.ownByTier[tier];
     row.newestByTier[tier] = now;
     if (now < row.coldUntil)
@@ -203,7 +198,6 @@
     auto &row = m_rows[index];
     recordOwn(row, now);
     --row.own;
-    countsChanged(row);
     --row.ownByTier[tier];
     if (!hadFirstToken)
         row.owing -= std::min(row.owing, 1U);
--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -44,8 +44,6 @@
     std::uint32_t mostOwn = UINT32_MAX;
     bool present = false;
     bool available = false;
-    // It is available, and this entry has not as many requests there as it may.
-    bool isOpen = false;
 
     // Requests of this entry there, in all and by tier.
     std::uint32_t own = 0;
@@ -74,9 +72,9 @@
     // Retries that its failures may cause.
     retry_budget retries;
     time_point ejectedUntil{};
-    // It refused a request for want of room or asked for a pause; it is left alone until then.
+    // It refused a request for want of room; it is left alone until then.
     time_point busyUntil{};
-    // The end of the pause that it asked for, which no report of its load shortens.
+    // It asked to be left alone until then; no report of its load changes that.
     time_point pausedUntil{};
 
     bool readsPrompts = false;
@@ -113,7 +111,6 @@
     {
         auto &row = m_rows[index];
         row.pausedUntil = std::max(row.pausedUntil, until);
-        row.busyUntil = std::max(row.busyUntil, until);
     }
     // True if a failure of this endpoint may be retried elsewhere; counts it.
     auto takeRetry(std::uint32_t index) -> bool { return m_rows[index].retries.take(); }
@@ -153,22 +150,10 @@
         return row.available && row.failures == 0 && now >= row.ejectedUntil;
     }
     // May be sent a request by this entry, whether or not it has room.
-    [[nodiscard]] auto isUsable(std::uint32_t index, time_point now) const -> bool
-    {
-        return isUsable(m_rows[index], now);
-    }
-    [[nodiscard]] static auto isUsable(const endpoint_row &row, time_point now) -> bool;
+    [[nodiscard]] auto isUsable(std::uint32_t index, time_point now) const -> bool;
     // Requests there, as far as is known.
-    [[nodiscard]] auto load(std::uint32_t index, time_point now) const -> std::uint32_t
-    {
-        return load(m_rows[index], now);
-    }
-    [[nodiscard]] static auto load(const endpoint_row &row, time_point now) -> std::uint32_t;
-    [[nodiscard]] auto window(std::uint32_t index) const -> std::uint32_t
-    {
-        return window(m_rows[index]);
-    }
-    [[nodiscard]] static auto window(const endpoint_row &row) -> std::uint32_t;
+    [[nodiscard]] auto load(std::uint32_t index, time_point now) const -> std::uint32_t;
+    [[nodiscard]] auto window(std::uint32_t index) const -> std::uint32_t;
     [[nodiscard]] auto hasRoom(std::uint32_t index, time_point now) const -> bool
     {
         return load(index, now) < window(index);
@@ -201,10 +186,6 @@
     auto freeRow() -> std::uint32_t;
     static auto followOthersPrompts(endpoint_row &row, std::uint32_t tokens, time_point now)
         -> void;
-    static auto countsChanged(endpoint_row &row) -> void
-    {
-        row.isOpen = row.available && row.own < row.mostOwn;
-    }
     static auto recordOwn(endpoint_row &row, time_point now) -> void;
     [[nodiscard]] static auto ownAt(const endpoint_row &row, time_point when) -> std::uint32_t;
 
@@ -226,9 +207,12 @@
 
 // The checks that every choice makes of every member of a subset are inlined.
 
-inline auto endpoint_table::isUsable(const endpoint_row &row, time_point now) -> bool
+inline auto endpoint_table::isUsable(std::uint32_t index, time_point now) const -> bool
 {
-    if (!row.isOpen || now < row.ejectedUntil || now < row.busyUntil)
+    const auto &row = m_rows[index];
+    if (!row.available || row.own >= row.mostOwn)
+        return false;
+    if (now < row.ejectedUntil || now < row.busyUntil || now < row.pausedUntil)
         return false;
     if (now < row.coldUntil && !row.coldRate.hasToken(now))
         return false;
@@ -241,8 +225,9 @@
     return now - row.owingSince < std::max(stalled, shortestStall);
 }
 
-inline auto endpoint_table::load(const endpoint_row &row, time_point now) -> std::uint32_t
+inline auto endpoint_table::load(std::uint32_t index, time_point now) const -> std::uint32_t
 {
+    const auto &row = m_rows[index];
     const auto age = now - row.reportedAt;
     const auto others = row.othersCount;
     if (age < reportFreshness)
@@ -252,8 +237,9 @@
     return row.own;
 }
 
-inline auto endpoint_table::window(const endpoint_row &row) -> std::uint32_t
+inline auto endpoint_table::window(std::uint32_t index) const -> std::uint32_t
 {
+    const auto &row = m_rows[index];
     return row.window == 0 ? row.coldConcurrency : row.window;
 }
 
--- a/packages/policy/lane_needs.h
+++ b/packages/policy/lane_needs.h
@@ -9,6 +9,9 @@
 
 namespace mustardline {
 
+// One for short prompts and one for long ones, in this order.
+inline constexpr std::size_t promptLanes = 2;
+
 // What the requests of each lane, short prompts first, asked for lately, in seconds of an endpoint.
 struct lane_needs
 {
@@ -17,7 +20,7 @@
         double reading = 0;
         double holding = 0;
     };
-    std::array<lane, 2> lanes;
+    std::array<lane, promptLanes> lanes;
 
     auto operator+=(const lane_needs &other) -> lane_needs &
     {
--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -40,10 +40,9 @@
 auto fits(const endpoint_table &endpoints, std::uint32_t index, const placement_wish &wish,
           time_point now) -> bool
 {
-    const auto &row = endpoints.at(index);
-    const auto load = endpoint_table::load(row, now);
-    const auto window = endpoint_table::window(row);
-    if (load >= window || !endpoint_table::isUsable(row, now))
+    const auto load = endpoints.load(index, now);
+    const auto window = endpoints.window(index);
+    if (load >= window || !endpoints.isUsable(index, now))
         return false;
     return wish.reserve == 0 || load + reserveAt(index, wish.reserve) < window;
 }
--- a/packages/policy/prompt_placement.cpp
+++ b/packages/policy/prompt_placement.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "base/hashing.h"
+#include "policy/random.h"
 
 namespace mustardline {
 
@@ -26,13 +27,6 @@
 // The long lane's size changes once the work is so much of one endpoint's part away from it.
 constexpr double laneHysteresis = 0.7;
 
-auto mixed(std::uint64_t value) -> std::uint64_t
-{
-    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
-    return value ^ (value >> 31U);
-}
-
 // Until the parts that others share would be read at an endpoint that does not have them: what they
 // cost counts against the choice, since all that wait there wait for them too.
 auto coldWait(const endpoint_table &endpoints, std::uint32_t index, const prompt_wish &wish)
@@ -79,7 +73,7 @@
         lane.reading *= fade;
         lane.holding *= fade;
     }
-    const auto number = isLong(work.promptTokens) ? 1U : 0U;
+    const auto number = laneOf(work.promptTokens);
     m_own.lanes[number].reading += toSeconds(work.reading);
     m_own.lanes[number].holding += m_heldByOne[number];
     const bool isOld = toSeconds(now - m_pauseAt) > needFadeSeconds;
@@ -94,7 +88,7 @@
 auto prompt_placement::ended(std::uint32_t promptTokens, duration held, std::uint32_t window)
     -> void
 {
-    auto &mean = m_heldByOne[isLong(promptTokens) ? 1 : 0];
+    auto &mean = m_heldByOne[laneOf(promptTokens)];
     const auto sample = toSeconds(held) / std::max(window, 1U);
     mean = mean == 0 ? sample : mean + (sample - mean) * heldWeight;
 }
@@ -133,7 +127,7 @@
 }
 
 auto prompt_placement::lanesOf(std::span<const member> group) const
-    -> std::array<std::span<const member>, laneCount>
+    -> std::array<std::span<const member>, promptLanes>
 {
     if (group.size() < 2)
         return {group, group};
@@ -146,7 +140,7 @@
                               time_point now) -> placement_choice
 {
     const auto groups = groupCount();
-    const auto first = wish.prefixHash != 0 ? mixed(wish.prefixHash) : m_turn++;
+    const auto first = wish.prefixHash != 0 ? mixBits(wish.prefixHash) : m_turn++;
     placement_choice choice;
     for (std::size_t tried = 0; tried < std::min(groups, triedGroups); ++tried) {
         choice = chooseIn(groupAt((first + tried) % groups), endpoints, wish, now);
@@ -160,7 +154,7 @@
                                 const prompt_wish &wish, time_point now) const -> placement_choice
 {
     const auto lanes = lanesOf(group);
-    const std::size_t own = isLong(wish.promptTokens) ? 1 : 0;
+    const auto own = laneOf(wish.promptTokens);
     placement_choice warm;
     if (wish.prefixHash != 0)
         warm = chooseWarm(lanes[own], endpoints, wish, now);
@@ -209,7 +203,7 @@
         auto best = noIndex;
         std::uint64_t bestScore = 0;
         for (const auto &item : lane) {
-            const auto score = mixed(item.hash ^ wish.prefixHash);
+            const auto score = mixBits(item.hash ^ wish.prefixHash);
             if (score >= below || score < bestScore || item.index == wish.avoid
                 || !fits(endpoints, item.index, now))
                 continue;
--- a/packages/policy/prompt_placement.h
+++ b/packages/policy/prompt_placement.h
@@ -91,17 +91,16 @@
     [[nodiscard]] auto choose(const endpoint_table &endpoints, const prompt_wish &wish,
                               time_point now) -> placement_choice;
 
-    [[nodiscard]] static auto isLong(std::uint32_t promptTokens) -> bool
+    // The lane of such a prompt: 0 for short ones, 1 for long ones.
+    [[nodiscard]] static auto laneOf(std::uint32_t promptTokens) -> std::size_t
     {
-        return promptTokens >= longPromptTokens;
+        return promptTokens >= longPromptTokens ? 1 : 0;
     }
     // Endpoints of the lane for long prompts.
     [[nodiscard]] auto longLaneSize() const -> std::size_t { return m_longLane; }
     [[nodiscard]] auto size() const -> std::size_t { return m_members.size(); }
 
 private:
-    static constexpr std::size_t laneCount = 2;
-
     // A member in the order of its hash, which is the same at all entries.
     struct member
     {
@@ -114,7 +113,7 @@
     [[nodiscard]] auto groupAt(std::size_t number) const -> std::span<const member>;
     // The members of a group by lane: for short prompts, and for long ones.
     [[nodiscard]] auto lanesOf(std::span<const member> group) const
-        -> std::array<std::span<const member>, laneCount>;
+        -> std::array<std::span<const member>, promptLanes>;
     // An endpoint of the other lane where neither its own pauses nor those of the streams there
     // become too long.
     [[nodiscard]] auto chooseGuest(std::span<const member> lane, const endpoint_table &endpoints,
@@ -143,7 +142,7 @@
     // its part of the endpoint's places.
     lane_needs m_own;
     lane_needs m_others;
-    std::array<double, laneCount> m_heldByOne{};
+    std::array<double, promptLanes> m_heldByOne{};
     time_point m_needsAt{};
     // The shortest pause allowed lately to streams of either lane; zero if none is bound.
     duration m_shortestPause{};
--- a/packages/policy/random.h
+++ b/packages/policy/random.h
@@ -6,6 +6,14 @@
 
 namespace mustardline {
 
+// Spreads each bit of `value` over all bits of the result; different values give different ones.
+[[nodiscard]] inline auto mixBits(std::uint64_t value) -> std::uint64_t
+{
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31U);
+}
+
 class random_source
 {
 public:
@@ -14,10 +22,7 @@
     auto next() -> std::uint64_t
     {
         m_state += 0x9e3779b97f4a7c15ULL;
-        auto mixed = m_state;
-        mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9ULL;
-        mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebULL;
-        return mixed ^ (mixed >> 31);
+        return mixBits(m_state);
     }
 
     // Uniform in [0, bound); bound must not be 0.
