Take an endpoint that no longer reads prompts out of its lanes

What callers could see: a request run by an endpoint of another service, refused there if the endpoint checks its id. An endpoint that was entered into its target's lanes as one that reads prompts, and whose configuration then said otherwise, was not taken out of them when it left: updateSubsets asked whether it reads prompts now, not whether it was entered. Its row was then used for another endpoint, of another service, and the lanes chose that one. The same when an endpoint came back under its id for another service. The lists of members are now left whenever one of the conditions under which they were entered no longer holds.

--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -55,9 +55,11 @@
     const auto &row = endpoints.at(index);
     for (const auto target : before) {
         const bool serves = std::ranges::find(row.serves, target) != row.serves.end();
-        if (targets[target].subset.contains(index) && !(row.available && serves))
+        const bool stays = row.available && serves;
+        if (!stays && targets[target].subset.contains(index))
             targets[target].subset.rebuild(endpoints, target);
-        if (row.readsPrompts && !(row.available && serves))
+        // It may have read prompts when it was added and do so no longer.
+        if (!stays || !row.readsPrompts)
             targets[target].prompts.remove(index);
     }
     if (!row.available)
