Hold at-most-once where requests are sent, and log why one is sent again

The dispatcher's table had lost track of it and asked for it to be placed again and again; the router carried out each placement without a look at the request. The promise rested on the bookkeeping of another module alone. Now the side that sends holds it: send_rules decides from the request's own history whether it may go anywhere (no try under way, no earlier run that may not be repeated, sends left, an endpoint of its own service). What it bars is not sent, logged as forward_not_sent with the reason, and counted. The entries of the product's own path do the same by the phase of the request (placement_refused). Behaviour is otherwise the same: mostSends is what tryAgain computed.

--- a/packages/entry/live_request.cpp
+++ b/packages/entry/live_request.cpp
@@ -4,6 +4,11 @@
 
 namespace mustardline {
 
+auto awaitsPlacement(const live_request &live) -> bool
+{
+    return live.phase == live_phase::queued && !live.mayHaveRun;
+}
+
 auto arrivalOf(std::uint64_t number, const caller_request &request) -> request_arrival
 {
     return {.request = number,
--- a/packages/entry/live_request.h
+++ b/packages/entry/live_request.h
@@ -68,6 +68,10 @@
     bool claimed = false;
 };
 
+// Whether the request may be sent to an agent now: the dispatcher has it, waiting, and no try is
+// under way that may have run it.
+[[nodiscard]] auto awaitsPlacement(const live_request &live) -> bool;
+
 // What the dispatcher is told of a request when it arrives; the views are into `request`.
 [[nodiscard]] auto arrivalOf(std::uint64_t number, const caller_request &request)
     -> request_arrival;
--- a/packages/entry/request_router.cpp
+++ b/packages/entry/request_router.cpp
@@ -208,6 +208,14 @@
     auto *live = find(action.request);
     if (live == nullptr)
         return;
+    if (!awaitsPlacement(*live)) {
+        // The dispatcher has lost track of it; the end of the try under way tells what may follow.
+        m_log.write(placementRefused, field("request", live->id),
+                    field("endpoint", action.endpoint), field("attempt", action.attempt),
+                    field("under_way_at", live->endpoint), field("sends", live->attempt),
+                    field("may_have_run", live->mayHaveRun));
+        return;
+    }
     const auto *endpoint = m_config.endpoint(action.endpoint);
     live->phase = live_phase::placed;
     live->endpoint = action.endpoint;
--- /dev/null
+++ b/packages/entry/testing/live_request_test.cpp
@@ -0,0 +1,36 @@
+// What may become of a request in each of its phases.
+
+#include <gtest/gtest.h>
+
+#include "entry/live_request.h"
+
+namespace mustardline {
+namespace {
+
+// Guards against a request that runs at two agents because the dispatcher asks for it to be placed
+// while a try is under way.
+TEST(LiveRequestTest, onlyWhatWaitsAndHasNotRunMayBePlaced)
+{
+    struct phase_case
+    {
+        live_phase phase;
+        bool mayHaveRun;
+        bool awaits;
+    };
+    const phase_case cases[]{
+        {live_phase::claiming, false, false}, {live_phase::claiming, true, false},
+        {live_phase::queued, false, true},    {live_phase::queued, true, false},
+        {live_phase::placed, false, false},   {live_phase::placed, true, false},
+        {live_phase::fetching, false, false}, {live_phase::fetching, true, false},
+    };
+    for (const auto &each : cases) {
+        live_request live;
+        live.phase = each.phase;
+        live.mayHaveRun = each.mayHaveRun;
+        EXPECT_EQ(awaitsPlacement(live), each.awaits)
+            << static_cast<int>(each.phase) << " " << each.mayHaveRun;
+    }
+}
+
+} // namespace
+} // namespace mustardline
--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -28,6 +28,10 @@
 inline constexpr log_event forwardRetried{5012, "forward_retried", log_level::info,
                                           "A try at an endpoint failed and may be repeated."};
 
+inline constexpr log_event forwardNotSent{
+    5013, "forward_not_sent", log_level::error,
+    "A placement was not carried out: it would have broken what was promised of the request."};
+
 inline constexpr log_event configurationInForce{5020, "configuration_in_force", log_level::info,
                                                 "A new version of the configuration is in force."};
 inline constexpr log_event recordMalformed{5021, "record_malformed", log_level::warning,
@@ -57,10 +61,10 @@
                                                "A usage window was reported to the platform."};
 
 inline constexpr auto forwardingEvents = std::to_array<log_event>(
-    {edgeStarted,        edgeReady,       edgeStopping,      edgeStopped,    edgeFailed,
-     settingsReloaded,   forwardPlaced,   forwardEnded,      forwardRetried, configurationInForce,
-     recordMalformed,    endpointChanged, evacuationChanged, logServiceLost, logServiceBack,
-     logHistoryLost,     knowledgeAsked,  endpointLeaves,    endpointPauses, dutyClaimed,
-     usageWindowReported});
+    {edgeStarted,          edgeReady,          edgeStopping,    edgeStopped,       edgeFailed,
+     settingsReloaded,     forwardPlaced,      forwardEnded,    forwardRetried,    forwardNotSent,
+     configurationInForce, recordMalformed,    endpointChanged, evacuationChanged, logServiceLost,
+     logServiceBack,       logHistoryLost,     knowledgeAsked,  endpointLeaves,    endpointPauses,
+     dutyClaimed,          usageWindowReported});
 
 } // namespace mustardline
--- a/packages/forwarding/forward_metrics.h
+++ b/packages/forwarding/forward_metrics.h
@@ -5,6 +5,8 @@
 //     forward_metrics counted(metrics);
 //     counted.ended(result_code::ok, tookSinceArrival);
 
+#include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include "base/counters.h"
@@ -44,6 +46,15 @@
         if (again)
             m_repeats.increment();
     }
+    // By the name of the reason.
+    auto notSent(std::string_view reason) -> void
+    {
+        m_registry
+            .add({.name = "mustardline_forward_not_sent_total",
+                  .help = "Placements that were not carried out, by reason.",
+                  .labels = "reason=\"" + std::string(reason) + "\""})
+            .increment();
+    }
     auto repeatDenied() -> void { m_repeatsDenied.increment(); }
     auto firstByte(duration sinceArrival) -> void { m_firstByte.observe(sinceArrival); }
     auto holds(std::size_t live, std::size_t waiting) -> void
--- a/packages/forwarding/forward_request.cpp
+++ b/packages/forwarding/forward_request.cpp
@@ -144,19 +144,6 @@
     return request;
 }
 
-auto mayRepeat(const forward_request &request) -> bool
-{
-    switch (request.route->kind) {
-    case route_kind::idempotent:
-        return true;
-    case route_kind::once:
-        return false;
-    case route_kind::stream:
-        return request.route->resumable;
-    }
-    return false;
-}
-
 auto silenceLimit(const forward_request &request) -> duration
 {
     const auto &route = *request.route;
--- a/packages/forwarding/forward_request.h
+++ b/packages/forwarding/forward_request.h
@@ -80,9 +80,6 @@
                                       time_point now, double draw)
     -> std::variant<forward_request, http_error>;
 
-// Whether a request whose outcome is not known may run again.
-[[nodiscard]] auto mayRepeat(const forward_request &request) -> bool;
-
 // How long an endpoint may be silent before a request that may run again is sent to another one.
 [[nodiscard]] auto silenceLimit(const forward_request &request) -> duration;
 
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "forwarding/events.h"
+#include "forwarding/send_rules.h"
 #include "policy/action_loop.h"
 #include "policy/durations.h"
 
@@ -284,6 +285,11 @@
         m_dispatcher.notRun(action.request, result_code::no_endpoint, m_clock.now(), m_actions);
         return;
     }
+    const auto bar = sendBar(*request, endpoint->registration.service);
+    if (bar != send_bar::none) {
+        refusePlacement(*request, action, bar);
+        return;
+    }
     request->endpoint = action.endpoint;
     m_log.write(forwardPlaced, field("request", request->id), field("attempt", action.attempt),
                 field("route", request->route->name), field("service", request->service),
@@ -295,6 +301,32 @@
     send(*request, *endpoint);
 }
 
+// What the dispatcher asked for must not be done: it has lost track of the request or the endpoint.
+auto forward_router::refusePlacement(forward_request &request, const place_action &action,
+                                     send_bar bar) -> void
+{
+    m_metrics.notSent(sendBarName(bar));
+    m_log.write(forwardNotSent, field("request", request.id), field("reason", sendBarName(bar)),
+                field("endpoint", action.endpoint), field("attempt", action.attempt),
+                field("under_way_at", request.inFlight ? request.endpoint : ""),
+                field("sends", request.sends), field("may_have_run", request.mayHaveRun));
+    switch (bar) {
+    case send_bar::none:
+    case send_bar::under_way:
+        return;
+    case send_bar::may_have_run:
+        fail(request, {.code = result_code::outcome_unknown});
+        return;
+    case send_bar::sends_used:
+        fail(request,
+             {.code = request.mayHaveRun ? result_code::outcome_unknown : result_code::overloaded,
+              .retryAfter = defaultRetryAfter});
+        return;
+    case send_bar::other_service:
+        m_dispatcher.notRun(action.request, result_code::no_endpoint, m_clock.now(), m_actions);
+    }
+}
+
 auto forward_router::headersFor(const forward_request &request,
                                 const endpoint_entry &endpoint) const -> std::vector<http_header>
 {
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -21,6 +21,7 @@
 #include "forwarding/header_names.h"
 #include "forwarding/peer_table.h"
 #include "forwarding/route_table.h"
+#include "forwarding/send_rules.h"
 #include "forwarding/shared_allowance.h"
 #include "policy/dispatcher.h"
 #include "policy/random.h"
@@ -107,6 +108,8 @@
     auto carryOut(const place_action &action) -> void;
     auto carryOut(const refuse_action &action) -> void;
     auto carryOut(const cancel_action &action) -> void;
+    auto refusePlacement(forward_request &request, const place_action &action, send_bar bar)
+        -> void;
     auto send(forward_request &request, const endpoint_entry &endpoint) -> void;
     [[nodiscard]] auto headersFor(const forward_request &request,
                                   const endpoint_entry &endpoint) const -> std::vector<http_header>;
--- a/packages/forwarding/forward_router_answers.cpp
+++ b/packages/forwarding/forward_router_answers.cpp
@@ -5,6 +5,7 @@
 
 #include "forwarding/events.h"
 #include "forwarding/forward_router.h"
+#include "forwarding/send_rules.h"
 #include "net/decimal.h"
 #include "policy/durations.h"
 
@@ -232,14 +233,12 @@
     const auto now = m_clock.now();
     const auto number = request.number;
     const bool proved = request.notRun || !arrived;
-    m_log.write(forwardRetried, field("request", request.id), field("endpoint", request.endpoint),
-                field("result", describe(code).name), field("status", request.answer.status),
-                field("sends", request.sends));
-    // Proof that nothing ran allows one more endpoint than the route names: nothing is repeated.
-    const auto most = request.route->maxAttempts + (proved ? 1U : 0U);
     auto &allowance = m_allowances.try_emplace(request.service, m_options.retries).first->second;
-    const bool may = request.sends < std::max(most, 2U)
+    const bool may = request.sends < mostSends(request, proved)
                      && (!arrived || allowance.take(m_entryCount, now)) && now < request.dueAt;
+    m_log.write(forwardRetried, field("request", request.id), field("endpoint", request.endpoint),
+                field("result", describe(code).name), field("status", request.answer.status),
+                field("sends", request.sends), field("not_run", proved), field("again", may));
     request.mayHaveRun = request.mayHaveRun || !proved;
     // The next endpoint makes the event anew that this one did not finish.
     static_cast<void>(request.events.rest());
