Write the gathered log lines when a process faults

An edge gathers its log for a quarter of a second. Now a fault writes what is gathered, then process_crashed with the signal, and the process ends by that signal as before.

--- a/packages/base/log_output.cpp
+++ b/packages/base/log_output.cpp
@@ -1,5 +1,6 @@
 #include "base/log_output.h"
 
+#include <algorithm>
 #include <climits>
 
 #include <fmt/format.h>
@@ -24,15 +25,10 @@
 auto log_output::flush() -> void
 {
     while (!m_kept.empty()) {
-        pollfd ready{.fd = m_options.descriptor, .events = POLLOUT, .revents = 0};
-        if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0)
+        const auto written = writePart(m_kept);
+        if (written == 0)
             return;
-        // A pipe that is ready takes this much without blocking.
-        const auto part = std::min<std::size_t>(m_kept.size(), PIPE_BUF);
-        const auto written = write(m_options.descriptor, m_kept.data(), part);
-        if (written <= 0)
-            return;
-        m_kept.erase(0, static_cast<std::size_t>(written));
+        m_kept.erase(0, written);
     }
     if (m_untold == 0)
         return;
@@ -40,4 +36,28 @@
     m_untold = 0;
 }
 
+auto log_output::writePart(std::string_view text) const noexcept -> std::size_t
+{
+    pollfd ready{.fd = m_options.descriptor, .events = POLLOUT, .revents = 0};
+    if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0)
+        return 0;
+    // A pipe that is ready takes this much without blocking.
+    const auto part = std::min<std::size_t>(text.size(), PIPE_BUF);
+    const auto written = write(m_options.descriptor, text.data(), part);
+    return written > 0 ? static_cast<std::size_t>(written) : 0;
+}
+
+auto log_output::writeLast(std::string_view line) const noexcept -> void
+{
+    for (const auto text : {std::string_view(m_kept), line, std::string_view("\n")}) {
+        auto rest = text;
+        while (!rest.empty()) {
+            const auto written = writePart(rest);
+            if (written == 0)
+                return;
+            rest.remove_prefix(written);
+        }
+    }
+}
+
 } // namespace mustardline
--- a/packages/base/log_output.h
+++ b/packages/base/log_output.h
@@ -32,9 +32,17 @@
     auto add(std::string_view line) -> void;
     auto flush() -> void;
 
+    // Writes what is kept and `line`, as far as the reader takes it at once. For the last moment of
+    // a process: it allocates nothing and keeps no account, so that a signal handler may call it.
+    auto writeLast(std::string_view line) const noexcept -> void;
+
     [[nodiscard]] auto droppedLines() const -> std::uint64_t { return m_dropped; }
 
 private:
+    // Writes the beginning of `text` if the reader takes it at once; returns how many bytes it
+    // took.
+    [[nodiscard]] auto writePart(std::string_view text) const noexcept -> std::size_t;
+
     log_output_options m_options;
     std::string m_kept;
     std::uint64_t m_dropped = 0;
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -15,6 +15,7 @@
 #include <set>
 
 #include "base/counters.h"
+#include "base/crash_report.h"
 #include "base/hashing.h"
 #include "base/log.h"
 #include "base/log_output.h"
@@ -53,6 +54,7 @@
         : m_settingsFile(std::move(settingsFile)),
           m_settings(std::move(settings)),
           m_output({}),
+          m_crashReport(m_output),
           m_boot(randomId()),
           m_log({.sink = [this](std::string_view line) { m_output.add(line); }}),
           m_controlHttp(m_loop, {.connectTimeout = controlConnectTimeout}),
@@ -318,6 +320,7 @@
     edge_settings m_settings;
     system_runtime_clock m_clock;
     log_output m_output;
+    crash_report m_crashReport;
     // Unique for this start of the process.
     std::string m_boot;
     logger m_log;
