--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -4,8 +4,9 @@
 //
 // A request row is in exactly one place: in its class's queue (waiting), in the list of delayed
 // retries (delayed) or counted at an endpoint (placed); `leave` takes it out of whichever it is in,
-// and `forget`, the only way out of the table, always does so. Systems that change the place of a
-// row are the only ones that touch the counters that go with it.
+// and `forget`, the only way out for what was admitted, always does so. Systems that change the
+// place of a row are the only ones that touch the counters that go with it. A request that its
+// account's limits turn away was never in a list and is not counted; its row is free at once.
 
 #include <array>
 #include <span>
