Let a crash report hand on to the handlers before it

The handler put the default action back, which took a sanitizer's report of the same fault away. It restores what was there and lets the fault happen again; only a signal that was sent is raised again.

--- a/packages/base/crash_report.cpp
+++ b/packages/base/crash_report.cpp
@@ -25,6 +25,8 @@
 });
 
 std::atomic<log_output *> reported = nullptr;
+// What each of these signals did before; a sanitizer has handlers of its own.
+std::array<struct sigaction, crashLines.size()> previousActions{};
 
 // The stack of the handler: the process's own may be used up.
 constexpr std::size_t handlerStackBytes = 64U << 10U;
@@ -39,39 +41,48 @@
     return {};
 }
 
-// Runs once: the signal's usual action is back by then, and raising it again ends the process.
-auto handle(int signal) -> void
+auto restoreActions() -> void
+{
+    for (std::size_t at = 0; at < crashLines.size(); ++at)
+        sigaction(crashLines[at].signal, &previousActions[at], nullptr);
+}
+
+auto handle(int signal, siginfo_t *info, void *) -> void
 {
     if (auto *output = reported.exchange(nullptr))
         output->writeLast(lineOf(signal));
-    static_cast<void>(std::raise(signal));
+    restoreActions();
+    // A fault happens again as soon as its instruction does; a signal that was sent does not.
+    const bool wasSent = info->si_code <= 0;
+    if (wasSent)
+        static_cast<void>(std::raise(signal));
 }
 
-auto setHandlers(void (*handler)(int)) -> void
+auto installHandlers() -> void
 {
+    const stack_t stack{
+        .ss_sp = handlerStack.data(), .ss_flags = 0, .ss_size = handlerStack.size()};
+    sigaltstack(&stack, nullptr);
     struct sigaction action
     {};
-    action.sa_handler = handler;
-    action.sa_flags = static_cast<int>(SA_RESETHAND | SA_ONSTACK);
-    for (const auto &line : crashLines)
-        sigaction(line.signal, &action, nullptr);
+    action.sa_sigaction = handle;
+    action.sa_flags = SA_SIGINFO | SA_ONSTACK;
+    for (std::size_t at = 0; at < crashLines.size(); ++at)
+        sigaction(crashLines[at].signal, &action, &previousActions[at]);
 }
 
 } // namespace
 
 crash_report::crash_report(log_output &output)
 {
-    reported = &output;
-    const stack_t stack{
-        .ss_sp = handlerStack.data(), .ss_flags = 0, .ss_size = handlerStack.size()};
-    sigaltstack(&stack, nullptr);
-    setHandlers(handle);
+    if (reported.exchange(&output) == nullptr)
+        installHandlers();
 }
 
 crash_report::~crash_report()
 {
-    reported = nullptr;
-    setHandlers(SIG_DFL);
+    if (reported.exchange(nullptr) != nullptr)
+        restoreActions();
 }
 
 } // namespace mustardline
--- a/packages/base/crash_report.h
+++ b/packages/base/crash_report.h
@@ -6,8 +6,8 @@
 //
 // When the process faults or aborts, the lines that `output` has gathered are written, and after
 // them one that names the signal; the process then ends by that signal as it would have otherwise.
-// The lines before a fault are those that tell its cause, and without this they would be lost. One
-// report at a time; a later one takes the place of an earlier one.
+// The lines before a fault are those that tell its cause, and without this they would be lost.
+// There may be one report at a time.
 
 #include "base/log_output.h"
 
