--- /dev/null
+++ b/packages/policy/testing/prompt_fleet_test.cpp
@@ -0,0 +1,388 @@
+// A fleet of endpoints that read prompts between the tokens of their answers, behind several
+// entries that know each other's load by messages only. Paused clock, seeded arrivals, no network.
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "policy/dispatcher.h"
+#include "policy/durations.h"
+#include "policy/random.h"
+
+namespace mustardline {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t entryCount = 10;
+constexpr std::uint32_t endpointCount = 20;
+constexpr std::uint32_t places = 128;
+constexpr duration clockStep = 5ms;
+constexpr duration tellingInterval = 100ms;
+
+// Of an endpoint's batch: a step makes one token of each answer and reads a part of the prompts.
+constexpr duration emptyStep = 3500us;
+constexpr duration stepPerAnswer = 50us;
+constexpr double readPerMillisecond = 110;
+constexpr std::uint32_t readInOneStep = 4096;
+constexpr std::uint32_t tokensInOneEvent = 7;
+// Subjects whose prompts share their first part.
+constexpr std::uint32_t subjectsOfAKind = 30;
+
+struct burst
+{
+    duration from{};
+    duration until{};
+    double factor = 1;
+};
+
+struct stream_kind
+{
+    std::string name;
+    std::uint32_t tier = 1;
+    std::uint32_t promptTokens = 0;
+    std::uint32_t sharedTokens = 0;
+    std::uint32_t answerTokens = 0;
+    duration firstTokenTarget{};
+    duration pauseTarget{};
+    double perSecond = 0;
+    std::vector<burst> bursts;
+};
+
+struct stream
+{
+    std::uint32_t kind = 0;
+    std::uint32_t entry = 0;
+    std::uint32_t subject = 0;
+    time_point arrivedAt{};
+    std::uint32_t unread = 0;
+    std::uint32_t made = 0;
+    time_point lastEventAt{};
+    bool isLate = false;
+    bool isWhole = false;
+};
+
+struct endpoint_model
+{
+    // In the order of arrival.
+    std::vector<std::uint64_t> streams;
+    // Subjects whose shared parts were read here.
+    std::map<std::pair<std::uint32_t, std::uint32_t>, bool> cached;
+    time_point stepEndsAt{};
+    bool isDown = false;
+};
+
+class prompt_fleet
+{
+public:
+    prompt_fleet(std::vector<stream_kind> kinds, std::uint64_t seed)
+        : m_kinds(std::move(kinds)), m_random(seed)
+    {
+        for (std::uint32_t at = 0; at < entryCount; ++at) {
+            m_entries.emplace_back(dispatcher_options{.dataCentre = "tuzla", .seed = seed + at});
+            m_entries.back().setEntryCount(entryCount);
+            for (std::uint32_t endpoint = 0; endpoint < endpointCount; ++endpoint) {
+                m_entries.back().setEndpoint({.id = nameOf(endpoint),
+                                              .dataCentre = "tuzla",
+                                              .serves = {"model"},
+                                              .maxConcurrency = places,
+                                              .coldConcurrency = places,
+                                              .readsPrompts = true,
+                                              .assumedFirstToken = 100ms},
+                                             m_clock.now());
+            }
+        }
+        m_endpoints.resize(endpointCount);
+        m_streams.emplace_back();
+    }
+
+    // A quarter of the endpoints are down in that time; what ran there is lost.
+    auto crashQuarter(duration from, duration until) -> void
+    {
+        m_downFrom = from;
+        m_downUntil = until;
+    }
+
+    auto run(duration length) -> void
+    {
+        const auto steps = length / clockStep;
+        for (std::int64_t step = 0; step < steps; ++step) {
+            m_clock.advance(clockStep);
+            m_passed += clockStep;
+            setDown();
+            for (std::uint32_t kind = 0; kind < m_kinds.size(); ++kind)
+                arriveNow(kind);
+            for (std::uint32_t at = 0; at < endpointCount; ++at)
+                work(at);
+            if (step % (tellingInterval / clockStep) == 0)
+                tellEachOther();
+            for (std::uint32_t at = 0; at < entryCount; ++at) {
+                m_entries[at].tick(m_clock.now(), m_actions);
+                carryOut(at);
+            }
+        }
+    }
+
+    // The part of a kind's streams that were whole and in time; those of the last seconds, which
+    // may still run, are left out.
+    [[nodiscard]] auto inTime(std::uint32_t kind) const -> double
+    {
+        constexpr duration longestStream = 8s;
+        double all = 0;
+        double good = 0;
+        for (const auto &each : m_streams) {
+            if (each.kind != kind || each.arrivedAt == time_point{}
+                || each.arrivedAt + longestStream > m_clock.now())
+                continue;
+            ++all;
+            good += each.isWhole && !each.isLate ? 1 : 0;
+        }
+        return all == 0 ? 0 : good / all;
+    }
+
+    [[nodiscard]] auto text() const -> std::string
+    {
+        std::string text;
+        for (std::uint32_t kind = 0; kind < m_kinds.size(); ++kind)
+            text += m_kinds[kind].name + " " + std::to_string(inTime(kind)) + " ";
+        return text;
+    }
+
+private:
+    static auto nameOf(std::uint32_t at) -> std::string { return "endpoint-" + std::to_string(at); }
+
+    auto setDown() -> void
+    {
+        const bool isDown = m_passed >= m_downFrom && m_passed < m_downUntil;
+        for (std::uint32_t at = 0; at < endpointCount; at += 4) {
+            auto &endpoint = m_endpoints[at];
+            if (isDown && !endpoint.isDown) {
+                for (const auto number : std::exchange(endpoint.streams, {}))
+                    entryOf(number).finished(number, result_code::answer_cut, 0, m_clock.now());
+                endpoint.cached.clear();
+            }
+            endpoint.isDown = isDown;
+        }
+    }
+
+    auto arriveNow(std::uint32_t number) -> void
+    {
+        const auto &kind = m_kinds[number];
+        auto rate = kind.perSecond * toSeconds(clockStep);
+        for (const auto &each : kind.bursts)
+            rate *= m_passed >= each.from && m_passed < each.until ? each.factor : 1;
+        for (auto left = rate; left > 0; left -= 1) {
+            if (left < 1 && m_random.uniform() >= left)
+                return;
+            arrive(number);
+        }
+    }
+
+    auto arrive(std::uint32_t number) -> void
+    {
+        const auto &kind = m_kinds[number];
+        const stream added{.kind = number,
+                           .entry = m_random.below(entryCount),
+                           .subject = m_random.below(subjectsOfAKind),
+                           .arrivedAt = m_clock.now()};
+        m_streams.push_back(added);
+        m_entries[added.entry].arrive({.request = m_streams.size() - 1,
+                                       .clientAccount = "account",
+                                       .requestClass = kind.name,
+                                       .target = "model",
+                                       .tier = kind.tier,
+                                       .firstTokenTarget = kind.firstTokenTarget,
+                                       .betweenTokensTarget = kind.pauseTarget,
+                                       .deadline = 12s,
+                                       .wantedLate = true,
+                                       .promptTokens = kind.promptTokens,
+                                       .prefixHash = mixBits(number * 1000 + added.subject + 1),
+                                       .sharedTokens = kind.sharedTokens},
+                                      m_clock.now(), m_actions);
+        carryOut(added.entry);
+    }
+
+    [[nodiscard]] auto entryOf(std::uint64_t number) -> dispatcher &
+    {
+        return m_entries[m_streams[number].entry];
+    }
+
+    auto carryOut(std::uint32_t entry) -> void
+    {
+        while (!m_actions.empty()) {
+            for (const auto &action : std::exchange(m_actions, {})) {
+                if (const auto *placed = std::get_if<place_action>(&action))
+                    begin(entry, *placed);
+            }
+        }
+    }
+
+    auto begin(std::uint32_t entry, const place_action &placed) -> void
+    {
+        const auto at = static_cast<std::uint32_t>(
+            std::stoul(placed.endpoint.substr(placed.endpoint.find('-') + 1)));
+        auto &endpoint = m_endpoints[at];
+        const auto number = placed.request;
+        if (endpoint.isDown || endpoint.streams.size() >= places) {
+            m_entries[entry].notRun(
+                number, endpoint.isDown ? result_code::connection_failed : result_code::not_run,
+                m_clock.now(), m_actions);
+            return;
+        }
+        auto &row = m_streams[number];
+        const auto &kind = m_kinds[row.kind];
+        auto &isCached = endpoint.cached[{row.kind, row.subject}];
+        row.unread = kind.promptTokens - (isCached ? kind.sharedTokens : 0);
+        isCached = true;
+        if (endpoint.streams.empty())
+            endpoint.stepEndsAt = m_clock.now();
+        endpoint.streams.push_back(number);
+    }
+
+    // Ends the steps that are over by now, and begins the next.
+    auto work(std::uint32_t at) -> void
+    {
+        auto &endpoint = m_endpoints[at];
+        while (!endpoint.streams.empty() && endpoint.stepEndsAt <= m_clock.now()) {
+            auto room = readInOneStep;
+            std::uint32_t answering = 0;
+            for (const auto number : endpoint.streams) {
+                auto &row = m_streams[number];
+                if (row.unread == 0)
+                    ++answering;
+                const auto part = std::min(room, row.unread);
+                row.unread -= part;
+                room -= part;
+            }
+            const auto reading = (readInOneStep - room) / readPerMillisecond;
+            endpoint.stepEndsAt = endpoint.stepEndsAt + emptyStep + stepPerAnswer * answering
+                                  + fromSeconds(reading / 1000);
+            makeTokens(endpoint);
+        }
+    }
+
+    auto makeTokens(endpoint_model &endpoint) -> void
+    {
+        const auto when = endpoint.stepEndsAt;
+        std::erase_if(endpoint.streams, [&](std::uint64_t number) {
+            auto &row = m_streams[number];
+            const auto &kind = m_kinds[row.kind];
+            if (row.unread > 0)
+                return false;
+            if (row.made == 0)
+                entryOf(number).firstToken(number, when);
+            if (row.made % tokensInOneEvent == 0) {
+                const auto since = row.made == 0 ? row.arrivedAt : row.lastEventAt;
+                const auto most = row.made == 0 ? kind.firstTokenTarget : kind.pauseTarget;
+                row.isLate = row.isLate || when - since > most;
+                row.lastEventAt = when;
+                entryOf(number).progressed(number, 1);
+            }
+            row.isWhole = ++row.made >= kind.answerTokens;
+            if (row.isWhole)
+                entryOf(number).finished(number, result_code::ok, 0, when);
+            return row.isWhole;
+        });
+    }
+
+    auto tellEachOther() -> void
+    {
+        std::map<std::string, lane_needs> all;
+        for (std::uint32_t endpoint = 0; endpoint < endpointCount; ++endpoint) {
+            const auto name = nameOf(endpoint);
+            std::uint32_t inFlight = 0;
+            std::uint32_t unread = 0;
+            for (const auto &entry : m_entries) {
+                inFlight += entry.inFlightAt(name);
+                unread += entry.promptTokensAt(name);
+            }
+            for (auto &entry : m_entries) {
+                entry.reportLoad(name,
+                                 {.running = inFlight,
+                                  .window = places,
+                                  .othersPromptTokens = unread - entry.promptTokensAt(name)},
+                                 m_clock.now());
+            }
+        }
+        for (std::uint32_t own = 0; own < entryCount; ++own) {
+            std::map<std::string, lane_needs> others;
+            for (std::uint32_t other = 0; other < entryCount; ++other) {
+                if (other == own)
+                    continue;
+                for (const auto &[target, needs] : m_entries[other].laneNeeds())
+                    others[target] += needs;
+            }
+            m_entries[own].setOthersLaneNeeds(others);
+        }
+    }
+
+    std::vector<stream_kind> m_kinds;
+    random_source m_random;
+    manual_clock m_clock;
+    duration m_passed{};
+    duration m_downFrom{};
+    duration m_downUntil{};
+    std::vector<dispatcher> m_entries;
+    std::vector<endpoint_model> m_endpoints;
+    std::vector<dispatch_action> m_actions;
+    // By request number, from 1.
+    std::vector<stream> m_streams;
+};
+
+// The least that the users accept of what a kind of request is owed on a day of this load.
+constexpr double leastServed = 0.35;
+
+enum kind_number : std::uint32_t { note, tag, review };
+
+auto kinds() -> std::vector<stream_kind>
+{
+    return {{.name = "note",
+             .tier = 1,
+             .promptTokens = 820,
+             .sharedTokens = 200,
+             .answerTokens = 290,
+             .firstTokenTarget = 800ms,
+             .pauseTarget = 300ms,
+             .perSecond = 96,
+             .bursts = {{.from = 11s, .until = 16s, .factor = 2.3}}},
+            {.name = "tag",
+             .tier = 2,
+             .promptTokens = 2400,
+             .sharedTokens = 600,
+             .answerTokens = 20,
+             .firstTokenTarget = 1500ms,
+             .pauseTarget = 500ms,
+             .perSecond = 120},
+            {.name = "review",
+             .tier = 3,
+             .promptTokens = 12000,
+             .sharedTokens = 5400,
+             .answerTokens = 380,
+             .firstTokenTarget = 2s,
+             .pauseTarget = 1200ms,
+             .perSecond = 84,
+             .bursts = {{.from = 1s, .until = 10s, .factor = 2.4},
+                        {.from = 17s, .until = 21s, .factor = 2.4}}}};
+}
+
+// Load pattern: bursts of long prompts of the lowest tier, a quarter of the endpoints lost, and a
+// burst of short streams of the highest tier, which may pause only briefly. Guards against
+// endpoints that are taken as full or slow when they are not, and against lanes on whose border the
+// entries disagree: then one kind or another is hardly served at all.
+TEST(PromptFleetTest, burstsOfLongPromptsLeaveEachKindItsLeastService)
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U}) {
+        prompt_fleet fleet(kinds(), seed);
+        fleet.crashQuarter(9500ms, 11500ms);
+        fleet.run(30s);
+        for (const auto kind : {note, tag, review})
+            EXPECT_GE(fleet.inTime(kind), leastServed) << "seed " << seed << ": " << fleet.text();
+    }
+}
+
+} // namespace
+} // namespace mustardline
