--- a/packages/proofs/testing/promise_fixture.h
+++ b/packages/proofs/testing/promise_fixture.h
@@ -155,13 +155,22 @@
         std::vector<pending> calls;
         for (std::uint32_t i = 0; i < count; ++i)
             calls.push_back(begin(fleet, fleet.entry(entry).address, request));
+        const auto hasBegun = [](const pending &call) {
+            return call->answer.body.find("\"content\"") != std::string::npos;
+        };
         fleet.probe().runUntil(
             [&] {
-                return std::ranges::all_of(calls, [](const auto &call) {
-                    return call->answer.body.find("\"content\"") != std::string::npos;
-                });
+                return std::ranges::all_of(
+                    calls, [&](const pending &call) { return hasBegun(call) || call->ended; });
             },
             "every stream has begun");
+        for (const auto &call : calls) {
+            if (!hasBegun(call)) {
+                throw standin::harness_error(
+                    fmt::format("a stream ended before it had begun: status {}, {}",
+                                call->answer.status, call->answer.body));
+            }
+        }
         return calls;
     }
 
