--- a/packages/coordination/testing/keyed_follower_test.cpp
+++ b/packages/coordination/testing/keyed_follower_test.cpp
@@ -283,5 +283,40 @@
     EXPECT_EQ(known->records.front().value, "2");
 }
 
+// A log whose first call for the newest values is answered when the test says so.
+class slow_log : public scripted_log
+{
+public:
+    auto newest(const std::string &, const std::string &, const log_newest_handler &done) -> void
+    {
+        waiting = done;
+    }
+
+    log_newest_handler waiting;
+};
+
+// Guards against a key that was dropped and comes back: a page of the newest values that was asked
+// for before another process told all, and that arrives after the drop.
+TEST(KeyedFollowerSlowLogTest, anOldPageBringsNoDroppedKeyBack)
+{
+    event_loop loop;
+    slow_log log;
+    log.onIdle = [&loop] { loop.stop(); };
+    keyed_follower<slow_log> follower(
+        loop, log, {.topic = "t", .pace = milliseconds(1), .retryAfter = milliseconds(1)});
+    std::vector<std::string> seen;
+    follower.onRecord = [&seen](const keyed_record &record) {
+        seen.push_back(record.key + (record.value ? "=" + *record.value : " dropped"));
+    };
+    follower.start();
+    follower.adopt({.end = 6, .records = {recordOf("a", "1", 5)}});
+    const std::vector<keyed_record> dropped{{.key = "a", .value = std::nullopt, .offset = 6}};
+    ASSERT_TRUE(follower.offer(6, 7, dropped));
+    // As it stood when it was asked for.
+    log.waiting(pageOf({recordOf("a", "1", 5)}, 6));
+    EXPECT_EQ(seen, (std::vector<std::string>{"a=1", "a dropped"}));
+    EXPECT_TRUE(follower.knowledge()->records.empty()) << "and it would be told to other processes";
+}
+
 } // namespace
 } // namespace mustardline
--- /dev/null
+++ b/packages/forwarding/testing/forward_router_test.cpp
@@ -0,0 +1,240 @@
+// What becomes of requests at the router, over sockets, with endpoints that the test answers for.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "policy/dispatcher.h"
+
+// The dispatcher's mistakes cannot be brought about from outside, so the test hands the router what
+// a dispatcher that lost track of a request would ask for.
+#define private public
+#include "forwarding/forward_router.h"
+#undef private
+
+namespace mustardline {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class ForwardRouterTest : public testing::Test
+{
+protected:
+    struct fake
+    {
+        std::unique_ptr<http_server> server;
+        socket_address address;
+        std::vector<std::shared_ptr<http_exchange>> received;
+    };
+
+    ForwardRouterTest()
+        : m_router(m_loop, m_http, m_log, m_metrics, m_routes, m_directory,
+                   {.dataCentre = "tuzla",
+                    .names = {.requestId = "Request-Id",
+                              .deadline = "Deadline",
+                              .expectEndpoint = "Expect-Endpoint",
+                              .account = "Account",
+                              .seal = "Seal",
+                              .notRun = "Not-Run",
+                              .leaving = "Leaving",
+                              .priority = "Priority",
+                              .lastEventId = "Last-Event-Id",
+                              .promptParts = "Prompt-Parts",
+                              .tokenCounts = "Token-Counts"}})
+    {
+        fleet_configuration configuration{.version = 1};
+        configuration.routes.push_back({.name = "orders",
+                                        .host = "a.example",
+                                        .pathPrefix = "/",
+                                        .kind = route_kind::once,
+                                        .timeout = seconds(2),
+                                        .maxAttempts = 2,
+                                        .targets = {{.service = "orders", .weight = 1}}});
+        configuration.services.push_back({.name = "orders"});
+        m_routes.replace(std::make_shared<const fleet_configuration>(configuration));
+        for (auto *each : {&m_old, &m_new}) {
+            each->server = std::make_unique<http_server>(m_loop, http_server_options());
+            each->server->onRequest([this, each](const std::shared_ptr<http_exchange> &exchange) {
+                each->received.push_back(exchange);
+                if (onReceived)
+                    onReceived(*each, *exchange);
+            });
+            each->address = {.host = "127.0.0.1",
+                             .port = std::get<std::uint16_t>(each->server->listen())};
+        }
+        m_front.onRequest(
+            [this](const std::shared_ptr<http_exchange> &exchange) { m_router.handle(exchange); });
+        m_frontAddress = {.host = "127.0.0.1", .port = std::get<std::uint16_t>(m_front.listen())};
+        m_guard = m_loop.after(seconds(6), [this] { m_loop.stop(); });
+    }
+
+    // The endpoint "e1" starts, or starts anew, at that address.
+    auto startEndpoint(const fake &at, std::int64_t bornAt) -> void
+    {
+        m_directory.registered({.id = "e1",
+                                .service = "orders",
+                                .address = at.address,
+                                .dataCentre = "tuzla",
+                                .slots = 4,
+                                .bornAt = bornAt},
+                               m_clock.now());
+        m_router.endpointsChanged();
+    }
+
+    auto call() -> void
+    {
+        m_client.fetch(m_frontAddress,
+                       {.method = "POST",
+                        .path = "/new",
+                        .headers = {{.name = "host", .value = "a.example"},
+                                    {.name = "Request-Id", .value = "r1"}},
+                        .body = "x"},
+                       [this](const http_outcome &, const http_answer &answer,
+                              const std::string &body) {
+                           m_status = answer.status;
+                           m_body = body;
+                           m_loop.stop();
+                       });
+        m_loop.run();
+    }
+
+    static auto succeed(http_exchange &exchange) -> void
+    {
+        exchange.reply(200, std::vector<http_header>{{.name = "Seal", .value = "s"}}, "done");
+    }
+
+    [[nodiscard]] auto isUsable() const -> bool
+    {
+        const auto *entry = m_directory.find("e1");
+        return entry != nullptr && m_directory.isUsable(*entry);
+    }
+
+    std::function<auto(const fake &, http_exchange &)->void> onReceived;
+
+    event_loop m_loop;
+    system_runtime_clock m_clock;
+    http_client m_http{m_loop, {}};
+    http_client m_client{m_loop, {}};
+    logger m_log{{.sink = [](std::string_view) {}}};
+    counters m_metrics;
+    route_table m_routes;
+    endpoint_directory m_directory{{}};
+    forward_router m_router;
+    fake m_old;
+    fake m_new;
+    http_server m_front{m_loop, {}};
+    socket_address m_frontAddress;
+    event_handle m_guard;
+    int m_status = 0;
+    std::string m_body;
+};
+
+// Guards against an endpoint that is given up because another one, at the address of its earlier
+// start, said that it is not the one.
+TEST_F(ForwardRouterTest, whatTheAddressOfAnEarlierStartSaysIsNotSaidOfTheLaterOne)
+{
+    startEndpoint(m_old, 1);
+    onReceived = [this](const fake &at, http_exchange &exchange) {
+        if (&at == &m_new) {
+            succeed(exchange);
+            return;
+        }
+        startEndpoint(m_new, 2);
+        exchange.reply(421, {}, "");
+    };
+    call();
+    EXPECT_TRUE(isUsable()) << "the later start was taken out";
+    EXPECT_EQ(m_status, 200) << m_body;
+    EXPECT_EQ(m_new.received.size(), 1U);
+}
+
+// The same with an earlier start that answers its last request and says that it leaves.
+TEST_F(ForwardRouterTest, whatAnEarlierStartSaysOfItsLeavingIsNotSaidOfTheLaterOne)
+{
+    startEndpoint(m_old, 1);
+    onReceived = [this](const fake &, http_exchange &exchange) {
+        startEndpoint(m_new, 2);
+        exchange.reply(200,
+                       std::vector<http_header>{{.name = "Seal", .value = "s"},
+                                                {.name = "Leaving", .value = "1"}},
+                       "done");
+    };
+    call();
+    EXPECT_EQ(m_status, 200) << m_body;
+    EXPECT_TRUE(isUsable()) << "the later start was taken out";
+}
+
+// Guards against a refusal, which promises that nothing ran, of a request that an endpoint works
+// on, because the dispatcher lost track of it.
+TEST_F(ForwardRouterTest, whatIsUnderWayIsNotRefusedAsNotRun)
+{
+    startEndpoint(m_old, 1);
+    onReceived = [this](const fake &, http_exchange &) {
+        m_router.carryOut(refuse_action{.request = 1,
+                                        .code = result_code::overloaded,
+                                        .retryAfter = milliseconds(500),
+                                        .reason = "late"});
+    };
+    call();
+    EXPECT_EQ(m_old.received.size(), 1U);
+    EXPECT_EQ(m_body.find("overloaded"), std::string::npos) << m_status << " " << m_body;
+    EXPECT_NE(m_status, 503) << "the caller may send it again, and the endpoint runs it";
+}
+
+// Guards against a router that is called after its end: the process ends with requests under way,
+// and its members go in the order of `edge_process`, the callers' server after the router. Only the
+// sanitized build shows it for certain.
+TEST(ForwardRouterEndTest, theRouterIsNotCalledAfterItsEnd)
+{
+    event_loop loop;
+    http_client client(loop, {});
+    http_client endpoints(loop, {});
+    logger log({.sink = [](std::string_view) {}});
+    counters metrics;
+    route_table routes;
+    endpoint_directory directory({});
+    auto callers = std::make_unique<http_server>(loop, http_server_options());
+    auto router = std::make_unique<forward_router>(loop, endpoints, log, metrics, routes, directory,
+                                                   forward_router_options());
+    fleet_configuration configuration{.version = 1};
+    configuration.routes.push_back({.name = "orders",
+                                    .host = "a.example",
+                                    .pathPrefix = "/",
+                                    .timeout = seconds(9),
+                                    .targets = {{.service = "orders"}}});
+    configuration.services.push_back({.name = "orders"});
+    routes.replace(std::make_shared<const fleet_configuration>(configuration));
+    http_server endpoint(loop, {});
+    std::vector<std::shared_ptr<http_exchange>> held;
+    endpoint.onRequest([&](const std::shared_ptr<http_exchange> &exchange) {
+        held.push_back(exchange);
+        loop.stop();
+    });
+    directory.registered({.id = "e1",
+                          .service = "orders",
+                          .address = {.host = "127.0.0.1",
+                                      .port = std::get<std::uint16_t>(endpoint.listen())}},
+                         system_runtime_clock().now());
+    router->endpointsChanged();
+    callers->onRequest(
+        [&](const std::shared_ptr<http_exchange> &exchange) { router->handle(exchange); });
+    const socket_address front{.host = "127.0.0.1",
+                               .port = std::get<std::uint16_t>(callers->listen())};
+    const auto call
+        = client.fetch(front, {.method = "POST", .path = "/", .headers = {{.name = "host", .value = "a.example"}}},
+                       [](const http_outcome &, const http_answer &, const std::string &) {});
+    loop.run();
+    ASSERT_EQ(router->liveCount(), 1U);
+    router.reset();
+    callers.reset();
+}
+
+} // namespace
+} // namespace mustardline
