--- a/packages/forwarding/testing/forward_router_test.cpp
+++ b/packages/forwarding/testing/forward_router_test.cpp
@@ -24,6 +24,21 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+auto testNames() -> header_names
+{
+    return {.requestId = "Request-Id",
+            .deadline = "Deadline",
+            .expectEndpoint = "Expect-Endpoint",
+            .account = "Account",
+            .seal = "Seal",
+            .notRun = "Not-Run",
+            .leaving = "Leaving",
+            .priority = "Priority",
+            .lastEventId = "Last-Event-Id",
+            .promptParts = "Prompt-Parts",
+            .tokenCounts = "Token-Counts"};
+}
+
 class ForwardRouterTest : public testing::Test
 {
 protected:
@@ -37,17 +52,7 @@
     ForwardRouterTest()
         : m_router(m_loop, m_http, m_log, m_metrics, m_routes, m_directory,
                    {.dataCentre = "tuzla",
-                    .names = {.requestId = "Request-Id",
-                              .deadline = "Deadline",
-                              .expectEndpoint = "Expect-Endpoint",
-                              .account = "Account",
-                              .seal = "Seal",
-                              .notRun = "Not-Run",
-                              .leaving = "Leaving",
-                              .priority = "Priority",
-                              .lastEventId = "Last-Event-Id",
-                              .promptParts = "Prompt-Parts",
-                              .tokenCounts = "Token-Counts"}})
+                    .names = testNames()})
     {
         fleet_configuration configuration{.version = 1};
         configuration.routes.push_back({.name = "orders",
@@ -202,7 +207,7 @@
     endpoint_directory directory({});
     auto callers = std::make_unique<http_server>(loop, http_server_options());
     auto router = std::make_unique<forward_router>(loop, endpoints, log, metrics, routes, directory,
-                                                   forward_router_options());
+                                                   forward_router_options{.names = testNames()});
     fleet_configuration configuration{.version = 1};
     configuration.routes.push_back({.name = "orders",
                                     .host = "a.example",
@@ -230,7 +235,9 @@
     const auto call
         = client.fetch(front, {.method = "POST", .path = "/", .headers = {{.name = "host", .value = "a.example"}}},
                        [](const http_outcome &, const http_answer &, const std::string &) {});
+    const auto guard = loop.after(seconds(5), [&loop] { loop.stop(); });
     loop.run();
+    ASSERT_EQ(held.size(), 1U);
     ASSERT_EQ(router->liveCount(), 1U);
     router.reset();
     callers.reset();
--- a/packages/policy/testing/dispatcher_wide_random_test.cpp
+++ b/packages/policy/testing/dispatcher_wide_random_test.cpp
@@ -279,7 +279,7 @@
 // Guards against a row that is left in a list or a count after its request or endpoint has ended.
 TEST(DispatcherWideRandomTest, whateverIsToldNothingIsLeftBehind)
 {
-    constexpr std::uint64_t seeds = 60;
+    constexpr std::uint64_t seeds = 120;
     constexpr int steps = 2500;
     std::uint32_t placed = 0;
     std::uint32_t refused = 0;
