Take no page of the newest values that is older than what was told since

A key that was dropped came back, to this process and to those that it tells: a slow answer to the first call for the newest values arrived after another process had told all and the drop had been read. Such a page is now left out; reading on from what was told misses nothing.

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -134,10 +134,13 @@
 
     auto newestCame(const log_newest_outcome &outcome) -> void
     {
-        if (!isAnswered(outcome)) {
-            // Another process may have told all since the call began.
-            if (!m_following)
-                again(m_options.retryAfter, [this] { readNewest(""); });
+        const bool wasAnswered = isAnswered(outcome);
+        // Another process has told all since the call began, and reading goes on from there: what
+        // has come is older.
+        if (m_following)
+            return;
+        if (!wasAnswered) {
+            again(m_options.retryAfter, [this] { readNewest(""); });
             return;
         }
         const auto &page = std::get<log_newest_page>(outcome);
