Keep in mind that an agent told a request as run

Its connection was lost, the agent told that it had run, and ended before its answer was fetched; the refused connect was taken for a proof that nothing ran, and the order was placed elsewhere. Now what was once told as run stays so, whatever a later try says. Likewise a refusal after a try that was lost says that the outcome is not known, and no longer 'overloaded', and a refusal of what is under way is ignored and logged as a placement is (decision_ignored). Open: an agent that starts anew between telling and the fetch runs the order again, since the call names no start of the agent.

--- a/packages/entry/events.h
+++ b/packages/entry/events.h
@@ -51,9 +51,9 @@
 inline constexpr log_event operatorRefused{2023, "operator_refused", log_level::warning,
                                            "An operator's call carried no accepted token."};
 
-inline constexpr log_event placementRefused{
-    2024, "placement_refused", log_level::error,
-    "A placement was not carried out: the request may already have run."};
+inline constexpr log_event decisionIgnored{
+    2024, "decision_ignored", log_level::error,
+    "The dispatcher placed or refused a request that it had lost track of; nothing was done."};
 
 inline constexpr log_event usageAppended{2030, "usage_appended", log_level::debug,
                                          "Metered usage of agents is durable in the log."};
@@ -88,12 +88,12 @@
     "A VM leaves by the platform's list, or was replaced by a live one."};
 
 inline constexpr auto entryEvents = std::to_array<log_event>(
-    {entryListening,   entryReady,      entryDraining,     entryStopped,     entryFailed,
-     requestPlaced,    requestRefused,  requestFinished,   requestNotRun,    requestLost,
-     requestCancelled, requestRejected, claimDecided,      claimGivenUp,     ownerResolved,
-     entityChanged,    changeDecided,   operatorRefused,   placementRefused, usageAppended,
-     usageDelayed,     usageReported,   usageReportFailed, leaseTaken,       leaseLost,
-     streamTruncated,  snapshotWritten, orderSent,         orderAnswered,    scalingDecided,
+    {entryListening,   entryReady,      entryDraining,     entryStopped,    entryFailed,
+     requestPlaced,    requestRefused,  requestFinished,   requestNotRun,   requestLost,
+     requestCancelled, requestRejected, claimDecided,      claimGivenUp,    ownerResolved,
+     entityChanged,    changeDecided,   operatorRefused,   decisionIgnored, usageAppended,
+     usageDelayed,     usageReported,   usageReportFailed, leaseTaken,      leaseLost,
+     streamTruncated,  snapshotWritten, orderSent,         orderAnswered,   scalingDecided,
      vmStateChanged});
 
 } // namespace mustardline
--- a/packages/entry/live_request.cpp
+++ b/packages/entry/live_request.cpp
@@ -6,7 +6,7 @@
 
 auto awaitsPlacement(const live_request &live) -> bool
 {
-    return live.phase == live_phase::queued && !live.mayHaveRun;
+    return live.phase == live_phase::queued && !live.mayHaveRun && !live.hasRun;
 }
 
 auto arrivalOf(std::uint64_t number, const caller_request &request) -> request_arrival
--- a/packages/entry/live_request.h
+++ b/packages/entry/live_request.h
@@ -51,6 +51,10 @@
     event_handle retryTimer;
     // The attempt was sent and not proved not run since.
     bool mayHaveRun = false;
+    // An agent told that the request ran. No later try can prove otherwise.
+    bool hasRun = false;
+    // A try was lost that may have run; the request may be repeated, and was.
+    bool wasLost = false;
 
     // The endpoint's answer so far, if it is not streamed to the caller.
     answer_start start;
--- a/packages/entry/request_router.cpp
+++ b/packages/entry/request_router.cpp
@@ -209,11 +209,7 @@
     if (live == nullptr)
         return;
     if (!awaitsPlacement(*live)) {
-        // The dispatcher has lost track of it; the end of the try under way tells what may follow.
-        m_log.write(placementRefused, field("request", live->id),
-                    field("endpoint", action.endpoint), field("attempt", action.attempt),
-                    field("under_way_at", live->endpoint), field("sends", live->attempt),
-                    field("may_have_run", live->mayHaveRun));
+        noteLostTrack(*live, "placement");
         return;
     }
     const auto *endpoint = m_config.endpoint(action.endpoint);
@@ -253,6 +249,14 @@
     });
 }
 
+// The end of the try under way tells what may follow.
+auto request_router::noteLostTrack(const live_request &live, std::string_view asked) -> void
+{
+    m_log.write(decisionIgnored, field("request", live.id), field("asked", asked),
+                field("under_way_at", live.endpoint), field("attempt", live.attempt),
+                field("may_have_run", live.mayHaveRun), field("has_run", live.hasRun));
+}
+
 auto request_router::send(live_request &live, const socket_address &agent) -> void
 {
     const auto number = live.number;
@@ -294,12 +298,18 @@
     auto *live = find(action.request);
     if (live == nullptr)
         return;
+    if (!awaitsPlacement(*live)) {
+        noteLostTrack(*live, "refusal");
+        return;
+    }
     m_log.write(
         requestRefused, field("request", live->id), field("account", live->request.clientAccount),
         field("class", live->request.requestClass), field("tier", live->request.tier),
         field("target", live->request.target), field("code", number(action.code)),
         field("reason", action.reason), field("retry_after_ms", toMilliseconds(action.retryAfter)));
-    fail(*live, {.code = action.code, .retryAfter = action.retryAfter});
+    // A refusal says that nothing ran.
+    const auto code = live->wasLost ? result_code::outcome_unknown : action.code;
+    fail(*live, {.code = code, .retryAfter = action.retryAfter});
 }
 
 auto request_router::carryOut(const cancel_action &action) -> void
--- a/packages/entry/request_router.h
+++ b/packages/entry/request_router.h
@@ -89,6 +89,8 @@
 
     auto carryOut() -> void;
     auto carryOut(const place_action &action) -> void;
+    // The dispatcher asked for what the request's own state rules out.
+    auto noteLostTrack(const live_request &live, std::string_view asked) -> void;
     auto send(live_request &live, const socket_address &agent) -> void;
     auto carryOut(const refuse_action &action) -> void;
     auto carryOut(const cancel_action &action) -> void;
--- a/packages/entry/request_router_answers.cpp
+++ b/packages/entry/request_router_answers.cpp
@@ -99,18 +99,20 @@
                                 || loss.reason.code == result_code::answer_cut;
     if (!loss.told || endpointFailed)
         m_dispatcher.reportFailure(live.endpoint, m_clock.now());
-    if (!loss.sent)
+    if (!loss.sent) {
         retry(live, result_code::connection_failed);
-    else if (live.request.idempotent && mayGoOn(live, loss.reason.code))
+    } else if (live.request.idempotent && mayGoOn(live, loss.reason.code)) {
+        live.wasLost = true;
         retry(live, loss.reason.code);
-    else if (live.streaming || live.request.idempotent)
+    } else if (live.streaming || live.request.idempotent) {
         failPlaced(live, loss.told ? loss.reason.code : result_code::answer_cut);
-    else if (loss.told)
+    } else if (loss.told) {
         failPlaced(live, loss.reason.code == result_code::idempotency_conflict
                              ? loss.reason.code
                              : result_code::outcome_unknown);
-    else
+    } else {
         resolveFate(live.number);
+    }
 }
 
 auto request_router::mayGoOn(live_request &live, result_code code) -> bool
@@ -151,6 +153,7 @@
         retry(live, result_code::not_run);
     } else if (answer.fate == request_fate::done) {
         // The agent repeats the answer of a request that it has run, and does not run it again.
+        live.hasRun = true;
         send(live, agent);
     } else {
         live.retryTimer
@@ -162,7 +165,7 @@
 {
     m_log.write(requestNotRun, field("request", live.id), field("attempt", live.attempt),
                 field("endpoint", live.endpoint), field("code", number(code)));
-    if (live.phase == live_phase::fetching) {
+    if (live.phase == live_phase::fetching || live.hasRun) {
         failPlaced(live, result_code::outcome_unknown);
         return;
     }
--- a/packages/entry/testing/live_request_test.cpp
+++ b/packages/entry/testing/live_request_test.cpp
@@ -29,6 +29,8 @@
         live.mayHaveRun = each.mayHaveRun;
         EXPECT_EQ(awaitsPlacement(live), each.awaits)
             << static_cast<int>(each.phase) << " " << each.mayHaveRun;
+        live.hasRun = true;
+        EXPECT_FALSE(awaitsPlacement(live)) << "an agent told that it ran";
     }
 }
 
--- a/packages/entry/testing/request_router_test.cpp
+++ b/packages/entry/testing/request_router_test.cpp
@@ -97,7 +97,8 @@
 
     auto agentAsked(agent &each, const std::shared_ptr<http_exchange> &exchange) -> void
     {
-        const std::vector<http_header> own{{.name = "mustardline-boot", .value = "boot-" + each.id}};
+        const std::vector<http_header> own{
+            {.name = "mustardline-boot", .value = "boot-" + each.id}};
         if (exchange->path() == "/v1/run") {
             ++each.runs;
             if (m_cutsAll || m_agents[0].runs + m_agents[1].runs == 1) {
@@ -120,18 +121,18 @@
 
     auto call(const std::string &path) -> void
     {
-        m_client.fetch(m_frontAddress,
-                       {.method = "POST",
-                        .path = path,
-                        .headers = {{.name = "authorization", .value = "Bearer " + m_key},
-                                    {.name = "content-type", .value = "application/json"}},
-                        .body = "{}"},
-                       [this](const http_outcome &, const http_answer &answer,
-                              const std::string &body) {
-                           m_status = answer.status;
-                           m_body = body;
-                           m_loop.stop();
-                       });
+        m_client.fetch(
+            m_frontAddress,
+            {.method = "POST",
+             .path = path,
+             .headers = {{.name = "authorization", .value = "Bearer " + m_key},
+                         {.name = "content-type", .value = "application/json"}},
+             .body = "{}"},
+            [this](const http_outcome &, const http_answer &answer, const std::string &body) {
+                m_status = answer.status;
+                m_body = body;
+                m_loop.stop();
+            });
         m_loop.run();
     }
 
