--- a/packages/forwarding/forward_request.h
+++ b/packages/forwarding/forward_request.h
@@ -51,6 +51,8 @@
     // The try under way, and what has come of it.
     http_call call;
     std::string endpoint;
+    // Which start of the endpoint has it; another start under the same id knows nothing of it.
+    std::int64_t endpointBornAt = 0;
     bool inFlight = false;
     std::uint32_t sends = 0;
     http_answer answer;
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -49,6 +49,13 @@
       m_warmUp(m_options.warmUp)
 {}
 
+forward_router::~forward_router()
+{
+    // Callers' connections may end after the router has.
+    for (auto &[number, request] : m_requests)
+        request.exchange->onGone(nullptr);
+}
+
 auto forward_router::handle(const std::shared_ptr<http_exchange> &exchange) -> void
 {
     const auto now = m_clock.now();
@@ -124,8 +131,9 @@
     auto *request = find(action.request);
     if (request == nullptr)
         return;
-    // A refusal promises that nothing ran.
-    if (request->mayHaveRun) {
+    // A refusal promises that nothing ran; what is under way is not known to be refused.
+    if (!isSurelyNotRun(*request)) {
+        request->call.cancel();
         fail(*request, {.code = result_code::outcome_unknown});
         return;
     }
@@ -156,15 +164,17 @@
     if (request == nullptr)
         return;
     const auto *endpoint = m_directory.find(action.endpoint);
-    if (endpoint == nullptr || !m_directory.isUsable(*endpoint)) {
-        m_dispatcher.notRun(action.request, result_code::no_endpoint, m_clock.now(), m_actions);
-        return;
-    }
-    const auto bar = sendBar(*request, endpoint->registration.service);
+    const bool isUsable = endpoint != nullptr && m_directory.isUsable(*endpoint);
+    const auto bar
+        = sendBar(*request, isUsable ? endpoint->registration.service : request->service);
     if (bar != send_bar::none) {
         refusePlacement(*request, action, bar);
         return;
     }
+    if (!isUsable) {
+        m_dispatcher.notRun(action.request, result_code::no_endpoint, m_clock.now(), m_actions);
+        return;
+    }
     request->endpoint = action.endpoint;
     m_log.write(forwardPlaced, field("request", request->id), field("attempt", action.attempt),
                 field("route", request->route->name), field("service", request->service),
@@ -235,6 +245,7 @@
     request.invalidAnswer = false;
     request.hasFirstByte = false;
     request.inFlight = true;
+    request.endpointBornAt = endpoint.registration.bornAt;
     request.lastByteAt = now;
     if (mayGoElsewhere(request))
         watchSilence(request, silenceLimit(request));
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -49,6 +49,9 @@
     forward_router(event_loop &loop, http_client &http, logger &log, counters &metrics,
                    route_table &routes, endpoint_directory &directory,
                    forward_router_options options);
+    ~forward_router();
+    forward_router(const forward_router &) = delete;
+    auto operator=(const forward_router &) -> forward_router & = delete;
 
     // Takes a caller's request; it is answered later.
     auto handle(const std::shared_ptr<http_exchange> &exchange) -> void;
@@ -100,6 +103,7 @@
     auto refuseAtOnce(const std::shared_ptr<http_exchange> &exchange, const http_error &fault)
         -> void;
     auto setEndpoint(const endpoint_entry &entry) -> void;
+    auto removeEndpoint(const std::string &id) -> void;
     auto setEndpoints() -> void;
     auto reportUse(const endpoint_entry &entry, const endpoint_use &others, time_point now) -> void;
     [[nodiscard]] auto connectionsTo(std::string_view service) const -> std::uint32_t;
@@ -153,6 +157,8 @@
     // By service.
     std::unordered_map<std::string, shared_allowance> m_allowances;
     std::vector<dispatch_action> m_actions;
+    // The starts of endpoints that the dispatcher was told of, by id.
+    std::unordered_map<std::string, std::int64_t> m_starts;
     std::unordered_map<std::uint64_t, forward_request> m_requests;
     std::uint64_t m_lastNumber = 0;
     std::uint32_t m_entryCount = 1;
--- a/packages/forwarding/forward_router_answers.cpp
+++ b/packages/forwarding/forward_router_answers.cpp
@@ -49,6 +49,10 @@
     request->invalidAnswer
         = !findHeader(answer.headers, "content-encoding").empty()
           || (isSuccess(answer.status) && findHeader(answer.headers, names.seal).empty());
+    // What an earlier start of the endpoint says is not said of the one that took its id.
+    const auto *entry = m_directory.find(request->endpoint);
+    if (entry == nullptr || entry->registration.bornAt != request->endpointBornAt)
+        return;
     if (answer.status == misdirected)
         m_directory.addressTaken(request->endpoint);
     else
--- a/packages/forwarding/send_rules.cpp
+++ b/packages/forwarding/send_rules.cpp
@@ -37,6 +37,11 @@
     return send_bar::none;
 }
 
+auto isSurelyNotRun(const forward_request &request) -> bool
+{
+    return !request.inFlight && !request.mayHaveRun;
+}
+
 auto sendBarName(send_bar bar) -> std::string_view
 {
     switch (bar) {
--- a/packages/forwarding/send_rules.h
+++ b/packages/forwarding/send_rules.h
@@ -41,6 +41,9 @@
 // Whether the request may be sent to an endpoint of `service` now.
 [[nodiscard]] auto sendBar(const forward_request &request, std::string_view service) -> send_bar;
 
+// Whether the request may be refused with the promise that nothing of it ran.
+[[nodiscard]] auto isSurelyNotRun(const forward_request &request) -> bool;
+
 // The name of a bar in logs and metrics.
 [[nodiscard]] auto sendBarName(send_bar bar) -> std::string_view;
 
--- a/packages/forwarding/testing/send_rules_test.cpp
+++ b/packages/forwarding/testing/send_rules_test.cpp
@@ -56,6 +56,20 @@
     EXPECT_EQ(sendBar(request, "orders"), send_bar::under_way);
 }
 
+// Guards against a refusal, which promises that nothing ran, of a request that an endpoint works on
+// or may have run, because the dispatcher lost track of it.
+TEST(SendRulesTest, onlyWhatWasNeverRunMayBeRefusedAsNotRun)
+{
+    for (const bool inFlight : {false, true}) {
+        for (const bool mayHaveRun : {false, true}) {
+            forward_request request;
+            request.inFlight = inFlight;
+            request.mayHaveRun = mayHaveRun;
+            EXPECT_EQ(isSurelyNotRun(request), !inFlight && !mayHaveRun);
+        }
+    }
+}
+
 // One history of a request whose dispatcher asks for a placement at every step, also while a try is
 // under way. At each step a try begins, if the rules let it, or the one under way ends with or
 // without proof that it did not run.
