--- a/packages/forwarding/testing/forward_router_test.cpp
+++ b/packages/forwarding/testing/forward_router_test.cpp
@@ -61,8 +61,8 @@
             each->server = std::make_unique<http_server>(m_loop, http_server_options());
             each->server->onRequest([this, each](const std::shared_ptr<http_exchange> &exchange) {
                 each->received.push_back(exchange);
-                if (onReceived)
-                    onReceived(*each, *exchange);
+                if (m_onReceived)
+                    m_onReceived(*each, *exchange);
             });
             each->address
                 = {.host = "127.0.0.1", .port = std::get<std::uint16_t>(each->server->listen())};
@@ -114,7 +114,7 @@
         return entry != nullptr && m_directory.isUsable(*entry);
     }
 
-    std::function<auto(const fake &, http_exchange &)->void> onReceived;
+    std::function<auto(const fake &, http_exchange &)->void> m_onReceived;
 
     event_loop m_loop;
     system_runtime_clock m_clock;
@@ -139,7 +139,7 @@
 TEST_F(ForwardRouterTest, whatTheAddressOfAnEarlierStartSaysIsNotSaidOfTheLaterOne)
 {
     startEndpoint(m_old, 1);
-    onReceived = [this](const fake &at, http_exchange &exchange) {
+    m_onReceived = [this](const fake &at, http_exchange &exchange) {
         if (&at == &m_new) {
             succeed(exchange);
             return;
@@ -157,7 +157,7 @@
 TEST_F(ForwardRouterTest, whatAnEarlierStartSaysOfItsLeavingIsNotSaidOfTheLaterOne)
 {
     startEndpoint(m_old, 1);
-    onReceived = [this](const fake &, http_exchange &exchange) {
+    m_onReceived = [this](const fake &, http_exchange &exchange) {
         startEndpoint(m_new, 2);
         exchange.reply(200,
                        std::vector<http_header>{{.name = "Seal", .value = "s"},
