--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -131,7 +131,7 @@
     auto *request = find(action.request);
     if (request == nullptr)
         return;
-    // A refusal promises that nothing ran; what is under way is not known to be refused.
+    // A refusal promises that nothing ran; what was sent may have run, or may still.
     if (!isSurelyNotRun(*request)) {
         request->call.cancel();
         fail(*request, {.code = result_code::outcome_unknown});
