Let the dispatcher itself tell one start of an endpoint from the next

The router kept a table of its own, by id, of the starts that it had told, beside the dispatcher's table of endpoints, to remove and add an endpoint whose start had changed. The start is now a field of what the dispatcher is told, and setEndpoint sees the change: one table, and any owner gets the same. Behaviour is the same. DispatcherTest.aNewStartIsNotBlamedOrFilledByTheOneBeforeIt is new: red when the starts are not compared; ForwardRouterTest as before, green.

--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -103,7 +103,6 @@
     auto refuseAtOnce(const std::shared_ptr<http_exchange> &exchange, const http_error &fault)
         -> void;
     auto setEndpoint(const endpoint_entry &entry) -> void;
-    auto removeEndpoint(const std::string &id) -> void;
     auto setEndpoints() -> void;
     auto reportUse(const endpoint_entry &entry, const endpoint_use &others, time_point now) -> void;
     [[nodiscard]] auto connectionsTo(std::string_view service) const -> std::uint32_t;
@@ -157,8 +156,6 @@
     // By service.
     std::unordered_map<std::string, shared_allowance> m_allowances;
     std::vector<dispatch_action> m_actions;
-    // The starts of endpoints that the dispatcher was told of, by id.
-    std::unordered_map<std::string, std::int64_t> m_starts;
     std::unordered_map<std::uint64_t, forward_request> m_requests;
     std::uint64_t m_lastNumber = 0;
     std::uint32_t m_entryCount = 1;
--- a/packages/forwarding/forward_router_endpoints.cpp
+++ b/packages/forwarding/forward_router_endpoints.cpp
@@ -28,7 +28,7 @@
         if (const auto *entry = m_directory.find(id))
             setEndpoint(*entry);
         else
-            removeEndpoint(id);
+            m_dispatcher.removeEndpoint(id);
         const auto *entry = m_directory.find(id);
         m_log.write(endpointChanged, field("endpoint", id), field("known", entry != nullptr),
                     field("usable", entry != nullptr && m_directory.isUsable(*entry)));
@@ -49,22 +49,13 @@
         setEndpoint(entry);
 }
 
-auto forward_router::removeEndpoint(const std::string &id) -> void
-{
-    m_dispatcher.removeEndpoint(id);
-    m_starts.erase(id);
-}
-
 auto forward_router::setEndpoint(const endpoint_entry &entry) -> void
 {
     const auto &told = entry.registration;
-    // Failures and places of an earlier start are not those of the one that took its id.
-    if (const auto [start, isNew] = m_starts.try_emplace(told.id, told.bornAt);
-        !isNew && std::exchange(start->second, told.bornAt) != told.bornAt)
-        m_dispatcher.removeEndpoint(told.id);
     const auto *service = m_routes.service(told.service);
     const auto coldRate = service == nullptr ? 0 : service->coldRequestsPerSecond;
     m_dispatcher.setEndpoint({.id = told.id,
+                              .start = told.bornAt,
                               .dataCentre = told.dataCentre,
                               .serves = {told.service},
                               .maxConcurrency = told.slots,
--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -45,8 +45,12 @@
     for (const auto &name : info.serves)
         serves.push_back(m_state->targetOf(name));
     std::vector<std::uint32_t> before;
-    if (const auto known = m_state->endpoints.find(info.id); known != noIndex)
-        before = m_state->endpoints.at(known).serves;
+    if (const auto known = m_state->endpoints.find(info.id); known != noIndex) {
+        if (m_state->endpoints.at(known).start == info.start)
+            before = m_state->endpoints.at(known).serves;
+        else
+            removeEndpoint(info.id);
+    }
     const auto index = m_state->endpoints.set(info, std::move(serves), now);
     m_state->updateSubsets(index, before);
 }
--- a/packages/policy/dispatcher.h
+++ b/packages/policy/dispatcher.h
@@ -41,6 +41,9 @@
 struct endpoint_info
 {
     std::string id;
+    // Which start of the endpoint this is. Another one under the same id is another endpoint: what
+    // is known of the earlier start, and what was placed there, is not said of it.
+    std::int64_t start = 0;
     std::string dataCentre;
     // Models or the service that it serves.
     std::vector<std::string> serves;
--- a/packages/policy/endpoint_table.cpp
+++ b/packages/policy/endpoint_table.cpp
@@ -49,6 +49,7 @@
     }
     auto &row = m_rows[index];
     row.id = info.id;
+    row.start = info.start;
     row.dataCentre = info.dataCentre;
     row.serves = std::move(serves);
     if (!row.serves.empty())
--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -35,6 +35,7 @@
 struct endpoint_row
 {
     std::string id;
+    std::int64_t start = 0;
     std::string dataCentre;
     // Numbers of the models or the service that it serves.
     std::vector<std::uint32_t> serves;
--- a/packages/policy/testing/dispatcher_test.cpp
+++ b/packages/policy/testing/dispatcher_test.cpp
@@ -11,11 +11,14 @@
 class DispatcherTest : public testing::Test
 {
 protected:
-    auto addEndpoint(const std::string &id, std::uint32_t window) -> void
+    auto addEndpoint(const std::string &id, std::uint32_t window, std::int64_t start = 0) -> void
     {
-        m_core.setEndpoint(
-            {.id = id, .dataCentre = "tuzla", .serves = {"model"}, .maxConcurrency = window},
-            m_clock.now());
+        m_core.setEndpoint({.id = id,
+                            .start = start,
+                            .dataCentre = "tuzla",
+                            .serves = {"model"},
+                            .maxConcurrency = window},
+                           m_clock.now());
         m_core.reportLoad(id, {.window = window}, m_clock.now());
     }
 
@@ -57,6 +60,22 @@
     EXPECT_EQ(m_core.inFlightCount(), 1U);
 }
 
+TEST_F(DispatcherTest, aNewStartIsNotBlamedOrFilledByTheOneBeforeIt)
+{
+    addEndpoint("a", 1, 1);
+    arrive(1);
+    m_core.reportFailure("a", m_clock.now());
+    addEndpoint("a", 1, 2);
+    arrive(2);
+    ASSERT_NE(only<place_action>(), nullptr) << "the earlier start failed and was full";
+    EXPECT_EQ(m_core.inFlightAt("a"), 1U);
+    m_core.finished(1, result_code::endpoint_failed, 0, m_clock.now());
+    m_core.finished(2, result_code::ok, 1, m_clock.now());
+    EXPECT_EQ(m_core.inFlightAt("a"), 0U);
+    arrive(3);
+    EXPECT_NE(only<place_action>(), nullptr) << "the earlier start's loss counts here";
+}
+
 // Load pattern: many entries share an endpoint with many places and few connections for each.
 TEST_F(DispatcherTest, aBoundOnItsOwnRequestsIsNoBoundOnThoseOfOthers)
 {
