--- a/packages/entry/testing/caller_request_test.cpp
+++ b/packages/entry/testing/caller_request_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "base/hashing.h"
+#include "coordination/testing/configuration_records.h"
 #include "entry/key_text.h"
 
 namespace mustardline {
@@ -65,18 +66,10 @@
 
     auto add(const v1::Entity &entity, std::uint64_t base = 0) -> void
     {
-        v1::LogRecord record;
-        record.set_writer("test");
-        record.set_sequence(++m_sequence);
-        auto &change = *record.mutable_configuration_change();
-        change.set_change_id(std::to_string(m_sequence));
-        auto &item = *change.add_entities();
-        item.set_kind(kindOf(entity));
-        item.set_id(idOf(entity));
-        item.set_base_revision(base);
-        *item.mutable_entity() = entity;
-        m_config.apply(m_sequence, record);
-        ASSERT_EQ(m_config.decision(change.change_id())->code, result_code::ok);
+        const auto id = std::to_string(++m_sequence);
+        m_config.apply(m_sequence, changeOf({{.entity = entity, .base = base}},
+                                            {.changeId = id, .sequence = m_sequence}));
+        ASSERT_EQ(m_config.decision(id)->code, result_code::ok);
     }
 
     auto read(std::string_view path, std::vector<http_header> headers, std::string_view body,
--- a/packages/entry/testing/entry_slopes.cpp
+++ b/packages/entry/testing/entry_slopes.cpp
@@ -15,6 +15,7 @@
 #include <malloc.h>
 
 #include "base/hashing.h"
+#include "coordination/testing/configuration_records.h"
 #include "entry/caller_request.h"
 #include "entry/key_text.h"
 #include "entry/live_request.h"
@@ -70,15 +71,8 @@
     auto add(const v1::Entity &entity) -> void
     {
         const auto offset = m_config.offset() + 1;
-        v1::LogRecord record;
-        record.set_sequence(offset);
-        auto &change = *record.mutable_configuration_change();
-        change.set_change_id(std::to_string(offset));
-        auto &item = *change.add_entities();
-        item.set_kind(kindOf(entity));
-        item.set_id(idOf(entity));
-        *item.mutable_entity() = entity;
-        m_config.apply(offset, record);
+        m_config.apply(offset, changeOf({{.entity = entity}},
+                                        {.changeId = std::to_string(offset), .sequence = offset}));
     }
 
     std::string m_key = makeKeyText();
--- a/packages/entry/testing/request_router_test.cpp
+++ b/packages/entry/testing/request_router_test.cpp
@@ -42,22 +42,11 @@
         add(entity);
         add(accountOf("a", {"quick"}));
         m_key = makeKeyText();
-        entity = {};
-        entity.mutable_key()->set_id(std::string(*keyIdOf(m_key)));
-        entity.mutable_key()->set_client_account("a");
+        entity = keyOf(std::string(*keyIdOf(m_key)), "a");
         entity.mutable_key()->set_hash(keyedHash(keySecret, m_key));
         add(entity);
-        entity = {};
-        entity.mutable_route()->set_id("/services/orders/");
-        entity.mutable_route()->set_kind(v1::ROUTE_KIND_SERVICE);
-        entity.mutable_route()->set_service("orders");
-        add(entity);
-        entity = {};
-        entity.mutable_route()->set_id("/services/looks/");
-        entity.mutable_route()->set_kind(v1::ROUTE_KIND_SERVICE);
-        entity.mutable_route()->set_service("orders");
-        entity.mutable_route()->set_idempotent(true);
-        add(entity);
+        addServiceRoute("/services/orders/", false);
+        addServiceRoute("/services/looks/", true);
         add(dataCentreOf("tuzla"));
         for (auto &each : m_agents) {
             each.server = std::make_unique<http_server>(m_loop, http_server_options());
@@ -79,20 +68,32 @@
         m_guard = m_loop.after(std::chrono::seconds(8), [this] { m_loop.stop(); });
     }
 
+    // What the router logged tells why a test failed.
+    auto TearDown() -> void override
+    {
+        if (!HasFailure())
+            return;
+        for (const auto &line : m_lines)
+            std::puts(line.c_str());
+    }
+
     auto add(const v1::Entity &entity) -> void
     {
-        v1::LogRecord record;
-        record.set_writer("test");
-        record.set_sequence(++m_sequence);
-        auto &change = *record.mutable_configuration_change();
-        change.set_change_id(std::to_string(m_sequence));
-        auto &item = *change.add_entities();
-        item.set_kind(kindOf(entity));
-        item.set_id(idOf(entity));
-        *item.mutable_entity() = entity;
-        m_config.apply(m_sequence, record);
-        ASSERT_EQ(m_config.decision(change.change_id())->code, result_code::ok)
-            << m_config.decision(change.change_id())->message;
+        const auto id = std::to_string(++m_sequence);
+        m_config.apply(m_sequence,
+                       changeOf({{.entity = entity}}, {.changeId = id, .sequence = m_sequence}));
+        ASSERT_EQ(m_config.decision(id)->code, result_code::ok) << m_config.decision(id)->message;
+    }
+
+    auto addServiceRoute(const std::string &prefix, bool isIdempotent) -> void
+    {
+        v1::Entity entity;
+        auto &route = *entity.mutable_route();
+        route.set_id(prefix);
+        route.set_kind(v1::ROUTE_KIND_SERVICE);
+        route.set_service("orders");
+        route.set_idempotent(isIdempotent);
+        add(entity);
     }
 
     auto agentAsked(agent &each, const std::shared_ptr<http_exchange> &exchange) -> void
@@ -165,9 +166,6 @@
     call("/services/orders/new");
     EXPECT_EQ(m_agents[0].runs + m_agents[1].runs, 1) << "the order ran twice";
     EXPECT_NE(m_body.find("outcome_unknown"), std::string::npos) << m_status << " " << m_body;
-    if (HasFailure())
-        for (const auto &line : m_lines)
-            std::puts(line.c_str());
 }
 
 // Guards against a refusal that says "not run" of a request that two agents may have run.
@@ -179,9 +177,6 @@
     for (const auto *code :
          {"retry_budget_exhausted", "not_run", "overloaded", "deadline_unmeetable", "no_endpoint"})
         EXPECT_EQ(m_body.find(code), std::string::npos) << m_status << " " << m_body;
-    if (HasFailure())
-        for (const auto &line : m_lines)
-            std::puts(line.c_str());
 }
 
 } // namespace
