--- a/packages/base/crash_report.cpp
+++ b/packages/base/crash_report.cpp
@@ -1,5 +1,6 @@
 #include "base/crash_report.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <csignal>
@@ -9,14 +10,17 @@
 
 namespace {
 
-struct crash_line
+struct crash_signal
 {
-    int signal;
-    std::string_view text;
+    int number = 0;
+    // A whole line, because a signal handler must not format.
+    std::string_view line;
+    // What the signal did before; a sanitizer has handlers of its own.
+    struct sigaction previous
+    {};
 };
 
-// Whole lines, because a signal handler must not format.
-constexpr auto crashLines = std::to_array<crash_line>({
+auto crashSignals = std::to_array<crash_signal>({
     {SIGSEGV, "level=error name=process_crashed signal=SIGSEGV"},
     {SIGBUS, "level=error name=process_crashed signal=SIGBUS"},
     {SIGILL, "level=error name=process_crashed signal=SIGILL"},
@@ -25,26 +29,21 @@
 });
 
 std::atomic<log_output *> reported = nullptr;
-// What each of these signals did before; a sanitizer has handlers of its own.
-std::array<struct sigaction, crashLines.size()> previousActions{};
 
 // The stack of the handler: the process's own may be used up.
 constexpr std::size_t handlerStackBytes = 64U << 10U;
 alignas(16) std::array<char, handlerStackBytes> handlerStack;
 
+// Of a signal that is in the table, as all are that are handled.
 auto lineOf(int signal) -> std::string_view
 {
-    for (const auto &line : crashLines) {
-        if (line.signal == signal)
-            return line.text;
-    }
-    return {};
+    return std::ranges::find(crashSignals, signal, &crash_signal::number)->line;
 }
 
 auto restoreActions() -> void
 {
-    for (std::size_t at = 0; at < crashLines.size(); ++at)
-        sigaction(crashLines[at].signal, &previousActions[at], nullptr);
+    for (const auto &each : crashSignals)
+        sigaction(each.number, &each.previous, nullptr);
 }
 
 auto handle(int signal, siginfo_t *info, void *) -> void
@@ -67,8 +66,8 @@
     {};
     action.sa_sigaction = handle;
     action.sa_flags = SA_SIGINFO | SA_ONSTACK;
-    for (std::size_t at = 0; at < crashLines.size(); ++at)
-        sigaction(crashLines[at].signal, &action, &previousActions[at]);
+    for (auto &each : crashSignals)
+        sigaction(each.number, &action, &each.previous);
 }
 
 } // namespace
