--- a/packages/policy/testing/prompt_fleet_test.cpp
+++ b/packages/policy/testing/prompt_fleet_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -71,7 +72,7 @@
     // In the order of arrival.
     std::vector<std::uint64_t> streams;
     // Subjects whose shared parts were read here.
-    std::map<std::pair<std::uint32_t, std::uint32_t>, bool> cached;
+    std::set<std::pair<std::uint32_t, std::uint32_t>> cached;
     time_point stepEndsAt{};
     bool isDown = false;
 };
@@ -235,9 +236,8 @@
         }
         auto &row = m_streams[number];
         const auto &kind = m_kinds[row.kind];
-        auto &isCached = endpoint.cached[{row.kind, row.subject}];
+        const bool isCached = !endpoint.cached.emplace(row.kind, row.subject).second;
         row.unread = kind.promptTokens - (isCached ? kind.sharedTokens : 0);
-        isCached = true;
         if (endpoint.streams.empty())
             endpoint.stepEndsAt = m_clock.now();
         endpoint.streams.push_back(number);
