--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -63,11 +63,15 @@
 inline constexpr log_event usageWindowReported{5031, "usage_window_reported", log_level::info,
                                                "A usage window was reported to the platform."};
 
+inline constexpr log_event lanesChanged{
+    5032, "lanes_changed", log_level::info,
+    "The division of a service's endpoints between short and long prompts changed."};
+
 inline constexpr auto forwardingEvents = std::to_array<log_event>(
-    {edgeStarted,          edgeReady,          edgeStopping,    edgeStopped,       edgeFailed,
-     settingsReloaded,     forwardPlaced,      forwardEnded,    forwardRetried,    forwardNotSent,
-     configurationInForce, recordMalformed,    endpointChanged, evacuationChanged, logServiceLost,
-     logServiceBack,       logHistoryLost,     knowledgeAsked,  endpointLeaves,    endpointPauses,
-     dutyClaimed,          usageWindowReported});
+    {edgeStarted,          edgeReady,           edgeStopping,    edgeStopped,       edgeFailed,
+     settingsReloaded,     forwardPlaced,       forwardEnded,    forwardRetried,    forwardNotSent,
+     configurationInForce, recordMalformed,     endpointChanged, evacuationChanged, logServiceLost,
+     logServiceBack,       logHistoryLost,      knowledgeAsked,  endpointLeaves,    endpointPauses,
+     dutyClaimed,          usageWindowReported, lanesChanged});
 
 } // namespace mustardline
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -297,14 +297,15 @@
 }
 
 // Called after the final response: notifies the dispatcher and removes the request.
-auto forward_router::finish(forward_request &request, result_code code) -> void
+auto forward_router::finish(forward_request &request, result_code code, std::string_view reason)
+    -> void
 {
     const auto now = m_clock.now();
     m_log.write(forwardEnded, field("request", request.id), field("route", request.route->name),
                 field("account", request.account != nullptr ? request.account->name : ""),
-                field("result", describe(code).name), field("status", request.answer.status),
-                field("endpoint", request.endpoint), field("sends", request.sends),
-                field("version", request.configuration->version),
+                field("result", describe(code).name), field("reason", reason),
+                field("status", request.answer.status), field("endpoint", request.endpoint),
+                field("sends", request.sends), field("version", request.configuration->version),
                 field("took_ms", toMilliseconds(now - request.arrivedAt)));
     m_metrics.recordEnd(code, now - request.arrivedAt);
     if (code == result_code::cancelled)
@@ -320,12 +321,12 @@
         // Part of the response was already sent; only an aborted connection shows the caller that
         // the rest is missing.
         request.exchange->abort();
-        finish(request, httpError.code);
+        finish(request, httpError.code, httpError.message);
         return;
     }
     request.answer.status = describe(httpError.code).httpStatus;
     request.exchange->reply(request.answer.status, failureHeaders(httpError), errorBody(httpError));
-    finish(request, httpError.code);
+    finish(request, httpError.code, httpError.message);
 }
 
 auto forward_router::find(std::uint64_t number) -> forward_request *
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -80,10 +80,7 @@
     {
         return m_dispatcher.laneDemand();
     }
-    auto setOthersLaneDemand(const std::map<std::string, lane_demand> &needs) -> void
-    {
-        m_dispatcher.setOthersLaneDemand(needs);
-    }
+    auto setOthersLaneDemand(const std::map<std::string, lane_demand> &needs) -> void;
 
     // In-flight requests of this edge, by endpoint.
     [[nodiscard]] auto uses() const -> std::map<std::string, endpoint_use>;
@@ -107,6 +104,8 @@
                            const http_error &httpError) -> void;
     auto setEndpoint(const endpoint_entry &entry) -> void;
     auto setAllEndpoints() -> void;
+    // Logs the divisions that changed since the last call.
+    auto logLaneDivisions() -> void;
     auto reportEndpointLoad(const endpoint_entry &entry, const endpoint_use &others, time_point now)
         -> void;
     [[nodiscard]] auto maxConnectionsTo(std::string_view service) const -> std::uint32_t;
@@ -141,7 +140,8 @@
 
     auto onDeadline(std::uint64_t number) -> void;
     auto onCallerGone(std::uint64_t number) -> void;
-    auto finish(forward_request &request, result_code code) -> void;
+    // `reason` is for the log.
+    auto finish(forward_request &request, result_code code, std::string_view reason = {}) -> void;
     auto fail(forward_request &request, const http_error &httpError) -> void;
     [[nodiscard]] auto find(std::uint64_t number) -> forward_request *;
     auto scheduleTick() -> void;
@@ -159,6 +159,8 @@
     warm_up_shares m_warmUp;
     // Retry budgets by service.
     std::unordered_map<std::string, shared_retry_budget> m_retryBudgets;
+    // The last logged division of each service's endpoints.
+    std::map<std::string, lane_division> m_loggedDivisions;
     std::vector<dispatch_action> m_actions;
     std::unordered_map<std::uint64_t, forward_request> m_requests;
     std::uint64_t m_lastRequestNumber = 0;
--- a/packages/forwarding/forward_router_endpoints.cpp
+++ b/packages/forwarding/forward_router_endpoints.cpp
@@ -110,6 +110,28 @@
         reportEndpointLoad(entry, peers.peerUseOf(id), now);
 }
 
+auto forward_router::setOthersLaneDemand(const std::map<std::string, lane_demand> &needs) -> void
+{
+    m_dispatcher.setOthersLaneDemand(needs);
+    logLaneDivisions();
+}
+
+auto forward_router::logLaneDivisions() -> void
+{
+    for (const auto &[service, division] : m_dispatcher.laneDivisions()) {
+        auto &logged = m_loggedDivisions[service];
+        if (logged.endpoints == division.endpoints && logged.longLane == division.longLane)
+            continue;
+        logged = division;
+        const auto &lanes = division.demand.lanes;
+        m_log.write(lanesChanged, field("service", service), field("endpoints", division.endpoints),
+                    field("long_lane", division.longLane), field("short_prefill", lanes[0].prefill),
+                    field("short_occupancy", lanes[0].occupancy),
+                    field("long_prefill", lanes[1].prefill),
+                    field("long_occupancy", lanes[1].occupancy));
+    }
+}
+
 auto forward_router::reportEndpointLoad(const endpoint_entry &entry, const endpoint_use &others,
                                         time_point now) -> void
 {
--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -245,6 +245,17 @@
     }
 }
 
+auto dispatcher::laneDivisions() const -> std::map<std::string, lane_division>
+{
+    std::map<std::string, lane_division> divisions;
+    for (std::uint32_t number = 0; number < m_state->targets.size(); ++number) {
+        const auto &prompts = m_state->targets[number].prompts;
+        if (prompts.size() > 0)
+            divisions.emplace(m_state->targetNames.name(number), prompts.division());
+    }
+    return divisions;
+}
+
 auto dispatcher::inFlightAt(std::string_view endpoint) const -> std::uint32_t
 {
     const auto index = m_state->endpoints.find(endpoint);
--- a/packages/policy/dispatcher.h
+++ b/packages/policy/dispatcher.h
@@ -220,6 +220,8 @@
     // or service, and the load that the other entry processes reported.
     [[nodiscard]] auto laneDemand() const -> std::map<std::string, lane_demand>;
     auto setOthersLaneDemand(const std::map<std::string, lane_demand> &needs) -> void;
+    // The lanes of each model or service whose endpoints have chunked prefill.
+    [[nodiscard]] auto laneDivisions() const -> std::map<std::string, lane_division>;
 
     // Requests of this entry process at an endpoint.
     [[nodiscard]] auto inFlightAt(std::string_view endpoint) const -> std::uint32_t;
--- a/packages/policy/lane_demand.h
+++ b/packages/policy/lane_demand.h
@@ -46,4 +46,14 @@
     static constexpr double maxOccupancyFraction = 0.35;
 };
 
+// How the endpoints of a model or service are divided between its lanes, and the demand of all
+// entry processes from which the division follows.
+struct lane_division
+{
+    std::size_t endpoints = 0;
+    // Endpoints of the lane for long prompts; the others are in the lane for short ones.
+    std::size_t longLane = 0;
+    lane_demand demand;
+};
+
 } // namespace mustardline
--- a/packages/policy/prompt_placement.cpp
+++ b/packages/policy/prompt_placement.cpp
@@ -96,11 +96,17 @@
     mean = mean == 0 ? sample : mean + (sample - mean) * occupancyWeight;
 }
 
-auto prompt_placement::resizeLanes() -> void
+auto prompt_placement::division() const -> lane_division
 {
-    const auto count = m_members.size();
     auto demand = m_ownDemand;
     demand += m_othersDemand;
+    return {.endpoints = m_members.size(), .longLane = m_longLaneSize, .demand = demand};
+}
+
+auto prompt_placement::resizeLanes() -> void
+{
+    const auto count = m_members.size();
+    const auto demand = division().demand;
     const auto shortDemand = demand.endpointSeconds(0) / demandDecaySeconds;
     const auto longDemand = demand.endpointSeconds(1) / demandDecaySeconds;
     if (count < 2 || shortDemand + longDemand == 0) {
--- a/packages/policy/prompt_placement.h
+++ b/packages/policy/prompt_placement.h
@@ -99,6 +99,7 @@
     {
         return promptTokens >= longPromptTokens ? 1 : 0;
     }
+    [[nodiscard]] auto division() const -> lane_division;
     // Number of endpoints in the lane for long prompts.
     [[nodiscard]] auto longLaneSize() const -> std::size_t { return m_longLaneSize; }
     [[nodiscard]] auto size() const -> std::size_t { return m_members.size(); }
