Let less urgent long prompts yield to short ones that find no endpoint

Cause: endpoints are divided between short and long prompts by demand alone. A burst of long prompts takes most of them and keeps them for the 20 s over which demand is remembered; the order of the queue held within a lane only, so that an urgent short prompt that found its two full endpoints was refused while long prompts of a later class went on to be placed. Class: a partition of capacity that the order of service does not cross.

Ruled out for these: edges that disagree (their lanes differed by one endpoint at most) and the order of reading at engines (the refused ones never reached one).

- A short prompt that finds no endpoint holds back later long ones, here and, told with the lanes' demand, at the other edges, until its first-token target has passed.
A class passed over for long has its turn.
- One that can no longer be in time is served late among less urgent ones instead of refused, or waits for one of their places for up to half of its time.
- Where both lanes need more than there is, the lane of the more urgent work gets its need first.
- Long prompts leave free the places by which the number of more urgent requests varies (as tiers do).

--- a/packages/forwarding/forward_router_endpoints.cpp
+++ b/packages/forwarding/forward_router_endpoints.cpp
@@ -120,15 +120,15 @@
 {
     for (const auto &[service, division] : m_dispatcher.laneDivisions()) {
         auto &logged = m_loggedDivisions[service];
-        if (logged.endpoints == division.endpoints && logged.longLane == division.longLane)
+        if (logged.endpoints == division.endpoints && logged.longLaneSize == division.longLaneSize)
             continue;
         logged = division;
         const auto &lanes = division.demand.lanes;
-        m_log.write(lanesChanged, field("service", service), field("endpoints", division.endpoints),
-                    field("long_lane", division.longLane), field("short_prefill", lanes[0].prefill),
-                    field("short_occupancy", lanes[0].occupancy),
-                    field("long_prefill", lanes[1].prefill),
-                    field("long_occupancy", lanes[1].occupancy));
+        m_log.write(
+            lanesChanged, field("service", service), field("endpoints", division.endpoints),
+            field("long_lane", division.longLaneSize), field("short_prefill", lanes[0].prefill),
+            field("short_occupancy", lanes[0].occupancy), field("long_prefill", lanes[1].prefill),
+            field("long_occupancy", lanes[1].occupancy));
     }
 }
 
--- a/packages/forwarding/peer_exchange.cpp
+++ b/packages/forwarding/peer_exchange.cpp
@@ -41,6 +41,10 @@
     message->set_short_holding(needs.lanes[0].occupancy);
     message->set_long_reading(needs.lanes[1].prefill);
     message->set_long_holding(needs.lanes[1].occupancy);
+    if (needs.unplaced == service_order())
+        return;
+    message->set_unplaced_tier(needs.unplaced.tier);
+    message->set_unplaced_priority(needs.unplaced.priority);
 }
 
 auto updatesOf(const v1::EndpointNews &message) -> endpoint_updates
--- a/packages/forwarding/peer_table.cpp
+++ b/packages/forwarding/peer_table.cpp
@@ -4,6 +4,20 @@
 
 namespace mustardline {
 
+namespace {
+
+auto demandOf(const v1::LaneNeeds &needs) -> lane_demand
+{
+    lane_demand demand{.lanes
+                       = {{{.prefill = needs.short_reading(), .occupancy = needs.short_holding()},
+                           {.prefill = needs.long_reading(), .occupancy = needs.long_holding()}}}};
+    if (needs.unplaced_tier() > 0)
+        demand.unplaced = {.tier = needs.unplaced_tier(), .priority = needs.unplaced_priority()};
+    return demand;
+}
+
+} // namespace
+
 peer_table::peer_table(peer_table_options options, time_point now)
     : m_options(std::move(options)), m_startedAt(now)
 {
@@ -25,11 +39,8 @@
     row.leaving = state.leaving();
     row.configurationVersion = state.configuration_version();
     row.lanes.clear();
-    for (const auto &needs : state.lanes()) {
-        row.lanes[needs.target()]
-            = {.lanes = {{{.prefill = needs.short_reading(), .occupancy = needs.short_holding()},
-                          {.prefill = needs.long_reading(), .occupancy = needs.long_holding()}}}};
-    }
+    for (const auto &needs : state.lanes())
+        row.lanes[needs.target()] = demandOf(needs);
     clearUses(row);
     for (const auto &use : state.uses()) {
         const endpoint_use used{.inFlight = use.in_flight(), .promptTokens = use.prompt_tokens()};
--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -229,9 +229,11 @@
 {
     std::map<std::string, lane_demand> needs;
     for (std::uint32_t number = 0; number < m_state->targets.size(); ++number) {
-        const auto &prompts = m_state->targets[number].prompts;
-        if (prompts.size() > 0)
-            needs.emplace(m_state->targetNames.name(number), prompts.ownDemand());
+        const auto &target = m_state->targets[number];
+        if (target.prompts.size() == 0)
+            continue;
+        auto &own = needs[m_state->targetNames.name(number)] = target.prompts.ownDemand();
+        own.unplaced = m_state->unplacedOrder(target, m_state->latestTime);
     }
     return needs;
 }
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -119,7 +119,8 @@
     if (target.prompts.size() > 0) {
         const auto own
             = arrival.promptTokens - std::min(arrival.promptTokens, arrival.sharedTokens);
-        target.prompts.arrived({.promptTokens = arrival.promptTokens,
+        target.prompts.arrived({.order = orderOf(row),
+                                .promptTokens = arrival.promptTokens,
                                 .prefill = endpoints.paceOf(row.target).timeFor(own),
                                 .betweenTokensTarget = arrival.betweenTokensTarget},
                                now);
@@ -157,8 +158,9 @@
     const auto &row = requests.at(slot);
     if (row.state != request_state::waiting || hasPendingLowerTier(target, row.tier))
         return;
-    const auto verdict = checkTargets(row, predictedWait(target, queue, ahead), now);
-    if (verdict != result_code::ok)
+    const auto wait = predictedWait(target, queue, ahead);
+    const auto verdict = checkTargets(row, wait, now);
+    if (verdict != result_code::ok && !serveLate(slot, wait, now, actions))
         refuse(slot, verdict, "predicted_wait", now, actions);
 }
 
@@ -193,6 +195,8 @@
     const auto &row = requests.at(slot);
     auto &target = targets[row.target];
     detach(slot, now);
+    if (prompt_placement::laneOf(row.promptTokens) == shortLane)
+        recordUnplaced(target, row, now);
     auto wait = noEndpointRetryAfter;
     if (!target.subset.empty())
         wait = predictedWait(target, row.queue, target.queue.ahead(row.queue, row.account));
@@ -205,6 +209,15 @@
     endRequest(slot, now);
 }
 
+auto dispatcher::state::recordUnplaced(target_row &target, const request_row &row, time_point now)
+    -> void
+{
+    if (unplacedOrder(target, now) < orderOf(row))
+        return;
+    target.unplacedOrder = orderOf(row);
+    target.unplacedUntil = now + row.firstTokenTarget;
+}
+
 auto dispatcher::state::placeWaiting(target_row &target, time_point now, dispatch_actions &actions)
     -> void
 {
@@ -224,26 +237,36 @@
 }
 
 // Long and short prompts are placed on separate sets of endpoints (lanes), so a request that finds
-// no room blocks only the other requests of its lane.
+// no room blocks only the other requests of its lane. A short prompt that finds none also holds
+// back less urgent long ones, here and at the other entry processes, and does so for a while after
+// it was refused: they would keep their endpoints from it for long. A class of long prompts that
+// was passed over for long still gets its turn.
 auto dispatcher::state::placePrompts(target_row &target, time_point now, dispatch_actions &actions)
     -> void
 {
     std::array<bool, promptLanes> isFull{};
     std::vector<bool> excluded;
+    const auto unplaced
+        = [&] { return std::min(unplacedOrder(target, now), target.prompts.othersUnplaced()); };
     for (;;) {
         const auto slot = target.queue.nextExcluding(excluded, requests, now);
         if (slot == noIndex)
             return;
         const auto &row = requests.at(slot);
-        auto &full = isFull[prompt_placement::laneOf(row.promptTokens)];
-        const auto choice = full ? placement_choice() : choosePrompt(target, slot, now);
+        const auto lane = prompt_placement::laneOf(row.promptTokens);
+        const bool isHeldBack = lane == longLane && unplaced() < orderOf(row)
+                                && !target.queue.isTurnDue(row.queue, now);
+        const auto choice
+            = isFull[lane] || isHeldBack ? placement_choice() : choosePrompt(target, slot, now);
         if (choice.endpoint != noIndex) {
             place(target, slot, choice, now, actions);
             continue;
         }
-        full = true;
+        isFull[lane] = isFull[lane] || !isHeldBack;
         excluded.resize(target.queue.queueCount());
         excluded[row.queue] = true;
+        if (lane == shortLane)
+            recordUnplaced(target, row, now);
     }
 }
 
@@ -273,16 +296,25 @@
     return choice;
 }
 
+auto dispatcher::state::promptCriteria(const request_row &row) const -> prompt_criteria
+{
+    const auto &reserves = targets[row.target].promptReserves;
+    const bool isReserving
+        = prompt_placement::laneOf(row.promptTokens) == longLane && row.queue < reserves.size();
+    return {.order = orderOf(row),
+            .promptTokens = row.promptTokens,
+            .sharedTokens = row.sharedTokens,
+            .prefixHash = row.prefixHash,
+            .firstTokenTarget = row.firstTokenTarget,
+            .reserve = isReserving ? reserves[row.queue] : 0,
+            .avoid = row.attempt > 0 ? row.endpoint : noIndex};
+}
+
 auto dispatcher::state::choosePrompt(target_row &target, std::uint32_t slot, time_point now)
     -> placement_choice
 {
     const auto &row = requests.at(slot);
-    prompt_criteria wish{.tier = row.tier,
-                         .promptTokens = row.promptTokens,
-                         .sharedTokens = row.sharedTokens,
-                         .prefixHash = row.prefixHash,
-                         .firstTokenTarget = row.firstTokenTarget,
-                         .avoid = row.attempt > 0 ? row.endpoint : noIndex};
+    auto wish = promptCriteria(row);
     auto choice = target.prompts.choose(endpoints, wish, now);
     if (choice.endpoint == noIndex && wish.avoid != noIndex) {
         wish.avoid = noIndex;
@@ -291,14 +323,15 @@
     return choice;
 }
 
-// Places per endpoint that `tier` leaves free for higher tiers. The number of their requests in
-// flight varies by about its square root; a lower tier that filled the places while that number is
-// low would have to be preempted when it rises again.
-auto dispatcher::state::reserveFor(const target_row &target, std::uint32_t tier) const -> double
+// Places per endpoint that requests of `order` leave free for more urgent ones. The number of those
+// in flight varies by about its square root; less urgent requests that filled the places while that
+// number is low would have to be preempted when it rises again.
+auto dispatcher::state::reserveFor(const target_row &target, service_order order) const -> double
 {
     double higher = 0;
     for (std::uint32_t number = 0; number < target.classStatistics.size(); ++number) {
-        if (target.queue.queue(number).options().tier < tier)
+        const auto &options = target.queue.queue(number).options();
+        if (service_order{.tier = options.tier, .priority = options.priority} < order)
             higher += target.classStatistics[number].load();
     }
     const auto fleet = higher * options.entryCount;
@@ -310,7 +343,9 @@
 {
     updateMeanLoads(target, now);
     for (std::uint32_t tier = 1; tier <= lowestTier; ++tier)
-        target.reserves[tier] = reserveFor(target, tier);
+        target.reserves[tier] = reserveFor(target, {.tier = tier, .priority = 0});
+    if (target.prompts.size() > 0)
+        updatePromptReserves(target);
     if (now - target.placesUpdatedAt >= placesUpdateInterval) {
         target.places = target.subset.places(endpoints, now);
         target.placesUpdatedAt = now;
@@ -320,6 +355,16 @@
     target.fullTier = lowestTier + 1;
 }
 
+auto dispatcher::state::updatePromptReserves(target_row &target) -> void
+{
+    target.promptReserves.resize(target.classStatistics.size());
+    for (std::uint32_t number = 0; number < target.promptReserves.size(); ++number) {
+        const auto &options = target.queue.queue(number).options();
+        target.promptReserves[number]
+            = reserveFor(target, {.tier = options.tier, .priority = options.priority});
+    }
+}
+
 // Updates the moving average of the number of requests in flight of each class.
 auto dispatcher::state::updateMeanLoads(target_row &target, time_point now) -> void
 {
@@ -495,7 +540,7 @@
         row.state = request_state::waiting;
         target.queue.pushFront(requests, slot, now);
         if (row.generatedTokens == 0 && missesTargets(slot, now)
-            && !hasPendingLowerTier(target, row.tier))
+            && !hasPendingLowerTier(target, row.tier) && !serveLate(slot, {}, now, actions))
             refuse(slot, result_code::overloaded, "late", now, actions);
     }
     for (auto &target : targets)
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -46,6 +46,8 @@
         retry_after_schedule retrySchedule;
         // By tier: places that it leaves free for higher tiers, on average per endpoint.
         std::array<double, lowestTier + 1> reserves{};
+        // The same for long prompts, by the number of the class queue, for all more urgent classes.
+        std::vector<double> promptReserves;
         // Number of delayed retries by tier.
         std::array<std::uint32_t, lowestTier + 1> delayedCounts{};
         subset_places places;
@@ -55,6 +57,10 @@
         // tiers.
         std::uint32_t fullTier = lowestTier + 1;
         freed_places freed;
+        // The most urgent short prompt that lately found no endpoint, and the time until which it
+        // holds back less urgent long ones.
+        service_order unplacedOrder;
+        time_point unplacedUntil{};
     };
 
     // Estimated places available to a class.
@@ -93,6 +99,13 @@
     auto refuse(std::uint32_t slot, result_code code, std::string_view reason, time_point now,
                 dispatch_actions &actions) -> void;
 
+    static auto recordUnplaced(target_row &target, const request_row &row, time_point now) -> void;
+    [[nodiscard]] static auto unplacedOrder(const target_row &target, time_point now)
+        -> service_order
+    {
+        return now < target.unplacedUntil ? target.unplacedOrder : service_order();
+    }
+
     // Placement.
     auto placeWaiting(target_row &target, time_point now, dispatch_actions &actions) -> void;
     auto placePrompts(target_row &target, time_point now, dispatch_actions &actions) -> void;
@@ -100,7 +113,12 @@
         -> placement_choice;
     [[nodiscard]] auto choosePrompt(target_row &target, std::uint32_t slot, time_point now)
         -> placement_choice;
-    [[nodiscard]] auto reserveFor(const target_row &target, std::uint32_t tier) const -> double;
+    [[nodiscard]] static auto orderOf(const request_row &row) -> service_order
+    {
+        return {.tier = row.tier, .priority = row.priority};
+    }
+    [[nodiscard]] auto promptCriteria(const request_row &row) const -> prompt_criteria;
+    [[nodiscard]] auto reserveFor(const target_row &target, service_order order) const -> double;
     [[nodiscard]] auto isUrgent(const request_row &row, time_point now) const -> bool;
     auto place(target_row &target, std::uint32_t slot, const placement_choice &choice,
                time_point now, dispatch_actions &actions) -> void;
@@ -124,10 +142,13 @@
 
     // Periodic work and retries.
     auto maintain(target_row &target, time_point now, dispatch_actions &actions) -> void;
+    auto updatePromptReserves(target_row &target) -> void;
     auto updateMeanLoads(target_row &target, time_point now) -> void;
     auto addDelayed(std::uint32_t slot) -> void;
     auto removeDelayed(std::uint32_t slot) -> void;
     auto releaseDelayed(time_point now, dispatch_actions &actions) -> void;
+    [[nodiscard]] auto serveLate(std::uint32_t slot, duration wait, time_point now,
+                                 dispatch_actions &actions) -> bool;
     [[nodiscard]] auto missesTargets(std::uint32_t slot, time_point now) const -> bool;
     auto refuseLate(std::uint32_t slot, time_point now, dispatch_actions &actions) -> void;
     auto expireWaiting(target_row &target, time_point now, dispatch_actions &actions) -> void;
--- a/packages/policy/dispatcher_waits.cpp
+++ b/packages/policy/dispatcher_waits.cpp
@@ -20,6 +20,9 @@
 // Lower bound on the service rate of a class, as a fraction of the rate at which the places of all
 // classes become free.
 constexpr double minRateFraction = 0.02;
+// A request that will be late waits for this fraction of its time; the rest is left for the answer,
+// or for the caller to try elsewhere.
+constexpr double maxLateWaitFraction = 0.5;
 // Number of requests kept after which a search for late ones ends.
 constexpr std::uint32_t maxKept = 64;
 constexpr duration sweepInterval = std::chrono::milliseconds(250);
@@ -105,6 +108,26 @@
     return checkTargets(row, {}, now) != result_code::ok;
 }
 
+// Serves a request late that can no longer be in time: places it among less urgent ones, or lets it
+// wait for one of their places, which would go to others of them otherwise. Returns false if it
+// should be refused. `wait` is the predicted time until it would be placed.
+auto dispatcher::state::serveLate(std::uint32_t slot, duration wait, time_point now,
+                                  dispatch_actions &actions) -> bool
+{
+    const auto &row = requests.at(slot);
+    auto &target = targets[row.target];
+    const auto criteria = promptCriteria(row);
+    if (!row.acceptsLateFirstToken || !target.prompts.isOtherLaneLessUrgent(criteria))
+        return false;
+    const auto choice = target.prompts.chooseLate(endpoints, criteria, now);
+    if (choice.endpoint == noIndex)
+        return now + wait < row.arrivedAt + scaled(row.dueAt - row.arrivedAt, maxLateWaitFraction);
+    if (now + endpoints.prefillBacklog(choice.endpoint) >= row.dueAt)
+        return false;
+    place(target, slot, choice, now, actions);
+    return true;
+}
+
 // Refuses the requests from `slot` on that would miss their targets. The queue is in order of
 // arrival except for returned requests at its front, so the search continues past a few requests in
 // time.
@@ -116,10 +139,11 @@
         const auto &row = requests.at(slot);
         const auto next = row.classLink.next;
         const bool isRecent = (now - row.arrivedAt) * 2 < row.firstTokenTarget;
-        if (!isRecent && row.generatedTokens == 0 && missesTargets(slot, now))
+        const bool isKept = isRecent || row.generatedTokens > 0 || !missesTargets(slot, now)
+                            || serveLate(slot, {}, now, actions);
+        kept += isKept ? 1 : 0;
+        if (!isKept)
             refuse(slot, result_code::overloaded, "late", now, actions);
-        else
-            ++kept;
         slot = next;
     }
 }
--- a/packages/policy/lane_demand.h
+++ b/packages/policy/lane_demand.h
@@ -1,16 +1,20 @@
 #pragma once
 
 // Demand for endpoints with chunked prefill, by lane. Entry processes exchange these values so that
-// all of them divide the endpoints into the same lanes (see prompt_placement.h).
+// all of them divide the endpoints into the same lanes (see prompt_placement.h), and hold back long
+// prompts while any of them has a more urgent short one that it cannot place.
 
 #include <algorithm>
 #include <array>
 #include <cstddef>
 
+#include "policy/service_order.h"
+
 namespace mustardline {
 
-// Lane 0 is for short prompts, lane 1 for long ones.
 inline constexpr std::size_t promptLanes = 2;
+inline constexpr std::size_t shortLane = 0;
+inline constexpr std::size_t longLane = 1;
 
 // Recent demand of each lane, in endpoint-seconds of prefill time and of occupied concurrency.
 struct lane_demand
@@ -21,6 +25,9 @@
         double occupancy = 0;
     };
     std::array<lane, promptLanes> lanes;
+    // The most urgent short prompt that waits for an endpoint or was refused just now; the default
+    // if there is none.
+    service_order unplaced;
 
     auto operator+=(const lane_demand &other) -> lane_demand &
     {
@@ -28,6 +35,7 @@
             lanes[at].prefill += other.lanes[at].prefill;
             lanes[at].occupancy += other.lanes[at].occupancy;
         }
+        unplaced = std::min(unplaced, other.unplaced);
         return *this;
     }
     // Returns the endpoint-seconds that a lane needs. An endpoint provides both resources at the
@@ -52,7 +60,7 @@
 {
     std::size_t endpoints = 0;
     // Endpoints of the lane for long prompts; the others are in the lane for short ones.
-    std::size_t longLane = 0;
+    std::size_t longLaneSize = 0;
     lane_demand demand;
 };
 
--- a/packages/policy/prompt_placement.cpp
+++ b/packages/policy/prompt_placement.cpp
@@ -22,8 +22,6 @@
 // The fraction of a token gap that prefill may take. The rest is left for the decoding steps that
 // produce the event.
 constexpr double gapPrefillFraction = 0.5;
-// Time constant with which the recorded demand of the lanes decays.
-constexpr double demandDecaySeconds = 20;
 constexpr double occupancyWeight = 0.05; // of a new sample
 // The size of the long lane changes only once its computed size, in endpoints, differs by more than
 // this.
@@ -37,9 +35,11 @@
     return endpoints.prefillBacklog(index) + endpoints.prefillTime(index, criteria.sharedTokens);
 }
 
-auto fits(const endpoint_table &endpoints, std::uint32_t index, time_point now) -> bool
+auto fits(const endpoint_table &endpoints, std::uint32_t index, const prompt_criteria &criteria,
+          time_point now) -> bool
 {
-    return endpoints.isUsable(index, now) && endpoints.hasRoom(index, now);
+    return index != criteria.avoid && endpoints.isUsable(index, now)
+           && endpoints.load(index, now) + criteria.reserve < endpoints.window(index);
 }
 
 } // namespace
@@ -69,7 +69,7 @@
 
 auto prompt_placement::arrived(const prompt_work &work, time_point now) -> void
 {
-    const auto decay = std::exp(-toSeconds(now - m_demandUpdatedAt) / demandDecaySeconds);
+    const auto decay = std::exp(-toSeconds(now - m_demandUpdatedAt) / toSeconds(demandPeriod));
     m_demandUpdatedAt = now;
     for (auto &lane : m_ownDemand.lanes) {
         lane.prefill *= decay;
@@ -78,7 +78,12 @@
     const auto number = laneOf(work.promptTokens);
     m_ownDemand.lanes[number].prefill += toSeconds(work.prefill);
     m_ownDemand.lanes[number].occupancy += m_meanOccupancy[number];
-    const bool isExpired = toSeconds(now - m_smallestTokenGapAt) > demandDecaySeconds;
+    for (auto &lane : m_workByOrder) {
+        for (auto &[order, seconds] : lane)
+            seconds *= decay;
+    }
+    m_workByOrder[number][work.order] += toSeconds(work.prefill);
+    const bool isExpired = now - m_smallestTokenGapAt > demandPeriod;
     const auto gap = work.betweenTokensTarget;
     if (gap.count() > 0
         && (m_smallestTokenGap.count() == 0 || gap <= m_smallestTokenGap || isExpired)) {
@@ -100,30 +105,50 @@
 {
     auto demand = m_ownDemand;
     demand += m_othersDemand;
-    return {.endpoints = m_members.size(), .longLane = m_longLaneSize, .demand = demand};
+    return {.endpoints = m_members.size(), .longLaneSize = m_longLaneSize, .demand = demand};
 }
 
 auto prompt_placement::resizeLanes() -> void
 {
     const auto count = m_members.size();
     const auto demand = division().demand;
-    const auto shortDemand = demand.endpointSeconds(0) / demandDecaySeconds;
-    const auto longDemand = demand.endpointSeconds(1) / demandDecaySeconds;
+    const auto shortDemand = demand.endpointSeconds(0) / toSeconds(demandPeriod);
+    const auto longDemand = demand.endpointSeconds(1) / toSeconds(demandPeriod);
     if (count < 2 || shortDemand + longDemand == 0) {
         m_longLaneSize = count / 2;
         return;
     }
-    const auto endpoints = static_cast<double>(count);
-    const auto scale = std::min(1.0, endpoints / (shortDemand + longDemand));
-    const auto spare = endpoints - (shortDemand + longDemand) * scale;
-    const auto spareForLong
-        = std::sqrt(longDemand) / (std::sqrt(longDemand) + std::sqrt(shortDemand));
-    const auto wanted = longDemand * scale + spare * spareForLong;
+    const auto wanted = longLaneShare(shortDemand, longDemand);
     if (std::abs(wanted - static_cast<double>(m_longLaneSize)) > laneHysteresis)
         m_longLaneSize = static_cast<std::size_t>(std::lround(wanted));
     m_longLaneSize = std::clamp<std::size_t>(m_longLaneSize, 1, count - 1);
 }
 
+// Returns the number of endpoints for the long lane. If there are fewer endpoints than both lanes
+// need, the lane with the more urgent requests gets what it needs first.
+auto prompt_placement::longLaneShare(double shortDemand, double longDemand) const -> double
+{
+    const auto endpoints = static_cast<double>(m_members.size());
+    const auto spare = endpoints - shortDemand - longDemand;
+    if (spare >= 0) {
+        const auto roots = std::sqrt(longDemand) + std::sqrt(shortDemand);
+        return longDemand + spare * std::sqrt(longDemand) / roots;
+    }
+    if (mainOrder(shortLane) < mainOrder(longLane))
+        return endpoints - std::min(shortDemand, endpoints);
+    if (mainOrder(longLane) < mainOrder(shortLane))
+        return std::min(longDemand, endpoints);
+    return endpoints * longDemand / (shortDemand + longDemand);
+}
+
+auto prompt_placement::mainOrder(std::size_t lane) const -> service_order
+{
+    const auto &work = m_workByOrder[lane];
+    const auto most
+        = std::ranges::max_element(work, {}, [](const auto &item) { return item.second; });
+    return most == work.end() ? service_order() : most->first;
+}
+
 auto prompt_placement::groupAt(std::size_t number) const -> std::span<const member>
 {
     if (m_groupBits == 0)
@@ -148,12 +173,34 @@
 
 auto prompt_placement::choose(const endpoint_table &endpoints, const prompt_criteria &criteria,
                               time_point now) -> placement_choice
+{
+    return chooseInGroups(criteria, [&](std::span<const member> group) {
+        return chooseIn(group, endpoints, criteria, now);
+    });
+}
+
+auto prompt_placement::chooseLate(const endpoint_table &endpoints, const prompt_criteria &criteria,
+                                  time_point now) -> placement_choice
+{
+    if (!isOtherLaneLessUrgent(criteria))
+        return {};
+    const auto other = 1 - laneOf(criteria.promptTokens);
+    auto choice = chooseInGroups(criteria, [&](std::span<const member> group) {
+        return chooseLeastBacklog(lanesOf(group)[other], endpoints, criteria, now);
+    });
+    choice.reason = "late";
+    return choice;
+}
+
+template<class ChooseIn>
+auto prompt_placement::chooseInGroups(const prompt_criteria &criteria, const ChooseIn &chooseIn)
+    -> placement_choice
 {
     const auto groups = groupCount();
-    const auto first = criteria.prefixHash != 0 ? mixBits(criteria.prefixHash) : m_nextGroup++;
+    const auto first = firstGroup(criteria);
     placement_choice choice;
     for (std::size_t tried = 0; tried < std::min(groups, maxTriedGroups); ++tried) {
-        choice = chooseIn(groupAt((first + tried) % groups), endpoints, criteria, now);
+        choice = chooseIn(groupAt((first + tried) % groups));
         if (choice.endpoint != noIndex)
             break;
     }
@@ -220,8 +267,8 @@
         std::uint64_t bestScore = 0;
         for (const auto &item : lane) {
             const auto score = mixBits(item.hash ^ criteria.prefixHash);
-            if (score >= previousScore || score < bestScore || item.index == criteria.avoid
-                || !fits(endpoints, item.index, now))
+            if (score >= previousScore || score < bestScore
+                || !fits(endpoints, item.index, criteria, now))
                 continue;
             best = item.index;
             bestScore = score;
@@ -250,7 +297,7 @@
     duration smallestBacklog{};
     std::uint32_t load = 0;
     for (const auto &item : members) {
-        if (item.index == criteria.avoid || !fits(endpoints, item.index, now))
+        if (!fits(endpoints, item.index, criteria, now))
             continue;
         const auto wait = endpoints.prefillBacklog(item.index);
         const auto held = endpoints.load(item.index, now);
--- a/packages/policy/prompt_placement.h
+++ b/packages/policy/prompt_placement.h
@@ -34,23 +34,27 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <span>
 #include <vector>
 
 #include "policy/endpoint_table.h"
 #include "policy/lane_demand.h"
 #include "policy/placement.h"
+#include "policy/service_order.h"
 
 namespace mustardline {
 
 struct prompt_criteria
 {
-    std::uint32_t tier = lowestTier;
+    service_order order;
     std::uint32_t promptTokens = 0;
     // Length and hash of the prefix that other requests share; 0 if there is none.
     std::uint32_t sharedTokens = 0;
     std::uint64_t prefixHash = 0;
     duration firstTokenTarget{};
+    // Places of an endpoint that the request leaves free for more urgent ones.
+    double reserve = 0;
     // Endpoint that was tried before; it is never chosen.
     std::uint32_t avoid = noIndex;
 };
@@ -58,6 +62,7 @@
 // The work that one request causes, from which the lanes are sized.
 struct prompt_work
 {
+    service_order order;
     std::uint32_t promptTokens = 0;
     // Prefill time of the prompt without its shared prefix.
     duration prefill{};
@@ -84,6 +89,10 @@
     // Entry processes exchange their demands, so that each one sizes the lanes by the demand of all
     // of them and all arrive at the same lanes.
     [[nodiscard]] auto ownDemand() const -> const lane_demand & { return m_ownDemand; }
+    [[nodiscard]] auto othersUnplaced() const -> const service_order &
+    {
+        return m_othersDemand.unplaced;
+    }
     auto setOthersDemand(const lane_demand &demand) -> void
     {
         m_othersDemand = demand;
@@ -93,6 +102,15 @@
     // Returns an endpoint with room, or none if the request should wait.
     [[nodiscard]] auto choose(const endpoint_table &endpoints, const prompt_criteria &criteria,
                               time_point now) -> placement_choice;
+    // True if most of the recent work of the other lane is less urgent.
+    [[nodiscard]] auto isOtherLaneLessUrgent(const prompt_criteria &criteria) const -> bool
+    {
+        return criteria.order < mainOrder(1 - laneOf(criteria.promptTokens));
+    }
+    // Returns an endpoint of the other lane for a request that cannot be in time, regardless of the
+    // token gaps there; none if that lane has no room or is not less urgent.
+    [[nodiscard]] auto chooseLate(const endpoint_table &endpoints, const prompt_criteria &criteria,
+                                  time_point now) -> placement_choice;
 
     // Returns 0 for short prompts and 1 for long ones.
     [[nodiscard]] static auto laneOf(std::uint32_t promptTokens) -> std::size_t
@@ -105,6 +123,9 @@
     [[nodiscard]] auto size() const -> std::size_t { return m_members.size(); }
 
 private:
+    // Time constant with which the recorded demand of the lanes decays.
+    static constexpr duration demandPeriod = std::chrono::seconds(20);
+
     // Members are ordered by their hashes, which are the same in all entry processes.
     struct member
     {
@@ -118,6 +139,15 @@
     // Splits a group into the lane for short prompts and the lane for long ones.
     [[nodiscard]] auto lanesOf(std::span<const member> group) const
         -> std::array<std::span<const member>, promptLanes>;
+    // The group in which the search for an endpoint begins.
+    [[nodiscard]] auto firstGroup(const prompt_criteria &criteria) -> std::size_t
+    {
+        return criteria.prefixHash != 0 ? mixBits(criteria.prefixHash) : m_nextGroup++;
+    }
+    // Returns the first choice in the groups that a request may use, in the order of preference.
+    template<class ChooseIn>
+    [[nodiscard]] auto chooseInGroups(const prompt_criteria &criteria, const ChooseIn &chooseIn)
+        -> placement_choice;
     // Returns an endpoint of the other lane where neither the request's own token gaps nor those of
     // the running streams become too long.
     [[nodiscard]] auto chooseInOtherLane(std::span<const member> lane,
@@ -138,6 +168,9 @@
         -> placement_choice;
     auto updateGroups() -> void;
     auto resizeLanes() -> void;
+    // Returns the order with most of the recent work of a lane.
+    [[nodiscard]] auto mainOrder(std::size_t lane) const -> service_order;
+    [[nodiscard]] auto longLaneShare(double shortDemand, double longDemand) const -> double;
 
     std::vector<member> m_members;
     // A member's group is given by this many leading bits of its hash.
@@ -155,6 +188,8 @@
     // The smallest token gap required by recent streams of either lane; zero if none is limited.
     duration m_smallestTokenGap{};
     time_point m_smallestTokenGapAt{};
+    // By lane: this entry process's recent prefill work by order, in endpoint-seconds.
+    std::array<std::map<service_order, double>, promptLanes> m_workByOrder;
 };
 
 } // namespace mustardline
