Block the parts of prompts under which endpoints crash

Cause: a loss was booked against the endpoint and against the request, which went on to the next endpoint; what the lost requests had in common was kept nowhere.

prompt_part_watch keeps it: parts of requests that were lost in a confirmed crash before a sound answer to them are suspected, and of those that three crashes have in common the one with the most is blocked; parts with a sound answer never are. Edges tell each other suspicions and what they know to be sound. Blocked requests get 503 prompt_blocked at once, are not sent again and leave the queue.

ForwardRouterTest.promptPartThatCrashesEndpointsIsSoonRefused fails without it (all 8 deadly requests reach the endpoint, 502 each).

--- a/packages/base/result.cpp
+++ b/packages/base/result.cpp
@@ -36,6 +36,8 @@
      "The request was not run, and the retry budget is exhausted."},
     {draining, "draining", 503, "The process is shutting down and accepts no new requests."},
     {no_configuration, "no_configuration", 503, "The process has no configuration yet."},
+    {prompt_blocked, "prompt_blocked", 503,
+     "Endpoints crashed under a part of the prompt, which is no longer sent to any."},
     {not_run, "not_run", 503, "The request was not run."},
     {outcome_unknown, "outcome_unknown", 502,
      "The request may have run; its outcome is not known."},
--- a/packages/base/result.h
+++ b/packages/base/result.h
@@ -47,6 +47,7 @@
     retry_budget_exhausted = 204,
     draining = 205,
     no_configuration = 206,
+    prompt_blocked = 207,
 
     // 3xx: outcomes of a request that was placed on an endpoint.
     not_run = 300,
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -204,6 +204,8 @@
         };
         m_exchange.onUpdates
             = [this](const endpoint_updates &updates) { m_fleetView.applyPeerUpdates(updates); };
+        m_exchange.onPromptParts
+            = [this](const prompt_part_report &report) { m_router.applyPromptPartReport(report); };
         m_router.onExecutionStarted = [this](const std::string &account) {
             m_usage.count(account, m_wallClock.estimate(m_clock.now(), m_clock.unixNow()));
         };
@@ -246,6 +248,7 @@
         m_exchange.announce(
             {.uses = m_router.uses(),
              .lanes = m_router.laneDemand(),
+             .promptParts = m_router.promptPartReport(),
              .configurationVersion = m_routes.current() ? m_routes.current()->version : 0,
              .sealedWindow = m_dutyDriver.duty().sealedTo(),
              .leaving = m_isShuttingDown,
--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -67,11 +67,15 @@
     5032, "lanes_changed", log_level::info,
     "The division of a service's endpoints between short and long prompts changed."};
 
+inline constexpr log_event promptPartBlocked{
+    5033, "prompt_part_blocked", log_level::warning,
+    "Endpoints crashed under a part of prompts; requests with it are refused."};
+
 inline constexpr auto forwardingEvents = std::to_array<log_event>(
     {edgeStarted,          edgeReady,           edgeStopping,    edgeStopped,       edgeFailed,
      settingsReloaded,     forwardPlaced,       forwardEnded,    forwardRetried,    forwardNotSent,
      configurationInForce, recordMalformed,     endpointChanged, evacuationChanged, logServiceLost,
      logServiceBack,       logHistoryLost,      knowledgeAsked,  endpointLeaves,    endpointPauses,
-     dutyClaimed,          usageWindowReported, lanesChanged});
+     dutyClaimed,          usageWindowReported, lanesChanged,    promptPartBlocked});
 
 } // namespace mustardline
--- a/packages/forwarding/forward_request.cpp
+++ b/packages/forwarding/forward_request.cpp
@@ -78,6 +78,7 @@
     while (!shared.empty()) {
         const auto part = takeField(shared, ',');
         const auto colon = part.find(':');
+        request.sharedParts.push_back(fastHash(part.substr(0, colon)));
         if (colon != std::string_view::npos)
             request.sharedTokens += parseDecimal<std::uint32_t>(part.substr(colon + 1)).value_or(0);
     }
--- a/packages/forwarding/forward_request.h
+++ b/packages/forwarding/forward_request.h
@@ -41,6 +41,8 @@
     // Tokens of the prompt prefix that is shared with other requests; 0 if none.
     std::uint32_t sharedTokens = 0;
     std::uint64_t prefixHash = 0;
+    // Hashes of the ids of the shared parts.
+    std::vector<std::uint64_t> sharedParts;
     time_point arrivedAt{};
     // Deadline of the final response: the earlier of the route's timeout and the caller's deadline.
     time_point deadlineAt{};
@@ -66,6 +68,9 @@
     bool invalidAnswer = false;
     bool responseStarted = false;
     bool hasFirstByte = false;
+    time_point firstByteAt{};
+    // An answer to it has lasted, so no part of its prompt crashes endpoints.
+    bool provenSound = false;
     // Reading from the endpoint is paused because the caller reads slowly.
     bool readPaused = false;
     // Event parser of a stream that may be resumed at another endpoint.
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -64,6 +64,11 @@
         rejectImmediately(exchange, *httpError);
         return;
     }
+    if (isBlocked(std::get<forward_request>(read))) {
+        rejectImmediately(exchange,
+                          {.code = result_code::prompt_blocked, .retryAfter = blockedRetryAfter});
+        return;
+    }
     const auto number = ++m_lastRequestNumber;
     auto &request
         = m_requests.emplace(number, std::move(std::get<forward_request>(read))).first->second;
@@ -164,6 +169,13 @@
     auto *request = find(action.request);
     if (request == nullptr)
         return;
+    if (isBlocked(*request)) {
+        fail(*request, {.code = isProvenNotRun(*request) ? result_code::prompt_blocked
+                                                         : result_code::outcome_unknown,
+                        .message = "prompt_blocked",
+                        .retryAfter = blockedRetryAfter});
+        return;
+    }
     const auto *endpoint = m_directory.find(action.endpoint);
     const bool isUsable = endpoint != nullptr && m_directory.isUsable(*endpoint);
     const auto rejection
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -20,6 +20,7 @@
 #include "forwarding/forward_request.h"
 #include "forwarding/header_names.h"
 #include "forwarding/peer_table.h"
+#include "forwarding/prompt_part_watch.h"
 #include "forwarding/route_table.h"
 #include "forwarding/send_rules.h"
 #include "forwarding/shared_retry_budget.h"
@@ -82,6 +83,11 @@
     }
     auto setOthersLaneDemand(const std::map<std::string, lane_demand> &needs) -> void;
 
+    // Parts of prompts that this edge suspects to crash endpoints, and those that the others
+    // suspect.
+    [[nodiscard]] auto promptPartReport() -> prompt_part_report;
+    auto applyPromptPartReport(const prompt_part_report &report) -> void;
+
     // In-flight requests of this edge, by endpoint.
     [[nodiscard]] auto uses() const -> std::map<std::string, endpoint_use>;
 
@@ -99,6 +105,8 @@
 private:
     // Value of Retry-After where no better estimate exists.
     static constexpr duration defaultRetryAfter = std::chrono::milliseconds(500);
+    // Time for operators to mend the prompts or the endpoints.
+    static constexpr duration blockedRetryAfter = std::chrono::seconds(60);
 
     auto rejectImmediately(const std::shared_ptr<http_exchange> &exchange,
                            const http_error &httpError) -> void;
@@ -129,6 +137,15 @@
     // Relays the endpoint's response to the caller.
     auto relayResponse(forward_request &request) -> void;
     auto onFirstByte(forward_request &request) -> void;
+    // Updates what is known of the parts of prompts and of the endpoints that crash.
+    auto recordAnswer(forward_request &request, bool isComplete) -> void;
+    auto recordFailure(const forward_request &request, const http_failure &failure) -> void;
+    auto recordEndpointStart(const std::string &id, const endpoint_entry *entry) -> void;
+    auto logBlockedParts() -> void;
+    [[nodiscard]] auto isBlocked(const forward_request &request) const -> bool
+    {
+        return m_partWatch.blockedPart(request.sharedParts, m_clock.now()).has_value();
+    }
     // Requests a new placement, or sends the final response.
     auto retryOrFail(forward_request &request, result_code code, bool wasSent) -> void;
 
@@ -159,6 +176,9 @@
     warm_up_shares m_warmUp;
     // Retry budgets by service.
     std::unordered_map<std::string, shared_retry_budget> m_retryBudgets;
+    prompt_part_watch m_partWatch{{}};
+    // By endpoint: the start that the directory last named.
+    std::unordered_map<std::string, std::int64_t> m_endpointStarts;
     // The last logged division of each service's endpoints.
     std::map<std::string, lane_division> m_loggedDivisions;
     std::vector<dispatch_action> m_actions;
--- a/packages/forwarding/forward_router_endpoints.cpp
+++ b/packages/forwarding/forward_router_endpoints.cpp
@@ -31,6 +31,7 @@
         else
             m_dispatcher.removeEndpoint(id);
         const auto *entry = m_directory.find(id);
+        recordEndpointStart(id, entry);
         m_log.write(endpointChanged, field("endpoint", id), field("known", entry != nullptr),
                     field("usable", entry != nullptr && m_directory.isUsable(*entry)));
     }
--- /dev/null
+++ b/packages/forwarding/forward_router_parts.cpp
@@ -0,0 +1,79 @@
+// Tells the watch for parts of prompts under which endpoints crash what happens to requests and
+// endpoints.
+
+#include "forwarding/events.h"
+#include "forwarding/forward_router.h"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace mustardline {
+
+namespace {
+
+// An endpoint that crashes under a prompt does so when it begins to write the answer; one that has
+// written for this long does not.
+constexpr duration provingTime = std::chrono::milliseconds(500);
+
+} // namespace
+
+auto forward_router::recordAnswer(forward_request &request, bool isComplete) -> void
+{
+    if (request.provenSound || request.sharedParts.empty() || !request.hasFirstByte)
+        return;
+    if (!isComplete && m_clock.now() - request.firstByteAt < provingTime)
+        return;
+    request.provenSound = true;
+    m_partWatch.proven(request.sharedParts);
+}
+
+auto forward_router::recordFailure(const forward_request &request, const http_failure &failure)
+    -> void
+{
+    if (failure.reason.code != result_code::connection_failed)
+        return;
+    const auto crash = crashId(request.endpoint, request.endpointStartedAtMs);
+    const auto now = m_clock.now();
+    if (!failure.sent)
+        m_partWatch.endpointDown(crash, now);
+    else if (request.provenSound)
+        m_partWatch.lost({}, crash, now);
+    else
+        m_partWatch.lost(request.sharedParts, crash, now);
+    logBlockedParts();
+}
+
+auto forward_router::recordEndpointStart(const std::string &id, const endpoint_entry *entry) -> void
+{
+    const auto known = m_endpointStarts.find(id);
+    const auto start = entry == nullptr ? 0 : entry->registration.startedAtMs;
+    if (known != m_endpointStarts.end() && (entry == nullptr || known->second != start)) {
+        m_partWatch.endpointDown(crashId(id, known->second), m_clock.now());
+        logBlockedParts();
+    }
+    if (entry == nullptr)
+        m_endpointStarts.erase(id);
+    else
+        m_endpointStarts[id] = start;
+}
+
+auto forward_router::promptPartReport() -> prompt_part_report
+{
+    return m_partWatch.report(m_clock.now());
+}
+
+auto forward_router::applyPromptPartReport(const prompt_part_report &report) -> void
+{
+    m_partWatch.applyReport(report, m_clock.now());
+    logBlockedParts();
+}
+
+auto forward_router::logBlockedParts() -> void
+{
+    for (const auto &blocked : m_partWatch.takeNewlyBlocked())
+        m_log.write(promptPartBlocked, field("part", fmt::format("{:016x}", blocked.part)),
+                    field("crashes", blocked.crashes.size()));
+}
+
+} // namespace mustardline
--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -88,6 +88,7 @@
         = request->route->kind == route_kind::stream && isSuccess(request->answer.status);
     if (!request->notRun && !request->hasFirstByte)
         onFirstByte(*request);
+    recordAnswer(*request, false);
     if (!isRelayed) {
         request->body += data;
         return;
@@ -124,6 +125,7 @@
 auto forward_router::onFirstByte(forward_request &request) -> void
 {
     request.hasFirstByte = true;
+    request.firstByteAt = m_clock.now();
     m_metrics.recordFirstByte(m_clock.now() - request.arrivedAt);
     m_dispatcher.firstToken(request.number, m_clock.now());
     if (onExecutionStarted && request.account != nullptr)
@@ -163,6 +165,8 @@
              .sent = true});
         return;
     }
+    if (isSuccess(status))
+        recordAnswer(request, true);
     if (request.responseStarted && !isSuccess(status)) {
         // The endpoint that was asked to resume the stream failed.
         request.exchange->abort();
@@ -193,6 +197,7 @@
 
 auto forward_router::onResponseFailed(forward_request &request, const http_failure &failure) -> void
 {
+    recordFailure(request, failure);
     if (!failure.sent) {
         retryOrFail(request, result_code::connection_failed, false);
         return;
@@ -243,8 +248,8 @@
     const bool isProvedNotRun = request.notRun || !wasSent;
     auto &budget = m_retryBudgets.try_emplace(request.service, m_options.retries).first->second;
     const bool isPermitted = request.sends < maxSends(request, isProvedNotRun)
-                             && (!wasSent || budget.tryAcquire(m_entryCount, now))
-                             && now < request.deadlineAt;
+                             && !isBlocked(request) && now < request.deadlineAt
+                             && (!wasSent || budget.tryAcquire(m_entryCount, now));
     m_log.write(forwardRetried, field("request", request.id), field("endpoint", request.endpoint),
                 field("result", describe(code).name), field("status", request.answer.status),
                 field("sends", request.sends), field("not_run", isProvedNotRun),
--- a/packages/forwarding/peer_exchange.cpp
+++ b/packages/forwarding/peer_exchange.cpp
@@ -47,6 +47,25 @@
     message->set_unplaced_priority(needs.unplaced.priority);
 }
 
+auto addPromptParts(v1::EdgeState &state, const prompt_part_report &report) -> void
+{
+    for (const auto &suspect : report.suspects) {
+        auto *message = state.add_suspected_parts();
+        message->set_part(suspect.part);
+        message->mutable_crashes()->Assign(suspect.crashes.begin(), suspect.crashes.end());
+    }
+    state.mutable_sound_parts()->Assign(report.sound.begin(), report.sound.end());
+}
+
+auto promptPartsOf(const v1::EdgeState &state) -> prompt_part_report
+{
+    prompt_part_report report{.sound = {state.sound_parts().begin(), state.sound_parts().end()}};
+    for (const auto &item : state.suspected_parts())
+        report.suspects.push_back(
+            {.part = item.part(), .crashes = {item.crashes().begin(), item.crashes().end()}});
+    return report;
+}
+
 auto updatesOf(const v1::EndpointNews &message) -> endpoint_updates
 {
     endpoint_updates updates{.from = message.from(), .end = message.end()};
@@ -96,6 +115,7 @@
     }
     for (const auto &[target, needs] : announcement.lanes)
         addLanes(state, target, needs);
+    addPromptParts(state, announcement.promptParts);
     if (announcement.updates)
         addUpdates(state, *announcement.updates);
     const auto current = m_usage.windowOf(unixNow);
@@ -137,6 +157,8 @@
     }
     if (onState)
         onState(state);
+    if (onPromptParts && (state.suspected_parts_size() > 0 || state.sound_parts_size() > 0))
+        onPromptParts(promptPartsOf(state));
     if (onUpdates && state.has_news())
         onUpdates(updatesOf(state.news()));
 }
--- a/packages/forwarding/peer_exchange.h
+++ b/packages/forwarding/peer_exchange.h
@@ -16,6 +16,7 @@
 
 #include "coordination/shared_log.h"
 #include "forwarding/peer_table.h"
+#include "forwarding/prompt_part_watch.h"
 #include "forwarding/usage_windows.h"
 #include "forwarding/wall_clock_estimator.h"
 #include "net/datagram_socket.h"
@@ -45,6 +46,7 @@
     std::map<std::string, endpoint_use> uses;
     // Keyed by model or service.
     std::map<std::string, lane_demand> lanes;
+    prompt_part_report promptParts;
     std::uint64_t configurationVersion = 0;
     std::int64_t sealedWindow = 0;
     bool leaving = false;
@@ -65,6 +67,7 @@
     // Called for each message that is not a duplicate.
     std::function<auto(const v1::EdgeState &state)->void> onState;
     std::function<auto(const endpoint_updates &updates)->void> onUpdates;
+    std::function<auto(const prompt_part_report &report)->void> onPromptParts;
 
 private:
     auto onDatagram(std::string_view bytes) -> void;
--- a/packages/forwarding/testing/forward_router_test.cpp
+++ b/packages/forwarding/testing/forward_router_test.cpp
@@ -87,14 +87,15 @@
         m_router.endpointsChanged();
     }
 
-    auto call() -> void
+    auto call(std::string_view promptParts = {}) -> void
     {
         m_client.fetch(
             m_callerAddress,
             {.method = "POST",
              .path = "/new",
-             .headers
-             = {{.name = "host", .value = "a.example"}, {.name = "Request-Id", .value = "r1"}},
+             .headers = {{.name = "host", .value = "a.example"},
+                         {.name = "Request-Id", .value = "r1"},
+                         {.name = "Prompt-Parts", .value = std::string(promptParts)}},
              .body = "x"},
             [this](const http_outcome &, const http_answer &answer, const std::string &body) {
                 m_status = answer.status;
@@ -171,6 +172,34 @@
     EXPECT_TRUE(isUsable()) << "the later instance was taken out of use";
 }
 
+// Guards against requests that crash one endpoint after the other because a part of their prompts
+// does so, and against refusing the sound ones that share their other parts.
+TEST_F(ForwardRouterTest, promptPartThatCrashesEndpointsIsSoonRefused)
+{
+    constexpr auto rounds = 8;
+    // The part is blocked after three crashes.
+    constexpr auto maxCrashes = 3;
+    std::int64_t start = 1;
+    auto crashes = 0;
+    registerEndpoint(m_oldInstance, start);
+    m_onReceived = [&](const fake_endpoint &, http_exchange &exchange) {
+        if (exchange.header("Prompt-Parts").find("dead") == std::string_view::npos) {
+            succeed(exchange);
+            return;
+        }
+        ++crashes;
+        exchange.abort();
+    };
+    for (auto round = 0; round < rounds; ++round) {
+        call("common:500,dead:300,own" + std::to_string(round) + ":9");
+        EXPECT_EQ(m_status, round < maxCrashes ? 502 : 503) << round;
+        registerEndpoint(m_oldInstance, ++start);
+        call("common:500,fine:300,own:9");
+        EXPECT_EQ(m_status, 200) << round << ": " << m_body;
+    }
+    EXPECT_EQ(crashes, maxCrashes);
+}
+
 // Guards against a router that is called after its destruction: the process exits with requests in
 // flight, and the callers' server is destroyed after the router. Only the sanitizer build detects
 // this reliably.
--- a/packages/policy/service_order.h
+++ b/packages/policy/service_order.h
@@ -3,8 +3,8 @@
 // The order in which the requests of a target are served: by tier, then by the priority of their
 // class. The first in the order is the most urgent.
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace mustardline {
 
@@ -13,7 +13,11 @@
     std::uint32_t tier = UINT32_MAX;
     std::uint32_t priority = UINT32_MAX;
 
-    friend auto operator<=>(const service_order &, const service_order &) = default;
+    auto operator==(const service_order &) const -> bool = default;
+    auto operator<(const service_order &other) const -> bool
+    {
+        return std::tie(tier, priority) < std::tie(other.tier, other.priority);
+    }
 };
 
 } // namespace mustardline
