Take no response without the request's id on a used connection

Here a response that bears another id was rejected, but one that bears none was taken for the request's own. Shown by ForwardRouterTest.repeatedRefusalOfAnEarlierRequestProvesNothing, red before: a request that may run once was sent three more times and its caller got 503 "overloaded".

Such a response is now invalid where the connection had carried an earlier request: it proves nothing, is passed on to nobody and says nothing of the endpoint. Servers echo the id in all their responses (PROTOCOL.md); on a new connection a response without it can be no late one, and counts as before.

--- a/packages/forwarding/forward_request.h
+++ b/packages/forwarding/forward_request.h
@@ -64,7 +64,8 @@
     bool mayHaveRun = false;
     // The endpoint stated that it did not execute the request.
     bool notRun = false;
-    // The response cannot come from an endpoint: it is encoded, or successful without a seal.
+    // The response cannot be the endpoint's to this request: it is encoded, successful without a
+    // seal, or on a used connection without the request's id.
     bool invalidAnswer = false;
     bool responseStarted = false;
     bool hasFirstByte = false;
--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -45,15 +45,20 @@
         return;
     const auto &names = m_options.names;
     request->answer = answer;
+    // Without the request's id, on a connection that was used before, it may be a late response to
+    // an earlier request.
+    const bool isOwn = !answer.reused || findHeader(answer.headers, names.requestId) == request->id;
     request->notRun
-        = answer.status == misdirected || !findHeader(answer.headers, names.notRun).empty();
+        = isOwn
+          && (answer.status == misdirected || !findHeader(answer.headers, names.notRun).empty());
     request->invalidAnswer
-        = !findHeader(answer.headers, "content-encoding").empty()
+        = !isOwn || !findHeader(answer.headers, "content-encoding").empty()
           || (isSuccess(answer.status) && findHeader(answer.headers, names.seal).empty());
     // A response of an earlier instance of the endpoint says nothing about the instance that now
     // has its id.
     const auto *entry = m_directory.find(request->endpoint);
-    if (entry == nullptr || entry->registration.startedAtMs != request->endpointStartedAtMs)
+    if (!isOwn || entry == nullptr
+        || entry->registration.startedAtMs != request->endpointStartedAtMs)
         return;
     if (answer.status == misdirected)
         m_directory.markReplaced(request->endpoint);
@@ -159,9 +164,8 @@
     if (request.invalidAnswer) {
         onResponseFailed(
             request,
-            {.reason
-             = {.code = result_code::malformed_message,
-                .message = "the response has a content encoding or lacks the endpoint's seal"},
+            {.reason = {.code = result_code::malformed_message,
+                        .message = "the response is encoded, unsealed or without the request's id"},
              .sent = true});
         return;
     }
--- a/packages/forwarding/testing/forward_router_test.cpp
+++ b/packages/forwarding/testing/forward_router_test.cpp
@@ -11,6 +11,7 @@
 #include "forwarding/forward_router.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/testing/raw_peer.h"
 
 namespace mustardline {
 namespace {
@@ -172,6 +173,36 @@
     EXPECT_TRUE(isUsable()) << "the later instance was taken out of use";
 }
 
+// Guards against an endpoint's earlier refusal that is read as the response to a later request on
+// the same connection: the caller is told "not run" for a request that runs.
+TEST_F(ForwardRouterTest, repeatedRefusalOfAnEarlierRequestProvesNothing)
+{
+    constexpr std::string_view refusal
+        = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    raw_listener endpoint(m_loop);
+    auto requests = 0;
+    endpoint.onOpen = [&](raw_peer &peer) {
+        peer.onChange = [&requests, &peer, refusal, answered = std::size_t{0}]() mutable {
+            const auto ends = peer.received().find("\r\n\r\nx", answered);
+            if (ends == std::string::npos)
+                return;
+            answered = ends + 1;
+            if (++requests == 1)
+                peer.send("HTTP/1.1 200 OK\r\nSeal: s\r\nRequest-Id: r1\r\nContent-Length: 4\r\n"
+                          "\r\ndone");
+            else
+                peer.send(refusal);
+        };
+    };
+    m_oldInstance.address = endpoint.address();
+    registerEndpoint(m_oldInstance, 1);
+    call();
+    EXPECT_EQ(m_status, 200) << m_body;
+    call();
+    EXPECT_EQ(m_status, 502) << m_body;
+    EXPECT_EQ(requests, 2) << "a request that may run once was sent again";
+}
+
 // Guards against requests that crash one endpoint after the other because a part of their prompts
 // does so, and against refusing the sound ones that share their other parts.
 TEST_F(ForwardRouterTest, promptPartThatCrashesEndpointsIsSoonRefused)
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -226,7 +226,10 @@
             return;
         }
         if (callbacks.onHeaders) {
-            callbacks.onHeaders({.status = head.status, .headers = head.headers, .length = length});
+            callbacks.onHeaders({.status = head.status,
+                                 .headers = head.headers,
+                                 .length = length,
+                                 .reused = reused});
         }
     }
 
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -73,6 +73,8 @@
     std::vector<http_header> headers;
     // The Content-Length, if the response has one.
     std::optional<std::uint64_t> length;
+    // The connection had carried an earlier request, so the response may be a late one to that.
+    bool reused = false;
 };
 
 struct http_failure
