Take an unframed stream that ends inside an event for broken off

Callers got such a stream as complete. EdgeTest.unframedStreamThatEndsInsideAnEventIsNotComplete, red before for both cut bodies. It now ends as a lost connection does: a resumable stream goes on at another endpoint, any other is aborted towards its caller.

--- a/packages/forwarding/forward_request.h
+++ b/packages/forwarding/forward_request.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "forwarding/event_boundary.h"
 #include "forwarding/header_names.h"
 #include "forwarding/route_table.h"
 #include "forwarding/sse_event_buffer.h"
@@ -74,6 +75,8 @@
     bool provenSound = false;
     // Reading from the endpoint is paused because the caller reads slowly.
     bool readPaused = false;
+    // Position of the current attempt's response in its events.
+    event_boundary boundary;
     // Event parser of a stream that may be resumed at another endpoint.
     sse_event_buffer eventBuffer;
     time_point lastByteAt{};
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -257,6 +257,7 @@
     ++request.sends;
     request.answer = {};
     request.body.clear();
+    request.boundary = {};
     request.notRun = false;
     request.invalidAnswer = false;
     request.hasFirstByte = false;
--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -28,6 +28,14 @@
     return status >= firstSuccess && status < firstRedirect;
 }
 
+// Whether the end of the connection is the only mark of the response's end, and the response is a
+// stream of events.
+auto isUnframedEventStream(const http_answer &answer) -> bool
+{
+    return !answer.length && findHeader(answer.headers, "transfer-encoding").empty()
+           && findHeader(answer.headers, "content-type").starts_with("text/event-stream");
+}
+
 // Parses seconds, optionally with a fraction, and limits them to maxPause; returns zero for
 // invalid input.
 auto parseRetryAfter(std::string_view text) -> duration
@@ -102,6 +110,7 @@
     request->lastByteAt = m_clock.now();
     if (!std::exchange(request->responseStarted, true))
         exchange.startStream(request->answer.status, answerHeaders(request->answer.headers));
+    request->boundary.feed(data);
     exchange.sendChunk(request->route->resumable ? request->eventBuffer.feed(data) : data);
     m_dispatcher.progressed(number, 1);
     if (!request->readPaused && exchange.backlogBytes() > m_options.maxBacklogBytes) {
@@ -169,6 +178,12 @@
              .sent = true});
         return;
     }
+    if (isUnframedEventStream(request.answer) && !request.boundary.isAtEnd()) {
+        onResponseFailed(request, {.reason = {.code = result_code::answer_cut,
+                                              .message = "the stream ended inside an event"},
+                                   .sent = true});
+        return;
+    }
     if (isSuccess(status))
         recordAnswer(request, true);
     if (request.responseStarted && !isSuccess(status)) {
