--- a/packages/forwarding/event_boundary.h
+++ b/packages/forwarding/event_boundary.h
@@ -13,6 +13,10 @@
 
 namespace mustardline {
 
+// The blank lines that end an event.
+inline constexpr std::string_view plainEventEnd = "\n\n";
+inline constexpr std::string_view eventEndWithReturns = "\r\n\r\n";
+
 class event_boundary
 {
 public:
@@ -25,12 +29,13 @@
     // True before the first byte as well.
     [[nodiscard]] auto isAtEnd() const -> bool
     {
-        return m_tail.empty() || m_tail.ends_with("\n\n") || m_tail.ends_with("\r\n\r\n");
+        return m_tail.empty() || m_tail.ends_with(plainEventEnd)
+               || m_tail.ends_with(eventEndWithReturns);
     }
 
 private:
-    // Length of the longest mark of an end.
-    static constexpr std::size_t maxMark = 4;
+    // The longest end.
+    static constexpr std::size_t maxMark = eventEndWithReturns.size();
 
     std::string m_tail;
 };
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -64,7 +64,7 @@
         rejectImmediately(exchange, *httpError);
         return;
     }
-    if (isBlocked(std::get<forward_request>(read))) {
+    if (isBlocked(std::get<forward_request>(read), now)) {
         rejectImmediately(exchange,
                           {.code = result_code::prompt_blocked, .retryAfter = blockedRetryAfter});
         return;
@@ -169,7 +169,8 @@
     auto *request = find(action.request);
     if (request == nullptr)
         return;
-    if (isBlocked(*request)) {
+    const auto now = m_clock.now();
+    if (isBlocked(*request, now)) {
         fail(*request, {.code = isProvenNotRun(*request) ? result_code::prompt_blocked
                                                          : result_code::outcome_unknown,
                         .message = "prompt_blocked",
@@ -185,7 +186,7 @@
         return;
     }
     if (!isUsable) {
-        m_dispatcher.notRun(action.request, result_code::no_endpoint, m_clock.now(), m_actions);
+        m_dispatcher.notRun(action.request, result_code::no_endpoint, now, m_actions);
         return;
     }
     request->endpoint = action.endpoint;
@@ -194,8 +195,8 @@
                 field("priority", request->priority), field("urgency", request->urgency),
                 field("endpoint", action.endpoint), field("reason", action.reason),
                 field("considered", action.considered),
-                field("heard_ms", toMilliseconds(m_clock.now() - m_directory.upToDateAt())),
-                field("waited_ms", toMilliseconds(m_clock.now() - request->arrivedAt)));
+                field("heard_ms", toMilliseconds(now - m_directory.upToDateAt())),
+                field("waited_ms", toMilliseconds(now - request->arrivedAt)));
     send(*request, *endpoint);
 }
 
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -136,15 +136,15 @@
     auto onResponseFailed(forward_request &request, const http_failure &failure) -> void;
     // Relays the endpoint's response to the caller.
     auto relayResponse(forward_request &request) -> void;
-    auto onFirstByte(forward_request &request) -> void;
+    auto onFirstByte(forward_request &request, time_point now) -> void;
     // Updates what is known of the parts of prompts and of the endpoints that crash.
-    auto recordAnswer(forward_request &request, bool isComplete) -> void;
+    auto recordAnswer(forward_request &request, bool isComplete, time_point now) -> void;
     auto recordFailure(const forward_request &request, const http_failure &failure) -> void;
     auto recordEndpointStart(const std::string &id, const endpoint_entry *entry) -> void;
     auto logBlockedParts() -> void;
-    [[nodiscard]] auto isBlocked(const forward_request &request) const -> bool
+    [[nodiscard]] auto isBlocked(const forward_request &request, time_point now) const -> bool
     {
-        return m_partWatch.blockedPart(request.sharedParts, m_clock.now()).has_value();
+        return m_partWatch.blockedPart(request.sharedParts, now).has_value();
     }
     // Requests a new placement, or sends the final response.
     auto retryOrFail(forward_request &request, result_code code, bool wasSent) -> void;
--- a/packages/forwarding/forward_router_parts.cpp
+++ b/packages/forwarding/forward_router_parts.cpp
@@ -1,13 +1,11 @@
 // Tells the watch for parts of prompts under which endpoints crash what happens to requests and
 // endpoints.
 
+#include <fmt/format.h>
+
 #include "forwarding/events.h"
 #include "forwarding/forward_router.h"
 
-#include <utility>
-
-#include <fmt/format.h>
-
 namespace mustardline {
 
 namespace {
@@ -18,11 +16,11 @@
 
 } // namespace
 
-auto forward_router::recordAnswer(forward_request &request, bool isComplete) -> void
+auto forward_router::recordAnswer(forward_request &request, bool isComplete, time_point now) -> void
 {
     if (request.provenSound || request.sharedParts.empty() || !request.hasFirstByte)
         return;
-    if (!isComplete && m_clock.now() - request.firstByteAt < provingTime)
+    if (!isComplete && now - request.firstByteAt < provingTime)
         return;
     request.provenSound = true;
     m_partWatch.proven(request.sharedParts);
--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -99,15 +99,16 @@
         return;
     const bool isRelayed
         = request->route->kind == route_kind::stream && isSuccess(request->answer.status);
+    const auto now = m_clock.now();
     if (!request->notRun && !request->hasFirstByte)
-        onFirstByte(*request);
-    recordAnswer(*request, false);
+        onFirstByte(*request, now);
+    recordAnswer(*request, false, now);
     if (!isRelayed) {
         request->body += data;
         return;
     }
     auto &exchange = *request->exchange;
-    request->lastByteAt = m_clock.now();
+    request->lastByteAt = now;
     if (!std::exchange(request->responseStarted, true))
         exchange.startStream(request->answer.status, answerHeaders(request->answer.headers));
     request->boundary.feed(data);
@@ -136,12 +137,12 @@
 }
 
 // The first response byte shows that the endpoint has started to execute the request.
-auto forward_router::onFirstByte(forward_request &request) -> void
+auto forward_router::onFirstByte(forward_request &request, time_point now) -> void
 {
     request.hasFirstByte = true;
-    request.firstByteAt = m_clock.now();
-    m_metrics.recordFirstByte(m_clock.now() - request.arrivedAt);
-    m_dispatcher.firstToken(request.number, m_clock.now());
+    request.firstByteAt = now;
+    m_metrics.recordFirstByte(now - request.arrivedAt);
+    m_dispatcher.firstToken(request.number, now);
     if (onExecutionStarted && request.account != nullptr)
         onExecutionStarted(request.account->name);
 }
@@ -185,7 +186,7 @@
         return;
     }
     if (isSuccess(status))
-        recordAnswer(request, true);
+        recordAnswer(request, true, m_clock.now());
     if (request.responseStarted && !isSuccess(status)) {
         // The endpoint that was asked to resume the stream failed.
         request.exchange->abort();
@@ -203,7 +204,7 @@
         return;
     }
     if (!request.hasFirstByte)
-        onFirstByte(request);
+        onFirstByte(request, m_clock.now());
     relayResponse(request);
 }
 
@@ -267,7 +268,7 @@
     const bool isProvedNotRun = request.notRun || !wasSent;
     auto &budget = m_retryBudgets.try_emplace(request.service, m_options.retries).first->second;
     const bool isPermitted = request.sends < maxSends(request, isProvedNotRun)
-                             && !isBlocked(request) && now < request.deadlineAt
+                             && !isBlocked(request, now) && now < request.deadlineAt
                              && (!wasSent || budget.tryAcquire(m_entryCount, now));
     m_log.write(forwardRetried, field("request", request.id), field("endpoint", request.endpoint),
                 field("result", describe(code).name), field("status", request.answer.status),
--- a/packages/forwarding/sse_event_buffer.cpp
+++ b/packages/forwarding/sse_event_buffer.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "forwarding/event_boundary.h"
+
 namespace mustardline {
 
 namespace {
@@ -10,13 +12,11 @@
 // Returns the position after the last blank line of `text`; 0 if there is none.
 auto endOfCompleteEvents(std::string_view text) -> std::size_t
 {
-    constexpr std::string_view plain = "\n\n";
-    constexpr std::string_view withReturns = "\r\n\r\n";
     const auto endAfter = [text](std::string_view mark) {
         const auto at = text.rfind(mark);
         return at == std::string_view::npos ? 0 : at + mark.size();
     };
-    return std::max(endAfter(plain), endAfter(withReturns));
+    return std::max(endAfter(plainEventEnd), endAfter(eventEndWithReturns));
 }
 
 } // namespace
--- a/packages/policy/class_queue.h
+++ b/packages/policy/class_queue.h
@@ -20,6 +20,7 @@
 #include "base/clock.h"
 #include "policy/indexed_heap.h"
 #include "policy/request_table.h"
+#include "policy/service_order.h"
 
 namespace mustardline {
 
@@ -28,6 +29,11 @@
     std::uint32_t tier = 6;
     std::uint32_t priority = 0;
     std::uint32_t requestClass = noIndex;
+
+    [[nodiscard]] auto order() const -> service_order
+    {
+        return {.tier = tier, .priority = priority};
+    }
 };
 
 class class_queue
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -209,15 +209,6 @@
     endRequest(slot, now);
 }
 
-auto dispatcher::state::recordUnplaced(target_row &target, const request_row &row, time_point now)
-    -> void
-{
-    if (unplacedOrder(target, now) < orderOf(row))
-        return;
-    target.unplacedOrder = orderOf(row);
-    target.unplacedUntil = now + row.firstTokenTarget;
-}
-
 auto dispatcher::state::placeWaiting(target_row &target, time_point now, dispatch_actions &actions)
     -> void
 {
@@ -236,40 +227,6 @@
     }
 }
 
-// Long and short prompts are placed on separate sets of endpoints (lanes), so a request that finds
-// no room blocks only the other requests of its lane. A short prompt that finds none also holds
-// back less urgent long ones, here and at the other entry processes, and does so for a while after
-// it was refused: they would keep their endpoints from it for long. A class of long prompts that
-// was passed over for long still gets its turn.
-auto dispatcher::state::placePrompts(target_row &target, time_point now, dispatch_actions &actions)
-    -> void
-{
-    std::array<bool, promptLanes> isFull{};
-    std::vector<bool> excluded;
-    const auto unplaced
-        = [&] { return std::min(unplacedOrder(target, now), target.prompts.othersUnplaced()); };
-    for (;;) {
-        const auto slot = target.queue.nextExcluding(excluded, requests, now);
-        if (slot == noIndex)
-            return;
-        const auto &row = requests.at(slot);
-        const auto lane = prompt_placement::laneOf(row.promptTokens);
-        const bool isHeldBack = lane == longLane && unplaced() < orderOf(row)
-                                && !target.queue.isTurnDue(row.queue, now);
-        const auto choice
-            = isFull[lane] || isHeldBack ? placement_choice() : choosePrompt(target, slot, now);
-        if (choice.endpoint != noIndex) {
-            place(target, slot, choice, now, actions);
-            continue;
-        }
-        isFull[lane] = isFull[lane] || !isHeldBack;
-        excluded.resize(target.queue.queueCount());
-        excluded[row.queue] = true;
-        if (lane == shortLane)
-            recordUnplaced(target, row, now);
-    }
-}
-
 auto dispatcher::state::chooseFor(target_row &target, std::uint32_t slot, time_point now)
     -> placement_choice
 {
@@ -296,33 +253,6 @@
     return choice;
 }
 
-auto dispatcher::state::promptCriteria(const request_row &row) const -> prompt_criteria
-{
-    const auto &reserves = targets[row.target].promptReserves;
-    const bool isReserving
-        = prompt_placement::laneOf(row.promptTokens) == longLane && row.queue < reserves.size();
-    return {.order = orderOf(row),
-            .promptTokens = row.promptTokens,
-            .sharedTokens = row.sharedTokens,
-            .prefixHash = row.prefixHash,
-            .firstTokenTarget = row.firstTokenTarget,
-            .reserve = isReserving ? reserves[row.queue] : 0,
-            .avoid = row.attempt > 0 ? row.endpoint : noIndex};
-}
-
-auto dispatcher::state::choosePrompt(target_row &target, std::uint32_t slot, time_point now)
-    -> placement_choice
-{
-    const auto &row = requests.at(slot);
-    auto wish = promptCriteria(row);
-    auto choice = target.prompts.choose(endpoints, wish, now);
-    if (choice.endpoint == noIndex && wish.avoid != noIndex) {
-        wish.avoid = noIndex;
-        choice = target.prompts.choose(endpoints, wish, now);
-    }
-    return choice;
-}
-
 // Places per endpoint that requests of `order` leave free for more urgent ones. The number of those
 // in flight varies by about its square root; less urgent requests that filled the places while that
 // number is low would have to be preempted when it rises again.
@@ -330,8 +260,7 @@
 {
     double higher = 0;
     for (std::uint32_t number = 0; number < target.classStatistics.size(); ++number) {
-        const auto &options = target.queue.queue(number).options();
-        if (service_order{.tier = options.tier, .priority = options.priority} < order)
+        if (target.queue.queue(number).options().order() < order)
             higher += target.classStatistics[number].load();
     }
     const auto fleet = higher * options.entryCount;
@@ -355,16 +284,6 @@
     target.fullTier = lowestTier + 1;
 }
 
-auto dispatcher::state::updatePromptReserves(target_row &target) -> void
-{
-    target.promptReserves.resize(target.classStatistics.size());
-    for (std::uint32_t number = 0; number < target.promptReserves.size(); ++number) {
-        const auto &options = target.queue.queue(number).options();
-        target.promptReserves[number]
-            = reserveFor(target, {.tier = options.tier, .priority = options.priority});
-    }
-}
-
 // Updates the moving average of the number of requests in flight of each class.
 auto dispatcher::state::updateMeanLoads(target_row &target, time_point now) -> void
 {
--- a/packages/policy/dispatcher_waits.cpp
+++ b/packages/policy/dispatcher_waits.cpp
@@ -20,9 +20,6 @@
 // Lower bound on the service rate of a class, as a fraction of the rate at which the places of all
 // classes become free.
 constexpr double minRateFraction = 0.02;
-// A request that will be late waits for this fraction of its time; the rest is left for the answer,
-// or for the caller to try elsewhere.
-constexpr double maxLateWaitFraction = 0.5;
 // Number of requests kept after which a search for late ones ends.
 constexpr std::uint32_t maxKept = 64;
 constexpr duration sweepInterval = std::chrono::milliseconds(250);
@@ -36,33 +33,31 @@
 auto dispatcher::state::availabilityFor(const target_row &target, std::uint32_t queue) const
     -> place_availability
 {
-    const auto orderOf = [&target](std::uint32_t number) {
-        const auto &options = target.queue.queue(number).options();
-        return std::pair(options.tier, options.priority);
-    };
-    const auto own = orderOf(queue);
+    const auto orderOfQueue
+        = [&target](std::uint32_t number) { return target.queue.queue(number).options().order(); };
+    const auto own = orderOfQueue(queue);
     const auto &ownStatistics = target.classStatistics[queue];
     place_availability availability;
     double all = 0;
     double heldBefore = 0;
-    bool isLowest = target.places.preemptibleBelow[own.first] == 0;
+    bool isLowest = target.places.preemptibleBelow[own.tier] == 0;
     for (std::uint32_t number = 0; number < target.classStatistics.size(); ++number) {
         const auto &statistics = target.classStatistics[number];
-        const auto order = orderOf(number);
+        const auto order = orderOfQueue(number);
         const auto rate = statistics.releaseRate();
         all += rate;
         if (order < own) {
             heldBefore += std::max<double>(statistics.inFlight(), statistics.load());
             continue;
         }
-        isLowest = isLowest && order.first == own.first;
-        const auto preemptible = order.first > own.first ? statistics.preemptible() : 0;
+        isLowest = isLowest && order.tier == own.tier;
+        const auto preemptible = order.tier > own.tier ? statistics.preemptible() : 0;
         availability.immediate += preemptible;
         availability.perSecond += std::max(rate, ownStatistics.releaseRate(preemptible));
     }
     // Requests of lower tiers of other entry processes can be preempted as well.
     availability.immediate
-        = std::max(availability.immediate, target.places.preemptibleBelow[own.first]);
+        = std::max(availability.immediate, target.places.preemptibleBelow[own.tier]);
     const auto remainder
         = isLowest ? 0 : static_cast<double>(target.places.all) / options.entryCount - heldBefore;
     return {.immediate = availability.immediate,
@@ -108,26 +103,6 @@
     return checkTargets(row, {}, now) != result_code::ok;
 }
 
-// Serves a request late that can no longer be in time: places it among less urgent ones, or lets it
-// wait for one of their places, which would go to others of them otherwise. Returns false if it
-// should be refused. `wait` is the predicted time until it would be placed.
-auto dispatcher::state::serveLate(std::uint32_t slot, duration wait, time_point now,
-                                  dispatch_actions &actions) -> bool
-{
-    const auto &row = requests.at(slot);
-    auto &target = targets[row.target];
-    const auto criteria = promptCriteria(row);
-    if (!row.acceptsLateFirstToken || !target.prompts.isOtherLaneLessUrgent(criteria))
-        return false;
-    const auto choice = target.prompts.chooseLate(endpoints, criteria, now);
-    if (choice.endpoint == noIndex)
-        return now + wait < row.arrivedAt + scaled(row.dueAt - row.arrivedAt, maxLateWaitFraction);
-    if (now + endpoints.prefillBacklog(choice.endpoint) >= row.dueAt)
-        return false;
-    place(target, slot, choice, now, actions);
-    return true;
-}
-
 // Refuses the requests from `slot` on that would miss their targets. The queue is in order of
 // arrival except for returned requests at its front, so the search continues past a few requests in
 // time.
