Relay an endpoint's failure only if it arrived whole

Cause: where the retry budget denied another send, retryOrFail relayed the status and body that the router held, also when it was called for a response that had broken off or stalled. Ruled out: the client, which fails such a call (HttpClientWireTest.failsOnTruncatedResponses).

The request now records that its response is whole; only then is a failure relayed, otherwise the caller gets a 502.

The fixture of the router's tests has moved to a header of its own.

--- a/packages/forwarding/forward_request.h
+++ b/packages/forwarding/forward_request.h
@@ -61,6 +61,8 @@
     std::uint32_t sends = 0;
     http_answer answer;
     std::string body;
+    // The endpoint's response has arrived whole. Only then may it be relayed as a whole one.
+    bool answerComplete = false;
     // An earlier attempt may have executed the request.
     bool mayHaveRun = false;
     // The endpoint stated that it did not execute the request.
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -258,6 +258,7 @@
     ++request.sends;
     request.answer = {};
     request.body.clear();
+    request.answerComplete = false;
     request.boundary = {};
     request.notRun = false;
     request.invalidAnswer = false;
--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -36,6 +36,14 @@
            && findHeader(answer.headers, "content-type").starts_with("text/event-stream");
 }
 
+// Whether the endpoint's own failure is the final response: it arrived whole, and the caller has
+// received nothing of another response.
+auto isRelayableFailure(const forward_request &request) -> bool
+{
+    return request.answerComplete && !request.invalidAnswer && !request.responseStarted
+           && request.answer.status >= firstFailureStatus;
+}
+
 // Parses seconds, optionally with a fraction, and limits them to maxPause; returns zero for
 // invalid input.
 auto parseRetryAfter(std::string_view text) -> duration
@@ -155,7 +163,9 @@
     if (request == nullptr)
         return;
     request->inFlight = false;
-    if (const auto *failure = std::get_if<http_failure>(&outcome))
+    const auto *failure = std::get_if<http_failure>(&outcome);
+    request->answerComplete = failure == nullptr;
+    if (failure != nullptr)
         onResponseFailed(*request, *failure);
     else
         onResponseComplete(*request);
@@ -286,8 +296,7 @@
         fail(request, {.code = result_code::overloaded,
                        .message = "no endpoint accepted the request",
                        .retryAfter = defaultRetryAfter});
-    } else if (!request.responseStarted && request.answer.status >= firstFailureStatus
-               && !request.invalidAnswer) {
+    } else if (isRelayableFailure(request)) {
         relayResponse(request);
     } else {
         fail(request, {.code = result_code::outcome_unknown});
--- /dev/null
+++ b/packages/forwarding/testing/forward_router_fixture.h
@@ -0,0 +1,157 @@
+#pragma once
+
+// A router between a caller and endpoints that the test controls, over sockets of loopback.
+//
+//     class MyTest : public ForwardRouterTest {};
+//     TEST_F(MyTest, ...)
+//     {
+//         registerEndpoint(m_oldInstance, 1);
+//         m_onReceived = [](const fake_endpoint &, http_exchange &exchange) { succeed(exchange); };
+//         call();
+//         EXPECT_EQ(m_status, 200);
+//     }
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "forwarding/forward_router.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+namespace mustardline {
+
+inline auto testNames() -> header_names
+{
+    return {.requestId = "Request-Id",
+            .deadline = "Deadline",
+            .expectEndpoint = "Expect-Endpoint",
+            .account = "Account",
+            .seal = "Seal",
+            .notRun = "Not-Run",
+            .leaving = "Leaving",
+            .priority = "Priority",
+            .lastEventId = "Last-Event-Id",
+            .promptParts = "Prompt-Parts",
+            .tokenCounts = "Token-Counts"};
+}
+
+class ForwardRouterTest : public testing::Test
+{
+protected:
+    struct fake_endpoint
+    {
+        std::unique_ptr<http_server> server;
+        socket_address address;
+        std::vector<std::shared_ptr<http_exchange>> received;
+    };
+
+    // Where not told otherwise, the only route is one whose requests run at most once.
+    explicit ForwardRouterTest(shared_retry_budget_options retries = {})
+        : m_router(m_loop, m_http, m_log, m_metrics, m_routes, m_directory,
+                   {.dataCentre = "tuzla", .names = testNames(), .retries = retries})
+    {
+        setRoute({.kind = route_kind::at_most_once, .maxAttempts = 2});
+        for (auto *each : {&m_oldInstance, &m_newInstance}) {
+            each->server = std::make_unique<http_server>(m_loop, http_server_options());
+            each->server->onRequest([this, each](const std::shared_ptr<http_exchange> &exchange) {
+                each->received.push_back(exchange);
+                if (m_onReceived)
+                    m_onReceived(*each, *exchange);
+            });
+            each->address
+                = {.host = "127.0.0.1", .port = std::get<std::uint16_t>(each->server->listen())};
+        }
+        m_callerServer.onRequest(
+            [this](const std::shared_ptr<http_exchange> &exchange) { m_router.handle(exchange); });
+        m_callerAddress
+            = {.host = "127.0.0.1", .port = std::get<std::uint16_t>(m_callerServer.listen())};
+        m_timeout = m_loop.after(std::chrono::seconds(6), [this] { m_loop.stop(); });
+    }
+
+    // Replaces the configuration by one with this route alone; its names and timeout are added.
+    auto setRoute(route_settings route) -> void
+    {
+        route.name = "orders";
+        route.host = "a.example";
+        route.pathPrefix = "/";
+        route.timeout = std::chrono::seconds(2);
+        route.targets = {{.service = "orders", .weight = 1}};
+        fleet_configuration configuration{.version = ++m_version};
+        configuration.routes.push_back(std::move(route));
+        configuration.services.push_back({.name = "orders"});
+        m_routes.replace(std::make_shared<const fleet_configuration>(configuration));
+    }
+
+    // Registers an instance of an endpoint at that address.
+    auto registerEndpoint(const fake_endpoint &at, std::int64_t startedAtMs,
+                          const std::string &id = "e1") -> void
+    {
+        m_directory.applyRegistration({.id = id,
+                                       .service = "orders",
+                                       .address = at.address,
+                                       .dataCentre = "tuzla",
+                                       .slots = 4,
+                                       .startedAtMs = startedAtMs},
+                                      m_clock.now());
+        m_router.endpointsChanged();
+    }
+
+    auto call(std::string_view promptParts = {}) -> void
+    {
+        m_client.fetch(m_callerAddress,
+                       {.method = "POST",
+                        .path = "/new",
+                        .headers = {{.name = "host", .value = "a.example"},
+                                    {.name = "Request-Id", .value = "r1"},
+                                    {.name = "Prompt-Parts", .value = std::string(promptParts)}},
+                        .body = "x"},
+                       [this](const http_outcome &outcome, const http_answer &answer,
+                              const std::string &body) {
+                           m_isWhole = std::holds_alternative<std::monostate>(outcome);
+                           m_status = answer.status;
+                           m_body = body;
+                           m_loop.stop();
+                       });
+        m_loop.run();
+    }
+
+    static auto succeed(http_exchange &exchange) -> void
+    {
+        exchange.reply(200, std::vector<http_header>{{.name = "Seal", .value = "s"}}, "done");
+    }
+
+    [[nodiscard]] auto isUsable() const -> bool
+    {
+        const auto *entry = m_directory.find("e1");
+        return entry != nullptr && m_directory.isUsable(*entry);
+    }
+
+    std::function<auto(const fake_endpoint &, http_exchange &)->void> m_onReceived;
+
+    event_loop m_loop;
+    system_runtime_clock m_clock;
+    http_client m_http{m_loop, {}};
+    http_client m_client{m_loop, {}};
+    logger m_log{{.sink = [](std::string_view) {}}};
+    counters m_metrics;
+    route_table m_routes;
+    endpoint_directory m_directory{{}};
+    forward_router m_router;
+    fake_endpoint m_oldInstance;
+    fake_endpoint m_newInstance;
+    http_server m_callerServer{m_loop, {}};
+    socket_address m_callerAddress;
+    event_handle m_timeout;
+    std::uint64_t m_version = 0;
+    // What the caller got of the last call.
+    bool m_isWhole = false;
+    int m_status = 0;
+    std::string m_body;
+};
+
+} // namespace mustardline
--- a/packages/forwarding/testing/forward_router_test.cpp
+++ b/packages/forwarding/testing/forward_router_test.cpp
@@ -1,142 +1,19 @@
 // Tests of the router over sockets, with endpoints that the test controls.
 
-#include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
 
-#include "forwarding/forward_router.h"
-#include "net/http_client.h"
-#include "net/http_server.h"
+#include "forwarding/testing/forward_router_fixture.h"
 #include "net/testing/raw_peer.h"
 
 namespace mustardline {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-auto testNames() -> header_names
-{
-    return {.requestId = "Request-Id",
-            .deadline = "Deadline",
-            .expectEndpoint = "Expect-Endpoint",
-            .account = "Account",
-            .seal = "Seal",
-            .notRun = "Not-Run",
-            .leaving = "Leaving",
-            .priority = "Priority",
-            .lastEventId = "Last-Event-Id",
-            .promptParts = "Prompt-Parts",
-            .tokenCounts = "Token-Counts"};
-}
-
-class ForwardRouterTest : public testing::Test
-{
-protected:
-    struct fake_endpoint
-    {
-        std::unique_ptr<http_server> server;
-        socket_address address;
-        std::vector<std::shared_ptr<http_exchange>> received;
-    };
-
-    ForwardRouterTest()
-        : m_router(m_loop, m_http, m_log, m_metrics, m_routes, m_directory,
-                   {.dataCentre = "tuzla", .names = testNames()})
-    {
-        fleet_configuration configuration{.version = 1};
-        configuration.routes.push_back({.name = "orders",
-                                        .host = "a.example",
-                                        .pathPrefix = "/",
-                                        .kind = route_kind::at_most_once,
-                                        .timeout = seconds(2),
-                                        .maxAttempts = 2,
-                                        .targets = {{.service = "orders", .weight = 1}}});
-        configuration.services.push_back({.name = "orders"});
-        m_routes.replace(std::make_shared<const fleet_configuration>(configuration));
-        for (auto *each : {&m_oldInstance, &m_newInstance}) {
-            each->server = std::make_unique<http_server>(m_loop, http_server_options());
-            each->server->onRequest([this, each](const std::shared_ptr<http_exchange> &exchange) {
-                each->received.push_back(exchange);
-                if (m_onReceived)
-                    m_onReceived(*each, *exchange);
-            });
-            each->address
-                = {.host = "127.0.0.1", .port = std::get<std::uint16_t>(each->server->listen())};
-        }
-        m_callerServer.onRequest(
-            [this](const std::shared_ptr<http_exchange> &exchange) { m_router.handle(exchange); });
-        m_callerAddress
-            = {.host = "127.0.0.1", .port = std::get<std::uint16_t>(m_callerServer.listen())};
-        m_timeout = m_loop.after(seconds(6), [this] { m_loop.stop(); });
-    }
-
-    // Registers an instance of the endpoint "e1" at that address.
-    auto registerEndpoint(const fake_endpoint &at, std::int64_t startedAtMs) -> void
-    {
-        m_directory.applyRegistration({.id = "e1",
-                                       .service = "orders",
-                                       .address = at.address,
-                                       .dataCentre = "tuzla",
-                                       .slots = 4,
-                                       .startedAtMs = startedAtMs},
-                                      m_clock.now());
-        m_router.endpointsChanged();
-    }
-
-    auto call(std::string_view promptParts = {}) -> void
-    {
-        m_client.fetch(
-            m_callerAddress,
-            {.method = "POST",
-             .path = "/new",
-             .headers = {{.name = "host", .value = "a.example"},
-                         {.name = "Request-Id", .value = "r1"},
-                         {.name = "Prompt-Parts", .value = std::string(promptParts)}},
-             .body = "x"},
-            [this](const http_outcome &, const http_answer &answer, const std::string &body) {
-                m_status = answer.status;
-                m_body = body;
-                m_loop.stop();
-            });
-        m_loop.run();
-    }
-
-    static auto succeed(http_exchange &exchange) -> void
-    {
-        exchange.reply(200, std::vector<http_header>{{.name = "Seal", .value = "s"}}, "done");
-    }
-
-    [[nodiscard]] auto isUsable() const -> bool
-    {
-        const auto *entry = m_directory.find("e1");
-        return entry != nullptr && m_directory.isUsable(*entry);
-    }
-
-    std::function<auto(const fake_endpoint &, http_exchange &)->void> m_onReceived;
-
-    event_loop m_loop;
-    system_runtime_clock m_clock;
-    http_client m_http{m_loop, {}};
-    http_client m_client{m_loop, {}};
-    logger m_log{{.sink = [](std::string_view) {}}};
-    counters m_metrics;
-    route_table m_routes;
-    endpoint_directory m_directory{{}};
-    forward_router m_router;
-    fake_endpoint m_oldInstance;
-    fake_endpoint m_newInstance;
-    http_server m_callerServer{m_loop, {}};
-    socket_address m_callerAddress;
-    event_handle m_timeout;
-    int m_status = 0;
-    std::string m_body;
-};
-
 // Guards against an endpoint that is taken out of use because another process, at the address of
 // its earlier instance, responded with 421 (misdirected request).
 TEST_F(ForwardRouterTest, misdirectedFromOldAddressKeepsNewInstanceUsable)
