Send no attempt twice on one connection

Cause: an endpoint that refused an attempt got it again on the same connection. A second copy of the refusal, which faulty endpoints send where the next response is expected, has the attempt's id and was taken for the response to the second send. Ruled out: a refusal that is believed without its id (ForwardRouterTest.repeatedRefusalOfAnEarlierRequestProvesNothing).

A request now remembers the connections that carried it, and the client avoids these for its later sends. Other requests may use them: a surplus response does not have their ids.

ForwardRouterTest.surplusRefusalIsNotTakenForTheNextSendOfTheSameAttempt: before, the endpoint ran the request twice; now once, on a second connection.

--- a/packages/forwarding/forward_request.h
+++ b/packages/forwarding/forward_request.h
@@ -59,6 +59,9 @@
     std::int64_t endpointStartedAtMs = 0;
     bool inFlight = false;
     std::uint32_t sends = 0;
+    // Connections that carried this request. No other send of it may use them: a surplus response
+    // to the earlier send has the same request id.
+    std::vector<std::uint64_t> usedConnections;
     http_answer answer;
     std::string body;
     // The endpoint's response has arrived whole. Only then may it be relayed as a whole one.
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -277,6 +277,7 @@
          .headers = headersFor(request, endpoint),
          .body = std::string(request.exchange->body()),
          .echo = {.name = m_options.names.requestId, .value = request.id},
+         .avoidedConnections = request.usedConnections,
          .idleTimeout = std::max(request.deadlineAt - now, duration(0)) + deadlineSlack * 2,
          .maxIdle = maxConnectionsTo(endpoint.registration.service),
          .maxAnswerBytes = m_options.maxAnswerBytes},
@@ -284,6 +285,7 @@
          = [this, number](const http_answer &answer) { onResponseHeaders(number, answer); },
          .onData = [this, number](std::string_view data) { onResponseBody(number, data); },
          .onDone = [this, number](const http_outcome &outcome) { onCallDone(number, outcome); }});
+    request.usedConnections.push_back(request.call.connection());
 }
 
 auto forward_router::onDeadline(std::uint64_t number) -> void
--- a/packages/forwarding/testing/forward_router_test.cpp
+++ b/packages/forwarding/testing/forward_router_test.cpp
@@ -80,6 +80,44 @@
     EXPECT_EQ(requests, 2) << "a request that may run once was sent again";
 }
 
+// Guards against a second copy of an endpoint's refusal that is read as the response to the next
+// send of the same attempt on that connection: the id is the same, the caller is told "not run",
+// and the request runs.
+TEST_F(ForwardRouterTest, surplusRefusalIsNotTakenForTheNextSendOfTheSameAttempt)
+{
+    constexpr std::string_view refusal
+        = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nRequest-Id: r1\r\n"
+          "Content-Length: 0\r\n\r\n";
+    constexpr std::string_view success
+        = "HTTP/1.1 200 OK\r\nSeal: s\r\nRequest-Id: r1\r\nContent-Length: 4\r\n\r\ndone";
+    raw_listener endpoint(m_loop);
+    auto requests = 0;
+    auto runs = 0;
+    endpoint.onOpen = [&](raw_peer &peer) {
+        peer.onChange = [&, answered = std::size_t{0}, refused = false]() mutable {
+            const auto ends = peer.received().find("\r\n\r\nx", answered);
+            if (ends == std::string::npos)
+                return;
+            answered = ends + 1;
+            if (++requests == 1) {
+                refused = true;
+                peer.send(refusal);
+                return;
+            }
+            ++runs;
+            if (refused)
+                peer.send(refusal);
+            peer.send(success);
+        };
+    };
+    m_oldInstance.address = endpoint.address();
+    registerEndpoint(m_oldInstance, 1);
+    call();
+    EXPECT_EQ(m_status, 200) << m_body;
+    EXPECT_EQ(runs, 1);
+    EXPECT_EQ(endpoint.peers().size(), 2U) << "the attempt was sent twice on one connection";
+}
+
 // Guards against requests that crash one endpoint after the other because a part of their prompts
 // does so, and against refusing the sound ones that share their other parts.
 TEST_F(ForwardRouterTest, promptPartThatCrashesEndpointsIsSoonRefused)
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -36,9 +37,15 @@
 // Idle connections by address, and the calls in progress.
 struct http_client::connection_pool : std::enable_shared_from_this<http_client::connection_pool>
 {
-    struct idle_connection
+    struct numbered_stream
     {
         std::shared_ptr<tcp_stream> stream;
+        std::uint64_t number = 0;
+    };
+
+    struct idle_connection
+    {
+        numbered_stream connection;
         time_point since;
     };
 
@@ -47,31 +54,43 @@
     std::map<socket_address, std::vector<idle_connection>> idle;
     std::set<http_call::state *> running;
     event_handle sweep;
+    std::uint64_t lastConnection = 0;
     bool closed = false;
 
     connection_pool(event_loop &owner, http_client_options chosen) : loop(owner), options(chosen) {}
 
-    // The most recently used idle connection without unread input; null if there is none.
-    auto acquire(const socket_address &address) -> std::shared_ptr<tcp_stream>
+    // The most recently used idle connection without unread input that is not to be avoided; null
+    // if there is none.
+    auto acquire(const socket_address &address, std::span<const std::uint64_t> avoided)
+        -> numbered_stream
     {
         const auto entry = idle.find(address);
         if (entry == idle.end())
-            return nullptr;
+            return {};
         auto &connections = entry->second;
-        while (!connections.empty()) {
-            auto stream = std::move(connections.back().stream);
-            connections.pop_back();
-            if (!stream->isClosed() && !stream->hasUnread())
-                return stream;
-            stream->close();
+        for (auto at = connections.size(); at-- > 0;) {
+            if (std::ranges::find(avoided, connections[at].connection.number) != avoided.end())
+                continue;
+            auto taken = std::move(connections[at].connection);
+            connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(at));
+            if (!taken.stream->isClosed() && !taken.stream->hasUnread())
+                return taken;
+            taken.stream->close();
         }
-        return nullptr;
+        return {};
     }
 
-    auto release(const socket_address &address, const std::shared_ptr<tcp_stream> &stream,
+    auto connect(const socket_address &address) -> numbered_stream
+    {
+        return {.stream = tcp_stream::connect(loop, address, options.stream),
+                .number = ++lastConnection};
+    }
+
+    auto release(const socket_address &address, const numbered_stream &connection,
                  std::size_t maxIdle) -> void
     {
         auto &connections = idle[address];
+        const auto &stream = connection.stream;
         if (closed || connections.size() >= maxIdle) {
             stream->close();
             return;
@@ -85,14 +104,15 @@
         // No response is outstanding, so any input makes the connection unusable.
         stream->onData = [discard](std::string_view) { discard(); };
         stream->onEnd = [discard](bool) { discard(); };
-        connections.push_back({.stream = stream, .since = system_runtime_clock().now()});
+        connections.push_back({.connection = connection, .since = system_runtime_clock().now()});
     }
 
     auto removeIdle(const socket_address &address, const tcp_stream *stream) -> void
     {
         if (const auto entry = idle.find(address); entry != idle.end()) {
-            std::erase_if(entry->second,
-                          [stream](const auto &each) { return each.stream.get() == stream; });
+            std::erase_if(entry->second, [stream](const auto &each) {
+                return each.connection.stream.get() == stream;
+            });
         }
     }
 
@@ -115,6 +135,8 @@
     http_request request;
     http_callbacks callbacks;
     std::shared_ptr<tcp_stream> stream;
+    // Number of `stream`.
+    std::uint64_t connection = 0;
     http1_reader reader{{.kind = http1_kind::response}};
     event_handle timer;
     time_point lastInput;
@@ -134,10 +156,12 @@
             {.kind = http1_kind::response, .maxHeadBytes = pool->options.maxHeaderBytes});
         if (request.method == "HEAD")
             reader.expectNoBody();
-        stream = pool->acquire(address);
-        reused = stream != nullptr;
+        auto taken = pool->acquire(address, request.avoidedConnections);
+        reused = taken.stream != nullptr;
         if (!reused)
-            stream = tcp_stream::connect(pool->loop, address, pool->options.stream);
+            taken = pool->connect(address);
+        stream = taken.stream;
+        connection = taken.number;
         if (!stream) {
             pool->loop.post([keep = shared_from_this()] {
                 keep->fail(result_code::connection_failed, "connection could not be established",
@@ -258,7 +282,7 @@
         if (!keep)
             return;
         if (std::holds_alternative<std::monostate>(outcome) && keepAlive && !stream->isClosed())
-            pool->release(address, stream,
+            pool->release(address, {.stream = stream, .number = connection},
                           request.maxIdle > 0 ? request.maxIdle : pool->options.maxIdlePerAddress);
         else if (stream)
             stream->close();
@@ -356,6 +380,7 @@
     call->begin();
     http_call handle;
     handle.m_state = call;
+    handle.m_connection = call->connection;
     return handle;
 }
 
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -19,6 +19,7 @@
 // bytes after one response to the next request and does not read a response before it has sent the
 // whole request (docs/DESIGN.md).
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -58,6 +59,10 @@
     // value fails the call with `malformed_message`, and the connection is reused only if the
     // response has this value.
     http_header echo;
+    // Connections, as `http_call::connection` numbers them, that must not carry this request. An
+    // earlier send of the same request used them, and a late or surplus response to that send would
+    // have the expected echo.
+    std::vector<std::uint64_t> avoidedConnections;
     // The call fails if the peer sends nothing for this long.
     duration idleTimeout = std::chrono::seconds(60);
     // Maximum number of idle connections to this peer after the call; if zero, the client's
@@ -111,10 +116,14 @@
     auto pause() -> void;
     auto resume() -> void;
 
+    // The number of the connection that was chosen for the request; unique in this client.
+    [[nodiscard]] auto connection() const -> std::uint64_t { return m_connection; }
+
 private:
     friend class http_client;
     struct state;
     std::weak_ptr<state> m_state;
+    std::uint64_t m_connection = 0;
 };
 
 class http_client
--- a/packages/net/testing/http_wire_test.cpp
+++ b/packages/net/testing/http_wire_test.cpp
@@ -169,14 +169,14 @@
     auto fetch(http_request request = {}) -> void
     {
         m_done = false;
-        m_client.fetch(m_listener.address(), std::move(request),
-                       [this](const http_outcome &outcome, const http_answer &answer,
-                              const std::string &body) {
-                           m_outcome = outcome;
-                           m_answer = answer;
-                           m_body = body;
-                           m_done = true;
-                       });
+        m_call = m_client.fetch(m_listener.address(), std::move(request),
+                                [this](const http_outcome &outcome, const http_answer &answer,
+                                       const std::string &body) {
+                                    m_outcome = outcome;
+                                    m_answer = answer;
+                                    m_body = body;
+                                    m_done = true;
+                                });
         ASSERT_TRUE(runUntil(m_loop, [this] { return m_done; }));
     }
 
@@ -188,6 +188,7 @@
     event_loop m_loop;
     http_client m_client{m_loop, {}};
     raw_listener m_listener{m_loop};
+    http_call m_call;
     std::vector<std::string> m_texts;
     http_outcome m_outcome;
     http_answer m_answer;
@@ -246,6 +247,24 @@
     EXPECT_EQ(m_listener.peers().size(), 2U);
 }
 
+// Guards against a late response to an earlier send that is taken for the response to a later one
+// with the same id, because both used the same connection.
+TEST_F(HttpClientWireTest, avoidedConnectionsStayForOtherRequests)
+{
+    respondWith({responseA, responseA, responseB, responseB});
+    fetch();
+    const auto first = m_call.connection();
+    fetch({.avoidedConnections = {first}});
+    const auto second = m_call.connection();
+    EXPECT_NE(second, first);
+    EXPECT_EQ(m_listener.peers().size(), 2U);
+    fetch({.avoidedConnections = {second}});
+    EXPECT_EQ(m_call.connection(), first);
+    fetch({.avoidedConnections = {first}});
+    EXPECT_EQ(m_call.connection(), second);
+    EXPECT_EQ(m_listener.peers().size(), 2U);
+}
+
 TEST_F(HttpClientWireTest, skipsInterimResponses)
 {
     respondWith({std::string("HTTP/1.1 100 Continue\r\n\r\n") + responseA});
