Reject waiting requests half-way through the grace period

Cause: the shutdown schedule had no time for requests that were accepted and wait in the dispatcher. Ruled out: a response that the exit cuts; the caller received nothing.

From half of the grace period on, the edge places nothing: what waits, or comes back from an endpoint without having run, gets a 503 with a short Retry-After, while its caller has time to go elsewhere.

--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -307,6 +307,8 @@
         const auto elapsed = now - m_signalledAt;
         if (schedule().closesIdleConnections(elapsed))
             m_callers.closeIdle();
+        if (schedule().stopsPlacing(elapsed))
+            m_router.stopPlacing();
         if (schedule().exits(elapsed, m_router.liveCount() == 0))
             m_loop.stop();
     }
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -58,6 +58,10 @@
 
 auto forward_router::handle(const std::shared_ptr<http_exchange> &exchange) -> void
 {
+    if (m_hasStoppedPlacing) {
+        rejectDraining(exchange);
+        return;
+    }
     const auto now = m_clock.now();
     auto read = readForwardRequest(exchange, m_routes, m_options.names, now, m_random.uniform());
     if (const auto *httpError = std::get_if<http_error>(&read)) {
@@ -103,6 +107,29 @@
     rejectImmediately(exchange, {.code = result_code::draining, .retryAfter = drainingRetryAfter});
 }
 
+auto forward_router::stopPlacing() -> void
+{
+    m_hasStoppedPlacing = true;
+    for (const auto number : waitingRequests()) {
+        auto *request = find(number);
+        if (request == nullptr)
+            continue;
+        const auto code
+            = isProvenNotRun(*request) ? result_code::draining : result_code::outcome_unknown;
+        fail(*request, {.code = code, .retryAfter = drainingRetryAfter});
+    }
+}
+
+auto forward_router::waitingRequests() const -> std::vector<std::uint64_t>
+{
+    std::vector<std::uint64_t> numbers;
+    for (const auto &[number, request] : m_requests) {
+        if (!request.inFlight)
+            numbers.push_back(number);
+    }
+    return numbers;
+}
+
 auto forward_router::rejectImmediately(const std::shared_ptr<http_exchange> &exchange,
                                        const http_error &httpError) -> void
 {
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -61,6 +61,11 @@
     // another process can accept it.
     auto rejectDraining(const std::shared_ptr<http_exchange> &exchange) -> void;
 
+    // Called when the process is about to end: from now on no request is placed. Those that wait
+    // are rejected, as another process can accept them; those that an endpoint returns without
+    // having executed them are, too.
+    auto stopPlacing() -> void;
+
     // Passes endpoints that changed in the directory on to the dispatcher.
     auto endpointsChanged() -> void;
 
@@ -161,6 +166,8 @@
     auto finish(forward_request &request, result_code code, std::string_view reason = {}) -> void;
     auto fail(forward_request &request, const http_error &httpError) -> void;
     [[nodiscard]] auto find(std::uint64_t number) -> forward_request *;
+    // Numbers of the requests that no endpoint has.
+    [[nodiscard]] auto waitingRequests() const -> std::vector<std::uint64_t>;
     auto scheduleTick() -> void;
 
     event_loop &m_loop;
@@ -185,6 +192,7 @@
     std::unordered_map<std::uint64_t, forward_request> m_requests;
     std::uint64_t m_lastRequestNumber = 0;
     std::uint32_t m_entryCount = 1;
+    bool m_hasStoppedPlacing = false;
     bool m_isExecuting = false;
     event_handle m_tick;
     bool m_isTickScheduled = false;
--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -277,7 +277,8 @@
     const auto number = request.number;
     const bool isProvedNotRun = request.notRun || !wasSent;
     auto &budget = m_retryBudgets.try_emplace(request.service, m_options.retries).first->second;
-    const bool isPermitted = request.sends < maxSends(request, isProvedNotRun)
+    const bool isPermitted = !m_hasStoppedPlacing
+                             && request.sends < maxSends(request, isProvedNotRun)
                              && !isBlocked(request, now) && now < request.deadlineAt
                              && (!wasSent || budget.tryAcquire(m_entryCount, now));
     m_log.write(forwardRetried, field("request", request.id), field("endpoint", request.endpoint),
--- a/packages/forwarding/shutdown_schedule.h
+++ b/packages/forwarding/shutdown_schedule.h
@@ -30,6 +30,14 @@
         return elapsed >= grace * acceptTenths / tenths;
     }
 
+    // Requests that still wait for a place are rejected, while their callers have time to go to
+    // another process. No request is placed from now on: half of the grace period is left for those
+    // that endpoints have.
+    [[nodiscard]] auto stopsPlacing(duration elapsed) const -> bool
+    {
+        return elapsed >= grace * placeTenths / tenths;
+    }
+
     // The process exits: it is out of rotation and idle, or the kill is near.
     [[nodiscard]] auto exits(duration elapsed, bool isIdle) const -> bool
     {
@@ -42,6 +50,7 @@
     static constexpr int tenths = 10;
     static constexpr int closeIdleTenths = 2;
     static constexpr int acceptTenths = 3;
+    static constexpr int placeTenths = 5;
     static constexpr int minExitTenths = 4;
     // Time for the last responses to reach their callers.
     static constexpr duration flushMargin = std::chrono::milliseconds(700);
--- a/packages/forwarding/testing/forward_router_fixture.h
+++ b/packages/forwarding/testing/forward_router_fixture.h
@@ -43,6 +43,8 @@
 class ForwardRouterTest : public testing::Test
 {
 protected:
+    static constexpr std::uint32_t endpointSlots = 4;
+
     struct fake_endpoint
     {
         std::unique_ptr<http_server> server;
@@ -95,29 +97,51 @@
                                        .service = "orders",
                                        .address = at.address,
                                        .dataCentre = "tuzla",
-                                       .slots = 4,
+                                       .slots = endpointSlots,
                                        .startedAtMs = startedAtMs},
                                       m_clock.now());
         m_router.endpointsChanged();
     }
 
-    auto call(std::string_view promptParts = {}) -> void
+    // What a caller got.
+    struct caller_outcome
+    {
+        bool isWhole = false;
+        http_answer answer;
+        std::string body;
+    };
+
+    // Sends a request; what its caller gets is added to `m_outcomes`.
+    auto beginCall(const std::string &id = "r1", std::string_view promptParts = {}) -> void
     {
         m_client.fetch(m_callerAddress,
                        {.method = "POST",
                         .path = "/new",
                         .headers = {{.name = "host", .value = "a.example"},
-                                    {.name = "Request-Id", .value = "r1"},
+                                    {.name = "Request-Id", .value = id},
                                     {.name = "Prompt-Parts", .value = std::string(promptParts)}},
                         .body = "x"},
                        [this](const http_outcome &outcome, const http_answer &answer,
                               const std::string &body) {
-                           m_isWhole = std::holds_alternative<std::monostate>(outcome);
-                           m_status = answer.status;
-                           m_body = body;
+                           m_outcomes.push_back(
+                               {.isWhole = std::holds_alternative<std::monostate>(outcome),
+                                .answer = answer,
+                                .body = body});
                            m_loop.stop();
                        });
+    }
+
+    // Sends a request and runs the loop until its caller has the response.
+    auto call(std::string_view promptParts = {}) -> void
+    {
+        m_outcomes.clear();
+        beginCall("r1", promptParts);
         m_loop.run();
+        if (m_outcomes.empty())
+            return;
+        m_isWhole = m_outcomes.back().isWhole;
+        m_status = m_outcomes.back().answer.status;
+        m_body = m_outcomes.back().body;
     }
 
     static auto succeed(http_exchange &exchange) -> void
@@ -148,7 +172,8 @@
     socket_address m_callerAddress;
     event_handle m_timeout;
     std::uint64_t m_version = 0;
-    // What the caller got of the last call.
+    std::vector<caller_outcome> m_outcomes;
+    // What the caller got of the last `call`.
     bool m_isWhole = false;
     int m_status = 0;
     std::string m_body;
--- a/packages/forwarding/testing/forward_router_test.cpp
+++ b/packages/forwarding/testing/forward_router_test.cpp
@@ -146,6 +146,39 @@
     EXPECT_EQ(crashes, maxCrashes);
 }
 
+// Guards against a request that waits for a place when a stopping process exits, and whose caller
+// gets no answer at all.
+TEST_F(ForwardRouterTest, waitingRequestsAreRejectedWhenPlacingStops)
+{
+    registerEndpoint(m_oldInstance, 1);
+    for (std::uint32_t number = 0; number <= endpointSlots; ++number)
+        beginCall("r" + std::to_string(number));
+    const auto &held = m_oldInstance.received;
+    ASSERT_TRUE(runUntil(m_loop, [&] {
+        return held.size() == endpointSlots && m_router.liveCount() == endpointSlots + 1;
+    }));
+    EXPECT_TRUE(m_outcomes.empty());
+
+    m_router.stopPlacing();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_outcomes.size() == 1; }));
+    EXPECT_TRUE(m_outcomes[0].isWhole);
+    EXPECT_EQ(m_outcomes[0].answer.status, 503) << "it has not run";
+    EXPECT_NE(findHeader(m_outcomes[0].answer.headers, "retry-after"), "");
+
+    // What an endpoint returns is not placed again; what it answers reaches the caller.
+    held[0]->reply(503, std::vector<http_header>{{.name = "Not-Run", .value = "1"}}, "");
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_outcomes.size() == 2; }));
+    EXPECT_EQ(m_outcomes[1].answer.status, 503);
+    succeed(*held[1]);
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_outcomes.size() == 3; }));
+    EXPECT_EQ(m_outcomes[2].answer.status, 200);
+
+    beginCall("late");
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_outcomes.size() == 4; }));
+    EXPECT_EQ(m_outcomes[3].answer.status, 503);
+    EXPECT_EQ(held.size(), endpointSlots) << "a request was placed";
+}
+
 // Guards against a router that is called after its destruction: the process exits with requests in
 // flight, and the callers' server is destroyed after the router. Only the sanitizer build detects
 // this reliably.
--- a/packages/forwarding/testing/tables_test.cpp
+++ b/packages/forwarding/testing/tables_test.cpp
@@ -272,6 +272,20 @@
     EXPECT_TRUE(schedule.exits(milliseconds(7500), false));
 }
 
+// Guards against a stop in which requests that wait for a place are rejected too late to go
+// elsewhere, or before new ones are.
+TEST(ShutdownScheduleTest, waitingRequestsAreRejectedInTime)
+{
+    for (const duration grace : {seconds(2), seconds(8), seconds(60)}) {
+        const shutdown_schedule schedule{.grace = grace};
+        for (auto elapsed = duration(0); elapsed < grace; elapsed += grace / 100) {
+            EXPECT_LE(schedule.stopsPlacing(elapsed), schedule.rejectsRequests(elapsed))
+                << "a new request is accepted that is never placed";
+        }
+        EXPECT_TRUE(schedule.stopsPlacing(grace * 6 / 10));
+    }
+}
+
 auto stateOf(const std::string &name, std::uint64_t sequence) -> v1::EdgeState
 {
     v1::EdgeState state;
