Let a stalled request go only when another endpoint can have it

Cause: checkStall cancelled the call and then asked the retry budgets; where one denied the retry, the caller's connection was closed. Likewise a request gave up its place before another was found. Ruled out: streams that the endpoint ended (its record says that the edge closed them), and streams that failed at a second endpoint (those that were cut had one run).

dispatcher::moveElsewhere asks the budgets, chooses the other endpoint and then moves the request; only then is the call cancelled. A request that cannot move stays, and looks again every 100 ms.

PausedStreamSpentBudgetTest.streamStaysWithItsEndpointWithoutARetryBudget: before, the stream was cut after its first event. PausedStreamTest.streamStaysWithItsEndpointIfNoOtherHasRoom: before, it began anew at the endpoint that had paused. Both whole now.

--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -32,6 +32,10 @@
     5013, "forward_not_sent", log_level::error,
     "A placement was rejected: it would have violated the request's execution guarantee."};
 
+inline constexpr log_event forwardStalled{
+    5014, "forward_stalled", log_level::info,
+    "An endpoint has sent nothing for long, and the request stays there."};
+
 inline constexpr log_event configurationInForce{5020, "configuration_in_force", log_level::info,
                                                 "A new configuration version is in force."};
 inline constexpr log_event recordMalformed{5021, "record_malformed", log_level::warning,
@@ -72,10 +76,12 @@
     "Endpoints crashed under a part of prompts; requests with it are refused."};
 
 inline constexpr auto forwardingEvents = std::to_array<log_event>(
-    {edgeStarted,          edgeReady,           edgeStopping,    edgeStopped,       edgeFailed,
-     settingsReloaded,     forwardPlaced,       forwardEnded,    forwardRetried,    forwardNotSent,
-     configurationInForce, recordMalformed,     endpointChanged, evacuationChanged, logServiceLost,
-     logServiceBack,       logHistoryLost,      knowledgeAsked,  endpointLeaves,    endpointPauses,
-     dutyClaimed,          usageWindowReported, lanesChanged,    promptPartBlocked});
+    {edgeStarted,      edgeReady,        edgeStopping,        edgeStopped,
+     edgeFailed,       settingsReloaded, forwardPlaced,       forwardEnded,
+     forwardRetried,   forwardNotSent,   forwardStalled,      configurationInForce,
+     recordMalformed,  endpointChanged,  evacuationChanged,   logServiceLost,
+     logServiceBack,   logHistoryLost,   knowledgeAsked,      endpointLeaves,
+     endpointPauses,   dutyClaimed,      usageWindowReported, lanesChanged,
+     promptPartBlocked});
 
 } // namespace mustardline
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -80,7 +80,7 @@
     exchange->onGone([this, number] { onCallerGone(number); });
     request.deadlineTimer = m_loop.after(std::max(duration(0), request.deadlineAt - now),
                                          [this, number] { onDeadline(number); });
-    m_retryBudgets.try_emplace(request.service, m_options.retries).first->second.recordRequest(now);
+    retryBudgetOf(request).recordRequest(now);
     const auto &route = *request.route;
     m_dispatcher.arrive({.request = number,
                          .clientAccount = request.account != nullptr
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -158,6 +158,14 @@
     [[nodiscard]] auto mayRetryElsewhere(const forward_request &request) const -> bool;
     auto armStallTimer(forward_request &request, duration delay) -> void;
     auto checkStall(std::uint64_t number) -> void;
+    // Ends the attempt at an endpoint that sends nothing, if the request can go on elsewhere;
+    // returns false if it has to stay.
+    auto leaveStalled(forward_request &request, time_point now) -> bool;
+    // Whether the endpoint's start that has the request is no longer registered.
+    [[nodiscard]] auto isEndpointGone(const forward_request &request) const -> bool;
+    auto endAttempt(forward_request &request, result_code code, bool isProvedNotRun,
+                    bool isPermitted) -> void;
+    [[nodiscard]] auto retryBudgetOf(const forward_request &request) -> shared_retry_budget &;
     auto checkBacklog(std::uint64_t number) -> void;
 
     auto onDeadline(std::uint64_t number) -> void;
--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -22,6 +22,9 @@
 constexpr int firstRedirect = 300;
 // Polling interval for a slow caller's unsent response bytes.
 constexpr duration backlogInterval = std::chrono::milliseconds(50);
+// Interval at which a request at a stalled endpoint looks for another one: a fraction of the
+// shortest stall timeout.
+constexpr duration stallRecheckInterval = std::chrono::milliseconds(100);
 
 auto isSuccess(int status) -> bool
 {
@@ -253,34 +256,67 @@
 }
 
 // Sends a request to another endpoint once the current one has sent nothing for the stall timeout.
-// The current one drops the request when its connection closes.
+// The current one may only have paused, so it keeps the request until another one can have it.
 auto forward_router::checkStall(std::uint64_t number) -> void
 {
     auto *request = find(number);
     if (request == nullptr || !request->inFlight || !mayRetryElsewhere(*request))
         return;
-    const auto silent = m_clock.now() - request->lastByteAt;
+    const auto now = m_clock.now();
+    const auto silent = now - request->lastByteAt;
     const auto limit = stallTimeout(*request);
     if (request->readPaused || silent < limit) {
         armStallTimer(*request, request->readPaused ? limit : limit - silent);
         return;
     }
-    request->call.cancel();
-    request->inFlight = false;
-    retryOrFail(*request, result_code::endpoint_error, true);
-    execute();
+    const bool isInBudget = !m_hasStoppedPlacing && !isBlocked(*request, now)
+                            && retryBudgetOf(*request).hasLeft(m_entryCount, now)
+                            && m_dispatcher.mayRetry(number);
+    if (isInBudget && leaveStalled(*request, now)) {
+        execute();
+        return;
+    }
+    if (silent < limit + stallRecheckInterval) {
+        m_log.write(forwardStalled, field("request", request->id),
+                    field("endpoint", request->endpoint),
+                    field("silent_ms", toMilliseconds(silent)), field("budget", isInBudget));
+    }
+    armStallTimer(*request, stallRecheckInterval);
 }
 
-auto forward_router::retryOrFail(forward_request &request, result_code code, bool wasSent) -> void
+auto forward_router::leaveStalled(forward_request &request, time_point now) -> bool
+{
+    if (isEndpointGone(request)) {
+        // It will not go on, so the request may also wait for a place.
+        request.call.cancel();
+        request.inFlight = false;
+        retryOrFail(request, result_code::endpoint_error, true);
+        return true;
+    }
+    if (!m_dispatcher.moveElsewhere(request.number, now, m_actions))
+        return false;
+    static_cast<void>(retryBudgetOf(request).tryAcquire(m_entryCount, now));
+    request.call.cancel();
+    request.inFlight = false;
+    endAttempt(request, result_code::endpoint_error, false, true);
+    return true;
+}
+
+auto forward_router::isEndpointGone(const forward_request &request) const -> bool
+{
+    const auto *entry = m_directory.find(request.endpoint);
+    return entry == nullptr || entry->registration.startedAtMs != request.endpointStartedAtMs;
+}
+
+auto forward_router::retryBudgetOf(const forward_request &request) -> shared_retry_budget &
+{
+    return m_retryBudgets.try_emplace(request.service, m_options.retries).first->second;
+}
+
+// Records that an attempt has ended without a final response.
+auto forward_router::endAttempt(forward_request &request, result_code code, bool isProvedNotRun,
+                                bool isPermitted) -> void
 {
-    const auto now = m_clock.now();
-    const auto number = request.number;
-    const bool isProvedNotRun = request.notRun || !wasSent;
-    auto &budget = m_retryBudgets.try_emplace(request.service, m_options.retries).first->second;
-    const bool isPermitted = !m_hasStoppedPlacing
-                             && request.sends < maxSends(request, isProvedNotRun)
-                             && !isBlocked(request, now) && now < request.deadlineAt
-                             && (!wasSent || budget.tryAcquire(m_entryCount, now));
     m_log.write(forwardRetried, field("request", request.id), field("endpoint", request.endpoint),
                 field("result", describe(code).name), field("status", request.answer.status),
                 field("sends", request.sends), field("not_run", isProvedNotRun),
@@ -288,6 +324,18 @@
     request.mayHaveRun = request.mayHaveRun || !isProvedNotRun;
     // The next endpoint sends the incomplete event again in full.
     static_cast<void>(request.eventBuffer.takeRemainder());
+}
+
+auto forward_router::retryOrFail(forward_request &request, result_code code, bool wasSent) -> void
+{
+    const auto now = m_clock.now();
+    const auto number = request.number;
+    const bool isProvedNotRun = request.notRun || !wasSent;
+    const bool isPermitted = !m_hasStoppedPlacing
+                             && request.sends < maxSends(request, isProvedNotRun)
+                             && !isBlocked(request, now) && now < request.deadlineAt
+                             && (!wasSent || retryBudgetOf(request).tryAcquire(m_entryCount, now));
+    endAttempt(request, code, isProvedNotRun, isPermitted);
     if (isPermitted) {
         m_dispatcher.notRun(number, code, now, m_actions);
         return;
--- a/packages/forwarding/shared_retry_budget.h
+++ b/packages/forwarding/shared_retry_budget.h
@@ -52,6 +52,15 @@
 
     // Counts a retry and returns true if it is within this process's share.
     auto tryAcquire(std::uint32_t entryCount, time_point now) -> bool
+    {
+        if (!hasLeft(entryCount, now))
+            return false;
+        ++m_current.retries;
+        return true;
+    }
+
+    // Whether another retry would be within this process's share.
+    [[nodiscard]] auto hasLeft(std::uint32_t entryCount, time_point now) -> bool
     {
         advance(now);
         double requests = m_current.requests;
@@ -61,10 +70,7 @@
             retries += each.retries;
         }
         const auto limit = requests * m_options.ratio + m_options.slack / entryCount;
-        if (retries + 1 > limit * m_options.usedFraction)
-            return false;
-        ++m_current.retries;
-        return true;
+        return retries + 1 <= limit * m_options.usedFraction;
     }
 
 private:
--- a/packages/forwarding/testing/forward_router_failure_test.cpp
+++ b/packages/forwarding/testing/forward_router_failure_test.cpp
@@ -63,5 +63,76 @@
     }
 }
 
+// Streams that may be resumed, at an endpoint that sends nothing for a while and then goes on.
+template<class Fixture>
+class PausedStream : public Fixture
+{
+protected:
+    PausedStream()
+    {
+        this->setRoute({.kind = route_kind::stream,
+                        .resumable = true,
+                        .gapTarget = std::chrono::milliseconds(100),
+                        .maxAttempts = 2});
+        this->m_onReceived = [this](const auto &at, http_exchange &exchange) {
+            exchange.startStream(200, std::vector<http_header>{{.name = "Seal", .value = "s"}});
+            if (!exchange.header("Last-Event-Id").empty()) {
+                exchange.sendChunk("id: 2\ndata: resumed\n\n");
+                exchange.endStream();
+                return;
+            }
+            exchange.sendChunk("id: 1\ndata: first\n\n");
+            m_resume = this->m_loop.after(pause, [held = at.received.back()] {
+                held->sendChunk("id: 2\ndata: second\n\n");
+                held->endStream();
+            });
+        };
+    }
+
+    // Longer than the stall timeout of the route, which is 400 ms.
+    static constexpr duration pause = std::chrono::milliseconds(700);
+    static constexpr auto whole = "id: 1\ndata: first\n\nid: 2\ndata: second\n\n";
+
+    event_handle m_resume;
+};
+
+class PausedStreamTest : public PausedStream<ForwardRouterTest>
+{};
+
+class PausedStreamSpentBudgetTest : public PausedStream<SpentRetryBudgetTest>
+{};
+
+// Guards against streams that are cut because their endpoint paused: the call was cancelled before
+// the retry budget was asked, which then denied another send.
+TEST_F(PausedStreamSpentBudgetTest, streamStaysWithItsEndpointWithoutARetryBudget)
+{
+    registerEndpoint(m_oldInstance, 1, "e1");
+    registerEndpoint(m_newInstance, 1, "e2");
+    call();
+    EXPECT_TRUE(m_isWhole);
+    EXPECT_EQ(m_body, whole);
+}
+
+// The same without another endpoint: the call was cancelled before a place was found.
+TEST_F(PausedStreamTest, streamStaysWithItsEndpointIfNoOtherHasRoom)
+{
+    registerEndpoint(m_oldInstance, 1, "e1");
+    call();
+    EXPECT_TRUE(m_isWhole);
+    EXPECT_EQ(m_body, whole);
+    EXPECT_EQ(m_oldInstance.received.size(), 1U);
+}
+
+// With a budget and room elsewhere, the caller does not wait for the endpoint.
+TEST_F(PausedStreamTest, streamMovesToAnEndpointWithRoom)
+{
+    registerEndpoint(m_oldInstance, 1, "e1");
+    registerEndpoint(m_newInstance, 1, "e2");
+    call();
+    EXPECT_TRUE(m_isWhole);
+    EXPECT_EQ(m_body, "id: 1\ndata: first\n\nid: 2\ndata: resumed\n\n");
+    EXPECT_EQ(m_router.uses().size(), 0U);
+}
+
 } // namespace
 } // namespace mustardline
--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -190,6 +190,21 @@
     m_state->retry(slot, code, now, actions);
 }
 
+auto dispatcher::mayRetry(std::uint64_t request) const -> bool
+{
+    const auto slot = m_state->requests.find(request);
+    return slot != noIndex && m_state->requests.at(slot).state == request_state::placed
+           && m_state->isInRetryBudgets(m_state->requests.at(slot));
+}
+
+auto dispatcher::moveElsewhere(std::uint64_t request, time_point now,
+                               std::vector<dispatch_action> &actions) -> bool
+{
+    if (!mayRetry(request))
+        return false;
+    return m_state->moveElsewhere(m_state->requests.find(request), now, actions);
+}
+
 auto dispatcher::callerGone(std::uint64_t request) -> void
 {
     const auto slot = m_state->requests.find(request);
--- a/packages/policy/dispatcher.h
+++ b/packages/policy/dispatcher.h
@@ -204,6 +204,16 @@
     auto notRun(std::uint64_t request, result_code code, time_point now,
                 std::vector<dispatch_action> &actions) -> void;
 
+    // Whether the retry budgets of its account and its endpoint allow another attempt.
+    [[nodiscard]] auto mayRetry(std::uint64_t request) const -> bool;
+
+    // Places a request, whose endpoint has sent nothing for long, at another endpoint, if one has
+    // room now and the retry budgets allow it. Otherwise nothing changes: the request stays placed
+    // where it is, as its endpoint may still answer. Returns whether it was moved; the place action
+    // then ends the attempt at the earlier endpoint.
+    [[nodiscard]] auto moveElsewhere(std::uint64_t request, time_point now,
+                                     std::vector<dispatch_action> &actions) -> bool;
+
     // The caller disconnected or its key was withdrawn.
     auto callerGone(std::uint64_t request) -> void;
 
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -421,7 +421,7 @@
     // failures of an attempt, so they do not consume the retry budget.
     const bool isFailure = code != result_code::not_run && code != result_code::preempted
                            && code != result_code::endpoint_unreachable;
-    if (isFailure && !(accountBudgets[row.account].take() && endpoints.takeRetry(row.endpoint))) {
+    if (isFailure && !takeRetry(row)) {
         refuse(slot, result_code::retry_budget_exhausted, "retry_budget", now, actions);
         return;
     }
@@ -430,6 +430,39 @@
     releaseDelayed(now, actions);
 }
 
+auto dispatcher::state::chooseElsewhere(target_row &target, const request_row &row, time_point now)
+    -> placement_choice
+{
+    if (target.prompts.size() > 0)
+        return target.prompts.choose(endpoints, promptCriteria(row), now);
+    return target.subset.choose(endpoints,
+                                {.tier = row.tier,
+                                 .prefixEndpoint = prefixes.find(row.prefixHash),
+                                 .reserve = target.reserves[row.tier],
+                                 .avoid = row.endpoint,
+                                 .avoidedHasFailed = true},
+                                random, now);
+}
+
+// Chooses the other endpoint before the place of the request is released, so that a request without
+// one keeps its place. The budgets must allow a retry.
+auto dispatcher::state::moveElsewhere(std::uint32_t slot, time_point now, dispatch_actions &actions)
+    -> bool
+{
+    auto &row = requests.at(slot);
+    auto &target = targets[row.target];
+    const auto choice = chooseElsewhere(target, row, now);
+    if (choice.endpoint == noIndex)
+        return false;
+    takeRetry(row);
+    row.failedAtEndpoint = true;
+    detach(slot, now);
+    row.state = request_state::waiting;
+    target.queue.pushFront(requests, slot, now);
+    place(target, slot, choice, now, actions);
+    return true;
+}
+
 auto dispatcher::state::addDelayed(std::uint32_t slot) -> void
 {
     auto &row = requests.at(slot);
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -139,6 +139,18 @@
     auto releasePlace(std::uint32_t slot, time_point now) -> void;
     auto retry(std::uint32_t slot, result_code code, time_point now, dispatch_actions &actions)
         -> void;
+    [[nodiscard]] auto isInRetryBudgets(const request_row &row) const -> bool
+    {
+        return accountBudgets[row.account].hasLeft() && endpoints.hasRetryLeft(row.endpoint);
+    }
+    auto takeRetry(const request_row &row) -> bool
+    {
+        return accountBudgets[row.account].take() && endpoints.takeRetry(row.endpoint);
+    }
+    // Returns an endpoint with room other than the one where the request is.
+    [[nodiscard]] auto chooseElsewhere(target_row &target, const request_row &row, time_point now)
+        -> placement_choice;
+    auto moveElsewhere(std::uint32_t slot, time_point now, dispatch_actions &actions) -> bool;
 
     // Periodic work and retries.
     auto maintain(target_row &target, time_point now, dispatch_actions &actions) -> void;
--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -119,6 +119,10 @@
         auto &row = m_rows[index];
         row.pausedUntil = std::max(row.pausedUntil, until);
     }
+    [[nodiscard]] auto hasRetryLeft(std::uint32_t index) const -> bool
+    {
+        return m_rows[index].retries.hasLeft();
+    }
     // Takes a retry from the endpoint's budget; returns false if none is left.
     auto takeRetry(std::uint32_t index) -> bool { return m_rows[index].retries.take(); }
 
--- a/packages/policy/retry_budget.h
+++ b/packages/policy/retry_budget.h
@@ -23,9 +23,11 @@
 public:
     auto recordRequest() -> void { m_balance = std::min(m_balance + creditPerRequest, maxBalance); }
 
+    [[nodiscard]] auto hasLeft() const -> bool { return m_balance >= 1; }
+
     auto take() -> bool
     {
-        if (m_balance < 1)
+        if (!hasLeft())
             return false;
         m_balance -= 1;
         return true;
--- a/packages/policy/testing/dispatcher_random_test.cpp
+++ b/packages/policy/testing/dispatcher_random_test.cpp
@@ -37,7 +37,7 @@
     auto step() -> void
     {
         m_clock.advance(std::chrono::milliseconds(m_random.below(40)));
-        constexpr std::uint32_t eventKinds = 12;
+        constexpr std::uint32_t eventKinds = 13;
         switch (m_random.below(eventKinds)) {
         case 0:
         case 1:
@@ -79,6 +79,12 @@
             m_dispatcher.refuseQueued(accountOf(m_random.below(accountCount)),
                                       result_code::overloaded, m_actions);
             break;
+        case 11:
+            withPlacedRequest([this](auto request) {
+                if (m_dispatcher.moveElsewhere(request, m_clock.now(), m_actions))
+                    m_requests[request].placedAt.reset();
+            });
+            break;
         default:
             m_dispatcher.tick(m_clock.now(), m_actions);
         }
--- a/packages/policy/testing/dispatcher_test.cpp
+++ b/packages/policy/testing/dispatcher_test.cpp
@@ -132,6 +132,39 @@
         << "a short prompt must not wait for a long one of a higher tier";
 }
 
+// Load pattern: an endpoint pauses while the others are full, or while many requests were retried.
+// Guards against a request that loses its place before another one is found for it.
+TEST_F(DispatcherTest, stalledRequestKeepsItsPlaceUntilAnotherIsFound)
+{
+    addEndpoint("a", 1);
+    arrive(1);
+    EXPECT_FALSE(m_dispatcher.moveElsewhere(1, m_clock.now(), m_actions)) << "there is no other";
+    addEndpoint("b", 1);
+    arrive(2);
+    m_actions.clear();
+    EXPECT_FALSE(m_dispatcher.moveElsewhere(1, m_clock.now(), m_actions)) << "the other is full";
+    EXPECT_TRUE(m_actions.empty());
+    EXPECT_EQ(m_dispatcher.inFlightAt("a"), 1U);
+
+    m_dispatcher.finished(2, result_code::ok, 1, m_clock.now());
+    EXPECT_TRUE(m_dispatcher.moveElsewhere(1, m_clock.now(), m_actions));
+    ASSERT_NE(onlyAction<place_action>(), nullptr);
+    EXPECT_EQ(onlyAction<place_action>()->endpoint, "b");
+    EXPECT_EQ(onlyAction<place_action>()->attempt, 2U);
+    EXPECT_EQ(m_dispatcher.inFlightAt("a"), 0U);
+    EXPECT_EQ(m_dispatcher.inFlightAt("b"), 1U);
+
+    auto moves = 0;
+    while (m_dispatcher.moveElsewhere(1, m_clock.now(), m_actions))
+        ++moves;
+    EXPECT_GT(moves, 0);
+    EXPECT_FALSE(m_dispatcher.mayRetry(1))
+        << "both endpoints had room, so a budget ended the moves";
+    EXPECT_EQ(m_dispatcher.inFlightCount(), 1U);
+    m_dispatcher.finished(1, result_code::ok, 1, m_clock.now());
+    EXPECT_EQ(m_dispatcher.inFlightAt("a") + m_dispatcher.inFlightAt("b"), 0U);
+}
+
 TEST_F(DispatcherTest, refusesImmediatelyWithoutAnEndpoint)
 {
     arrive(1);
