Bound all responses that are held, together

Reported by another operator: endpoints that send without end exhaust the memory of the VM that called them, and the requests of its other callers end with it.

Bodies were bounded one by one, at 8 MB, and not together.

All responses that wait to be whole may now take an eighth of the process's memory, for which there is a setting; beyond it the largest is given up as after a lost connection.

EndlessResponseTest.heldResponsesAreBoundedTogetherAndSoundOnesStay: without the bound none is given up before its caller's deadline (504) and the limit is exceeded; with it they end with 502, and the sound response stays.

--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -71,6 +71,7 @@
                    {.dataCentre = m_settings.dataCentre,
                     .names = Platform::headers(),
                     .seed = randomBits(),
+                    .maxHeldBytes = (m_settings.memoryMegabytes << 20U) / heldMemoryDivisor,
                     .retries = {.ratio = m_settings.retryRatio,
                                 .slack = m_settings.retrySlack,
                                 .window = m_settings.retryWindow},
@@ -132,6 +133,9 @@
     static constexpr duration controlConnectTimeout = std::chrono::milliseconds(1000);
     static constexpr duration endpointConnectTimeout = std::chrono::milliseconds(300);
     static constexpr std::size_t maxIdlePerEndpoint = 100;
+    // Fraction of the memory that holds responses. The text of a response that grows can take three
+    // times its length, and callers' requests and connections need the rest.
+    static constexpr std::uint64_t heldMemoryDivisor = 8;
     // Added to the lease term of the settings, so that two holders are at least one term apart.
     static constexpr duration leaseSlack = std::chrono::milliseconds(500);
     // Interval between announcements to the other edges.
--- a/packages/forwarding/edge_settings.cpp
+++ b/packages/forwarding/edge_settings.cpp
@@ -11,6 +11,8 @@
 constexpr std::int64_t maxPort = 65535;
 constexpr std::int64_t maxMilliseconds = 3'600'000;
 constexpr std::int64_t maxColdSlack = 10'000;
+constexpr std::int64_t maxMegabytes = 1 << 20;
+constexpr std::int64_t defaultMegabytes = 256;
 
 // Reads an address field, which must be IP:PORT; the first failure is stored in `failure`.
 auto readAddress(settings_reader &reader, std::string_view name, std::optional<error> &failure)
@@ -57,6 +59,8 @@
     settings.retryWindow = readMilliseconds(reader, "repeat_window_ms");
     settings.coldSlack = static_cast<std::uint32_t>(
         reader.integer("cold_slack", {.lowest = 1, .highest = maxColdSlack}));
+    settings.memoryMegabytes = static_cast<std::uint64_t>(reader.integer(
+        "memory_mb", {.lowest = 1, .highest = maxMegabytes, .fallback = defaultMegabytes}));
     settings.stopGrace = readMilliseconds(reader, "stop_grace_ms");
     settings.usageWindow = readMilliseconds(reader, "usage_window_ms");
     settings.usageDue = readMilliseconds(reader, "usage_due_ms");
--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -36,6 +36,10 @@
     5014, "forward_stalled", log_level::info,
     "An endpoint has sent nothing for long, and the request stays there."};
 
+inline constexpr log_event responseGivenUp{
+    5015, "response_given_up", log_level::warning,
+    "The responses held exceed their limit; the largest one is given up."};
+
 inline constexpr log_event configurationInForce{5020, "configuration_in_force", log_level::info,
                                                 "A new configuration version is in force."};
 inline constexpr log_event recordMalformed{5021, "record_malformed", log_level::warning,
@@ -76,12 +80,11 @@
     "Endpoints crashed under a part of prompts; requests with it are refused."};
 
 inline constexpr auto forwardingEvents = std::to_array<log_event>(
-    {edgeStarted,      edgeReady,        edgeStopping,        edgeStopped,
-     edgeFailed,       settingsReloaded, forwardPlaced,       forwardEnded,
-     forwardRetried,   forwardNotSent,   forwardStalled,      configurationInForce,
-     recordMalformed,  endpointChanged,  evacuationChanged,   logServiceLost,
-     logServiceBack,   logHistoryLost,   knowledgeAsked,      endpointLeaves,
-     endpointPauses,   dutyClaimed,      usageWindowReported, lanesChanged,
+    {edgeStarted,       edgeReady,       edgeStopping,         edgeStopped,         edgeFailed,
+     settingsReloaded,  forwardPlaced,   forwardEnded,         forwardRetried,      forwardNotSent,
+     forwardStalled,    responseGivenUp, configurationInForce, recordMalformed,     endpointChanged,
+     evacuationChanged, logServiceLost,  logServiceBack,       logHistoryLost,      knowledgeAsked,
+     endpointLeaves,    endpointPauses,  dutyClaimed,          usageWindowReported, lanesChanged,
      promptPartBlocked});
 
 } // namespace mustardline
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -284,7 +284,7 @@
     m_metrics.recordSend(request.sends > 0);
     ++request.sends;
     request.answer = {};
-    request.body.clear();
+    releaseBody(request);
     request.answerComplete = false;
     request.boundary = {};
     request.notRun = false;
@@ -356,6 +356,7 @@
         m_dispatcher.callerGone(request.number);
     else
         m_dispatcher.finished(request.number, code, 0, now);
+    releaseBody(request);
     m_requests.erase(request.number);
 }
 
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -39,6 +39,9 @@
     std::size_t maxBacklogBytes = 256U << 10U;
     // Maximum size of a response that is not a stream.
     std::size_t maxAnswerBytes = 8U << 20U;
+    // Maximum size of all responses together that are held until they are whole. Beyond it, the
+    // largest one is given up.
+    std::size_t maxHeldBytes = 32U << 20U;
     shared_retry_budget_options retries;
     // Selects the edges that may send to a cold endpoint.
     warm_up_options warmUp;
@@ -102,6 +105,8 @@
     // process has discovered them.
     auto setWarmUpEntries(std::vector<std::string> names) -> void;
 
+    // Bytes of the responses that are held until they are whole.
+    [[nodiscard]] auto heldBytes() const -> std::size_t { return m_heldBytes; }
     [[nodiscard]] auto liveCount() const -> std::size_t { return m_requests.size(); }
 
     // Called when an endpoint starts to execute a request of an account.
@@ -136,6 +141,11 @@
     auto onResponseHeaders(std::uint64_t number, const http_answer &answer) -> void;
     auto applyEndpointHeaders(const forward_request &request, const http_answer &answer) -> void;
     auto onResponseBody(std::uint64_t number, std::string_view data) -> void;
+    // Adds to a response that is relayed once it is whole.
+    auto holdBody(forward_request &request, std::string_view data) -> void;
+    auto releaseBody(forward_request &request) -> void;
+    // Ends the attempt whose held response is the largest.
+    auto giveUpLargestBody() -> void;
     auto onCallDone(std::uint64_t number, const http_outcome &outcome) -> void;
     auto onResponseComplete(forward_request &request) -> void;
     auto onResponseFailed(forward_request &request, const http_failure &failure) -> void;
@@ -199,6 +209,8 @@
     std::vector<dispatch_action> m_actions;
     std::unordered_map<std::uint64_t, forward_request> m_requests;
     std::uint64_t m_lastRequestNumber = 0;
+    // Sum of the sizes of the requests' `body`.
+    std::size_t m_heldBytes = 0;
     std::uint32_t m_entryCount = 1;
     bool m_hasStoppedPlacing = false;
     bool m_isExecuting = false;
--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -115,7 +115,7 @@
         onFirstByte(*request, now);
     recordAnswer(*request, false, now);
     if (!isRelayed) {
-        request->body += data;
+        holdBody(*request, data);
         return;
     }
     auto &exchange = *request->exchange;
@@ -132,6 +132,38 @@
     }
 }
 
+// Endpoints in trouble may send without end. Each response has a limit of its own; this one keeps
+// many of them from exhausting the process's memory and with it the requests of all callers.
+auto forward_router::holdBody(forward_request &request, std::string_view data) -> void
+{
+    request.body += data;
+    m_heldBytes += data.size();
+    while (m_heldBytes > m_options.maxHeldBytes)
+        giveUpLargestBody();
+}
+
+auto forward_router::releaseBody(forward_request &request) -> void
+{
+    m_heldBytes -= request.body.size();
+    request.body = {};
+}
+
+auto forward_router::giveUpLargestBody() -> void
+{
+    const auto largest = std::ranges::max_element(
+        m_requests, {}, [](const auto &item) { return item.second.body.size(); });
+    auto &request = largest->second;
+    m_log.write(responseGivenUp, field("request", request.id), field("endpoint", request.endpoint),
+                field("bytes", request.body.size()), field("held_bytes", m_heldBytes));
+    request.call.cancel();
+    request.inFlight = false;
+    releaseBody(request);
+    onResponseFailed(request, {.reason = {.code = result_code::answer_too_large,
+                                          .message = "the responses held exceed the limit"},
+                               .sent = true});
+    tick();
+}
+
 // Resumes reading from the endpoint once the caller has read half of the permitted backlog.
 auto forward_router::checkBacklog(std::uint64_t number) -> void
 {
@@ -322,6 +354,8 @@
                 field("sends", request.sends), field("not_run", isProvedNotRun),
                 field("again", isPermitted));
     request.mayHaveRun = request.mayHaveRun || !isProvedNotRun;
+    if (isPermitted)
+        releaseBody(request);
     // The next endpoint sends the incomplete event again in full.
     static_cast<void>(request.eventBuffer.takeRemainder());
 }
--- a/packages/forwarding/testing/forward_router_failure_test.cpp
+++ b/packages/forwarding/testing/forward_router_failure_test.cpp
@@ -1,6 +1,9 @@
 // Tests of what callers get when an endpoint fails, pauses or sends too much.
 
+#include <algorithm>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -16,7 +19,7 @@
 class SpentRetryBudgetTest : public ForwardRouterTest
 {
 protected:
-    SpentRetryBudgetTest() : ForwardRouterTest(noRetries) {}
+    SpentRetryBudgetTest() : ForwardRouterTest({.retries = noRetries}) {}
 };
 
 // Makes the listener answer the first request of each connection with these bytes and close.
@@ -63,6 +66,67 @@
     }
 }
 
+constexpr std::size_t maxHeldBytes = 1U << 20U;
+
+class EndlessResponseTest : public ForwardRouterTest
+{
+protected:
+    EndlessResponseTest() : ForwardRouterTest({.maxHeldBytes = maxHeldBytes}) {}
+};
+
+// Guards against endpoints that send without end on many connections until the process runs out of
+// memory, and the requests of all callers end with it.
+TEST_F(EndlessResponseTest, heldResponsesAreBoundedTogetherAndSoundOnesStay)
+{
+    constexpr std::size_t endlessCalls = 6;
+    const std::string block(16U << 10U, 'x');
+    registerEndpoint(m_oldInstance, 1, "e1");
+    registerEndpoint(m_newInstance, 1, "e2");
+    std::shared_ptr<http_exchange> sound;
+    std::vector<std::shared_ptr<http_exchange>> endless;
+    m_onReceived = [&](const fake_endpoint &at, http_exchange &exchange) {
+        const auto &held = at.received.back();
+        if (exchange.header("Request-Id") == "sound") {
+            exchange.startSized(200, std::vector<http_header>{{.name = "Seal", .value = "s"}}, 4);
+            exchange.sendChunk("do");
+            sound = held;
+            return;
+        }
+        // A failure, so that it may not be passed on before it is whole.
+        exchange.startStream(500, std::vector<http_header>{{.name = "Seal", .value = "s"}});
+        endless.push_back(held);
+    };
+    std::size_t mostHeld = 0;
+    const auto sender = m_loop.every(std::chrono::milliseconds(1), [&] {
+        mostHeld = std::max(mostHeld, m_router.heldBytes());
+        for (const auto &each : endless) {
+            if (each->backlogBytes() == 0)
+                each->sendChunk(block);
+        }
+    });
+    beginCall("sound");
+    ASSERT_TRUE(runUntil(m_loop, [&] { return sound != nullptr; }));
+    for (std::size_t number = 0; number < endlessCalls; ++number)
+        beginCall("endless" + std::to_string(number));
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_outcomes.size() >= 2; }));
+    for (const auto &outcome : m_outcomes)
+        EXPECT_EQ(outcome.answer.status, 502);
+    EXPECT_GT(mostHeld, maxHeldBytes / 2);
+    EXPECT_LE(mostHeld, maxHeldBytes);
+
+    m_outcomes.clear();
+    sound->sendChunk("ne");
+    sound->endStream();
+    ASSERT_TRUE(runUntil(m_loop, [&] {
+        return std::ranges::any_of(m_outcomes, [](const auto &outcome) {
+            return outcome.answer.status == 200 && outcome.body == "done";
+        });
+    }));
+    // Those that went on until their callers' deadline are given up as well.
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_router.liveCount() == 0; }));
+    EXPECT_EQ(m_router.heldBytes(), 0U);
+}
+
 // Streams that may be resumed, at an endpoint that sends nothing for a while and then goes on.
 template<class Fixture>
 class PausedStream : public Fixture
--- a/packages/forwarding/testing/forward_router_fixture.h
+++ b/packages/forwarding/testing/forward_router_fixture.h
@@ -22,6 +22,7 @@
 #include "forwarding/forward_router.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/testing/raw_peer.h"
 
 namespace mustardline {
 
@@ -53,9 +54,9 @@
     };
 
     // Where not told otherwise, the only route is one whose requests run at most once.
-    explicit ForwardRouterTest(shared_retry_budget_options retries = {})
+    explicit ForwardRouterTest(forward_router_options options = {})
         : m_router(m_loop, m_http, m_log, m_metrics, m_routes, m_directory,
-                   {.dataCentre = "tuzla", .names = testNames(), .retries = retries})
+                   withNames(std::move(options)))
     {
         setRoute({.kind = route_kind::at_most_once, .maxAttempts = 2});
         for (auto *each : {&m_oldInstance, &m_newInstance}) {
@@ -72,7 +73,13 @@
             [this](const std::shared_ptr<http_exchange> &exchange) { m_router.handle(exchange); });
         m_callerAddress
             = {.host = "127.0.0.1", .port = std::get<std::uint16_t>(m_callerServer.listen())};
-        m_timeout = m_loop.after(std::chrono::seconds(6), [this] { m_loop.stop(); });
+    }
+
+    static auto withNames(forward_router_options options) -> forward_router_options
+    {
+        options.dataCentre = "tuzla";
+        options.names = testNames();
+        return options;
     }
 
     // Replaces the configuration by one with this route alone; its names and timeout are added.
@@ -127,7 +134,6 @@
                                {.isWhole = std::holds_alternative<std::monostate>(outcome),
                                 .answer = answer,
                                 .body = body});
-                           m_loop.stop();
                        });
     }
 
@@ -136,9 +142,7 @@
     {
         m_outcomes.clear();
         beginCall("r1", promptParts);
-        m_loop.run();
-        if (m_outcomes.empty())
-            return;
+        ASSERT_TRUE(runUntil(m_loop, [this] { return !m_outcomes.empty(); }));
         m_isWhole = m_outcomes.back().isWhole;
         m_status = m_outcomes.back().answer.status;
         m_body = m_outcomes.back().body;
@@ -170,7 +174,6 @@
     fake_endpoint m_newInstance;
     http_server m_callerServer{m_loop, {}};
     socket_address m_callerAddress;
-    event_handle m_timeout;
     std::uint64_t m_version = 0;
     std::vector<caller_outcome> m_outcomes;
     // What the caller got of the last `call`.
--- a/packages/net/testing/http_wire_test.cpp
+++ b/packages/net/testing/http_wire_test.cpp
@@ -300,6 +300,29 @@
     }
 }
 
+// Guards against an endpoint that sends a head without end, which the client keeps until memory
+// runs out.
+TEST_F(HttpClientWireTest, failsOnAHeadWithoutEnd)
+{
+    for (const auto *text : {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nName: ", "no response ",
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"}) {
+        std::size_t sent = 0;
+        m_listener.onOpen = [text](raw_peer &peer) { peer.send(text); };
+        const auto sender = m_loop.every(std::chrono::milliseconds(1), [&] {
+            const std::string block(8U << 10U, 'x');
+            for (const auto &peer : m_listener.peers()) {
+                if (peer->hasEnded())
+                    continue;
+                peer->send("X: " + block + "\r\n");
+                sent += block.size();
+            }
+        });
+        fetch();
+        EXPECT_FALSE(isComplete()) << text;
+        EXPECT_LE(sent, 1U << 20U) << text;
+    }
+}
+
 TEST_F(HttpClientWireTest, receivesAResponseBeforeTheRequestIsFullySent)
 {
     m_listener.onOpen = [](raw_peer &peer) {
