Answer what endpoints still have before a stopping edge exits

Reported by another operator: in a planned stop, requests that were taken late and passed on were cut with no response at the end of the grace period.

Here new requests are rejected from three tenths of the grace period on, but what still ran at the exit was cut with no response, and with a short grace period the exit came long before its end.

After seven eighths, each request left gets a 502, which promises nothing; the exit follows at most 700 ms, and at most a tenth of the grace period, before the kill.

--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -141,6 +141,9 @@
     // Interval between announcements to the other edges.
     static constexpr duration announceInterval = std::chrono::milliseconds(500);
     static constexpr duration housekeepingInterval = std::chrono::milliseconds(250);
+    // Interval at which a shutdown goes on: short against the margins of a grace period of a
+    // second.
+    static constexpr duration shutdownInterval = std::chrono::milliseconds(50);
 
     auto listen() -> bool
     {
@@ -286,8 +289,6 @@
         if (m_settings.reportsUsage && !m_isShuttingDown)
             m_dutyDriver.step();
         m_output.flush();
-        if (m_isShuttingDown)
-            continueShutdown(now);
     }
 
     auto beginShutdown() -> void
@@ -299,6 +300,7 @@
         m_callers.closeAfterAnswers();
         announceState();
         m_log.write(edgeStopping, field("live", m_router.liveCount()));
+        m_shutdownTimer = m_loop.every(shutdownInterval, [this] { continueShutdown(); });
     }
 
     [[nodiscard]] auto schedule() const -> shutdown_schedule
@@ -306,13 +308,15 @@
         return {.grace = m_settings.stopGrace};
     }
 
-    auto continueShutdown(time_point now) -> void
+    auto continueShutdown() -> void
     {
-        const auto elapsed = now - m_signalledAt;
+        const auto elapsed = m_clock.now() - m_signalledAt;
         if (schedule().closesIdleConnections(elapsed))
             m_callers.closeIdle();
         if (schedule().stopsPlacing(elapsed))
             m_router.stopPlacing();
+        if (schedule().endsRequests(elapsed))
+            m_router.endAll();
         if (schedule().exits(elapsed, m_router.liveCount() == 0))
             m_loop.stop();
     }
@@ -362,6 +366,7 @@
     counter &m_logAge;
     event_handle m_housekeepingTimer;
     event_handle m_announceTimer;
+    event_handle m_shutdownTimer;
     time_point m_nextSnapshotRequest = m_clock.now() + snapshotRequestInterval;
     bool m_wasReady = false;
     bool m_isShuttingDown = false;
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -110,24 +110,33 @@
 auto forward_router::stopPlacing() -> void
 {
     m_hasStoppedPlacing = true;
-    for (const auto number : waitingRequests()) {
-        auto *request = find(number);
-        if (request == nullptr)
-            continue;
-        const auto code
-            = isProvenNotRun(*request) ? result_code::draining : result_code::outcome_unknown;
-        fail(*request, {.code = code, .retryAfter = drainingRetryAfter});
-    }
+    endForShutdown(false);
 }
 
-auto forward_router::waitingRequests() const -> std::vector<std::uint64_t>
+auto forward_router::endAll() -> void
+{
+    m_hasStoppedPlacing = true;
+    endForShutdown(true);
+}
+
+auto forward_router::endForShutdown(bool isInFlightIncluded) -> void
 {
     std::vector<std::uint64_t> numbers;
     for (const auto &[number, request] : m_requests) {
-        if (!request.inFlight)
+        if (isInFlightIncluded || !request.inFlight)
             numbers.push_back(number);
     }
-    return numbers;
+    for (const auto number : numbers) {
+        auto *request = find(number);
+        if (request == nullptr)
+            continue;
+        request->call.cancel();
+        const auto code
+            = isProvenNotRun(*request) ? result_code::draining : result_code::outcome_unknown;
+        fail(*request, {.code = code,
+                        .message = "the process is shutting down",
+                        .retryAfter = drainingRetryAfter});
+    }
 }
 
 auto forward_router::rejectImmediately(const std::shared_ptr<http_exchange> &exchange,
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -68,6 +68,8 @@
     // are rejected, as another process can accept them; those that an endpoint returns without
     // having executed them are, too.
     auto stopPlacing() -> void;
+    // Gives every request its final response: those that endpoints have may run or have run.
+    auto endAll() -> void;
 
     // Passes endpoints that changed in the directory on to the dispatcher.
     auto endpointsChanged() -> void;
@@ -184,8 +186,8 @@
     auto finish(forward_request &request, result_code code, std::string_view reason = {}) -> void;
     auto fail(forward_request &request, const http_error &httpError) -> void;
     [[nodiscard]] auto find(std::uint64_t number) -> forward_request *;
-    // Numbers of the requests that no endpoint has.
-    [[nodiscard]] auto waitingRequests() const -> std::vector<std::uint64_t>;
+    // Ends all requests, or only those that no endpoint has.
+    auto endForShutdown(bool isInFlightIncluded) -> void;
     auto scheduleTick() -> void;
 
     event_loop &m_loop;
--- a/packages/forwarding/shutdown_schedule.h
+++ b/packages/forwarding/shutdown_schedule.h
@@ -8,6 +8,8 @@
 // The load balancer probes once a second and removes a process after two failed probes, so requests
 // arrive for about three more seconds. Accepted requests must be able to complete before the kill.
 
+#include <algorithm>
+
 #include "base/clock.h"
 
 namespace mustardline {
@@ -38,11 +40,19 @@
         return elapsed >= grace * placeTenths / tenths;
     }
 
-    // The process exits: it is out of rotation and idle, or the kill is near.
+    // The requests that endpoints still have get their final responses, so that no connection ends
+    // without one.
+    [[nodiscard]] auto endsRequests(duration elapsed) const -> bool
+    {
+        return elapsed >= grace * endRequestsEighths / eighths;
+    }
+
+    // The process exits: it is out of rotation and idle, or the kill is near. Between
+    // `endsRequests` and the exit, the last responses reach their callers.
     [[nodiscard]] auto exits(duration elapsed, bool isIdle) const -> bool
     {
-        if (elapsed >= grace - flushMargin)
-            return true;
+        if (endsRequests(elapsed))
+            return elapsed >= grace - std::min(maxFlushMargin, grace / tenths);
         return isIdle && elapsed >= grace * minExitTenths / tenths;
     }
 
@@ -52,8 +62,11 @@
     static constexpr int acceptTenths = 3;
     static constexpr int placeTenths = 5;
     static constexpr int minExitTenths = 4;
-    // Time for the last responses to reach their callers.
-    static constexpr duration flushMargin = std::chrono::milliseconds(700);
+    static constexpr int eighths = 8;
+    // Late, because endpoints may still complete the requests.
+    static constexpr int endRequestsEighths = 7;
+    // Time between the exit and the kill.
+    static constexpr duration maxFlushMargin = std::chrono::milliseconds(700);
 };
 
 } // namespace mustardline
--- a/packages/forwarding/testing/forward_router_test.cpp
+++ b/packages/forwarding/testing/forward_router_test.cpp
@@ -179,6 +179,20 @@
     EXPECT_EQ(held.size(), endpointSlots) << "a request was placed";
 }
 
+// Guards against requests that are cut without a response when a stopping process exits, among them
+// those that may run once: they are told that their outcome is unknown.
+TEST_F(ForwardRouterTest, requestsThatEndpointsHaveGetAFinalResponseAtTheEnd)
+{
+    registerEndpoint(m_oldInstance, 1);
+    beginCall("r1");
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_oldInstance.received.size() == 1; }));
+    m_router.endAll();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_outcomes.size() == 1; }));
+    EXPECT_TRUE(m_outcomes[0].isWhole);
+    EXPECT_EQ(m_outcomes[0].answer.status, 502) << "it may have run";
+    EXPECT_EQ(m_router.liveCount(), 0U);
+}
+
 // Guards against a router that is called after its destruction: the process exits with requests in
 // flight, and the callers' server is destroyed after the router. Only the sanitizer build detects
 // this reliably.
--- a/packages/forwarding/testing/tables_test.cpp
+++ b/packages/forwarding/testing/tables_test.cpp
@@ -286,6 +286,24 @@
     }
 }
 
+// Guards against a stop in which the requests that endpoints still have are cut without a response,
+// or are ended before the last sixth of the grace period, when endpoints may still complete them.
+TEST(ShutdownScheduleTest, requestsEndInTheLastSixthAndBeforeTheExit)
+{
+    for (const duration grace : {seconds(1), seconds(3), seconds(8), seconds(60)}) {
+        const shutdown_schedule schedule{.grace = grace};
+        for (auto elapsed = duration(0); elapsed < grace; elapsed += grace / 100) {
+            EXPECT_LE(schedule.endsRequests(elapsed), elapsed * 6 >= grace * 5);
+            EXPECT_LE(schedule.exits(elapsed, false), schedule.endsRequests(elapsed));
+            EXPECT_LE(schedule.endsRequests(elapsed), schedule.stopsPlacing(elapsed));
+        }
+        const auto margin = grace / 100;
+        EXPECT_FALSE(schedule.exits(grace * 7 / 8 + margin, true))
+            << "the last responses may not have reached their callers";
+        EXPECT_TRUE(schedule.exits(grace - margin, false));
+    }
+}
+
 auto stateOf(const std::string &name, std::uint64_t sequence) -> v1::EdgeState
 {
     v1::EdgeState state;
