Show that a head that breaks off is never a success

Reported by another operator: callers got a 200 with an empty or short body for a head that its endpoint broke off.

--- a/packages/forwarding/testing/forward_router_failure_test.cpp
+++ b/packages/forwarding/testing/forward_router_failure_test.cpp
@@ -66,6 +66,26 @@
     }
 }
 
+// Guards against a success whose head its endpoint broke off, and which reaches the caller as a
+// whole response with an empty or short body.
+TEST_F(ForwardRouterTest, headThatBreaksOffIsNeverASuccess)
+{
+    constexpr std::string_view head
+        = "HTTP/1.1 200 OK\r\nSeal: s\r\nRequest-Id: r1\r\nContent-Length: 12\r\n\r\n";
+    std::int64_t start = 0;
+    for (const auto kind : {route_kind::at_most_once, route_kind::stream}) {
+        setRoute({.kind = kind, .maxAttempts = 1});
+        for (std::size_t length = 0; length <= head.size(); length += 3) {
+            raw_listener endpoint(m_loop);
+            answerAndClose(endpoint, std::string(head.substr(0, length)));
+            m_oldInstance.address = endpoint.address();
+            registerEndpoint(m_oldInstance, ++start);
+            call();
+            EXPECT_EQ(m_status, 502) << head.substr(0, length);
+        }
+    }
+}
+
 constexpr std::size_t maxHeldBytes = 1U << 20U;
 
 class EndlessResponseTest : public ForwardRouterTest
--- a/packages/net/testing/http_wire_test.cpp
+++ b/packages/net/testing/http_wire_test.cpp
@@ -300,6 +300,25 @@
     }
 }
 
+// Guards against a head that its sender breaks off and that is taken for a whole response with an
+// empty or short body.
+TEST_F(HttpClientWireTest, failsOnAHeadCutAtAnyByte)
+{
+    for (const std::string_view head :
+         {"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 12\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nId: mine\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nId: mine\r\n\r\n",
+          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: mine\r\n\r\n",
+          "HTTP/1.0 200 OK\r\nId: mine\r\n\r\n"}) {
+        for (std::size_t length = 0; length < head.size(); ++length) {
+            respondWith({"!" + std::string(head.substr(0, length))});
+            fetch({.echo = {.name = "Id", .value = "mine"}});
+            ASSERT_FALSE(isComplete()) << head.substr(0, length);
+            EXPECT_TRUE(std::get<http_failure>(m_outcome).sent) << head.substr(0, length);
+        }
+    }
+}
+
 // Guards against an endpoint that sends a head without end, which the client keeps until memory
 // runs out.
 TEST_F(HttpClientWireTest, failsOnAHeadWithoutEnd)
