Take the VM's memory where the settings do not give it

The figure that the setting stands for is the VM's memory, which the kernel tells; memory_mb stays for VMs that the process does not have alone.

--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -71,7 +71,7 @@
                    {.dataCentre = m_settings.dataCentre,
                     .names = Platform::headers(),
                     .seed = randomBits(),
-                    .maxHeldBytes = (m_settings.memoryMegabytes << 20U) / heldMemoryDivisor,
+                    .maxHeldBytes = m_settings.memoryBytes / heldMemoryDivisor,
                     .retries = {.ratio = m_settings.retryRatio,
                                 .slack = m_settings.retrySlack,
                                 .window = m_settings.retryWindow},
--- a/packages/forwarding/edge_settings.cpp
+++ b/packages/forwarding/edge_settings.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/edge_settings.h"
 
 #include <fmt/format.h>
+#include <sys/sysinfo.h>
 
 #include "base/settings_reader.h"
 
@@ -12,7 +13,17 @@
 constexpr std::int64_t maxMilliseconds = 3'600'000;
 constexpr std::int64_t maxColdSlack = 10'000;
 constexpr std::int64_t maxMegabytes = 1 << 20;
-constexpr std::int64_t defaultMegabytes = 256;
+constexpr unsigned bytesPerMegabyteLog2 = 20;
+
+// Memory of this VM.
+auto vmMemoryBytes() -> std::uint64_t
+{
+    struct sysinfo state
+    {};
+    // The kernel fills the structure whenever its address is valid.
+    sysinfo(&state);
+    return static_cast<std::uint64_t>(state.totalram) * state.mem_unit;
+}
 
 // Reads an address field, which must be IP:PORT; the first failure is stored in `failure`.
 auto readAddress(settings_reader &reader, std::string_view name, std::optional<error> &failure)
@@ -59,8 +70,9 @@
     settings.retryWindow = readMilliseconds(reader, "repeat_window_ms");
     settings.coldSlack = static_cast<std::uint32_t>(
         reader.integer("cold_slack", {.lowest = 1, .highest = maxColdSlack}));
-    settings.memoryMegabytes = static_cast<std::uint64_t>(reader.integer(
-        "memory_mb", {.lowest = 1, .highest = maxMegabytes, .fallback = defaultMegabytes}));
+    const auto megabytes = static_cast<std::uint64_t>(
+        reader.integer("memory_mb", {.lowest = 0, .highest = maxMegabytes, .fallback = 0}));
+    settings.memoryBytes = megabytes > 0 ? megabytes << bytesPerMegabyteLog2 : vmMemoryBytes();
     settings.stopGrace = readMilliseconds(reader, "stop_grace_ms");
     settings.usageWindow = readMilliseconds(reader, "usage_window_ms");
     settings.usageDue = readMilliseconds(reader, "usage_due_ms");
--- a/packages/forwarding/edge_settings.h
+++ b/packages/forwarding/edge_settings.h
@@ -42,8 +42,8 @@
     duration retryWindow = std::chrono::seconds(10);
     // Requests per second that a cold endpoint accepts beyond the rate that its service declares.
     std::uint32_t coldSlack = 5;
-    // Memory of the VM that this process may use.
-    std::uint64_t memoryMegabytes = 256;
+    // Memory that this process may use: that of the VM if the file does not say.
+    std::uint64_t memoryBytes = 256U << 20U;
     // Time from SIGTERM until the process is killed.
     duration stopGrace = std::chrono::seconds(8);
     duration usageWindow = std::chrono::seconds(5);
