Send nothing on connections that peers may have dropped

Cause: the client used connections that had been idle for up to 30 s, and learnt nothing from resets.

When a request on a used connection is reset at once and the same peer then responds, no connection is used after more than an eighth of that idle time, for 30 s.

HttpClientWireTest.sendsNothingOnConnectionsThatPeersMayHaveDropped: five of six lost before, one now.

--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "net/http_client.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -17,6 +18,9 @@
 // Interval of the check for connections that exceed the maximum idle age.
 constexpr duration idleSweepInterval = std::chrono::seconds(2);
 
+// A peer that has dropped a connection resets it within a round trip after the request.
+constexpr duration resetTime = std::chrono::milliseconds(250);
+
 // Serialises the request line and headers.
 auto requestHead(const socket_address &address, const http_request &request) -> std::string
 {
@@ -41,6 +45,8 @@
     {
         std::shared_ptr<tcp_stream> stream;
         std::uint64_t number = 0;
+        // How long the connection had been idle when it was taken; none if it is a new one.
+        std::optional<duration> idleTime;
     };
 
     struct idle_connection
@@ -54,10 +60,13 @@
     std::map<socket_address, std::vector<idle_connection>> idle;
     std::set<http_call::state *> running;
     event_handle sweep;
+    idle_limit idleLimit;
     std::uint64_t lastConnection = 0;
     bool closed = false;
 
-    connection_pool(event_loop &owner, http_client_options chosen) : loop(owner), options(chosen) {}
+    connection_pool(event_loop &owner, http_client_options chosen)
+        : loop(owner), options(chosen), idleLimit(chosen.idle)
+    {}
 
     // The most recently used idle connection without unread input that is not to be avoided; null
     // if there is none.
@@ -68,10 +77,13 @@
         if (entry == idle.end())
             return {};
         auto &connections = entry->second;
+        const auto now = system_runtime_clock().now();
+        closeExpired(connections, now);
         for (auto at = connections.size(); at-- > 0;) {
             if (std::ranges::find(avoided, connections[at].connection.number) != avoided.end())
                 continue;
             auto taken = std::move(connections[at].connection);
+            taken.idleTime = now - connections[at].since;
             connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(at));
             if (!taken.stream->isClosed() && !taken.stream->hasUnread())
                 return taken;
@@ -116,15 +128,20 @@
         }
     }
 
+    auto closeExpired(std::vector<idle_connection> &connections, time_point now) const -> void
+    {
+        const auto limit = idleLimit.current(now);
+        std::erase_if(connections,
+                      [limit, now](const auto &each) { return now - each.since > limit; });
+    }
+
     auto closeExpired() -> void
     {
         const auto now = system_runtime_clock().now();
-        for (auto &[address, connections] : idle) {
-            std::erase_if(connections, [this, now](const auto &each) {
-                return now - each.since > options.maxIdleAge;
-            });
-        }
+        for (auto &[address, connections] : idle)
+            closeExpired(connections, now);
         std::erase_if(idle, [](const auto &each) { return each.second.empty(); });
+        idleLimit.discardOld(now);
     }
 };
 
@@ -137,12 +154,13 @@
     std::shared_ptr<tcp_stream> stream;
     // Number of `stream`.
     std::uint64_t connection = 0;
+    std::optional<duration> idleTime;
     http1_reader reader{{.kind = http1_kind::response}};
     event_handle timer;
     time_point lastInput;
     std::size_t bodyBytes = 0;
     bool connected = false;
-    bool reused = false;
+    bool inputReceived = false;
     bool headersReceived = false;
     bool keepAlive = false;
     bool paused = false;
@@ -157,11 +175,11 @@
         if (request.method == "HEAD")
             reader.expectNoBody();
         auto taken = pool->acquire(address, request.avoidedConnections);
-        reused = taken.stream != nullptr;
-        if (!reused)
+        if (taken.stream == nullptr)
             taken = pool->connect(address);
         stream = taken.stream;
         connection = taken.number;
+        idleTime = taken.idleTime;
         if (!stream) {
             pool->loop.post([keep = shared_from_this()] {
                 keep->fail(result_code::connection_failed, "connection could not be established",
@@ -170,7 +188,7 @@
             return;
         }
         setStreamCallbacks();
-        if (reused)
+        if (isReused())
             sendRequest();
         else
             timer = pool->loop.after(pool->options.connectTimeout, [this] {
@@ -179,6 +197,8 @@
             });
     }
 
+    [[nodiscard]] auto isReused() const -> bool { return idleTime.has_value(); }
+
     auto setStreamCallbacks() -> void
     {
         stream->onConnected = [this] { sendRequest(); };
@@ -214,6 +234,7 @@
     {
         const auto keep = shared_from_this();
         lastInput = system_runtime_clock().now();
+        inputReceived = true;
         while (selfReference) {
             const auto event = reader.next(input);
             if (std::holds_alternative<http1_need_more>(event)) {
@@ -235,6 +256,7 @@
     auto handleHead(const http1_head &head) -> void
     {
         headersReceived = true;
+        pool->idleLimit.recordResponse(address, lastInput);
         keepAlive = head.keepAlive;
         if (!request.echo.name.empty()) {
             const auto echoed = findHeader(head.headers, request.echo.name);
@@ -253,7 +275,7 @@
             callbacks.onHeaders({.status = head.status,
                                  .headers = head.headers,
                                  .length = length,
-                                 .reused = reused});
+                                 .reused = isReused()});
         }
     }
 
@@ -266,8 +288,18 @@
             callbacks.onData(data);
     }
 
+    // Whether the peer had probably dropped the connection before the request was sent on it: it
+    // ends at once, without a byte of a response.
+    [[nodiscard]] auto wasDroppedWhileIdle(time_point now) const -> bool
+    {
+        return isReused() && !inputReceived && now - lastInput <= resetTime;
+    }
+
     auto handleEnd(bool orderly) -> void
     {
+        const auto now = system_runtime_clock().now();
+        if (wasDroppedWhileIdle(now))
+            pool->idleLimit.recordReset(address, *idleTime, now);
         if (orderly && headersReceived && reader.mayEndNow())
             finish(std::monostate());
         else if (!connected)
@@ -295,7 +327,7 @@
     {
         finish(http_failure{.reason = {.code = code, .message = std::move(message)},
                             .sent = sent,
-                            .reused = reused});
+                            .reused = isReused()});
     }
 
     auto cancel() -> void
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -13,7 +13,8 @@
 // peer: `connection_failed` with `sent == false` means that no connection was established.
 //
 // A connection is reused only if the request was sent completely and its response was complete,
-// with no bytes after it. An idle connection on which anything arrives is closed.
+// with no bytes after it. An idle connection on which anything arrives is closed, and one that has
+// been idle for longer than the `idle_limit` carries no further request.
 //
 // Built on libevent sockets and the strict http1_reader instead of evhttp, which attributes surplus
 // bytes after one response to the next request and does not read a response before it has sent the
@@ -33,6 +34,7 @@
 #include "base/result.h"
 #include "net/event_loop.h"
 #include "net/http_message.h"
+#include "net/idle_limit.h"
 #include "net/tcp_stream.h"
 
 namespace mustardline {
@@ -43,8 +45,8 @@
     std::size_t maxHeaderBytes = 64U << 10U;
     // Maximum number of idle connections kept per address.
     std::size_t maxIdlePerAddress = 64;
-    // Connections that have been idle for longer are closed, before the peer closes them.
-    duration maxIdleAge = std::chrono::seconds(30);
+    // How long a connection may be idle before it carries another request.
+    idle_limit_options idle;
     tcp_stream_options stream;
 };
 
--- a/packages/net/testing/http_wire_test.cpp
+++ b/packages/net/testing/http_wire_test.cpp
@@ -1,5 +1,7 @@
 // Tests of the HTTP server and client against malformed or unexpectedly timed bytes.
 
+#include <optional>
+
 #include <gtest/gtest.h>
 
 #include "net/datagram_socket.h"
@@ -265,6 +267,39 @@
     EXPECT_EQ(m_listener.peers().size(), 2U);
 }
 
+// Guards against request after request that is lost because peers drop idle connections early and
+// without notice: only the first loss may happen.
+TEST_F(HttpClientWireTest, sendsNothingOnConnectionsThatPeersMayHaveDropped)
+{
+    constexpr auto rounds = 6;
+    static constexpr duration idle = std::chrono::milliseconds(40);
+    system_runtime_clock clock;
+    m_listener.onOpen = [&clock](raw_peer &peer) {
+        peer.onChange = [&peer, &clock, usedAt = std::optional<time_point>()]() mutable {
+            if (peer.hasEnded())
+                return;
+            if (usedAt && clock.now() - *usedAt >= idle) {
+                peer.close();
+                return;
+            }
+            usedAt = clock.now();
+            peer.send(responseA);
+        };
+    };
+    auto lost = 0;
+    for (auto round = 0; round < rounds; ++round) {
+        fetch();
+        lost += isComplete() ? 0 : 1;
+        // The next response tells that the peer lives.
+        fetch();
+        EXPECT_TRUE(isComplete());
+        auto isOver = false;
+        const auto timer = m_loop.after(idle * 2, [&isOver] { isOver = true; });
+        ASSERT_TRUE(runUntil(m_loop, [&isOver] { return isOver; }));
+    }
+    EXPECT_EQ(lost, 1);
+}
+
 TEST_F(HttpClientWireTest, skipsInterimResponses)
 {
     respondWith({std::string("HTTP/1.1 100 Continue\r\n\r\n") + responseA});
