--- a/packages/forwarding/testing/forward_router_failure_test.cpp
+++ b/packages/forwarding/testing/forward_router_failure_test.cpp
@@ -44,6 +44,7 @@
         const char *text;
         int status;
     };
+    std::int64_t start = 0;
     for (const auto &[text, status] : {
              test_case{"HTTP/1.1 500 Failed\r\nSeal: s\r\nContent-Length: 9\r\n\r\npart", 502},
              test_case{"HTTP/1.1 500 Failed\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -58,7 +59,7 @@
             raw_listener endpoint(m_loop);
             answerAndClose(endpoint, text);
             m_oldInstance.address = endpoint.address();
-            registerEndpoint(m_oldInstance, m_version);
+            registerEndpoint(m_oldInstance, ++start);
             call();
             EXPECT_EQ(m_status, status) << text << m_body;
             EXPECT_EQ(m_body == "part", status == 500) << text;
@@ -149,10 +150,10 @@
 
 // Streams that may be resumed, at an endpoint that sends nothing for a while and then goes on.
 template<class Fixture>
-class PausedStream : public Fixture
+class paused_stream : public Fixture
 {
 protected:
-    PausedStream()
+    paused_stream()
     {
         this->setRoute({.kind = route_kind::stream,
                         .resumable = true,
@@ -180,10 +181,10 @@
     event_handle m_resume;
 };
 
-class PausedStreamTest : public PausedStream<ForwardRouterTest>
+class PausedStreamTest : public paused_stream<ForwardRouterTest>
 {};
 
-class PausedStreamSpentBudgetTest : public PausedStream<SpentRetryBudgetTest>
+class PausedStreamSpentBudgetTest : public paused_stream<SpentRetryBudgetTest>
 {};
 
 // Guards against streams that are cut because their endpoint paused: the call was cancelled before
