--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -40,7 +40,7 @@
     duration wait{};
     // Pause between the end of a read and the next one.
     duration readPause = std::chrono::milliseconds(100);
-    // Pause after a failed call.
+    // Pause after a failed call; the first retry of a read follows at once.
     duration retryAfter = std::chrono::milliseconds(400);
     // A failed call is not reported by `onUnavailable` if a peer's read was offered within this
     // time: the service then answers others.
@@ -191,8 +191,10 @@
     // Handles the answer to a read from `from` on; peers may have offered some of it meanwhile.
     auto handleRecords(std::uint64_t from, const log_read_outcome &outcome) -> void
     {
+        const bool wasLastAnswered = m_lastCallAnswered;
         if (!isAnswered(outcome)) {
-            schedule(m_options.retryAfter, [this] { readNext(); });
+            // A single call may be lost with its connection alone; records wait since it began.
+            schedule(wasLastAnswered ? duration{} : m_options.retryAfter, [this] { readNext(); });
             return;
         }
         const auto *batch = std::get_if<log_batch>(&outcome);
--- a/packages/coordination/testing/keyed_follower_test.cpp
+++ b/packages/coordination/testing/keyed_follower_test.cpp
@@ -176,6 +176,23 @@
     EXPECT_EQ(m_log.waits, (std::vector<duration>{milliseconds(2000), {}, {}, milliseconds(2000)}));
 }
 
+// Guards against a record that takes effect late because the read that waited for it was lost with
+// its connection: the next read follows at once, and only those after it pause.
+TEST_F(KeyedFollowerTest, firstReadAfterALostOneFollowsAtOnce)
+{
+    keyed_follower<scripted_log> pausing(
+        m_loop, m_log,
+        {.topic = "t", .readPause = milliseconds(1), .retryAfter = std::chrono::hours(1)});
+    const auto guard = m_loop.after(std::chrono::seconds(5), [this] { m_loop.stop(); });
+    m_log.pages = {pageOf({}, 5)};
+    m_log.reads = {log_batch{.endOffset = 5}, log_unavailable{},
+                   log_batch{.endOffset = 6, .firstOffset = 5, .records = {"a=1"}}};
+    pausing.start();
+    m_loop.run();
+    EXPECT_EQ(m_log.calls,
+              (std::vector<std::string>{"newest ", "read 5", "read 5", "read 5", "read 6"}));
+}
+
 // Adopting the values of another process does not show that the service answers this one.
 TEST_F(KeyedFollowerTest, readsDoNotWaitBeforeTheServiceHasAnswered)
 {
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -226,10 +226,18 @@
             else if (paused)
                 startIdleTimer(request.idleTimeout);
             else
-                fail(result_code::timeout, "peer sent nothing within the idle timeout", true);
+                failSilent();
         });
     }
 
+    // A peer that sent nothing may have lost its connections without notice, the idle ones too.
+    auto failSilent() -> void
+    {
+        if (!inputReceived)
+            pool->idle.erase(address);
+        fail(result_code::timeout, "peer sent nothing within the idle timeout", true);
+    }
+
     auto handleInput(std::string_view input) -> void
     {
         const auto keep = shared_from_this();
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -14,7 +14,8 @@
 //
 // A connection is reused only if the request was sent completely and its response was complete,
 // with no bytes after it. An idle connection on which anything arrives is closed, and one that has
-// been idle for longer than the `idle_limit` carries no further request.
+// been idle for longer than the `idle_limit` carries no further request. If a peer sends nothing
+// within a call's idle timeout, its idle connections are closed with that of the call.
 //
 // Built on libevent sockets and the strict http1_reader instead of evhttp, which attributes surplus
 // bytes after one response to the next request and does not read a response before it has sent the
--- a/packages/net/testing/http_wire_test.cpp
+++ b/packages/net/testing/http_wire_test.cpp
@@ -300,6 +300,31 @@
     EXPECT_EQ(lost, 1);
 }
 
+// Guards against call after call that waits for its timeout because all connections to the peer
+// have fallen silent, while new ones work.
+TEST_F(HttpClientWireTest, timeoutClosesTheIdleConnectionsOfThePeer)
+{
+    auto isSilent = false;
+    m_listener.onOpen = [&isSilent](raw_peer &peer) {
+        peer.onChange = [&peer, &isSilent] {
+            if (!peer.hasEnded() && !isSilent)
+                peer.send(responseA);
+        };
+    };
+    fetch();
+    fetch({.avoidedConnections = {m_call.connection()}});
+    ASSERT_EQ(m_listener.peers().size(), 2U);
+    isSilent = true;
+    fetch({.idleTimeout = milliseconds(20)});
+    EXPECT_FALSE(isComplete());
+    isSilent = false;
+    const auto before = m_call.connection();
+    fetch();
+    EXPECT_TRUE(isComplete());
+    EXPECT_GT(m_call.connection(), before) << "an idle connection was used";
+    EXPECT_EQ(m_listener.peers().size(), 3U);
+}
+
 TEST_F(HttpClientWireTest, skipsInterimResponses)
 {
     respondWith({std::string("HTTP/1.1 100 Continue\r\n\r\n") + responseA});
