Let a request without a begun response wait for a place when its endpoint is silent

Such a request may now wait for a place as it could before, once the retry budgets allow it: nothing of a response is lost by that. Streams that have begun still stay (PausedStreamTest).

--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -318,19 +318,19 @@
 
 auto forward_router::leaveStalled(forward_request &request, time_point now) -> bool
 {
-    if (isEndpointGone(request)) {
-        // It will not go on, so the request may also wait for a place.
+    if (m_dispatcher.moveElsewhere(request.number, now, m_actions)) {
+        static_cast<void>(retryBudgetOf(request).tryAcquire(m_entryCount, now));
         request.call.cancel();
         request.inFlight = false;
-        retryOrFail(request, result_code::endpoint_error, true);
+        endAttempt(request, result_code::endpoint_error, false, true);
         return true;
     }
-    if (!m_dispatcher.moveElsewhere(request.number, now, m_actions))
+    if (request.responseStarted && !isEndpointGone(request))
         return false;
-    static_cast<void>(retryBudgetOf(request).tryAcquire(m_entryCount, now));
+    // Nothing of a response is lost if the request waits for a place.
     request.call.cancel();
     request.inFlight = false;
-    endAttempt(request, result_code::endpoint_error, false, true);
+    retryOrFail(request, result_code::endpoint_error, true);
     return true;
 }
 
