--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -288,7 +288,8 @@
 }
 
 // Sends a request to another endpoint once the current one has sent nothing for the stall timeout.
-// The current one may only have paused, so it keeps the request until another one can have it.
+// The current one may only have paused, so it keeps a response that has begun until another one can
+// have the request.
 auto forward_router::checkStall(std::uint64_t number) -> void
 {
     auto *request = find(number);
