Start edges of deployments that leave optional values out

Cause: the settings template wrote `"cold_slack": {{bounds.cold_slack}},`. Where the deployment has no such bound nothing stands in its place, and the file is no JSON.

Now an optional number is written as text, "{{bounds.cold_slack}}", and an empty text counts as absent; the service for usage reports is a list of at most one. Each absent value has a default that is safe for callers and endpoints (docs/settings-edge.md); without a service for usage reports none are made. Spans of the bounds in seconds keep their fractions, which `{{bounds.grace_s}}000` lost.

A malformed value is named with what is allowed.

--- a/packages/base/settings_reader.cpp
+++ b/packages/base/settings_reader.cpp
@@ -9,13 +9,13 @@
 
 namespace mustardline {
 
-settings_reader::settings_reader(const nlohmann::json &object, std::string path)
-    : m_object(object), m_path(std::move(path))
+settings_reader::settings_reader(const nlohmann::json &object, settings_reader_options options)
+    : m_object(object), m_options(std::move(options))
 {
     if (!m_object.is_object()) {
         fail(result_code::settings_wrong_type,
-             fmt::format("{} must be an object, but is {}", m_path.empty() ? "the file" : m_path,
-                         m_object.dump()));
+             fmt::format("{} must be an object, but is {}",
+                         m_options.path.empty() ? "the file" : m_options.path, m_object.dump()));
         m_object = nlohmann::json::object();
     }
 }
@@ -26,8 +26,8 @@
                         .type = "whole number",
                         .allowed = fmt::format("{} to {}", rule.lowest, rule.highest),
                         .fallback = rule.fallback ? std::to_string(*rule.fallback) : "required"});
-    const auto *value = find(name, !rule.fallback.has_value());
-    if (value == nullptr)
+    const auto value = findNumber(name, !rule.fallback.has_value());
+    if (!value)
         return rule.fallback.value_or(0);
     if (!value->is_number_integer()) {
         failWithWrongType(name, *value, "a whole number");
@@ -50,8 +50,8 @@
          .type = "number",
          .allowed = fmt::format("{} to {}", rule.lowest, rule.highest),
          .fallback = rule.fallback ? fmt::format("{}", *rule.fallback) : "required"});
-    const auto *value = find(name, !rule.fallback.has_value());
-    if (value == nullptr)
+    const auto value = findNumber(name, !rule.fallback.has_value());
+    if (!value)
         return rule.fallback.value_or(rule.lowest);
     if (!value->is_number()) {
         failWithWrongType(name, *value, "a number");
@@ -124,10 +124,26 @@
     return items;
 }
 
+auto settings_reader::optionalText(std::string_view name) -> std::optional<std::string>
+{
+    m_fields.push_back({.path = pathOf(name), .type = "text", .fallback = "none"});
+    const auto *value = find(name, false);
+    if (value != nullptr && m_options.filledIn && value->is_array() && value->size() <= 1)
+        value = value->empty() || value->front().is_null() ? nullptr : &value->front();
+    if (value == nullptr)
+        return std::nullopt;
+    if (!value->is_string()) {
+        failWithWrongType(name, *value, "a text");
+        return std::nullopt;
+    }
+    return value->get<std::string>();
+}
+
 auto settings_reader::object(std::string_view name) -> settings_reader
 {
     const auto *value = find(name, false);
-    return settings_reader(value == nullptr ? nlohmann::json::object() : *value, pathOf(name));
+    return settings_reader(value == nullptr ? nlohmann::json::object() : *value,
+                           {.path = pathOf(name), .filledIn = m_options.filledIn});
 }
 
 auto settings_reader::absorb(settings_reader &nested) -> void
@@ -153,14 +169,16 @@
 
 auto settings_reader::pathOf(std::string_view name) const -> std::string
 {
-    return m_path.empty() ? std::string(name) : fmt::format("{}.{}", m_path, name);
+    return m_options.path.empty() ? std::string(name) : fmt::format("{}.{}", m_options.path, name);
 }
 
 auto settings_reader::find(std::string_view name, bool required) -> const nlohmann::json *
 {
     m_readNames.emplace(name);
     const auto found = m_object.find(name);
-    if (found != m_object.end())
+    const bool isEmpty
+        = m_options.filledIn && found != m_object.end() && (found->is_null() || *found == "");
+    if (found != m_object.end() && !isEmpty)
         return &*found;
     if (required) {
         fail(result_code::settings_missing_field,
@@ -169,6 +187,18 @@
     return nullptr;
 }
 
+auto settings_reader::findNumber(std::string_view name, bool required)
+    -> std::optional<nlohmann::json>
+{
+    const auto *value = find(name, required);
+    if (value == nullptr)
+        return std::nullopt;
+    if (!m_options.filledIn || !value->is_string())
+        return *value;
+    auto number = nlohmann::json::parse(value->get<std::string>(), nullptr, false);
+    return number.is_number() ? number : *value;
+}
+
 auto settings_reader::fail(result_code code, std::string message) -> void
 {
     if (!m_firstError)
--- a/packages/base/settings_reader.h
+++ b/packages/base/settings_reader.h
@@ -14,6 +14,9 @@
 // An error message gives the path of the field, the value found and what is allowed. After an
 // error, reading continues with a substitute value, so that calling code needs no checks in
 // between.
+//
+// A file that a platform fills in from a template can only write a value where it has one. With
+// `filledIn`, a number may be written as text, and an empty text or an empty list counts as absent.
 
 #include <cstdint>
 #include <optional>
@@ -65,10 +68,18 @@
     std::string fallback;
 };
 
+struct settings_reader_options
+{
+    // Path of the object within the file; empty for the file itself.
+    std::string path;
+    // The file was filled in from a template.
+    bool filledIn = false;
+};
+
 class settings_reader
 {
 public:
-    explicit settings_reader(const nlohmann::json &object, std::string path = "");
+    explicit settings_reader(const nlohmann::json &object, settings_reader_options options = {});
 
     auto integer(std::string_view name, const integer_field &rule = {}) -> std::int64_t;
     // A number that may have a fraction.
@@ -76,6 +87,9 @@
     auto text(std::string_view name, const text_field &rule = {}) -> std::string;
     auto boolean(std::string_view name, std::optional<bool> fallback = {}) -> bool;
     auto texts(std::string_view name) -> std::vector<std::string>;
+    // A text that may be absent. In a file that was filled in it may also be the only item of a
+    // list.
+    auto optionalText(std::string_view name) -> std::optional<std::string>;
 
     // A reader of the nested object `name`, or of an empty object if it is absent.
     auto object(std::string_view name) -> settings_reader;
@@ -92,12 +106,14 @@
 private:
     [[nodiscard]] auto pathOf(std::string_view name) const -> std::string;
     auto find(std::string_view name, bool required) -> const nlohmann::json *;
+    // Like `find`, but a number written as text counts as one in a file that was filled in.
+    auto findNumber(std::string_view name, bool required) -> std::optional<nlohmann::json>;
     auto fail(result_code code, std::string message) -> void;
     auto failWithWrongType(std::string_view name, const nlohmann::json &value,
                            std::string_view expected) -> void;
 
     nlohmann::json m_object;
-    std::string m_path;
+    settings_reader_options m_options;
     std::set<std::string, std::less<>> m_readNames;
     std::optional<error> m_firstError;
     std::vector<settings_description> m_fields;
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -151,8 +151,11 @@
         m_readiness.onRequest([this](const auto &exchange) { respondReadiness(exchange); });
         m_metricsServer.onRequest(
             [this](const auto &exchange) { exchange->reply(200, {}, m_metrics.text()); });
-        for (const auto &port : {m_exchange.start(), m_snapshots.listen(), m_callers.listen(),
-                                 m_readiness.listen(), m_metricsServer.listen()}) {
+        std::vector ports{m_exchange.start(), m_snapshots.listen(), m_callers.listen(),
+                          m_readiness.listen()};
+        if (m_settings.metricsPort != 0)
+            ports.push_back(m_metricsServer.listen());
+        for (const auto &port : ports) {
             if (const auto *failure = failed(port)) {
                 m_log.write(edgeFailed, field("reason", failure->message));
                 m_output.flush();
@@ -286,7 +289,7 @@
         }
         if (!isReady() && !m_isShuttingDown)
             requestSnapshot(now);
-        if (m_settings.reportsUsage && !m_isShuttingDown)
+        if (m_settings.reportsUsage() && !m_isShuttingDown)
             m_dutyDriver.step();
         m_output.flush();
     }
--- a/packages/forwarding/edge_settings.cpp
+++ b/packages/forwarding/edge_settings.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::int64_t maxPort = 65535;
 constexpr std::int64_t maxMilliseconds = 3'600'000;
+constexpr double minSeconds = 0.001;
+constexpr double maxSeconds = 3600;
 constexpr std::int64_t maxColdSlack = 10'000;
 constexpr std::int64_t maxMegabytes = 1 << 20;
 constexpr unsigned bytesPerMegabyteLog2 = 20;
@@ -25,11 +27,10 @@
     return static_cast<std::uint64_t>(state.totalram) * state.mem_unit;
 }
 
-// Reads an address field, which must be IP:PORT; the first failure is stored in `failure`.
-auto readAddress(settings_reader &reader, std::string_view name, std::optional<error> &failure)
+// Parses IP:PORT; the first failure is stored in `failure`.
+auto parseAddressField(std::string_view name, std::string_view text, std::optional<error> &failure)
     -> socket_address
 {
-    const auto text = reader.text(name);
     auto address = parseAddress(text);
     if (address.port == 0 && !failure) {
         failure = error{.code = result_code::settings_out_of_range,
@@ -38,10 +39,19 @@
     return address;
 }
 
-auto readMilliseconds(settings_reader &reader, std::string_view name) -> duration
+auto readAddress(settings_reader &reader, std::string_view name, std::optional<error> &failure)
+    -> socket_address
 {
-    return std::chrono::milliseconds(
-        reader.integer(name, {.lowest = 1, .highest = maxMilliseconds}));
+    return parseAddressField(name, reader.text(name), failure);
+}
+
+auto readSeconds(settings_reader &reader, std::string_view name, duration fallback) -> duration
+{
+    const auto seconds
+        = reader.number(name, {.lowest = minSeconds,
+                               .highest = maxSeconds,
+                               .fallback = std::chrono::duration<double>(fallback).count()});
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
 auto readFields(settings_reader &reader, std::optional<error> &failure) -> edge_settings
@@ -52,31 +62,30 @@
     settings.callers = readAddress(reader, "callers", failure);
     settings.readiness = readAddress(reader, "readiness", failure);
     settings.peers = readAddress(reader, "peers", failure);
-    for (const auto &seed : reader.texts("seeds")) {
-        const auto address = parseAddress(seed);
-        if (address.port == 0 && !failure) {
-            failure = error{.code = result_code::settings_out_of_range,
-                            .message = fmt::format("seeds holds \"{}\"; it must be IP:PORT", seed)};
-        }
-        settings.seeds.push_back(address);
-    }
+    for (const auto &seed : reader.texts("seeds"))
+        settings.seeds.push_back(parseAddressField("seeds", seed, failure));
     settings.metricsPort = static_cast<std::uint16_t>(
-        reader.integer("metrics_port", {.lowest = 1, .highest = maxPort}));
+        reader.integer("metrics_port", {.lowest = 0, .highest = maxPort, .fallback = 0}));
     settings.logService = readAddress(reader, "log_service", failure);
-    settings.dutyService = readAddress(reader, "duty_service", failure);
-    settings.reportsUsage = reader.boolean("reports_usage", false);
-    settings.retryRatio = reader.number("repeat_ratio", {.lowest = 0, .highest = 1});
-    settings.retrySlack = reader.number("repeat_slack", {.lowest = 0});
-    settings.retryWindow = readMilliseconds(reader, "repeat_window_ms");
-    settings.coldSlack = static_cast<std::uint32_t>(
-        reader.integer("cold_slack", {.lowest = 1, .highest = maxColdSlack}));
+    if (const auto service = reader.optionalText("duty_service"))
+        settings.dutyService = parseAddressField("duty_service", *service, failure);
+    settings.retryRatio = reader.number(
+        "repeat_ratio", {.lowest = 0, .highest = 1, .fallback = settings.retryRatio});
+    settings.retrySlack
+        = reader.number("repeat_slack", {.lowest = 0, .fallback = settings.retrySlack});
+    settings.retryWindow = readSeconds(reader, "repeat_window_s", settings.retryWindow);
+    settings.coldSlack = static_cast<std::uint32_t>(reader.integer(
+        "cold_slack", {.lowest = 1, .highest = maxColdSlack, .fallback = settings.coldSlack}));
     const auto megabytes = static_cast<std::uint64_t>(
         reader.integer("memory_mb", {.lowest = 0, .highest = maxMegabytes, .fallback = 0}));
     settings.memoryBytes = megabytes > 0 ? megabytes << bytesPerMegabyteLog2 : vmMemoryBytes();
-    settings.stopGrace = readMilliseconds(reader, "stop_grace_ms");
-    settings.usageWindow = readMilliseconds(reader, "usage_window_ms");
-    settings.usageDue = readMilliseconds(reader, "usage_due_ms");
-    settings.leaseTerm = readMilliseconds(reader, "lease_term_ms");
+    settings.stopGrace = readSeconds(reader, "stop_grace_s", settings.stopGrace);
+    settings.usageWindow = readSeconds(reader, "usage_window_s", settings.usageWindow);
+    settings.usageDue = readSeconds(reader, "usage_due_s", settings.usageDue);
+    const auto leaseTermMs
+        = std::chrono::duration_cast<std::chrono::milliseconds>(settings.leaseTerm).count();
+    settings.leaseTerm = std::chrono::milliseconds(reader.integer(
+        "lease_term_ms", {.lowest = 1, .highest = maxMilliseconds, .fallback = leaseTermMs}));
     return settings;
 }
 
@@ -96,7 +105,7 @@
     const auto document = readJsonFile(fileName);
     if (const auto *failure = failed(document))
         return *failure;
-    settings_reader reader(std::get<nlohmann::json>(document));
+    settings_reader reader(std::get<nlohmann::json>(document), {.filledIn = true});
     std::optional<error> failure;
     auto settings = readFields(reader, failure);
     if (const auto outcome = reader.finish(); failed(outcome) != nullptr)
--- a/packages/forwarding/edge_settings.h
+++ b/packages/forwarding/edge_settings.h
@@ -6,7 +6,7 @@
 //
 // The file is JSON. A field that is unknown, missing, of the wrong type or out of range is an error
 // that names the field. For platforms that fill in templates, the adapter has a template of this
-// file.
+// file, in which an optional number is written as text: it is empty where the deployment has none.
 
 #include <cstdint>
 #include <string>
@@ -29,27 +29,30 @@
     socket_address peers;
     // Addresses of some other edges, for discovery.
     std::vector<socket_address> seeds;
+    // 0 for no metrics page.
     std::uint16_t metricsPort = 0;
     socket_address logService;
-    // Address for usage reports.
+    // Address for usage reports; without one this edge reports none.
     socket_address dutyService;
-    // Whether this edge reports usage.
-    bool reportsUsage = false;
+
+    // The defaults hold where a deployment does not state a value. Each is the one that is safe for
+    // callers and endpoints: few retries, little load on cold endpoints, an early stop.
 
     // Retries that all edges together may send to a service.
-    double retryRatio = 0.2;
-    double retrySlack = 50;
+    double retryRatio = 0.1;
+    double retrySlack = 10;
     duration retryWindow = std::chrono::seconds(10);
     // Requests per second that a cold endpoint accepts beyond the rate that its service declares.
-    std::uint32_t coldSlack = 5;
+    std::uint32_t coldSlack = 1;
     // Memory that this process may use: that of the VM if the file does not say.
     std::uint64_t memoryBytes = 256U << 20U;
     // Time from SIGTERM until the process is killed.
-    duration stopGrace = std::chrono::seconds(8);
+    duration stopGrace = std::chrono::seconds(5);
     duration usageWindow = std::chrono::seconds(5);
     duration usageDue = std::chrono::seconds(10);
-    duration leaseTerm = std::chrono::seconds(3);
+    duration leaseTerm = std::chrono::seconds(10);
 
+    [[nodiscard]] auto reportsUsage() const -> bool { return dutyService.port != 0; }
     auto operator==(const edge_settings &) const -> bool = default;
 };
 
