Keep the call at a paused endpoint until another one has taken over its stream

Cause: the call at the paused endpoint was cancelled before the request was safe elsewhere. Budgets and room are asked first, but the other endpoint may still refuse, fail or stay silent, and the sends that the route allows are then used up. Ruled out: the retry budgets (they allowed the move) and the deadline (1.1 to 1.3 s after the request).

The call is now kept, without reading from it, until the other endpoint has sent the first byte of the rest. If that one does not take the stream over, or the first one goes on earlier, the stream goes on where it was and the dispatcher counts it there again. The endpoint that paused stops its work as soon as the other has begun, so that no two run on.

PausedStreamTest.streamGoesOnWhereItPausedIfTheOtherEndpointDoesNotTakeIt fails in each of its five forms without this change (cut after the first event, or begun anew).

--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -40,6 +40,9 @@
     5015, "response_given_up", log_level::warning,
     "The responses held exceed their limit; the largest one is given up."};
 
+inline constexpr log_event forwardResumed{
+    5016, "forward_resumed", log_level::info,
+    "No other endpoint took over a stream, and it goes on where it paused."};
 inline constexpr log_event configurationInForce{5020, "configuration_in_force", log_level::info,
                                                 "A new configuration version is in force."};
 inline constexpr log_event recordMalformed{5021, "record_malformed", log_level::warning,
--- a/packages/forwarding/forward_request.h
+++ b/packages/forwarding/forward_request.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -22,6 +23,19 @@
 
 namespace mustardline {
 
+// An attempt at an endpoint that paused in the middle of its response. The endpoint may still go
+// on, so the attempt is kept until another endpoint has taken over the request.
+struct suspended_attempt
+{
+    std::uint32_t number = 0;
+    http_call call;
+    std::string endpoint;
+    std::int64_t endpointStartedAtMs = 0;
+    http_answer answer;
+    event_boundary boundary;
+    sse_event_buffer eventBuffer;
+};
+
 struct forward_request
 {
     std::uint64_t number = 0;
@@ -52,6 +66,7 @@
     std::vector<http_header> headers;
 
     // The current attempt and its state.
+    std::uint32_t attempt = 0;
     http_call call;
     std::string endpoint;
     // Instance of the endpoint that received the request; a later instance with the same id knows
@@ -84,6 +99,7 @@
     event_boundary boundary;
     // Event parser of a stream that may be resumed at another endpoint.
     sse_event_buffer eventBuffer;
+    std::optional<suspended_attempt> suspended;
     time_point lastByteAt{};
     event_handle deadlineTimer;
     event_handle backlogTimer;
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -207,6 +207,8 @@
         return;
     const auto now = m_clock.now();
     if (isBlocked(*request, now)) {
+        if (resumeSuspended(*request, result_code::prompt_blocked))
+            return;
         fail(*request, {.code = isProvenNotRun(*request) ? result_code::prompt_blocked
                                                          : result_code::outcome_unknown,
                         .message = "prompt_blocked",
@@ -217,6 +219,9 @@
     const bool isUsable = endpoint != nullptr && m_directory.isUsable(*endpoint);
     const auto rejection
         = sendRejection(*request, isUsable ? endpoint->registration.service : request->service);
+    if ((rejection != send_rejection::none || !isUsable)
+        && resumeSuspended(*request, result_code::no_endpoint))
+        return;
     if (rejection != send_rejection::none) {
         rejectPlacement(*request, action, rejection);
         return;
@@ -292,6 +297,7 @@
     const auto number = request.number;
     m_metrics.recordSend(request.sends > 0);
     ++request.sends;
+    const auto attempt = request.attempt = request.sends;
     request.answer = {};
     releaseBody(request);
     request.answerComplete = false;
@@ -302,7 +308,9 @@
     request.inFlight = true;
     request.endpointStartedAtMs = endpoint.registration.startedAtMs;
     request.lastByteAt = now;
-    if (mayRetryElsewhere(request))
+    if (request.suspended)
+        armStallTimer(request, stallRecheckInterval);
+    else if (mayRetryElsewhere(request))
         armStallTimer(request, stallTimeout(request));
     else
         request.stallTimer = {};
@@ -318,9 +326,12 @@
          .maxIdle = maxConnectionsTo(endpoint.registration.service),
          .maxAnswerBytes = m_options.maxAnswerBytes},
         {.onHeaders
-         = [this, number](const http_answer &answer) { onResponseHeaders(number, answer); },
-         .onData = [this, number](std::string_view data) { onResponseBody(number, data); },
-         .onDone = [this, number](const http_outcome &outcome) { onCallDone(number, outcome); }});
+         = [this, number,
+            attempt](const http_answer &answer) { onResponseHeaders(number, attempt, answer); },
+         .onData = [this, number,
+                    attempt](std::string_view data) { onResponseBody(number, attempt, data); },
+         .onDone = [this, number, attempt](
+                       const http_outcome &outcome) { onCallDone(number, attempt, outcome); }});
     request.usedConnections.push_back(request.call.connection());
 }
 
@@ -365,6 +376,7 @@
         m_dispatcher.callerGone(request.number);
     else
         m_dispatcher.finished(request.number, code, 0, now);
+    dropSuspended(request);
     releaseBody(request);
     m_requests.erase(request.number);
 }
@@ -389,4 +401,10 @@
     return found == m_requests.end() ? nullptr : &found->second;
 }
 
+auto forward_router::findCurrent(std::uint64_t number, std::uint32_t attempt) -> forward_request *
+{
+    auto *request = find(number);
+    return request != nullptr && request->attempt == attempt ? request : nullptr;
+}
+
 } // namespace mustardline
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -117,6 +117,9 @@
 private:
     // Value of Retry-After where no better estimate exists.
     static constexpr duration defaultRetryAfter = std::chrono::milliseconds(500);
+    // Interval at which a request at a stalled endpoint looks for another one: a fraction of the
+    // shortest stall timeout.
+    static constexpr duration stallRecheckInterval = std::chrono::milliseconds(100);
     // Time for operators to mend the prompts or the endpoints.
     static constexpr duration blockedRetryAfter = std::chrono::seconds(60);
 
@@ -140,15 +143,18 @@
     [[nodiscard]] auto headersFor(const forward_request &request,
                                   const endpoint_entry &endpoint) const -> std::vector<http_header>;
 
-    auto onResponseHeaders(std::uint64_t number, const http_answer &answer) -> void;
+    // The callbacks of a call name the attempt that it belongs to.
+    auto onResponseHeaders(std::uint64_t number, std::uint32_t attempt, const http_answer &answer)
+        -> void;
     auto applyEndpointHeaders(const forward_request &request, const http_answer &answer) -> void;
-    auto onResponseBody(std::uint64_t number, std::string_view data) -> void;
+    auto onResponseBody(std::uint64_t number, std::uint32_t attempt, std::string_view data) -> void;
     // Adds to a response that is relayed once it is whole.
     auto holdBody(forward_request &request, std::string_view data) -> void;
     auto releaseBody(forward_request &request) -> void;
     // Ends the attempt whose held response is the largest.
     auto giveUpLargestBody() -> void;
-    auto onCallDone(std::uint64_t number, const http_outcome &outcome) -> void;
+    auto onCallDone(std::uint64_t number, std::uint32_t attempt, const http_outcome &outcome)
+        -> void;
     auto onResponseComplete(forward_request &request) -> void;
     auto onResponseFailed(forward_request &request, const http_failure &failure) -> void;
     // Relays the endpoint's response to the caller.
@@ -173,6 +179,14 @@
     // Ends the attempt at an endpoint that sends nothing, if the request can go on elsewhere;
     // returns false if it has to stay.
     auto leaveStalled(forward_request &request, time_point now) -> bool;
+    // Keeps the current attempt, whose endpoint has paused, while another endpoint is asked to go
+    // on.
+    auto suspendAttempt(forward_request &request) -> void;
+    // Goes on with the suspended attempt, because the other endpoint has not taken over the request
+    // for the reason `code`; returns false if there is none.
+    auto resumeSuspended(forward_request &request, result_code code) -> bool;
+    // Cancels the suspended attempt, if any.
+    static auto dropSuspended(forward_request &request) -> void;
     // Whether the endpoint's start that has the request is no longer registered.
     [[nodiscard]] auto isEndpointGone(const forward_request &request) const -> bool;
     auto endAttempt(forward_request &request, result_code code, bool isProvedNotRun,
@@ -186,6 +200,9 @@
     auto finish(forward_request &request, result_code code, std::string_view reason = {}) -> void;
     auto fail(forward_request &request, const http_error &httpError) -> void;
     [[nodiscard]] auto find(std::uint64_t number) -> forward_request *;
+    // Finds a request only if `attempt` is its current one.
+    [[nodiscard]] auto findCurrent(std::uint64_t number, std::uint32_t attempt)
+        -> forward_request *;
     // Ends all requests, or only those that no endpoint has.
     auto endForShutdown(bool isInFlightIncluded) -> void;
     auto scheduleTick() -> void;
--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -22,10 +22,6 @@
 constexpr int firstRedirect = 300;
 // Polling interval for a slow caller's unsent response bytes.
 constexpr duration backlogInterval = std::chrono::milliseconds(50);
-// Interval at which a request at a stalled endpoint looks for another one: a fraction of the
-// shortest stall timeout.
-constexpr duration stallRecheckInterval = std::chrono::milliseconds(100);
-
 auto isSuccess(int status) -> bool
 {
     return status >= firstSuccess && status < firstRedirect;
@@ -57,9 +53,10 @@
 
 } // namespace
 
-auto forward_router::onResponseHeaders(std::uint64_t number, const http_answer &answer) -> void
+auto forward_router::onResponseHeaders(std::uint64_t number, std::uint32_t attempt,
+                                       const http_answer &answer) -> void
 {
-    auto *request = find(number);
+    auto *request = findCurrent(number, attempt);
     if (request == nullptr)
         return;
     const auto &names = m_options.names;
@@ -103,9 +100,10 @@
                 field("pause_ms", toMilliseconds(pause)));
 }
 
-auto forward_router::onResponseBody(std::uint64_t number, std::string_view data) -> void
+auto forward_router::onResponseBody(std::uint64_t number, std::uint32_t attempt,
+                                    std::string_view data) -> void
 {
-    auto *request = find(number);
+    auto *request = findCurrent(number, attempt);
     if (request == nullptr || request->invalidAnswer)
         return;
     const bool isRelayed
@@ -118,6 +116,7 @@
         holdBody(*request, data);
         return;
     }
+    dropSuspended(*request);
     auto &exchange = *request->exchange;
     request->lastByteAt = now;
     if (!std::exchange(request->responseStarted, true))
@@ -190,13 +189,18 @@
         onExecutionStarted(request.account->name);
 }
 
-auto forward_router::onCallDone(std::uint64_t number, const http_outcome &outcome) -> void
+auto forward_router::onCallDone(std::uint64_t number, std::uint32_t attempt,
+                                const http_outcome &outcome) -> void
 {
     // Apply endpoint changes from the response before the request is placed again.
     endpointsChanged();
     auto *request = find(number);
     if (request == nullptr)
         return;
+    if (request->suspended && request->suspended->number == attempt)
+        request->suspended.reset();
+    if (request->attempt != attempt)
+        return;
     request->inFlight = false;
     const auto *failure = std::get_if<http_failure>(&outcome);
     request->answerComplete = failure == nullptr;
@@ -234,6 +238,8 @@
         recordAnswer(request, true, m_clock.now());
     if (request.responseStarted && !isSuccess(status)) {
         // The endpoint that was asked to resume the stream failed.
+        if (resumeSuspended(request, result_code::endpoint_error))
+            return;
         request.exchange->abort();
         finish(request, result_code::answer_cut);
         return;
@@ -263,6 +269,8 @@
 auto forward_router::onResponseFailed(forward_request &request, const http_failure &failure) -> void
 {
     recordFailure(request, failure);
+    if (resumeSuspended(request, failure.reason.code))
+        return;
     if (!failure.sent) {
         retryOrFail(request, result_code::connection_failed, false);
         return;
@@ -288,12 +296,22 @@
 }
 
 // Sends a request to another endpoint once the current one has sent nothing for the stall timeout.
-// The current one may only have paused, so it keeps a response that has begun until another one can
-// have the request.
+// The current one may only have paused, so it keeps a response that has begun until another one has
+// sent the first byte of the rest.
 auto forward_router::checkStall(std::uint64_t number) -> void
 {
     auto *request = find(number);
-    if (request == nullptr || !request->inFlight || !mayRetryElsewhere(*request))
+    if (request == nullptr || !request->inFlight)
+        return;
+    if (request->suspended) {
+        // Whichever endpoint sends first goes on.
+        if (request->suspended->call.hasInput())
+            resumeSuspended(*request, result_code::timeout);
+        else
+            armStallTimer(*request, stallRecheckInterval);
+        return;
+    }
+    if (!mayRetryElsewhere(*request))
         return;
     const auto now = m_clock.now();
     const auto silent = now - request->lastByteAt;
@@ -321,7 +339,10 @@
 {
     if (m_dispatcher.moveElsewhere(request.number, now, m_actions)) {
         static_cast<void>(retryBudgetOf(request).tryAcquire(m_entryCount, now));
-        request.call.cancel();
+        if (request.responseStarted)
+            suspendAttempt(request);
+        else
+            request.call.cancel();
         request.inFlight = false;
         endAttempt(request, result_code::endpoint_error, false, true);
         return true;
@@ -335,6 +356,57 @@
     return true;
 }
 
+auto forward_router::suspendAttempt(forward_request &request) -> void
+{
+    request.call.pause();
+    request.suspended = suspended_attempt{.number = request.attempt,
+                                          .call = request.call,
+                                          .endpoint = request.endpoint,
+                                          .endpointStartedAtMs = request.endpointStartedAtMs,
+                                          .answer = request.answer,
+                                          .boundary = request.boundary,
+                                          .eventBuffer = request.eventBuffer};
+}
+
+auto forward_router::resumeSuspended(forward_request &request, result_code code) -> bool
+{
+    if (!request.suspended)
+        return false;
+    const auto now = m_clock.now();
+    auto kept = std::move(*request.suspended);
+    request.suspended.reset();
+    m_log.write(forwardResumed, field("request", request.id), field("left", request.endpoint),
+                field("result", describe(code).name), field("endpoint", kept.endpoint));
+    request.call.cancel();
+    m_dispatcher.returnTo(request.number, kept.endpoint, code, now);
+    releaseBody(request);
+    request.attempt = kept.number;
+    request.call = std::move(kept.call);
+    request.endpoint = std::move(kept.endpoint);
+    request.endpointStartedAtMs = kept.endpointStartedAtMs;
+    request.answer = std::move(kept.answer);
+    request.boundary = kept.boundary;
+    request.eventBuffer = std::move(kept.eventBuffer);
+    request.notRun = false;
+    request.invalidAnswer = false;
+    request.answerComplete = false;
+    request.hasFirstByte = true;
+    request.inFlight = true;
+    request.lastByteAt = now;
+    if (mayRetryElsewhere(request))
+        armStallTimer(request, stallTimeout(request));
+    request.call.resume();
+    return true;
+}
+
+auto forward_router::dropSuspended(forward_request &request) -> void
+{
+    if (!request.suspended)
+        return;
+    request.suspended->call.cancel();
+    request.suspended.reset();
+}
+
 auto forward_router::isEndpointGone(const forward_request &request) const -> bool
 {
     const auto *entry = m_directory.find(request.endpoint);
@@ -363,6 +435,8 @@
 
 auto forward_router::retryOrFail(forward_request &request, result_code code, bool wasSent) -> void
 {
+    if (resumeSuspended(request, code))
+        return;
     const auto now = m_clock.now();
     const auto number = request.number;
     const bool isProvedNotRun = request.notRun || !wasSent;
--- a/packages/forwarding/testing/forward_router_failure_test.cpp
+++ b/packages/forwarding/testing/forward_router_failure_test.cpp
@@ -179,6 +179,7 @@
     static constexpr auto whole = "id: 1\ndata: first\n\nid: 2\ndata: second\n\n";
 
     event_handle m_resume;
+    std::int64_t m_start = 0;
 };
 
 class PausedStreamTest : public paused_stream<ForwardRouterTest>
@@ -219,5 +220,49 @@
     EXPECT_EQ(m_router.uses().size(), 0U);
 }
 
+// Guards against streams that are cut although their endpoint only paused: the other endpoint, to
+// which they were moved, does not take them over.
+TEST_F(PausedStreamTest, streamGoesOnWhereItPausedIfTheOtherEndpointDoesNotTakeIt)
+{
+    enum class refusal { not_run, failure, reset, silence, head_only };
+    const auto whenPaused = m_onReceived;
+    for (const auto how : {refusal::not_run, refusal::failure, refusal::reset, refusal::silence,
+                           refusal::head_only}) {
+        m_onReceived = [&](const auto &at, http_exchange &exchange) {
+            if (exchange.header("Last-Event-Id").empty()) {
+                whenPaused(at, exchange);
+                return;
+            }
+            switch (how) {
+            case refusal::not_run:
+                exchange.reply(503, std::vector<http_header>{{.name = "Not-Run", .value = "1"}},
+                               "");
+                return;
+            case refusal::failure:
+                exchange.reply(500, std::vector<http_header>{{.name = "Seal", .value = "s"}}, "no");
+                return;
+            case refusal::reset:
+                exchange.abort();
+                return;
+            case refusal::silence:
+                return;
+            case refusal::head_only:
+                exchange.startStream(200, std::vector<http_header>{{.name = "Seal", .value = "s"}});
+                return;
+            }
+        };
+        m_oldInstance.received.clear();
+        m_newInstance.received.clear();
+        ++m_start;
+        registerEndpoint(m_oldInstance, m_start, "e1");
+        registerEndpoint(m_newInstance, m_start, "e2");
+        call();
+        EXPECT_TRUE(m_isWhole) << static_cast<int>(how);
+        EXPECT_EQ(m_body, whole) << static_cast<int>(how);
+        EXPECT_EQ(m_oldInstance.received.size() + m_newInstance.received.size(), 2U);
+        EXPECT_EQ(m_router.uses().size(), 0U);
+    }
+}
+
 } // namespace
 } // namespace mustardline
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -387,6 +387,12 @@
     current->stream->setReading(true);
 }
 
+auto http_call::hasInput() const -> bool
+{
+    const auto current = m_state.lock();
+    return current && current->selfReference && current->stream && current->stream->hasInput();
+}
+
 http_client::http_client(event_loop &loop, http_client_options options)
     : m_pool(std::make_shared<connection_pool>(loop, options))
 {
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -118,6 +118,8 @@
     // consumer reads.
     auto pause() -> void;
     auto resume() -> void;
+    // Whether bytes of the response have arrived that were not read because of `pause`.
+    [[nodiscard]] auto hasInput() const -> bool;
 
     // The number of the connection that was chosen for the request; unique in this client.
     [[nodiscard]] auto connection() const -> std::uint64_t { return m_connection; }
--- a/packages/net/tcp_stream.cpp
+++ b/packages/net/tcp_stream.cpp
@@ -133,6 +133,12 @@
     return count >= 0 || !isTransient(errno);
 }
 
+auto tcp_stream::hasInput() const -> bool
+{
+    char byte = 0;
+    return recv(m_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 auto tcp_stream::handleReadable() -> void
 {
     auto &buffer = readBuffer();
--- a/packages/net/tcp_stream.h
+++ b/packages/net/tcp_stream.h
@@ -58,6 +58,8 @@
     auto setReading(bool reading) -> void;
     // Whether there is unread input, an unread end of stream or a socket error.
     [[nodiscard]] auto hasUnread() const -> bool;
+    // Whether there is unread input.
+    [[nodiscard]] auto hasInput() const -> bool;
 
     // Closes the connection immediately; no callback follows.
     auto close() -> void;
--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -29,6 +29,16 @@
     }
 }
 
+// Records that an endpoint did not run a request.
+auto recordRefusal(endpoint_table &endpoints, std::uint32_t index, result_code code, time_point now)
+    -> void
+{
+    if (isEndpointFailure(code))
+        endpoints.failed(index, now);
+    else if (code == result_code::not_run)
+        endpoints.busy(index, now);
+}
+
 } // namespace
 
 dispatcher::dispatcher(dispatcher_options options)
@@ -181,11 +191,7 @@
     const auto slot = m_state->requests.find(request);
     if (slot == noIndex || m_state->requests.at(slot).state != request_state::placed)
         return;
-    const auto endpoint = m_state->requests.at(slot).endpoint;
-    if (isEndpointFailure(code))
-        m_state->endpoints.failed(endpoint, now);
-    else if (code == result_code::not_run)
-        m_state->endpoints.busy(endpoint, now);
+    recordRefusal(m_state->endpoints, m_state->requests.at(slot).endpoint, code, now);
     m_state->detach(slot, now);
     m_state->retry(slot, code, now, actions);
 }
@@ -205,6 +211,18 @@
     return m_state->moveElsewhere(m_state->requests.find(request), now, actions);
 }
 
+auto dispatcher::returnTo(std::uint64_t request, std::string_view endpoint, result_code code,
+                          time_point now) -> void
+{
+    const auto slot = m_state->requests.find(request);
+    const auto index = m_state->endpoints.find(endpoint);
+    if (slot == noIndex || m_state->requests.at(slot).state != request_state::placed)
+        return;
+    recordRefusal(m_state->endpoints, m_state->requests.at(slot).endpoint, code, now);
+    if (index != noIndex)
+        m_state->returnTo(slot, index, now);
+}
+
 auto dispatcher::callerGone(std::uint64_t request) -> void
 {
     const auto slot = m_state->requests.find(request);
--- a/packages/policy/dispatcher.h
+++ b/packages/policy/dispatcher.h
@@ -214,6 +214,11 @@
     [[nodiscard]] auto moveElsewhere(std::uint64_t request, time_point now,
                                      std::vector<dispatch_action> &actions) -> bool;
 
+    // Counts a request that was moved at the endpoint where it was before: that one goes on with
+    // its answer, since the other one did not take over the request, for the reason `code`.
+    auto returnTo(std::uint64_t request, std::string_view endpoint, result_code code,
+                  time_point now) -> void;
+
     // The caller disconnected or its key was withdrawn.
     auto callerGone(std::uint64_t request) -> void;
 
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -307,18 +307,9 @@
                               dispatch_actions &actions) -> void
 {
     auto &row = requests.at(slot);
-    const auto expected = sizes.mean(row.requestClass, row.account);
-    row.chargedTokens = expected == 0 ? defaultAnswerTokens : expected;
-    target.queue.start(requests, slot, row.chargedTokens, now);
-    row.state = request_state::placed;
-    row.placedAt = now;
-    row.endpoint = choice.endpoint;
-    row.hasFirstToken = false;
-    row.queuedAtEndpoint = {};
-    row.cancelling = false;
     ++row.attempt;
-    statisticsOf(row).started(row.idempotent);
-    ++placedCount;
+    const auto considered = describeConsidered(choice, now);
+    occupy(target, slot, choice.endpoint, now);
     actions.emplace_back(place_action{.request = row.request,
                                       .endpoint = endpoints.at(choice.endpoint).id,
                                       .attempt = row.attempt,
@@ -326,8 +317,7 @@
                                       .expectedFirstToken
                                       = fromSeconds(statisticsOf(row).fastFirstTokenSeconds(now)),
                                       .reason = choice.reason,
-                                      .considered = describeConsidered(choice, now)});
-    endpoints.placed(choice.endpoint, row.tier, now);
+                                      .considered = considered});
     if (!endpoints.at(choice.endpoint).hasChunkedPrefill)
         return;
     const bool isCached = choice.reason == "prefix";
@@ -338,6 +328,24 @@
     row.tokensAhead = there.ownPromptTokens + static_cast<std::uint32_t>(there.othersPromptTokens);
 }
 
+auto dispatcher::state::occupy(target_row &target, std::uint32_t slot, std::uint32_t endpoint,
+                               time_point now) -> void
+{
+    auto &row = requests.at(slot);
+    const auto expected = sizes.mean(row.requestClass, row.account);
+    row.chargedTokens = expected == 0 ? defaultAnswerTokens : expected;
+    target.queue.start(requests, slot, row.chargedTokens, now);
+    row.state = request_state::placed;
+    row.placedAt = now;
+    row.endpoint = endpoint;
+    row.hasFirstToken = false;
+    row.queuedAtEndpoint = {};
+    row.cancelling = false;
+    statisticsOf(row).started(row.idempotent);
+    ++placedCount;
+    endpoints.placed(endpoint, row.tier, now);
+}
+
 // Builds the text without a formatting library, which would make this the most expensive part of a
 // placement.
 auto dispatcher::state::describeConsidered(const placement_choice &choice, time_point now) const
@@ -463,6 +471,19 @@
     return true;
 }
 
+auto dispatcher::state::returnTo(std::uint32_t slot, std::uint32_t endpoint, time_point now) -> void
+{
+    auto &row = requests.at(slot);
+    auto &target = targets[row.target];
+    detach(slot, now);
+    row.state = request_state::waiting;
+    target.queue.pushFront(requests, slot, now);
+    occupy(target, slot, endpoint, now);
+    row.hasFirstToken = true;
+    row.firstTokenAt = now;
+    endpoints.wentOn(endpoint);
+}
+
 auto dispatcher::state::addDelayed(std::uint32_t slot) -> void
 {
     auto &row = requests.at(slot);
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -122,6 +122,9 @@
     [[nodiscard]] auto isUrgent(const request_row &row, time_point now) const -> bool;
     auto place(target_row &target, std::uint32_t slot, const placement_choice &choice,
                time_point now, dispatch_actions &actions) -> void;
+    // Takes a place at the endpoint for a waiting request.
+    auto occupy(target_row &target, std::uint32_t slot, std::uint32_t endpoint, time_point now)
+        -> void;
     [[nodiscard]] auto describeConsidered(const placement_choice &choice, time_point now) const
         -> std::string;
 
@@ -151,6 +154,8 @@
     [[nodiscard]] auto chooseElsewhere(target_row &target, const request_row &row, time_point now)
         -> placement_choice;
     auto moveElsewhere(std::uint32_t slot, time_point now, dispatch_actions &actions) -> bool;
+    // Counts a placed request at another endpoint, which has sent the beginning of its answer.
+    auto returnTo(std::uint32_t slot, std::uint32_t endpoint, time_point now) -> void;
 
     // Periodic work and retries.
     auto maintain(target_row &target, time_point now, dispatch_actions &actions) -> void;
--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -130,6 +130,11 @@
     auto firstToken(std::uint32_t index, duration latency, time_point now) -> void;
     auto released(std::uint32_t index, std::uint32_t tier, bool hadFirstToken, time_point now)
         -> void;
+    // A request that was placed there had its first token before.
+    auto wentOn(std::uint32_t index) -> void
+    {
+        m_rows[index].awaitingFirstToken -= std::min(m_rows[index].awaitingFirstToken, 1U);
+    }
     // A prompt with this many uncached tokens was sent there, or its prefill is done or no longer
     // needed.
     auto promptSent(std::uint32_t index, std::uint32_t tokens) -> void
