Report a crash by a trap instruction on AArch64

Cause by reading; no AArch64 machine is at hand. SIGTRAP is handled now, and raised again after the report, since some traps do not recur. CrashReportTest.writesBufferedLinesAndThenTheSignal with SIGTRAP fails without the handler on any machine; soItIsForAnInstructionThatFaultsAndForAnAbort expects the signal of the machine's trap instruction.

--- a/packages/base/crash_report.cpp
+++ b/packages/base/crash_report.cpp
@@ -26,6 +26,8 @@
     {SIGILL, "level=error name=process_crashed signal=SIGILL"},
     {SIGFPE, "level=error name=process_crashed signal=SIGFPE"},
     {SIGABRT, "level=error name=process_crashed signal=SIGABRT"},
+    // A trap instruction raises it on AArch64.
+    {SIGTRAP, "level=error name=process_crashed signal=SIGTRAP"},
 });
 
 std::atomic<log_output *> activeOutput = nullptr;
@@ -51,10 +53,10 @@
     if (auto *output = activeOutput.exchange(nullptr))
         output->writeOnCrash(logLineOf(signal));
     restorePreviousActions();
-    // A hardware fault recurs when the handler returns to its instruction; a signal that was sent
-    // (by kill or raise) has to be raised again.
+    // A hardware fault recurs when the handler returns to its instruction, but for some traps; a
+    // signal that was sent (by kill or raise) has to be raised again.
     const bool wasSent = info->si_code <= 0;
-    if (wasSent)
+    if (wasSent || signal == SIGTRAP)
         static_cast<void>(std::raise(signal));
 }
 
--- a/packages/base/testing/crash_report_test.cpp
+++ b/packages/base/testing/crash_report_test.cpp
@@ -33,11 +33,12 @@
         int signal;
         std::string name;
     };
-    const std::array<fault_case, 5> cases{{{SIGSEGV, "SIGSEGV"},
+    const std::array<fault_case, 6> cases{{{SIGSEGV, "SIGSEGV"},
                                            {SIGBUS, "SIGBUS"},
                                            {SIGILL, "SIGILL"},
                                            {SIGFPE, "SIGFPE"},
-                                           {SIGABRT, "SIGABRT"}}};
+                                           {SIGABRT, "SIGABRT"},
+                                           {SIGTRAP, "SIGTRAP"}}};
     for (const auto &each : cases) {
         const auto raise = [&each] { static_cast<void>(std::raise(each.signal)); };
         EXPECT_EXIT(crashWithLines(each.signal, raise), testing::KilledBySignal(each.signal),
@@ -48,8 +49,15 @@
 
 TEST(CrashReportTest, soItIsForAnInstructionThatFaultsAndForAnAbort)
 {
-    EXPECT_EXIT(crashWithLines(SIGILL, [] { __builtin_trap(); }), testing::KilledBySignal(SIGILL),
-                "second line\nlevel=error name=process_crashed signal=SIGILL");
+#if defined(__aarch64__)
+    constexpr auto trapSignal = SIGTRAP;
+    constexpr auto trapLine = "second line\nlevel=error name=process_crashed signal=SIGTRAP";
+#else
+    constexpr auto trapSignal = SIGILL;
+    constexpr auto trapLine = "second line\nlevel=error name=process_crashed signal=SIGILL";
+#endif
+    EXPECT_EXIT(crashWithLines(trapSignal, [] { __builtin_trap(); }),
+                testing::KilledBySignal(trapSignal), trapLine);
     EXPECT_EXIT(crashWithLines(SIGABRT, [] { std::abort(); }), testing::KilledBySignal(SIGABRT),
                 "second line\nlevel=error name=process_crashed signal=SIGABRT");
 }
