Bound the bytes that an edge holds for its callers

Cause: http_server took 4,096 connections of 4 MiB each, with a minute between bytes, and nothing bounded them together. A body grew by doubling, the allocator kept the gaps, and a sent response left its buffer with an idle connection.

byte_budget owns the count of allocated bytes by connection and by client address: heads, bodies that are not whole, whole requests (three copies of their body), pipelined input, responses that are not read. When it runs out, requests that are not whole give way first, then responses that are not read; among them a client address over its share, then the one without progress (16 KiB of body) for longest. Stalled ones get 408, others are closed; a whole request without room gets 503 with Retry-After and runs nowhere. Connections of callers are half of the descriptors that are not reserved; at the limit the one that waits for longest without a whole request gives way.

Ruled out: evicting at once from within another connection's callback (the victim's code may be on the stack; it is posted). Conclusion: the memory is bounded by design, not by the clients.

--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -32,6 +32,7 @@
 #include "forwarding/usage_duty_driver.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/process_limits.h"
 
 namespace mustardline {
 
@@ -62,7 +63,13 @@
                                   .maxIdlePerAddress = maxIdlePerEndpoint}),
           m_platform(m_controlHttp, m_settings),
           m_directory({}),
-          m_callers(m_loop, {.address = m_settings.callers.host, .port = m_settings.callers.port}),
+          m_heldBytes(std::make_shared<byte_budget>(
+              byte_budget_options{.capacityBytes = callerBytes(m_settings.memoryBytes)})),
+          m_callers(m_loop,
+                    {.address = m_settings.callers.host,
+                     .port = m_settings.callers.port,
+                     .maxConnections = callerConnections(descriptorLimit(), maxCallerConnections),
+                     .budget = m_heldBytes}),
           m_readiness(m_loop,
                       {.address = m_settings.readiness.host, .port = m_settings.readiness.port}),
           m_metricsServer(m_loop,
@@ -107,6 +114,7 @@
     // Runs until SIGTERM; returns the program's exit status.
     [[nodiscard]] auto run() -> int
     {
+        returnLargeBlocks();
         if (!listen())
             return exitCannotListen;
         followLog();
@@ -133,6 +141,7 @@
     static constexpr duration controlConnectTimeout = std::chrono::milliseconds(1000);
     static constexpr duration endpointConnectTimeout = std::chrono::milliseconds(300);
     static constexpr std::size_t maxIdlePerEndpoint = 100;
+    static constexpr std::size_t maxCallerConnections = 4096;
     // Fraction of the memory that holds responses. The text of a response that grows can take three
     // times its length, and callers' requests and connections need the rest.
     static constexpr std::uint64_t heldMemoryDivisor = 8;
@@ -352,6 +361,7 @@
     Platform m_platform;
     route_table m_routes;
     endpoint_directory m_directory;
+    std::shared_ptr<byte_budget> m_heldBytes;
     http_server m_callers;
     http_server m_readiness;
     http_server m_metricsServer;
--- a/packages/forwarding/edge_settings.cpp
+++ b/packages/forwarding/edge_settings.cpp
@@ -1,9 +1,9 @@
 #include "forwarding/edge_settings.h"
 
 #include <fmt/format.h>
-#include <sys/sysinfo.h>
 
 #include "base/settings_reader.h"
+#include "net/process_limits.h"
 
 namespace mustardline {
 
@@ -17,16 +17,6 @@
 constexpr std::int64_t maxMegabytes = 1 << 20;
 constexpr unsigned bytesPerMegabyteLog2 = 20;
 
-// Memory of this VM.
-auto vmMemoryBytes() -> std::uint64_t
-{
-    struct sysinfo state
-    {};
-    // The kernel fills the structure whenever its address is valid.
-    sysinfo(&state);
-    return static_cast<std::uint64_t>(state.totalram) * state.mem_unit;
-}
-
 // Parses IP:PORT; the first failure is stored in `failure`.
 auto parseAddressField(std::string_view name, std::string_view text, std::optional<error> &failure)
     -> socket_address
--- a/packages/net/http1_reader.cpp
+++ b/packages/net/http1_reader.cpp
@@ -20,6 +20,8 @@
 constexpr int versionNotSupported = 505;
 // Maximum length of a chunk size line, including extensions.
 constexpr std::size_t maxChunkLineBytes = 1024;
+// Memory that the buffer keeps between messages.
+constexpr std::size_t maxIdleBufferBytes = 4096;
 constexpr std::string_view headEnd = "\r\n\r\n";
 constexpr std::string_view lineEnd = "\r\n";
 
@@ -275,6 +277,9 @@
         return fail(badRequest, result_code::bad_request, http_errno_description(parseError));
     if (parser.http_major != 1)
         return fail(versionNotSupported, result_code::bad_request, "HTTP version is not 1.x");
+    // A connection that stays open does not keep the memory of a large head.
+    if (m_buffer.capacity() > maxIdleBufferBytes)
+        m_buffer = {};
     m_buffer.clear();
     auto &head = parsed.head;
     if (isRequest)
--- a/packages/net/http1_reader.h
+++ b/packages/net/http1_reader.h
@@ -101,6 +101,9 @@
         return m_state != state::head || !m_buffer.empty();
     }
 
+    // Memory of the part of a head or chunk line that has been received.
+    [[nodiscard]] auto bufferedBytes() const -> std::size_t { return m_buffer.capacity(); }
+
 private:
     enum class state : std::uint8_t {
         head,
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 #include <http_parser.h>
 
+#include "net/decimal.h"
 #include "net/header_text.h"
 #include "net/http1_reader.h"
 #include "net/http_error.h"
@@ -23,6 +24,19 @@
 constexpr duration sweepInterval = std::chrono::milliseconds(500);
 // Pipelined input buffered per connection; beyond it, reading pauses.
 constexpr std::size_t maxPendingBytes = 64U << 10U;
+// A request that runs is kept by its exchange, by the call to an endpoint, and in the part that the
+// endpoint's socket has not yet accepted.
+constexpr std::size_t copiesOfWholeBody = 3;
+constexpr duration refusalRetryAfter = std::chrono::seconds(1);
+
+// Memory of a request's head.
+auto headMemory(const http1_head &head) -> std::size_t
+{
+    auto sum = head.target.capacity() + head.headers.capacity() * sizeof(http_header);
+    for (const auto &item : head.headers)
+        sum += item.name.capacity() + item.value.capacity();
+    return sum;
+}
 
 auto statusText(int status) -> std::string_view
 {
@@ -41,6 +55,17 @@
     std::string pending;
     std::optional<http_exchange::request> incoming;
     std::shared_ptr<http_exchange> current;
+    // In the server's budget; 0 without one.
+    byte_budget::holder_id holder = 0;
+    // Memory of the head of `incoming`, and of the request of `current`.
+    std::size_t headBytes = 0;
+    std::size_t wholeBytes = 0;
+    // Maximum size of the body of `incoming`.
+    std::size_t bodyLimit = 0;
+    // Response bytes wait for the caller to read.
+    bool isUnread = false;
+    // The connection gave way and is about to be closed.
+    bool hasYielded = false;
     time_point lastInput;
     time_point requestBegunAt;
     bool closesAfterAnswer = false;
@@ -59,7 +84,15 @@
 
     auto handleInput(std::string_view data) -> void
     {
+        if (hasYielded)
+            return;
         lastInput = system_runtime_clock().now();
+        takeInput(data);
+        makeRoomForInput();
+    }
+
+    auto takeInput(std::string_view data) -> void
+    {
         if (current || processing) {
             pending += data;
             if (pending.size() > maxPendingBytes)
@@ -88,7 +121,7 @@
         processing = true;
         while (!current && !stream->isClosed() && !closesAfterAnswer) {
             if (!reader.isInsideMessage())
-                requestBegunAt = lastInput;
+                beginRequest(!input.empty());
             const auto event = reader.next(input);
             if (std::holds_alternative<http1_need_more>(event) && input.empty())
                 break;
@@ -99,9 +132,20 @@
             pending.insert(0, input);
     }
 
+    auto beginRequest(bool hasInput) -> void
+    {
+        requestBegunAt = lastInput;
+        if (isAccounted() && hasInput)
+            budget().begin(holder, lastInput);
+    }
+
     auto handleEvent(const http1_event &event) -> void
     {
         if (const auto *head = std::get_if<http1_head>(&event)) {
+            headBytes = headMemory(*head);
+            const auto length
+                = parseDecimal<std::uint64_t>(findHeader(head->headers, "content-length"));
+            bodyLimit = length ? *length : server.m_options.maxBodyBytes;
             incoming = http_exchange::request{.method = head->method,
                                               .target = head->target,
                                               .headers = head->headers,
@@ -111,7 +155,7 @@
             if (sameHeaderName(findHeader(head->headers, "expect"), "100-continue"))
                 stream->send("HTTP/1.1 100 Continue\r\n\r\n");
         } else if (const auto *body = std::get_if<http1_body>(&event)) {
-            incoming->body += body->data;
+            appendBody(body->data);
         } else if (std::holds_alternative<http1_end>(event)) {
             dispatch();
         } else if (const auto *parseError = std::get_if<http1_error>(&event)) {
@@ -119,25 +163,147 @@
         }
     }
 
+    // Grows the body by doubling, but not beyond its limit, and never before its bytes arrive.
+    auto appendBody(std::string_view data) -> void
+    {
+        auto &body = incoming->body;
+        const auto needed = body.size() + data.size();
+        if (needed > body.capacity()) {
+            std::string grown;
+            grown.reserve(std::max(needed, std::min(body.capacity() * 2, bodyLimit)));
+            grown += body;
+            body = std::move(grown);
+        }
+        body += data;
+        if (isAccounted())
+            budget().progressed(holder, data.size(), lastInput);
+    }
+
     auto dispatch() -> void
     {
         auto request = std::move(*incoming);
         incoming.reset();
+        wholeBytes = headBytes + copiesOfWholeBody * request.body.capacity();
         current = std::shared_ptr<http_exchange>(new http_exchange(*this, std::move(request)));
+        if (isAccounted() && !budget().admitWhole(holder, heldBytes(), lastInput)) {
+            refuse();
+            return;
+        }
         server.m_handler(current);
     }
 
+    // Answers a whole request for which there is no memory; it has not reached the handler.
+    auto refuse() -> void
+    {
+        const http_error failure{.code = result_code::overloaded,
+                                 .message = "no memory for the request at present",
+                                 .retryAfter = refusalRetryAfter};
+        constexpr int unavailable = 503;
+        current->reply(unavailable, errorHeaders(failure), errorBody(failure));
+    }
+
+    auto budget() -> byte_budget & { return *server.m_options.budget; }
+    [[nodiscard]] auto isAccounted() const -> bool { return holder != 0 && !hasYielded; }
+
+    // Memory that the connection has allocated for its client.
+    [[nodiscard]] auto heldBytes() const -> std::size_t
+    {
+        auto sum = pending.capacity() + reader.bufferedBytes() + stream->heldBytes();
+        if (incoming)
+            sum += headBytes + incoming->body.capacity();
+        if (current)
+            sum += wholeBytes;
+        return sum;
+    }
+
+    auto makeRoomForInput() -> void
+    {
+        if (!isAccounted())
+            return;
+        budget().setHeld(holder, heldBytes());
+        if (!current && reader.isInsideMessage() && !budget().makeRoom(holder, lastInput))
+            giveWay(yield_reason::memory);
+    }
+
+    // Sends a part of a response.
+    auto send(std::string_view data) -> void
+    {
+        stream->send(data);
+        if (!isAccounted() || stream->backlogBytes() == 0)
+            return;
+        const auto now = system_runtime_clock().now();
+        isUnread = true;
+        budget().setHeld(holder, heldBytes());
+        budget().waitForReader(holder, now);
+        if (!budget().makeRoom(holder, now))
+            giveWay(yield_reason::memory);
+    }
+
+    auto handleSent(std::size_t bytes) -> void
+    {
+        if (!isAccounted() || !isUnread)
+            return;
+        budget().progressed(holder, bytes, system_runtime_clock().now());
+        budget().setHeld(holder, heldBytes());
+        if (stream->backlogBytes() > 0)
+            return;
+        isUnread = false;
+        if (current)
+            budget().resume(holder);
+        else if (!reader.isInsideMessage())
+            budget().settle(holder);
+    }
+
+    // The request has ended.
+    auto settle() -> void
+    {
+        if (!isAccounted())
+            return;
+        budget().setHeld(holder, heldBytes());
+        if (!isUnread)
+            budget().settle(holder);
+    }
+
+    // Frees the memory of the connection and closes it, once the code that runs has returned: it
+    // may be that of this connection.
+    auto giveWay(yield_reason reason) -> void
+    {
+        hasYielded = true;
+        server.m_loop.post([self = shared_from_this(), reason] { self->closeYielded(reason); });
+    }
+
+    auto closeYielded(yield_reason reason) -> void
+    {
+        if (stream->isClosed())
+            return;
+        if (current || closing || reason != yield_reason::stalled)
+            closeNow();
+        else
+            sendTimeoutAndClose();
+    }
+
+    auto sendTimeoutAndClose() -> void
+    {
+        constexpr int requestTimeout = 408;
+        sendErrorAndClose(requestTimeout,
+                          {.code = result_code::timeout,
+                           .message = "request was not received within the timeout"});
+    }
+
     // Answers an unreadable request with an error and closes the connection.
     auto sendErrorAndClose(int status, const error &reason) -> void
     {
         closesAfterAnswer = true;
+        incoming.reset();
+        pending = {};
         const http_error failure{.code = reason.code, .message = reason.message};
         const auto body = errorBody(failure);
         auto text = fmt::format("HTTP/1.1 {} {}\r\n", status, statusText(status));
         appendHeaders(text, errorHeaders(failure));
         text += fmt::format("Content-Length: {}\r\nConnection: close\r\n\r\n", body.size());
         text += body;
-        stream->send(text);
+        send(text);
+        settle();
         finishConnection();
     }
 
@@ -146,6 +312,7 @@
         const auto keep = shared_from_this();
         if (current.get() == &exchange)
             current.reset();
+        settle();
         // A response that began before `closeAfterAnswers` has no `Connection: close`, so its
         // connection is closed here, unless the caller has already sent another request.
         const bool nothingFollows = pending.empty() && !reader.isInsideMessage();
@@ -184,6 +351,8 @@
     auto remove() -> void
     {
         const auto keep = shared_from_this();
+        if (holder != 0)
+            budget().remove(std::exchange(holder, 0));
         server.m_connections.erase(keep);
         if (const auto left = std::exchange(current, nullptr))
             left->detach();
@@ -192,7 +361,7 @@
     // Ends a connection that exceeds the idle timeout or the header timeout.
     auto checkTimeouts(time_point now) -> void
     {
-        if (current || closing)
+        if (current || closing || hasYielded)
             return;
         const auto &limits = server.m_options;
         const bool inHead = reader.isInsideMessage() && !incoming;
@@ -200,14 +369,16 @@
                                   && now - requestBegunAt > limits.headerTimeout;
         if (!headTimedOut && now - lastInput <= limits.idleTimeout)
             return;
-        if (reader.isInsideMessage()) {
-            constexpr int requestTimeout = 408;
-            sendErrorAndClose(requestTimeout,
-                              {.code = result_code::timeout,
-                               .message = "request was not received within the timeout"});
-        } else {
+        if (reader.isInsideMessage())
+            sendTimeoutAndClose();
+        else
             closeNow();
-        }
+    }
+
+    // Since when the connection waits for a whole request.
+    [[nodiscard]] auto waitsSince() const -> time_point
+    {
+        return reader.isInsideMessage() ? requestBegunAt : lastInput;
     }
 };
 
@@ -261,7 +432,7 @@
     auto text = start(status, headers, fmt::format("Content-Length: {}\r\n", body.size()));
     if (m_request.method != "HEAD")
         text += body;
-    m_connection->stream->send(text);
+    m_connection->send(text);
     finish();
 }
 
@@ -271,11 +442,11 @@
         return;
     if (m_request.supportsChunked) {
         m_framing = framing::chunked;
-        m_connection->stream->send(start(status, headers, "Transfer-Encoding: chunked\r\n"));
+        m_connection->send(start(status, headers, "Transfer-Encoding: chunked\r\n"));
     } else {
         m_framing = framing::until_close;
         m_request.keepAlive = false;
-        m_connection->stream->send(start(status, headers, ""));
+        m_connection->send(start(status, headers, ""));
     }
 }
 
@@ -285,8 +456,7 @@
     if (!isOpen() || m_started)
         return;
     m_framing = framing::sized;
-    m_connection->stream->send(
-        start(status, headers, fmt::format("Content-Length: {}\r\n", length)));
+    m_connection->send(start(status, headers, fmt::format("Content-Length: {}\r\n", length)));
 }
 
 auto http_exchange::sendChunk(std::string_view data) -> void
@@ -294,14 +464,14 @@
     if (!isOpen() || data.empty())
         return;
     if (m_framing != framing::chunked) {
-        m_connection->stream->send(data);
+        m_connection->send(data);
         return;
     }
     auto text = fmt::format("{:x}\r\n", data.size());
     text.reserve(text.size() + data.size() + 2);
     text += data;
     text += "\r\n";
-    m_connection->stream->send(text);
+    m_connection->send(text);
 }
 
 auto http_exchange::endStream() -> void
@@ -309,7 +479,7 @@
     if (!isOpen())
         return;
     if (m_framing == framing::chunked)
-        m_connection->stream->send("0\r\n\r\n");
+        m_connection->send("0\r\n\r\n");
     finish();
 }
 
@@ -364,10 +534,11 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(m_options.port);
     inet_pton(AF_INET, m_options.address.c_str(), &address.sin_addr);
-    const auto onAccept
-        = [](evconnlistener *, evutil_socket_t descriptor, sockaddr *, int, void *argument) {
-              static_cast<http_server *>(argument)->addConnection(descriptor);
-          };
+    const auto onAccept = [](evconnlistener *, evutil_socket_t descriptor, sockaddr *peer, int,
+                             void *argument) {
+        const auto *client = reinterpret_cast<const sockaddr_in *>(peer);
+        static_cast<http_server *>(argument)->addConnection(descriptor, client->sin_addr.s_addr);
+    };
     m_listener = evconnlistener_new_bind(
         m_loop.base(), onAccept, this,
         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, listenBacklog,
@@ -398,10 +569,10 @@
     m_options.headerTimeout = value.headerTimeout;
 }
 
-auto http_server::addConnection(int descriptor) -> void
+auto http_server::addConnection(int descriptor, std::uint32_t address) -> void
 {
     auto stream = tcp_stream::adopt(m_loop, descriptor, m_options.stream);
-    if (m_connections.size() >= m_options.maxConnections)
+    if (m_connections.size() >= m_options.maxConnections && !closeLongestWaiting())
         return;
     auto opened = std::make_shared<connection>(*this, std::move(stream));
     const auto raw = opened.get();
@@ -410,9 +581,28 @@
         raw->handleInput(data);
     };
     opened->stream->onEnd = [raw](bool) { raw->remove(); };
+    if (m_options.budget) {
+        opened->stream->onSent = [raw](std::size_t bytes) { raw->handleSent(bytes); };
+        opened->holder = m_options.budget->add(
+            address, [raw](yield_reason reason) { raw->giveWay(reason); }, opened->lastInput);
+    }
     m_connections.insert(std::move(opened));
 }
 
+auto http_server::closeLongestWaiting() -> bool
+{
+    if (!m_options.budget)
+        return false;
+    connection *chosen = nullptr;
+    for (const auto &each : m_connections) {
+        if (!each->current && (chosen == nullptr || each->waitsSince() < chosen->waitsSince()))
+            chosen = each.get();
+    }
+    if (chosen != nullptr)
+        chosen->closeNow();
+    return chosen != nullptr;
+}
+
 auto http_server::closeIdle() -> void
 {
     const std::vector<std::shared_ptr<connection>> open(m_connections.begin(), m_connections.end());
@@ -429,6 +619,8 @@
     const std::vector<std::shared_ptr<connection>> open(m_connections.begin(), m_connections.end());
     for (const auto &each : open)
         each->checkTimeouts(now);
+    if (m_options.budget)
+        m_options.budget->dropSlow(now);
 }
 
 } // namespace mustardline
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -15,8 +15,13 @@
 //
 // Limits: a request that exceeds the body or header limit is answered with 413 or 431 and does not
 // reach the handler; a malformed request is answered with 400 and its connection is closed;
-// connections over the limit are closed on arrival; a caller that sends nothing for longer than the
-// idle timeout within a request is disconnected.
+// connections over the limit are closed on arrival, or, with a budget, the one that waits for
+// longest without a whole request is; a caller that sends nothing for longer than the idle timeout
+// within a request is disconnected.
+//
+// With a `byte_budget`, connections that hold memory and do not go on give way when it runs out: a
+// stalled request is answered with 408, others and responses that are not read are closed. A whole
+// request that finds no room is answered with 503 and does not reach the handler.
 //
 // Built on libevent sockets and the strict http1_reader instead of libevhtp, which treats bodies of
 // ambiguous length as empty and drops pipelined requests (docs/DESIGN.md).
@@ -30,6 +35,7 @@
 #include <string_view>
 
 #include "base/result.h"
+#include "net/byte_budget.h"
 #include "net/event_loop.h"
 #include "net/http_message.h"
 #include "net/tcp_stream.h"
@@ -51,6 +57,8 @@
     // Maximum time from the first byte of a request to the end of its headers; no limit if zero.
     duration headerTimeout{};
     tcp_stream_options stream;
+    // Bounds the bytes of all connections of the servers that share it; no bound if null.
+    std::shared_ptr<byte_budget> budget;
 };
 
 // A request and its response.
@@ -173,7 +181,11 @@
     friend class http_exchange;
     using connection = http_exchange::connection;
 
-    auto addConnection(int descriptor) -> void;
+    // `address`: IPv4 address of the client.
+    auto addConnection(int descriptor, std::uint32_t address) -> void;
+    // Closes the connection that has waited for longest without a whole request; returns whether
+    // there was one.
+    auto closeLongestWaiting() -> bool;
     auto closeTimedOut() -> void;
 
     event_loop &m_loop;
--- a/packages/net/tcp_stream.cpp
+++ b/packages/net/tcp_stream.cpp
@@ -230,11 +230,18 @@
     m_sent += static_cast<std::size_t>(count);
     if (backlogBytes() > 0) {
         event_add(m_writeEvent, nullptr);
-        return;
+    } else {
+        // The buffer of an idle connection keeps no memory.
+        m_output = {};
+        m_sent = 0;
+        event_del(m_writeEvent);
     }
-    m_output.clear();
-    m_sent = 0;
-    event_del(m_writeEvent);
+    // A copy, as for `onData`.
+    const auto callback = onSent;
+    if (callback)
+        callback(static_cast<std::size_t>(count));
+    if (isClosed() || backlogBytes() > 0)
+        return;
     if (m_lingering)
         finishLingering();
 }
--- a/packages/net/tcp_stream.h
+++ b/packages/net/tcp_stream.h
@@ -50,11 +50,17 @@
     // `orderly`: the peer closed the connection; otherwise the connection broke.
     std::function<auto(bool orderly)->void> onEnd;
 
+    // Called when buffered bytes have been sent.
+    std::function<auto(std::size_t bytes)->void> onSent;
+
     // Sends `data`; buffers what cannot be sent without blocking.
     auto send(std::string_view data) -> void;
     // Bytes in the send buffer.
     [[nodiscard]] auto backlogBytes() const -> std::size_t { return m_output.size() - m_sent; }
 
+    // Memory of the send buffer.
+    [[nodiscard]] auto heldBytes() const -> std::size_t { return m_output.capacity(); }
+
     auto setReading(bool reading) -> void;
     // Whether there is unread input, an unread end of stream or a socket error.
     [[nodiscard]] auto hasUnread() const -> bool;
