Decide, route and record roll-outs at the edges

Built: the order, the version of an endpoint and the state record are decoded in platform/; edges share their counts by version and route (VersionCount, with a new field 'moved'); endpoints of the new version serve a target of their own and the watch chooses their requests; one writer records the state. New settings exposure_share, exposure_slack, rollback_ms; a text that still is a placeholder counts as absent in these three alone. Each append is conditional on the end of the topic that its writer has read, so one of several wins, a late append changes nothing and a final verdict is never replaced; a lease would only add its term to the replacement of a lost holder. Mended besides: forwardResumed (5016) was missing in forwardingEvents, and ForwardingEventsTest.documentationListsExactlyTheEvents was red for it. Before: a new version gets its full part at once (versionsServeAlikeWithoutAnOrder shows it for a service without an order). After, run here: the 21 tests *Rollout*:ForwardingEvents*:EdgeSettings* of forwarding_test pass, and the 23 of platform_test for settings, records, entries and the store client. Limits: an edge that restarts late in a roll-out may lack the credit to move, and the version is then rolled back at the deadline; requests that outlast the move keep a good version from completion.

--- a/packages/base/settings_reader.cpp
+++ b/packages/base/settings_reader.cpp
@@ -26,7 +26,7 @@
                         .type = "whole number",
                         .allowed = fmt::format("{} to {}", rule.lowest, rule.highest),
                         .fallback = rule.fallback ? std::to_string(*rule.fallback) : "required"});
-    const auto value = findNumber(name, !rule.fallback.has_value());
+    const auto value = findNumber(name, !rule.fallback.has_value(), rule.mayBeUnfilled);
     if (!value)
         return rule.fallback.value_or(0);
     if (!value->is_number_integer()) {
@@ -50,7 +50,7 @@
          .type = "number",
          .allowed = fmt::format("{} to {}", rule.lowest, rule.highest),
          .fallback = rule.fallback ? fmt::format("{}", *rule.fallback) : "required"});
-    const auto value = findNumber(name, !rule.fallback.has_value());
+    const auto value = findNumber(name, !rule.fallback.has_value(), rule.mayBeUnfilled);
     if (!value)
         return rule.fallback.value_or(rule.lowest);
     if (!value->is_number()) {
@@ -187,7 +187,7 @@
     return nullptr;
 }
 
-auto settings_reader::findNumber(std::string_view name, bool required)
+auto settings_reader::findNumber(std::string_view name, bool required, bool mayBeUnfilled)
     -> std::optional<nlohmann::json>
 {
     const auto *value = find(name, required);
@@ -195,7 +195,10 @@
         return std::nullopt;
     if (!m_options.filledIn || !value->is_string())
         return *value;
-    auto number = nlohmann::json::parse(value->get<std::string>(), nullptr, false);
+    const auto text = value->get<std::string>();
+    if (mayBeUnfilled && text.starts_with("{{") && text.ends_with("}}"))
+        return std::nullopt;
+    auto number = nlohmann::json::parse(text, nullptr, false);
     return number.is_number() ? number : *value;
 }
 
--- a/packages/base/settings_reader.h
+++ b/packages/base/settings_reader.h
@@ -17,6 +17,8 @@
 //
 // A file that a platform fills in from a template can only write a value where it has one. With
 // `filledIn`, a number may be written as text, and an empty text or an empty list counts as absent.
+// A platform that does not know a placeholder may leave it as it is: "{{name}}". Numbers that are
+// marked for it then count as absent, too.
 
 #include <cstdint>
 #include <optional>
@@ -38,6 +40,8 @@
     std::int64_t highest = INT64_MAX;
     // The value of an absent field; without one, the field is required.
     std::optional<std::int64_t> fallback;
+    // In a file that was filled in, a text that still is a placeholder counts as absent.
+    bool mayBeUnfilled = false;
 };
 
 struct number_field
@@ -46,6 +50,8 @@
     double highest = 1e12;
     // The value of an absent field; without one, the field is required.
     std::optional<double> fallback;
+    // In a file that was filled in, a text that still is a placeholder counts as absent.
+    bool mayBeUnfilled = false;
 };
 
 struct text_field
@@ -107,7 +113,8 @@
     [[nodiscard]] auto pathOf(std::string_view name) const -> std::string;
     auto find(std::string_view name, bool required) -> const nlohmann::json *;
     // Like `find`, but a number written as text counts as one in a file that was filled in.
-    auto findNumber(std::string_view name, bool required) -> std::optional<nlohmann::json>;
+    auto findNumber(std::string_view name, bool required, bool mayBeUnfilled)
+        -> std::optional<nlohmann::json>;
     auto fail(result_code code, std::string message) -> void;
     auto failWithWrongType(std::string_view name, const nlohmann::json &value,
                            std::string_view expected) -> void;
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -26,6 +26,7 @@
 #include "forwarding/forward_router.h"
 #include "forwarding/header_names.h"
 #include "forwarding/peer_exchange.h"
+#include "forwarding/rollout_driver.h"
 #include "forwarding/route_table.h"
 #include "forwarding/shutdown_schedule.h"
 #include "forwarding/snapshot_exchange.h"
@@ -36,7 +37,7 @@
 namespace mustardline {
 
 template<class T>
-concept edge_platform = fleet_platform<T> && duty_platform<T> && requires
+concept edge_platform = fleet_platform<T> && duty_platform<T> && rollout_platform<T> && requires
 {
     {
         T::headers()
@@ -75,8 +76,11 @@
                     .retries = {.ratio = m_settings.retryRatio,
                                 .slack = m_settings.retrySlack,
                                 .window = m_settings.retryWindow},
-                    .warmUp = {.self = m_settings.name,
-                               .senders = std::max(m_settings.coldSlack - 1, 1U)}}),
+                    .warmUp
+                    = {.self = m_settings.name, .senders = std::max(m_settings.coldSlack - 1, 1U)},
+                    .rollouts = {.exposureShare = m_settings.exposureShare,
+                                 .exposureSlack = m_settings.exposureSlack,
+                                 .rollbackTime = m_settings.rollbackTime}}),
           m_wallClock(m_clock.now(), m_clock.unixNow()),
           m_usage({.window = m_settings.usageWindow, .self = m_boot}),
           m_dutyDriver(m_platform, m_log, m_usage, m_wallClock,
@@ -84,6 +88,7 @@
                         .sealAfter = m_settings.usageDue * 3 / 10,
                         .takeOverAfter = m_settings.usageDue * 6 / 10,
                         .term = m_settings.leaseTerm + leaseSlack}),
+          m_rolloutDriver(m_platform, m_log, m_router, m_wallClock),
           m_peers({.name = m_settings.name, .boot = m_boot, .seeds = m_settings.seeds},
                   m_clock.now()),
           m_exchange(m_loop, {.name = m_settings.name, .boot = m_boot, .address = m_settings.peers},
@@ -101,7 +106,14 @@
                                      .kind = counter_kind::gauge})),
           m_logAge(m_metrics.add({.name = "mustardline_log_age_milliseconds",
                                   .help = "Time since the log service last answered.",
-                                  .kind = counter_kind::gauge}))
+                                  .kind = counter_kind::gauge})),
+          m_rolloutsRunning(m_metrics.add({.name = "mustardline_rollouts_running",
+                                           .help = "Roll-outs without a verdict.",
+                                           .kind = counter_kind::gauge})),
+          m_rolloutSends(m_metrics.add(
+              {.name = "mustardline_rollout_sends",
+               .help = "Requests that this edge sent to the new versions of ordered roll-outs.",
+               .kind = counter_kind::gauge}))
     {}
 
     // Runs until SIGTERM; returns the program's exit status.
@@ -141,6 +153,8 @@
     // Interval between announcements to the other edges.
     static constexpr duration announceInterval = std::chrono::milliseconds(500);
     static constexpr duration housekeepingInterval = std::chrono::milliseconds(250);
+    // Interval between judgements of new versions: short against the time for a roll-back.
+    static constexpr duration rolloutInterval = std::chrono::milliseconds(100);
     // Interval at which a shutdown goes on: short against the margins of a grace period of a
     // second.
     static constexpr duration shutdownInterval = std::chrono::milliseconds(50);
@@ -201,6 +215,9 @@
             m_router.configurationChanged();
         };
         m_fleetView.onEndpoints = [this] { m_router.endpointsChanged(); };
+        m_fleetView.onRollout = [this](const rollout_order &order) { m_router.setRollout(order); };
+        m_fleetView.onRolloutWithdrawn
+            = [this](const std::string &service) { m_router.withdrawRollout(service); };
         m_fleetView.onUpdates = [this](const endpoint_updates &updates) { announceState(updates); };
         m_fleetView.start();
     }
@@ -216,11 +233,16 @@
             = [this](const endpoint_updates &updates) { m_fleetView.applyPeerUpdates(updates); };
         m_exchange.onPromptParts
             = [this](const prompt_part_report &report) { m_router.applyPromptPartReport(report); };
+        m_exchange.onRollout
+            = [this](const std::string &boot, const service_rollout_report &report) {
+                  m_router.rollouts().applyPeer(boot, report, m_clock.now());
+              };
         m_router.onExecutionStarted = [this](const std::string &account) {
             m_usage.count(account, m_wallClock.estimate(m_clock.now(), m_clock.unixNow()));
         };
         m_snapshots.onRequested = [this] { return m_fleetView.snapshot(); };
         m_announceTimer = m_loop.every(announceInterval, [this] { syncPeers(); });
+        m_rolloutTimer = m_loop.every(rolloutInterval, [this] { runRollouts(); });
     }
 
     auto syncPeers() -> void
@@ -253,15 +275,31 @@
         });
     }
 
-    auto announceState(const std::optional<endpoint_updates> &updates = std::nullopt) -> void
+    auto runRollouts() -> void
+    {
+        if (m_router.rollouts().isEmpty())
+            return;
+        const auto now = m_clock.now();
+        m_router.tickRollouts(m_peers.expectedPeers(now));
+        if (!m_isShuttingDown)
+            m_rolloutDriver.step(m_peers.rank(now));
+        // The roll-out is complete once all edges have said this, which must not wait for a round.
+        if (m_router.rollouts().takeMoved())
+            announceState(std::nullopt, true);
+    }
+
+    auto announceState(const std::optional<endpoint_updates> &updates = std::nullopt,
+                       bool isUrgent = false) -> void
     {
         m_exchange.announce(
             {.uses = m_router.uses(),
              .lanes = m_router.laneDemand(),
              .promptParts = m_router.promptPartReport(),
+             .rollouts = m_router.rollouts().reports(),
              .configurationVersion = m_routes.current() ? m_routes.current()->version : 0,
              .sealedWindow = m_dutyDriver.duty().sealedTo(),
              .leaving = m_isShuttingDown,
+             .urgent = isUrgent,
              .updates = updates});
     }
 
@@ -273,6 +311,8 @@
         m_usable.set(std::ranges::count_if(
             entries, [this](const auto &item) { return m_directory.isUsable(item.second); }));
         m_peersLive.set(m_peers.liveCount(now));
+        m_rolloutsRunning.set(m_router.rollouts().runningCount());
+        m_rolloutSends.set(m_router.rollouts().sendCount());
         m_logAge.set(toMilliseconds(now - m_directory.upToDateAt()));
     }
 
@@ -359,6 +399,7 @@
     wall_clock_estimator m_wallClock;
     usage_windows m_usage;
     usage_duty_driver<Platform> m_dutyDriver;
+    rollout_driver<Platform> m_rolloutDriver;
     peer_table m_peers;
     peer_exchange m_exchange;
     snapshot_exchange m_snapshots;
@@ -367,7 +408,10 @@
     counter &m_usable;
     counter &m_peersLive;
     counter &m_logAge;
+    counter &m_rolloutsRunning;
+    counter &m_rolloutSends;
     event_handle m_housekeepingTimer;
+    event_handle m_rolloutTimer;
     event_handle m_announceTimer;
     event_handle m_shutdownTimer;
     time_point m_nextSnapshotRequest = m_clock.now() + snapshotRequestInterval;
--- a/packages/forwarding/edge_settings.cpp
+++ b/packages/forwarding/edge_settings.cpp
@@ -86,6 +86,16 @@
         = std::chrono::duration_cast<std::chrono::milliseconds>(settings.leaseTerm).count();
     settings.leaseTerm = std::chrono::milliseconds(reader.integer(
         "lease_term_ms", {.lowest = 1, .highest = maxMilliseconds, .fallback = leaseTermMs}));
+    settings.exposureShare = reader.number(
+        "exposure_share",
+        {.lowest = 0, .highest = 1, .fallback = settings.exposureShare, .mayBeUnfilled = true});
+    settings.exposureSlack = reader.number(
+        "exposure_slack", {.lowest = 0, .fallback = settings.exposureSlack, .mayBeUnfilled = true});
+    const auto rollbackMs
+        = std::chrono::duration_cast<std::chrono::milliseconds>(settings.rollbackTime).count();
+    settings.rollbackTime = std::chrono::milliseconds(reader.integer(
+        "rollback_ms",
+        {.lowest = 1, .highest = maxMilliseconds, .fallback = rollbackMs, .mayBeUnfilled = true}));
     return settings;
 }
 
--- a/packages/forwarding/edge_settings.h
+++ b/packages/forwarding/edge_settings.h
@@ -52,6 +52,13 @@
     duration usageDue = std::chrono::seconds(10);
     duration leaseTerm = std::chrono::seconds(10);
 
+    // Share of a service's requests, and requests beyond it, that a bad new version may get in a
+    // roll-out. Without a share this edge decides no roll-outs.
+    double exposureShare = 0;
+    double exposureSlack = 0;
+    // Time after which a version that has answered badly often gets no more requests.
+    duration rollbackTime = std::chrono::seconds(5);
+
     [[nodiscard]] auto reportsUsage() const -> bool { return dutyService.port != 0; }
     auto operator==(const edge_settings &) const -> bool = default;
 };
--- a/packages/forwarding/endpoint_directory.h
+++ b/packages/forwarding/endpoint_directory.h
@@ -34,6 +34,8 @@
 {
     std::string id;
     std::string service;
+    // Version of its software; empty if unknown.
+    std::string version;
     socket_address address;
     std::string dataCentre;
     // Requests that it executes concurrently.
--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -82,12 +82,38 @@
     5033, "prompt_part_blocked", log_level::warning,
     "Endpoints crashed under a part of prompts; requests with it are refused."};
 
-inline constexpr auto forwardingEvents = std::to_array<log_event>(
-    {edgeStarted,       edgeReady,       edgeStopping,         edgeStopped,         edgeFailed,
-     settingsReloaded,  forwardPlaced,   forwardEnded,         forwardRetried,      forwardNotSent,
-     forwardStalled,    responseGivenUp, configurationInForce, recordMalformed,     endpointChanged,
-     evacuationChanged, logServiceLost,  logServiceBack,       logHistoryLost,      knowledgeAsked,
-     endpointLeaves,    endpointPauses,  dutyClaimed,          usageWindowReported, lanesChanged,
-     promptPartBlocked});
+inline constexpr log_event rolloutOrdered{5034, "rollout_ordered", log_level::info,
+                                          "A service is to move to another version."};
+inline constexpr log_event rolloutMoves{
+    5035, "rollout_moves", log_level::info,
+    "All traffic of a service begins or ceases to go to the new version."};
+inline constexpr log_event rolloutJudged{5036, "rollout_judged", log_level::info,
+                                         "The verdict of this process on a new version changed."};
+inline constexpr log_event rolloutRecorded{
+    5037, "rollout_recorded", log_level::info,
+    "The outcome of an append that records the state of a roll-out."};
+inline constexpr log_event rolloutAdopted{5038, "rollout_adopted", log_level::info,
+                                          "The recorded verdict on a new version holds."};
+inline constexpr log_event rolloutWithdrawn{5039, "rollout_withdrawn", log_level::info,
+                                            "The order of a roll-out was deleted."};
+
+inline constexpr auto forwardingEvents
+    = std::to_array<log_event>({edgeStarted,         edgeReady,
+                                edgeStopping,        edgeStopped,
+                                edgeFailed,          settingsReloaded,
+                                forwardPlaced,       forwardEnded,
+                                forwardRetried,      forwardNotSent,
+                                forwardStalled,      responseGivenUp,
+                                forwardResumed,      configurationInForce,
+                                recordMalformed,     endpointChanged,
+                                evacuationChanged,   logServiceLost,
+                                logServiceBack,      logHistoryLost,
+                                knowledgeAsked,      endpointLeaves,
+                                endpointPauses,      dutyClaimed,
+                                usageWindowReported, lanesChanged,
+                                promptPartBlocked,   rolloutOrdered,
+                                rolloutMoves,        rolloutJudged,
+                                rolloutRecorded,     rolloutAdopted,
+                                rolloutWithdrawn});
 
 } // namespace mustardline
--- a/packages/forwarding/fleet_view.h
+++ b/packages/forwarding/fleet_view.h
@@ -30,6 +30,7 @@
 #include "forwarding/events.h"
 #include "forwarding/fleet_configuration.h"
 #include "forwarding/peer_exchange.h"
+#include "forwarding/rollout_record.h"
 #include "forwarding/route_table.h"
 #include "forwarding/snapshot_exchange.h"
 
@@ -54,6 +55,12 @@
     {
         T::decodeConfiguration(text)
         } -> std::same_as<result<fleet_configuration>>;
+    {
+        T::rolloutService(text)
+        } -> std::same_as<std::optional<std::string>>;
+    {
+        T::decodeRollout(text, text)
+        } -> std::same_as<result<rollout_order>>;
     {
         T::decodeRegistration(text, text)
         } -> std::same_as<result<endpoint_registration>>;
@@ -78,6 +85,9 @@
 
     // Called when a newer configuration is in force.
     std::function<auto(const fleet_configuration &)->void> onConfiguration;
+    // Called when a roll-out is ordered, and when the order is deleted.
+    std::function<auto(const rollout_order &)->void> onRollout;
+    std::function<auto(const std::string &service)->void> onRolloutWithdrawn;
     // Called when the directory may have changed.
     std::function<auto()->void> onEndpoints;
     // Called after this edge has read the topic of endpoints, so that the others need not.
@@ -90,6 +100,7 @@
             std::erase_if(m_evacuated,
                           [&keys](const auto &item) { return !keys.contains(item.first); });
             applyEvacuation();
+            withdrawRolloutsExcept(keys);
         };
         m_endpoints.onRecord = [this](const auto &record) { onEndpointRecord(record); };
         m_endpoints.onLoaded = [this](const auto &keys) {
@@ -178,11 +189,44 @@
             else
                 m_evacuated.erase(record.key);
             applyEvacuation();
+        } else if (const auto service = Platform::rolloutService(record.key)) {
+            applyRollout(record, *service);
         } else if (Platform::isConfiguration(record.key) && record.value) {
             applyConfiguration(record);
         }
     }
 
+    auto applyRollout(const keyed_record &record, const std::string &service) -> void
+    {
+        if (!record.value) {
+            if (m_rollouts.erase(record.key) > 0)
+                onRolloutWithdrawn(service);
+            return;
+        }
+        auto outcome = Platform::decodeRollout(record.key, *record.value);
+        if (const auto *failure = failed(outcome)) {
+            m_log.write(recordMalformed, field("key", record.key), field("offset", record.offset),
+                        field("reason", failure->message));
+            return;
+        }
+        auto order = std::get<rollout_order>(std::move(outcome));
+        order.id = record.offset;
+        m_rollouts[record.key] = service;
+        onRollout(order);
+    }
+
+    auto withdrawRolloutsExcept(const std::set<std::string, std::less<>> &keys) -> void
+    {
+        std::vector<std::string> withdrawn;
+        for (const auto &[key, service] : m_rollouts) {
+            if (!keys.contains(key))
+                withdrawn.push_back(service);
+        }
+        std::erase_if(m_rollouts, [&keys](const auto &item) { return !keys.contains(item.first); });
+        for (const auto &service : withdrawn)
+            onRolloutWithdrawn(service);
+    }
+
     auto applyEvacuation() -> void
     {
         std::set<std::string, std::less<>> evacuated;
@@ -245,6 +289,8 @@
     keyed_follower<log_type> m_endpoints;
     // Evacuated data centres by the key of their record.
     std::map<std::string, std::string> m_evacuated;
+    // Services with a roll-out by the key of its order.
+    std::map<std::string, std::string> m_rollouts;
     std::set<std::string> m_loggedMalformedKeys;
     // Endpoint records that changed something and are to be forwarded to the other edges.
     std::vector<keyed_record> m_changedRecords;
--- a/packages/forwarding/forward_request.h
+++ b/packages/forwarding/forward_request.h
@@ -48,6 +48,8 @@
     // The caller's id of this attempt.
     std::string id;
     std::string service;
+    // Name of the endpoints that may get it: the service, or one version of it in a roll-out.
+    std::string target;
     // 0 is the highest.
     std::uint32_t priority = 0;
     // Urgency sent to endpoints: ordered by priority, then by the route's priority.
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -46,7 +46,8 @@
       m_options(std::move(options)),
       m_random(m_options.seed),
       m_dispatcher({.dataCentre = m_options.dataCentre, .seed = m_options.seed}),
-      m_warmUp(m_options.warmUp)
+      m_warmUp(m_options.warmUp),
+      m_rollouts(m_options.rollouts, m_options.seed)
 {}
 
 forward_router::~forward_router()
@@ -82,12 +83,13 @@
                                          [this, number] { onDeadline(number); });
     retryBudgetOf(request).recordRequest(now);
     const auto &route = *request.route;
+    request.target = chooseTarget(request, now);
     m_dispatcher.arrive({.request = number,
                          .clientAccount = request.account != nullptr
                                               ? std::string_view(request.account->name)
                                               : std::string_view(),
                          .requestClass = route.name,
-                         .target = request.service,
+                         .target = request.target,
                          .tier = request.priority + 1,
                          .priority = route.priority,
                          .firstTokenTarget = route.latencyTarget,
@@ -298,6 +300,7 @@
     m_metrics.recordSend(request.sends > 0);
     ++request.sends;
     const auto attempt = request.attempt = request.sends;
+    recordAttempt(request, endpoint, now);
     request.answer = {};
     releaseBody(request);
     request.answerComplete = false;
@@ -372,6 +375,8 @@
                 field("sends", request.sends), field("version", request.configuration->version),
                 field("took_ms", toMilliseconds(now - request.arrivedAt)));
     m_metrics.recordEnd(code, now - request.arrivedAt);
+    m_rollouts.ended(request.service, request.number,
+                     code != result_code::ok && code != result_code::cancelled, now);
     if (code == result_code::cancelled)
         m_dispatcher.callerGone(request.number);
     else
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -21,6 +21,7 @@
 #include "forwarding/header_names.h"
 #include "forwarding/peer_table.h"
 #include "forwarding/prompt_part_watch.h"
+#include "forwarding/rollout_table.h"
 #include "forwarding/route_table.h"
 #include "forwarding/send_rules.h"
 #include "forwarding/shared_retry_budget.h"
@@ -45,6 +46,7 @@
     shared_retry_budget_options retries;
     // Selects the edges that may send to a cold endpoint.
     warm_up_options warmUp;
+    rollout_settings rollouts;
 };
 
 class forward_router
@@ -98,6 +100,16 @@
     [[nodiscard]] auto promptPartReport() -> prompt_part_report;
     auto applyPromptPartReport(const prompt_part_report &report) -> void;
 
+    // Begins a roll-out, or ends the one of the service because its order was deleted.
+    auto setRollout(const rollout_order &order) -> void;
+    auto withdrawRollout(const std::string &service) -> void;
+    // Judges new versions; must be called several times a second while there are roll-outs.
+    auto tickRollouts(std::uint32_t peerCount) -> void;
+    // Takes over what the record of a roll-out says; `unixNow` is the present time.
+    auto applyRolloutStatus(const std::string &service, const rollout_status &status,
+                            unix_milliseconds unixNow) -> void;
+    [[nodiscard]] auto rollouts() -> rollout_table & { return m_rollouts; }
+
     // In-flight requests of this edge, by endpoint.
     [[nodiscard]] auto uses() const -> std::map<std::string, endpoint_use>;
 
@@ -127,6 +139,12 @@
                            const http_error &httpError) -> void;
     auto setEndpoint(const endpoint_entry &entry) -> void;
     auto setAllEndpoints() -> void;
+    // The name of the endpoints that may get a new request.
+    [[nodiscard]] auto chooseTarget(const forward_request &request, time_point now) -> std::string;
+    [[nodiscard]] auto hasRoom(const rollout_order &order, time_point now) const -> bool;
+    auto recordAttempt(const forward_request &request, const endpoint_entry &endpoint,
+                       time_point now) -> void;
+    auto logRollouts() -> void;
     // Logs the divisions that changed since the last call.
     auto logLaneDivisions() -> void;
     auto reportEndpointLoad(const endpoint_entry &entry, const endpoint_use &others, time_point now)
@@ -218,6 +236,7 @@
     random_source m_random;
     dispatcher m_dispatcher;
     warm_up_shares m_warmUp;
+    rollout_table m_rollouts;
     // Retry budgets by service.
     std::unordered_map<std::string, shared_retry_budget> m_retryBudgets;
     prompt_part_watch m_partWatch{{}};
--- a/packages/forwarding/forward_router_endpoints.cpp
+++ b/packages/forwarding/forward_router_endpoints.cpp
@@ -35,6 +35,8 @@
         m_log.write(endpointChanged, field("endpoint", id), field("known", entry != nullptr),
                     field("usable", entry != nullptr && m_directory.isUsable(*entry)));
     }
+    if (m_rollouts.setEndpoints(m_directory.entries()))
+        setAllEndpoints();
     tick();
 }
 
@@ -60,11 +62,11 @@
         {.id = published.id,
          .start = published.startedAtMs,
          .dataCentre = published.dataCentre,
-         .serves = {published.service},
+         .serves = m_rollouts.targetsOf(published),
          .maxConcurrency = published.slots,
          .coldConcurrency = published.slots,
          .maxOwn = maxConnectionsTo(published.service),
-         .available = m_directory.isUsable(entry),
+         .available = m_directory.isUsable(entry) && m_rollouts.isOpen(published),
          .hasChunkedPrefill = service != nullptr && service->cacheTokens > 0,
          .assumedFirstToken = assumedFirstToken,
          .coldUntil = coldRate > 0 ? entry.coldUntil : time_point(),
--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -426,6 +426,7 @@
                 field("result", describe(code).name), field("status", request.answer.status),
                 field("sends", request.sends), field("not_run", isProvedNotRun),
                 field("again", isPermitted));
+    m_rollouts.ended(request.service, request.number, !isProvedNotRun, m_clock.now());
     request.mayHaveRun = request.mayHaveRun || !isProvedNotRun;
     if (isPermitted)
         releaseBody(request);
--- a/packages/forwarding/peer_exchange.cpp
+++ b/packages/forwarding/peer_exchange.cpp
@@ -66,6 +66,56 @@
     return report;
 }
 
+auto addVersionCounts(v1::EdgeState &state, const service_rollout_report &item) -> void
+{
+    const auto add = [&](const std::string &route, rollout_version version) {
+        auto *message = state.add_version_counts();
+        message->set_service(item.service);
+        message->set_rollout(item.order);
+        message->set_route(route);
+        if (version == rollout_version::after)
+            message->set_version(item.version);
+        return message;
+    };
+    add("", rollout_version::after)->set_moved(item.report.hasMoved);
+    for (const auto &[route, versions] : item.report.counts) {
+        for (const auto version : {rollout_version::before, rollout_version::after}) {
+            const auto &counts = versions[static_cast<std::size_t>(version)];
+            auto *message = add(route, version);
+            message->set_sent(counts.sent);
+            message->set_answered(counts.answered);
+            message->set_failed(counts.failed);
+            message->set_slow(counts.slow);
+        }
+    }
+}
+
+auto rolloutsOf(const v1::EdgeState &state) -> std::vector<service_rollout_report>
+{
+    std::map<std::pair<std::string, std::uint64_t>, service_rollout_report> reports;
+    for (const auto &item : state.version_counts()) {
+        auto &found = reports[{item.service(), item.rollout()}];
+        found.service = item.service();
+        found.order = item.rollout();
+        if (item.route().empty()) {
+            found.version = item.version();
+            found.report.hasMoved = item.moved();
+            continue;
+        }
+        const auto version
+            = item.version().empty() ? rollout_version::before : rollout_version::after;
+        found.report.counts[item.route()][static_cast<std::size_t>(version)]
+            = {.sent = item.sent(),
+               .answered = item.answered(),
+               .failed = item.failed(),
+               .slow = item.slow()};
+    }
+    std::vector<service_rollout_report> items;
+    for (auto &[key, report] : reports)
+        items.push_back(std::move(report));
+    return items;
+}
+
 auto updatesOf(const v1::EndpointNews &message) -> endpoint_updates
 {
     endpoint_updates updates{.from = message.from(), .end = message.end()};
@@ -116,6 +166,8 @@
     for (const auto &[target, needs] : announcement.lanes)
         addLanes(state, target, needs);
     addPromptParts(state, announcement.promptParts);
+    for (const auto &item : announcement.rollouts)
+        addVersionCounts(state, item);
     if (announcement.updates)
         addUpdates(state, *announcement.updates);
     const auto current = m_usage.windowOf(unixNow);
@@ -133,7 +185,7 @@
     }
     const auto bytes = state.SerializeAsString();
     // New endpoint updates and the shutdown announcement go to all edges at once.
-    const auto isUrgent = announcement.leaving || announcement.updates;
+    const auto isUrgent = announcement.leaving || announcement.urgent || announcement.updates;
     for (const auto &address :
          isUrgent ? m_peers.addresses(now) : m_peers.nextRoundAddresses(now)) {
         if (address != m_options.address)
@@ -159,6 +211,10 @@
         onState(state);
     if (onPromptParts && (state.suspected_parts_size() > 0 || state.sound_parts_size() > 0))
         onPromptParts(promptPartsOf(state));
+    if (onRollout) {
+        for (const auto &item : rolloutsOf(state))
+            onRollout(state.boot(), item);
+    }
     if (onUpdates && state.has_news())
         onUpdates(updatesOf(state.news()));
 }
--- a/packages/forwarding/peer_exchange.h
+++ b/packages/forwarding/peer_exchange.h
@@ -17,6 +17,7 @@
 #include "coordination/shared_log.h"
 #include "forwarding/peer_table.h"
 #include "forwarding/prompt_part_watch.h"
+#include "forwarding/rollout_table.h"
 #include "forwarding/usage_windows.h"
 #include "forwarding/wall_clock_estimator.h"
 #include "net/datagram_socket.h"
@@ -47,9 +48,12 @@
     // Keyed by model or service.
     std::map<std::string, lane_demand> lanes;
     prompt_part_report promptParts;
+    std::vector<service_rollout_report> rollouts;
     std::uint64_t configurationVersion = 0;
     std::int64_t sealedWindow = 0;
     bool leaving = false;
+    // Goes to all edges at once.
+    bool urgent = false;
     // Endpoint updates that were just read, if any.
     std::optional<endpoint_updates> updates;
 };
@@ -68,6 +72,9 @@
     std::function<auto(const v1::EdgeState &state)->void> onState;
     std::function<auto(const endpoint_updates &updates)->void> onUpdates;
     std::function<auto(const prompt_part_report &report)->void> onPromptParts;
+    // `boot` identifies a start of the sender.
+    std::function<auto(const std::string &boot, const service_rollout_report &report)->void>
+        onRollout;
 
 private:
     auto onDatagram(std::string_view bytes) -> void;
--- a/packages/forwarding/peer_table.cpp
+++ b/packages/forwarding/peer_table.cpp
@@ -160,6 +160,13 @@
     return names;
 }
 
+auto peer_table::expectedPeers(time_point now) const -> std::uint32_t
+{
+    const auto known = static_cast<std::uint32_t>(knownNames(now).size());
+    const bool hasSeeds = !m_options.seeds.empty() && !isPastStartup(now);
+    return std::max(known, hasSeeds ? 1U : 0U);
+}
+
 auto peer_table::peerUseOf(const std::string &endpoint) const -> endpoint_use
 {
     const auto sum = m_useSums.find(endpoint);
--- a/packages/forwarding/peer_table.h
+++ b/packages/forwarding/peer_table.h
@@ -110,6 +110,9 @@
     {
         return now - m_startedAt > m_options.startupPeriod;
     }
+    // Number of other edges that should be heard. Before they had time to announce themselves, an
+    // edge with seeds is not alone.
+    [[nodiscard]] auto expectedPeers(time_point now) const -> std::uint32_t;
     // Names of the other edges that sent a message within `addressTtl`, live or not.
     [[nodiscard]] auto knownNames(time_point now) const -> std::vector<std::string>;
     // In-flight load of the other live edges at an endpoint.
