--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -83,11 +83,11 @@
     "Endpoints crashed under a part of prompts; requests with it are refused."};
 
 inline constexpr auto forwardingEvents = std::to_array<log_event>(
-    {edgeStarted,       edgeReady,       edgeStopping,         edgeStopped,         edgeFailed,
-     settingsReloaded,  forwardPlaced,   forwardEnded,         forwardRetried,      forwardNotSent,
-     forwardStalled,    responseGivenUp, configurationInForce, recordMalformed,     endpointChanged,
-     evacuationChanged, logServiceLost,  logServiceBack,       logHistoryLost,      knowledgeAsked,
-     endpointLeaves,    endpointPauses,  dutyClaimed,          usageWindowReported, lanesChanged,
-     promptPartBlocked});
+    {edgeStarted,      edgeReady,         edgeStopping,   edgeStopped,          edgeFailed,
+     settingsReloaded, forwardPlaced,     forwardEnded,   forwardRetried,       forwardNotSent,
+     forwardStalled,   responseGivenUp,   forwardResumed, configurationInForce, recordMalformed,
+     endpointChanged,  evacuationChanged, logServiceLost, logServiceBack,       logHistoryLost,
+     knowledgeAsked,   endpointLeaves,    endpointPauses, dutyClaimed,          usageWindowReported,
+     lanesChanged,     promptPartBlocked});
 
 } // namespace mustardline
