Learn the speed of each endpoint and place prompts by it

Cause: endpoints of one service differ in speed by up to more than twofold, and placement took them as equal: each got as many prefixes, its backlog counted alike, and slow ones were late. Change: endpoint_pace learns each endpoint's speed relative to its service from the short gaps of streams, edges tell each other (field paces), and the speed weighs the rendezvous order, divides prefill times and backlogs and breaks ties. With equal endpoints choices are as before. Ruled out, each by a trial in the simulated fleet: mean gaps (7 of 20 equal endpoints counted as uneven), mean gaps corrected for load by regression (11 of 20), a mean for each lane (16 of 20 endpoints right, one mean: 18 or more). ForwardingEventsTest.documentationListsExactlyTheEvents was red: the list of events lacked forward_resumed since it was added; mended here.

--- a/packages/entry/request_router_answers.cpp
+++ b/packages/entry/request_router_answers.cpp
@@ -49,7 +49,7 @@
     if (!std::exchange(live->firstTokenSeen, true))
         m_dispatcher.firstToken(number, m_clock.now());
     live->tokens += part.events;
-    m_dispatcher.progressed(number, part.events);
+    m_dispatcher.progressed(number, part.events, m_clock.now());
     live->exchange->sendChunk(part.output);
 }
 
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -99,6 +99,10 @@
           m_peersLive(m_metrics.add({.name = "mustardline_edges_live",
                                      .help = "Edges heard of lately, this one included.",
                                      .kind = counter_kind::gauge})),
+          m_endpointsUneven(
+              m_metrics.add({.name = "mustardline_endpoints_uneven",
+                             .help = "Endpoints slower or faster than the mean of their service.",
+                             .kind = counter_kind::gauge})),
           m_logAge(m_metrics.add({.name = "mustardline_log_age_milliseconds",
                                   .help = "Time since the log service last answered.",
                                   .kind = counter_kind::gauge}))
@@ -216,6 +220,9 @@
             = [this](const endpoint_updates &updates) { m_fleetView.applyPeerUpdates(updates); };
         m_exchange.onPromptParts
             = [this](const prompt_part_report &report) { m_router.applyPromptPartReport(report); };
+        m_exchange.onPaces = [this](const std::vector<endpoint_pace_report> &paces) {
+            m_router.applyPaceReports(paces);
+        };
         m_router.onExecutionStarted = [this](const std::string &account) {
             m_usage.count(account, m_wallClock.estimate(m_clock.now(), m_clock.unixNow()));
         };
@@ -259,6 +266,7 @@
             {.uses = m_router.uses(),
              .lanes = m_router.laneDemand(),
              .promptParts = m_router.promptPartReport(),
+             .paces = m_router.nextPaceReports(),
              .configurationVersion = m_routes.current() ? m_routes.current()->version : 0,
              .sealedWindow = m_dutyDriver.duty().sealedTo(),
              .leaving = m_isShuttingDown,
@@ -273,6 +281,7 @@
         m_usable.set(std::ranges::count_if(
             entries, [this](const auto &item) { return m_directory.isUsable(item.second); }));
         m_peersLive.set(m_peers.liveCount(now));
+        m_endpointsUneven.set(static_cast<std::int64_t>(m_router.unevenEndpointCount()));
         m_logAge.set(toMilliseconds(now - m_directory.upToDateAt()));
     }
 
@@ -366,6 +375,7 @@
     counter &m_version;
     counter &m_usable;
     counter &m_peersLive;
+    counter &m_endpointsUneven;
     counter &m_logAge;
     event_handle m_housekeepingTimer;
     event_handle m_announceTimer;
--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -82,12 +82,24 @@
     5033, "prompt_part_blocked", log_level::warning,
     "Endpoints crashed under a part of prompts; requests with it are refused."};
 
-inline constexpr auto forwardingEvents = std::to_array<log_event>(
-    {edgeStarted,       edgeReady,       edgeStopping,         edgeStopped,         edgeFailed,
-     settingsReloaded,  forwardPlaced,   forwardEnded,         forwardRetried,      forwardNotSent,
-     forwardStalled,    responseGivenUp, configurationInForce, recordMalformed,     endpointChanged,
-     evacuationChanged, logServiceLost,  logServiceBack,       logHistoryLost,      knowledgeAsked,
-     endpointLeaves,    endpointPauses,  dutyClaimed,          usageWindowReported, lanesChanged,
-     promptPartBlocked});
+inline constexpr log_event endpointSpeedChanged{
+    5040, "endpoint_speed_changed", log_level::info,
+    "An endpoint is taken to be slower or faster than the mean of its service."};
+
+inline constexpr auto forwardingEvents
+    = std::to_array<log_event>({edgeStarted,         edgeReady,
+                                edgeStopping,        edgeStopped,
+                                edgeFailed,          settingsReloaded,
+                                forwardPlaced,       forwardEnded,
+                                forwardRetried,      forwardNotSent,
+                                forwardStalled,      responseGivenUp,
+                                forwardResumed,      configurationInForce,
+                                recordMalformed,     endpointChanged,
+                                evacuationChanged,   logServiceLost,
+                                logServiceBack,      logHistoryLost,
+                                knowledgeAsked,      endpointLeaves,
+                                endpointPauses,      dutyClaimed,
+                                usageWindowReported, lanesChanged,
+                                promptPartBlocked,   endpointSpeedChanged});
 
 } // namespace mustardline
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -93,6 +93,19 @@
     }
     auto setOthersLaneDemand(const std::map<std::string, lane_demand> &needs) -> void;
 
+    // What this edge measured of some of the endpoints that differ in speed, for one message, and
+    // what another edge measured.
+    [[nodiscard]] auto nextPaceReports() -> std::vector<endpoint_pace_report>
+    {
+        return m_dispatcher.nextPaceReports(reportedPaces);
+    }
+    auto applyPaceReports(std::span<const endpoint_pace_report> reports) -> void
+    {
+        m_dispatcher.reportPaces(reports, m_clock.now());
+    }
+    // Number of endpoints whose speed differs from the mean of their service.
+    [[nodiscard]] auto unevenEndpointCount() const -> std::size_t { return m_loggedSpeeds.size(); }
+
     // Parts of prompts that this edge suspects to crash endpoints, and those that the others
     // suspect.
     [[nodiscard]] auto promptPartReport() -> prompt_part_report;
@@ -115,6 +128,8 @@
     std::function<auto(const std::string &account)->void> onExecutionStarted;
 
 private:
+    // Endpoints in one message; each message names others.
+    static constexpr std::size_t reportedPaces = 6;
     // Value of Retry-After where no better estimate exists.
     static constexpr duration defaultRetryAfter = std::chrono::milliseconds(500);
     // Interval at which a request at a stalled endpoint looks for another one: a fraction of the
@@ -129,6 +144,8 @@
     auto setAllEndpoints() -> void;
     // Logs the divisions that changed since the last call.
     auto logLaneDivisions() -> void;
+    // Logs the speeds of endpoints that changed since the last call.
+    auto logSpeeds() -> void;
     auto reportEndpointLoad(const endpoint_entry &entry, const endpoint_use &others, time_point now)
         -> void;
     [[nodiscard]] auto maxConnectionsTo(std::string_view service) const -> std::uint32_t;
@@ -225,6 +242,8 @@
     std::unordered_map<std::string, std::int64_t> m_endpointStarts;
     // The last logged division of each service's endpoints.
     std::map<std::string, lane_division> m_loggedDivisions;
+    // The last logged speeds of the endpoints that differ from the mean of their service.
+    std::map<std::string, double> m_loggedSpeeds;
     std::vector<dispatch_action> m_actions;
     std::unordered_map<std::uint64_t, forward_request> m_requests;
     std::uint64_t m_lastRequestNumber = 0;
--- a/packages/forwarding/forward_router_endpoints.cpp
+++ b/packages/forwarding/forward_router_endpoints.cpp
@@ -115,6 +115,22 @@
 {
     m_dispatcher.setOthersLaneDemand(needs);
     logLaneDivisions();
+    logSpeeds();
+}
+
+auto forward_router::logSpeeds() -> void
+{
+    auto speeds = m_dispatcher.unevenSpeeds();
+    for (const auto &[endpoint, speed] : speeds) {
+        const auto logged = m_loggedSpeeds.find(endpoint);
+        if (logged == m_loggedSpeeds.end() || logged->second != speed)
+            m_log.write(endpointSpeedChanged, field("endpoint", endpoint), field("speed", speed));
+    }
+    for (const auto &[endpoint, speed] : m_loggedSpeeds) {
+        if (!speeds.contains(endpoint))
+            m_log.write(endpointSpeedChanged, field("endpoint", endpoint), field("speed", 1.0));
+    }
+    m_loggedSpeeds = std::move(speeds);
 }
 
 auto forward_router::logLaneDivisions() -> void
--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -123,7 +123,7 @@
         exchange.startStream(request->answer.status, answerHeaders(request->answer.headers));
     request->boundary.feed(data);
     exchange.sendChunk(request->route->resumable ? request->eventBuffer.feed(data) : data);
-    m_dispatcher.progressed(number, 1);
+    m_dispatcher.progressed(number, 1, now);
     if (!request->readPaused && exchange.backlogBytes() > m_options.maxBacklogBytes) {
         request->readPaused = true;
         request->call.pause();
--- a/packages/forwarding/peer_exchange.cpp
+++ b/packages/forwarding/peer_exchange.cpp
@@ -66,6 +66,25 @@
     return report;
 }
 
+auto addPaces(v1::EdgeState &state, const std::vector<endpoint_pace_report> &paces) -> void
+{
+    for (const auto &report : paces) {
+        auto *message = state.add_paces();
+        message->set_endpoint(report.endpoint);
+        message->set_speed(static_cast<float>(report.pace.speed));
+        message->set_samples(static_cast<float>(report.pace.samples));
+    }
+}
+
+auto pacesOf(const v1::EdgeState &state) -> std::vector<endpoint_pace_report>
+{
+    std::vector<endpoint_pace_report> paces;
+    for (const auto &item : state.paces())
+        paces.push_back({.endpoint = item.endpoint(),
+                         .pace = {.speed = item.speed(), .samples = item.samples()}});
+    return paces;
+}
+
 auto updatesOf(const v1::EndpointNews &message) -> endpoint_updates
 {
     endpoint_updates updates{.from = message.from(), .end = message.end()};
@@ -116,6 +135,7 @@
     for (const auto &[target, needs] : announcement.lanes)
         addLanes(state, target, needs);
     addPromptParts(state, announcement.promptParts);
+    addPaces(state, announcement.paces);
     if (announcement.updates)
         addUpdates(state, *announcement.updates);
     const auto current = m_usage.windowOf(unixNow);
@@ -159,6 +179,8 @@
         onState(state);
     if (onPromptParts && (state.suspected_parts_size() > 0 || state.sound_parts_size() > 0))
         onPromptParts(promptPartsOf(state));
+    if (onPaces && state.paces_size() > 0)
+        onPaces(pacesOf(state));
     if (onUpdates && state.has_news())
         onUpdates(updatesOf(state.news()));
 }
--- a/packages/forwarding/peer_exchange.h
+++ b/packages/forwarding/peer_exchange.h
@@ -20,6 +20,7 @@
 #include "forwarding/usage_windows.h"
 #include "forwarding/wall_clock_estimator.h"
 #include "net/datagram_socket.h"
+#include "policy/endpoint_pace.h"
 
 namespace mustardline {
 
@@ -47,6 +48,8 @@
     // Keyed by model or service.
     std::map<std::string, lane_demand> lanes;
     prompt_part_report promptParts;
+    // Of endpoints whose speed differs from the mean of their service.
+    std::vector<endpoint_pace_report> paces;
     std::uint64_t configurationVersion = 0;
     std::int64_t sealedWindow = 0;
     bool leaving = false;
@@ -68,6 +71,7 @@
     std::function<auto(const v1::EdgeState &state)->void> onState;
     std::function<auto(const endpoint_updates &updates)->void> onUpdates;
     std::function<auto(const prompt_part_report &report)->void> onPromptParts;
+    std::function<auto(const std::vector<endpoint_pace_report> &paces)->void> onPaces;
 
 private:
     auto onDatagram(std::string_view bytes) -> void;
--- a/packages/policy/dispatcher.cpp
+++ b/packages/policy/dispatcher.cpp
@@ -150,10 +150,16 @@
         m_state->requests.at(slot).queuedAtEndpoint = queued;
 }
 
-auto dispatcher::progressed(std::uint64_t request, std::uint32_t tokens) -> void
+auto dispatcher::progressed(std::uint64_t request, std::uint32_t tokens, time_point now) -> void
 {
-    if (const auto slot = m_state->requests.find(request); slot != noIndex)
-        m_state->requests.at(slot).generatedTokens += tokens;
+    const auto slot = m_state->requests.find(request);
+    if (slot == noIndex)
+        return;
+    auto &row = m_state->requests.at(slot);
+    row.generatedTokens += tokens;
+    if (row.lastPartAt > row.firstTokenAt)
+        row.shortGap.add(toSeconds(now - row.lastPartAt));
+    row.lastPartAt = now;
 }
 
 auto dispatcher::finished(std::uint64_t request, result_code code, std::uint32_t completionTokens,
@@ -176,6 +182,7 @@
             m_state->targets[row.target].prompts.ended(row.promptTokens, now - row.placedAt,
                                                        m_state->endpoints.window(row.endpoint));
         }
+        m_state->recordParts(row, now);
         if (row.hasFirstToken && completionTokens > 1)
             statistics.token(toSeconds(now - row.firstTokenAt) / (completionTokens - 1));
     } else if (isEndpointFailure(code)) {
@@ -291,6 +298,24 @@
     return divisions;
 }
 
+auto dispatcher::nextPaceReports(std::size_t most) -> std::vector<endpoint_pace_report>
+{
+    return m_state->endpoints.nextPaceReports(most);
+}
+
+auto dispatcher::reportPaces(std::span<const endpoint_pace_report> reports, time_point now) -> void
+{
+    for (const auto &report : reports) {
+        if (const auto index = m_state->endpoints.find(report.endpoint); index != noIndex)
+            m_state->endpoints.paceReported(index, report.pace, now);
+    }
+}
+
+auto dispatcher::unevenSpeeds() const -> std::map<std::string, double>
+{
+    return m_state->endpoints.unevenSpeeds();
+}
+
 auto dispatcher::inFlightAt(std::string_view endpoint) const -> std::uint32_t
 {
     const auto index = m_state->endpoints.find(endpoint);
--- a/packages/policy/dispatcher.h
+++ b/packages/policy/dispatcher.h
@@ -35,6 +35,7 @@
 #include "base/clock.h"
 #include "base/result.h"
 #include "base/tiers.h"
+#include "policy/endpoint_pace.h"
 #include "policy/lane_demand.h"
 
 namespace mustardline {
@@ -194,7 +195,7 @@
     auto firstToken(std::uint64_t request, time_point now) -> void;
     // Time that the request spent in the queue of its endpoint before it was run.
     auto queuedAtEndpoint(std::uint64_t request, duration queued) -> void;
-    auto progressed(std::uint64_t request, std::uint32_t tokens) -> void;
+    auto progressed(std::uint64_t request, std::uint32_t tokens, time_point now) -> void;
 
     // The request ended with an answer of the endpoint, successful or not.
     auto finished(std::uint64_t request, result_code code, std::uint32_t completionTokens,
@@ -238,6 +239,14 @@
     // The lanes of each model or service whose endpoints have chunked prefill.
     [[nodiscard]] auto laneDivisions() const -> std::map<std::string, lane_division>;
 
+    // What this entry process measured of endpoints whose speed differs from the mean of their
+    // service, at most `most` and others with each call; and what another one measured.
+    [[nodiscard]] auto nextPaceReports(std::size_t most) -> std::vector<endpoint_pace_report>;
+    auto reportPaces(std::span<const endpoint_pace_report> reports, time_point now) -> void;
+    // Speeds of the endpoints that are taken to be slower or faster than the mean of their service,
+    // by id.
+    [[nodiscard]] auto unevenSpeeds() const -> std::map<std::string, double>;
+
     // Requests of this entry process at an endpoint.
     [[nodiscard]] auto inFlightAt(std::string_view endpoint) const -> std::uint32_t;
     // Prompt tokens sent by this entry process to an endpoint that have not been prefilled yet.
--- a/packages/policy/dispatcher_state.cpp
+++ b/packages/policy/dispatcher_state.cpp
@@ -339,6 +339,8 @@
     row.placedAt = now;
     row.endpoint = endpoint;
     row.hasFirstToken = false;
+    row.shortGap = quantile_estimator(shortGapQuantile);
+    row.lastPartAt = {};
     row.queuedAtEndpoint = {};
     row.cancelling = false;
     statisticsOf(row).started(row.idempotent);
--- a/packages/policy/dispatcher_state.h
+++ b/packages/policy/dispatcher_state.h
@@ -135,6 +135,16 @@
         row.pendingPrefillTokens = 0;
     }
 
+    // Records how fast the endpoint wrote a response, if it had enough parts.
+    auto recordParts(const request_row &row, time_point now) -> void
+    {
+        constexpr std::uint32_t minParts = 8;
+        if (!row.hasFirstToken || row.shortGap.count() < minParts
+            || !endpoints.at(row.endpoint).hasChunkedPrefill)
+            return;
+        endpoints.partsWritten(row.endpoint, row.shortGap.value(), now);
+    }
+
     // Removes a request from its queue, the list of delayed retries or the counts of its endpoint.
     auto detach(std::uint32_t slot, time_point now) -> void;
     // Ends a request: detaches it and frees its row.
--- a/packages/policy/endpoint_table.cpp
+++ b/packages/policy/endpoint_table.cpp
@@ -56,6 +56,7 @@
         row.estimator = row.serves.front();
     const auto last = row.serves.empty() ? row.estimator : std::ranges::max(row.serves);
     m_prefillEstimators.resize(std::max<std::size_t>(m_prefillEstimators.size(), last + 1));
+    m_partBaselines.resize(m_prefillEstimators.size());
     const auto cold = info.coldConcurrency > 0 ? info.coldConcurrency : defaultColdWindow;
     row.coldConcurrency = std::min(cold, info.maxConcurrency);
     row.maxOwn = info.maxOwn > 0 ? info.maxOwn : UINT32_MAX;
@@ -171,7 +172,8 @@
 
 auto endpoint_table::prefillTime(std::uint32_t index, double tokens) const -> duration
 {
-    return m_prefillEstimators[m_rows[index].estimator].timeFor(tokens);
+    const auto &row = m_rows[index];
+    return m_prefillEstimators[row.estimator].timeFor(tokens * row.pace.slowness());
 }
 
 auto endpoint_table::prefillBacklog(std::uint32_t index) const -> duration
@@ -180,6 +182,27 @@
     return prefillTime(index, row.ownPromptTokens + row.othersPromptTokens);
 }
 
+auto endpoint_table::nextPaceReports(std::size_t most) -> std::vector<endpoint_pace_report>
+{
+    std::vector<endpoint_pace_report> reports;
+    for (std::size_t seen = 0; seen < m_rows.size() && reports.size() < most; ++seen) {
+        const auto &row = m_rows[m_nextPaceRow++ % m_rows.size()];
+        if (row.present && row.pace.measured().samples >= 1 && row.pace.differs())
+            reports.push_back({.endpoint = row.id, .pace = row.pace.measured()});
+    }
+    return reports;
+}
+
+auto endpoint_table::unevenSpeeds() const -> std::map<std::string, double>
+{
+    std::map<std::string, double> speeds;
+    for (const auto &row : m_rows) {
+        if (row.present && row.pace.slowness() != 1)
+            speeds.emplace(row.id, row.pace.speed());
+    }
+    return speeds;
+}
+
 auto endpoint_table::firstToken(std::uint32_t index, duration latency, time_point now) -> void
 {
     auto &row = m_rows[index];
--- a/packages/policy/endpoint_table.h
+++ b/packages/policy/endpoint_table.h
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -26,6 +27,7 @@
 #include "base/tiers.h"
 #include "policy/dispatcher.h"
 #include "policy/durations.h"
+#include "policy/endpoint_pace.h"
 #include "policy/name_table.h"
 #include "policy/prefill_estimator.h"
 #include "policy/random.h"
@@ -93,6 +95,8 @@
     // old as the prefill of a prompt takes.
     double othersPromptTokens = 0;
     time_point othersPromptsUpdatedAt{};
+    // Its speed relative to the mean of its service.
+    endpoint_pace pace;
 
     // Until this time it is cold, and `coldRate` limits the requests sent to it.
     time_point coldUntil{};
@@ -149,8 +153,23 @@
     // prompt tokens were to be prefilled, including its own.
     auto promptRead(std::uint32_t index, duration latency, std::uint32_t tokens) -> void
     {
-        m_prefillEstimators[m_rows[index].estimator].firstToken(latency, tokens);
+        auto &row = m_rows[index];
+        m_prefillEstimators[row.estimator].firstToken(scaled(latency, row.pace.speed()), tokens);
+    }
+    // Records the short gap between two parts of a response.
+    auto partsWritten(std::uint32_t index, double seconds, time_point now) -> void
+    {
+        auto &row = m_rows[index];
+        row.pace.add(m_partBaselines[row.estimator].deviation(seconds), now);
+    }
+    auto paceReported(std::uint32_t index, const pace_report &report, time_point now) -> void
+    {
+        m_rows[index].pace.addReported(report, now);
     }
+    // Returns up to `most` measurements of endpoints that differ, others with each call.
+    [[nodiscard]] auto nextPaceReports(std::size_t most) -> std::vector<endpoint_pace_report>;
+    // Speeds in use of the endpoints that differ from the mean of their service, by id.
+    [[nodiscard]] auto unevenSpeeds() const -> std::map<std::string, double>;
     // Returns the prefill estimator of a target, which must have had an endpoint.
     [[nodiscard]] auto paceOf(std::uint32_t target) const -> const prefill_estimator &
     {
@@ -223,6 +242,10 @@
     std::unordered_map<std::string, std::uint32_t> m_indexes;
     // By target.
     std::vector<prefill_estimator> m_prefillEstimators;
+    // By target: the short gap between two parts of a response.
+    std::vector<pace_baseline> m_partBaselines;
+    // The row at which `nextPaceReports` continues.
+    std::size_t m_nextPaceRow = 0;
     random_source m_random;
 };
 
--- a/packages/policy/prefill_estimator.h
+++ b/packages/policy/prefill_estimator.h
@@ -40,6 +40,7 @@
             m_value *= std::exp(-step * (1 - m_quantile));
     }
 
+    [[nodiscard]] auto count() const -> std::uint32_t { return m_count; }
     [[nodiscard]] auto isKnown() const -> bool { return m_count > 0; }
     // Returns 0 before the first sample.
     [[nodiscard]] auto value() const -> double { return m_value; }
--- a/packages/policy/prompt_placement.cpp
+++ b/packages/policy/prompt_placement.cpp
@@ -1,7 +1,9 @@
 #include "policy/prompt_placement.h"
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
+#include <limits>
 
 #include "base/hashing.h"
 #include "policy/random.h"
@@ -35,6 +37,21 @@
     return endpoints.prefillBacklog(index) + endpoints.prefillTime(index, criteria.sharedTokens);
 }
 
+// Key of an endpoint in the rendezvous order of a prefix; the lowest comes first. With
+// exponentially distributed keys (-log2 of the hash as a fraction, divided by the speed), each
+// endpoint gets prefixes in proportion to its speed, and a change of one speed moves only prefixes
+// of that endpoint. The logarithm is linear between powers of two: it keeps the order of hashes and
+// costs few instructions.
+auto rendezvousKey(std::uint64_t hash, double slowness) -> double
+{
+    constexpr unsigned droppedBits = 11;
+    constexpr double mantissaScale = 0x1p-53;
+    const auto zeros = std::countl_zero(hash | 1U);
+    const auto leading = (hash << static_cast<unsigned>(zeros)) >> droppedBits;
+    const auto mantissa = static_cast<double>(static_cast<std::int64_t>(leading)) * mantissaScale;
+    return (zeros + 2 * (1 - mantissa)) * slowness;
+}
+
 auto fits(const endpoint_table &endpoints, std::uint32_t index, const prompt_criteria &criteria,
           time_point now) -> bool
 {
@@ -261,17 +278,17 @@
     constexpr std::size_t tried = 2;
     placement_choice choice;
     const auto bound = scaled(criteria.firstTokenTarget, prefixWaitFraction);
-    std::uint64_t previousScore = UINT64_MAX;
+    double previousKey = -1;
     for (std::size_t rank = 0; rank < tried; ++rank) {
         auto best = noIndex;
-        std::uint64_t bestScore = 0;
+        auto bestKey = std::numeric_limits<double>::infinity();
         for (const auto &item : lane) {
-            const auto score = mixBits(item.hash ^ criteria.prefixHash);
-            if (score >= previousScore || score < bestScore
-                || !fits(endpoints, item.index, criteria, now))
+            const auto key = rendezvousKey(mixBits(item.hash ^ criteria.prefixHash),
+                                           endpoints.at(item.index).pace.slowness());
+            if (key <= previousKey || key >= bestKey || !fits(endpoints, item.index, criteria, now))
                 continue;
             best = item.index;
-            bestScore = score;
+            bestKey = key;
         }
         if (best == noIndex)
             return choice;
@@ -283,7 +300,7 @@
             choice.reason = rank == 0 ? "prefix" : "prefix_second";
             return choice;
         }
-        previousScore = bestScore;
+        previousKey = bestKey;
     }
     return choice;
 }
@@ -295,12 +312,13 @@
 {
     placement_choice choice;
     duration smallestBacklog{};
-    std::uint32_t load = 0;
+    double load = 0;
     for (const auto &item : members) {
         if (!fits(endpoints, item.index, criteria, now))
             continue;
         const auto wait = endpoints.prefillBacklog(item.index);
-        const auto held = endpoints.load(item.index, now);
+        const auto held
+            = endpoints.load(item.index, now) * endpoints.at(item.index).pace.slowness();
         if (choice.endpoint != noIndex && std::pair(wait, held) >= std::pair(smallestBacklog, load))
             continue;
         choice.consider(item.index);
--- a/packages/policy/prompt_placement.h
+++ b/packages/policy/prompt_placement.h
@@ -21,6 +21,9 @@
 //   a fraction of the smallest token gap that streams of either lane require. If there is none,
 //   `choose` returns no endpoint and the request waits.
 //
+// Endpoints may differ in speed (endpoint_pace.h): a slow one gets fewer prefixes, and its backlog
+// and its requests count as the time that they take there.
+//
 // A large fleet is divided by endpoint hash into groups of 32 to 64 endpoints on average, each with
 // its own lanes. The prefix hash selects the group, and requests without a prefix use the groups in
 // turn. So the cost of a choice does not depend on the size of the fleet, and all endpoints are
--- a/packages/policy/request_table.h
+++ b/packages/policy/request_table.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "policy/name_table.h"
+#include "policy/prefill_estimator.h"
 
 namespace mustardline {
 
@@ -29,6 +30,9 @@
     std::uint32_t next = noIndex;
 };
 
+// Low enough that prefill of other prompts delays few of the gaps.
+inline constexpr double shortGapQuantile = 0.2;
+
 struct request_row
 {
     std::uint64_t request = 0;
@@ -44,6 +48,10 @@
     time_point retryAt{};
     time_point placedAt{};
     time_point firstTokenAt{};
+    // When the last part of its response arrived at this attempt, and a low quantile of the seconds
+    // between two parts.
+    time_point lastPartAt{};
+    quantile_estimator shortGap{shortGapQuantile};
     duration firstTokenTarget{};
     duration betweenTokensTarget{};
     std::uint64_t prefixHash = 0;
--- a/packages/policy/testing/dispatcher_wide_random_test.cpp
+++ b/packages/policy/testing/dispatcher_wide_random_test.cpp
@@ -83,7 +83,7 @@
             withRandomRequest(true, [this](auto request) {
                 m_dispatcher.queuedAtEndpoint(request, 5ms);
                 m_dispatcher.firstToken(request, m_clock.now());
-                m_dispatcher.progressed(request, m_random.below(5));
+                m_dispatcher.progressed(request, m_random.below(5), m_clock.now());
             });
             break;
         case 13:
--- a/packages/policy/testing/product_router.cpp
+++ b/packages/policy/testing/product_router.cpp
@@ -191,7 +191,8 @@
             m_entries[entry].reportLoad(m_simulation.engines()[engine].info.id, loadOf(engine),
                                         m_simulation.now());
         const auto sent = static_cast<std::uint32_t>(m_simulation.record(number).sentTokens);
-        m_entries[entry].progressed(number, sent - m_requests[number].sentTokens);
+        m_entries[entry].progressed(number, sent - m_requests[number].sentTokens,
+                                    m_simulation.now());
         m_requests[number].sentTokens = sent;
         std::vector<dispatch_action> actions;
         m_entries[entry].notRun(number, code, m_simulation.now(), actions);
--- a/packages/policy/testing/prompt_fleet.cpp
+++ b/packages/policy/testing/prompt_fleet.cpp
@@ -89,6 +89,14 @@
     }
 }
 
+auto prompt_fleet::takeWork() -> std::vector<duration>
+{
+    std::vector<duration> work;
+    for (auto &endpoint : m_endpoints)
+        work.push_back(std::exchange(endpoint.work, {}));
+    return work;
+}
+
 auto prompt_fleet::fractionInTime(std::uint32_t kind) const -> double
 {
     constexpr duration maxStreamTime = 8s;
@@ -274,8 +282,11 @@
             room -= part;
         }
         const auto prefillMs = (maxPrefilledPerStep - room) / prefilledPerMillisecond;
-        endpoint.stepEndsAt = endpoint.stepEndsAt + baseStepTime + stepTimePerResponse * decoding
-                              + fromSeconds(prefillMs / 1000);
+        const auto step
+            = scaled(baseStepTime + stepTimePerResponse * decoding + fromSeconds(prefillMs / 1000),
+                     endpoint.slowness);
+        endpoint.stepEndsAt = endpoint.stepEndsAt + step;
+        endpoint.work += step;
         generateTokens(endpoint);
     }
 }
@@ -298,7 +309,7 @@
                 = row.generatedTokens == 0 ? kind.firstTokenTarget : kind.tokenGapTarget;
             row.isLate = row.isLate || when - since > most;
             row.lastEventAt = when;
-            entryOf(number).progressed(number, 1);
+            entryOf(number).progressed(number, 1, when);
         }
         row.isComplete = ++row.generatedTokens >= kind.responseTokens;
         if (row.isComplete)
@@ -307,8 +318,23 @@
     });
 }
 
+auto prompt_fleet::exchangePaces() -> void
+{
+    constexpr std::size_t reportedPaces = 6;
+    if (!m_exchangesPaces)
+        return;
+    for (auto &from : m_entries) {
+        const auto reports = from.nextPaceReports(reportedPaces);
+        for (auto &to : m_entries) {
+            if (&to != &from)
+                to.reportPaces(reports, m_clock.now());
+        }
+    }
+}
+
 auto prompt_fleet::exchangeReports() -> void
 {
+    exchangePaces();
     std::map<std::string, lane_demand> all;
     for (std::uint32_t endpoint = 0; endpoint < endpointCount; ++endpoint) {
         const auto name = nameOf(endpoint);
--- a/packages/policy/testing/prompt_fleet.h
+++ b/packages/policy/testing/prompt_fleet.h
@@ -9,6 +9,7 @@
 //     EXPECT_THAT(fleet.passedOver(), IsEmpty());
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -65,8 +66,28 @@
     // Takes a quarter of the endpoints down for that time; their running streams are lost.
     auto crashQuarter(duration from, duration until) -> void;
 
+    // From now on all steps of the endpoint take `factor` times as long.
+    auto setSlowness(std::uint32_t endpoint, double factor) -> void
+    {
+        m_endpoints.at(endpoint).slowness = factor;
+    }
+    // Whether the entries tell each other what they measured of the endpoints' speeds.
+    auto setExchangesPaces(bool exchanges) -> void { m_exchangesPaces = exchanges; }
+
     auto run(duration length) -> void;
 
+    // Time for which each endpoint has worked since the start or the last call.
+    [[nodiscard]] auto takeWork() -> std::vector<duration>;
+    [[nodiscard]] auto size() const -> std::uint32_t
+    {
+        return static_cast<std::uint32_t>(m_endpoints.size());
+    }
+    // Speeds that an entry uses.
+    [[nodiscard]] auto speedsAt(std::uint32_t entry) const -> std::map<std::string, double>
+    {
+        return m_entries.at(entry).unevenSpeeds();
+    }
+
     // Returns the fraction of a kind's streams that were complete and in time. Streams of the last
     // seconds are not counted, because they may still run.
     [[nodiscard]] auto fractionInTime(std::uint32_t kind) const -> double;
@@ -102,6 +123,8 @@
         // Prefixes in the cache, by kind and number.
         std::set<std::pair<std::uint32_t, std::uint32_t>> cached;
         time_point stepEndsAt{};
+        double slowness = 1;
+        duration work{};
         bool isDown = false;
     };
 
@@ -120,6 +143,7 @@
     auto runSteps(std::uint32_t at) -> void;
     auto generateTokens(endpoint_model &endpoint) -> void;
     auto exchangeReports() -> void;
+    auto exchangePaces() -> void;
     // True if streams of the kind come before those of the other.
     [[nodiscard]] auto comesBefore(const stream_kind &kind, const stream_kind &other) const -> bool;
     [[nodiscard]] auto hasLaterStart(const stream_kind &kind, time_point from, time_point to) const
@@ -130,6 +154,7 @@
     manual_clock m_clock;
     time_point m_startedAt;
     duration m_elapsed{};
+    bool m_exchangesPaces = true;
     duration m_downFrom{};
     duration m_downUntil{};
     std::vector<dispatcher> m_entries;
