--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -111,6 +111,10 @@
           m_peersLive(m_metrics.add({.name = "mustardline_edges_live",
                                      .help = "Edges heard of lately, this one included.",
                                      .kind = counter_kind::gauge})),
+          m_endpointsUneven(
+              m_metrics.add({.name = "mustardline_endpoints_uneven",
+                             .help = "Endpoints slower or faster than the mean of their service.",
+                             .kind = counter_kind::gauge})),
           m_logAge(m_metrics.add({.name = "mustardline_log_age_milliseconds",
                                   .help = "Time since the log service last answered.",
                                   .kind = counter_kind::gauge})),
@@ -246,6 +250,9 @@
             = [this](const std::string &boot, const service_rollout_report &report) {
                   m_router.rollouts().applyPeer(boot, report, m_clock.now());
               };
+        m_exchange.onPaces = [this](const std::vector<endpoint_pace_report> &paces) {
+            m_router.applyPaceReports(paces);
+        };
         m_router.onExecutionStarted = [this](const std::string &account) {
             m_usage.count(account, m_wallClock.estimate(m_clock.now(), m_clock.unixNow()));
         };
@@ -305,6 +312,7 @@
              .lanes = m_router.laneDemand(),
              .promptParts = m_router.promptPartReport(),
              .rollouts = m_router.rollouts().reports(),
+             .paces = m_router.nextPaceReports(),
              .configurationVersion = m_routes.current() ? m_routes.current()->version : 0,
              .sealedWindow = m_dutyDriver.duty().sealedTo(),
              .leaving = m_isShuttingDown,
@@ -322,6 +330,7 @@
         m_peersLive.set(m_peers.liveCount(now));
         m_rolloutsRunning.set(m_router.rollouts().runningCount());
         m_rolloutSends.set(m_router.rollouts().sendCount());
+        m_endpointsUneven.set(static_cast<std::int64_t>(m_router.unevenEndpointCount()));
         m_logAge.set(toMilliseconds(now - m_directory.upToDateAt()));
     }
 
@@ -417,6 +426,7 @@
     counter &m_version;
     counter &m_usable;
     counter &m_peersLive;
+    counter &m_endpointsUneven;
     counter &m_logAge;
     counter &m_rolloutsRunning;
     counter &m_rolloutSends;
--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -96,6 +96,9 @@
                                           "The recorded verdict on a new version holds."};
 inline constexpr log_event rolloutWithdrawn{5039, "rollout_withdrawn", log_level::info,
                                             "The order of a roll-out was deleted."};
+inline constexpr log_event endpointSpeedChanged{
+    5040, "endpoint_speed_changed", log_level::info,
+    "An endpoint is taken to be slower or faster than the mean of its service."};
 
 inline constexpr auto forwardingEvents
     = std::to_array<log_event>({edgeStarted,         edgeReady,
@@ -114,6 +117,6 @@
                                 promptPartBlocked,   rolloutOrdered,
                                 rolloutMoves,        rolloutJudged,
                                 rolloutRecorded,     rolloutAdopted,
-                                rolloutWithdrawn});
+                                rolloutWithdrawn,    endpointSpeedChanged});
 
 } // namespace mustardline
--- a/packages/forwarding/peer_exchange.cpp
+++ b/packages/forwarding/peer_exchange.cpp
@@ -116,6 +116,25 @@
     return items;
 }
 
+auto addPaces(v1::EdgeState &state, const std::vector<endpoint_pace_report> &paces) -> void
+{
+    for (const auto &report : paces) {
+        auto *message = state.add_paces();
+        message->set_endpoint(report.endpoint);
+        message->set_speed(static_cast<float>(report.pace.speed));
+        message->set_samples(static_cast<float>(report.pace.samples));
+    }
+}
+
+auto pacesOf(const v1::EdgeState &state) -> std::vector<endpoint_pace_report>
+{
+    std::vector<endpoint_pace_report> paces;
+    for (const auto &item : state.paces())
+        paces.push_back({.endpoint = item.endpoint(),
+                         .pace = {.speed = item.speed(), .samples = item.samples()}});
+    return paces;
+}
+
 auto updatesOf(const v1::EndpointNews &message) -> endpoint_updates
 {
     endpoint_updates updates{.from = message.from(), .end = message.end()};
@@ -168,6 +187,7 @@
     addPromptParts(state, announcement.promptParts);
     for (const auto &item : announcement.rollouts)
         addVersionCounts(state, item);
+    addPaces(state, announcement.paces);
     if (announcement.updates)
         addUpdates(state, *announcement.updates);
     const auto current = m_usage.windowOf(unixNow);
@@ -215,6 +235,8 @@
         for (const auto &item : rolloutsOf(state))
             onRollout(state.boot(), item);
     }
+    if (onPaces && state.paces_size() > 0)
+        onPaces(pacesOf(state));
     if (onUpdates && state.has_news())
         onUpdates(updatesOf(state.news()));
 }
--- a/packages/forwarding/peer_exchange.h
+++ b/packages/forwarding/peer_exchange.h
@@ -21,6 +21,7 @@
 #include "forwarding/usage_windows.h"
 #include "forwarding/wall_clock_estimator.h"
 #include "net/datagram_socket.h"
+#include "policy/endpoint_pace.h"
 
 namespace mustardline {
 
@@ -49,6 +50,8 @@
     std::map<std::string, lane_demand> lanes;
     prompt_part_report promptParts;
     std::vector<service_rollout_report> rollouts;
+    // Of endpoints whose speed differs from the mean of their service.
+    std::vector<endpoint_pace_report> paces;
     std::uint64_t configurationVersion = 0;
     std::int64_t sealedWindow = 0;
     bool leaving = false;
@@ -75,6 +78,7 @@
     // `boot` identifies a start of the sender.
     std::function<auto(const std::string &boot, const service_rollout_report &report)->void>
         onRollout;
+    std::function<auto(const std::vector<endpoint_pace_report> &paces)->void> onPaces;
 
 private:
     auto onDatagram(std::string_view bytes) -> void;
