--- a/packages/base/settings_reader.cpp
+++ b/packages/base/settings_reader.cpp
@@ -9,6 +9,15 @@
 
 namespace mustardline {
 
+namespace {
+
+auto isEmptyText(const nlohmann::json &value) -> bool
+{
+    return value.is_string() && value.get_ref<const std::string &>().empty();
+}
+
+} // namespace
+
 settings_reader::settings_reader(const nlohmann::json &object, settings_reader_options options)
     : m_object(object), m_options(std::move(options))
 {
@@ -176,8 +185,8 @@
 {
     m_readNames.emplace(name);
     const auto found = m_object.find(name);
-    const bool isEmpty
-        = m_options.filledIn && found != m_object.end() && (found->is_null() || *found == "");
+    const bool isEmpty = m_options.filledIn && found != m_object.end()
+                         && (found->is_null() || isEmptyText(*found));
     if (found != m_object.end() && !isEmpty)
         return &*found;
     if (required) {
