--- a/packages/forwarding/peer_exchange.cpp
+++ b/packages/forwarding/peer_exchange.cpp
@@ -111,6 +111,7 @@
                .slow = item.slow()};
     }
     std::vector<service_rollout_report> items;
+    items.reserve(reports.size());
     for (auto &[key, report] : reports)
         items.push_back(std::move(report));
     return items;
@@ -129,6 +130,7 @@
 auto pacesOf(const v1::EdgeState &state) -> std::vector<endpoint_pace_report>
 {
     std::vector<endpoint_pace_report> paces;
+    paces.reserve(static_cast<std::size_t>(state.paces_size()));
     for (const auto &item : state.paces())
         paces.push_back({.endpoint = item.endpoint(),
                          .pace = {.speed = item.speed(), .samples = item.samples()}});
