--- a/packages/forwarding/rollout_table.cpp
+++ b/packages/forwarding/rollout_table.cpp
@@ -112,9 +112,11 @@
 auto rollout_table::setEndpoints(const endpoint_entries &entries) -> bool
 {
     bool changes = false;
-    for (auto &[service, rollout] : m_rollouts) {
-        const auto hasBefore = std::ranges::any_of(entries, [&](const auto &item) {
-            const auto &endpoint = item.second.registration;
+    for (auto &item : m_rollouts) {
+        const auto &service = item.first;
+        auto &rollout = item.second;
+        const auto hasBefore = std::ranges::any_of(entries, [&](const auto &entry) {
+            const auto &endpoint = entry.second.registration;
             return endpoint.service == service
                    && versionOf(rollout.order, endpoint) == rollout_version::before;
         });
