--- a/packages/policy/testing/rollout_watch_test.cpp
+++ b/packages/policy/testing/rollout_watch_test.cpp
@@ -259,7 +259,7 @@
 
 auto expectRolledBack(const fleet_options &options) -> fleet_outcome
 {
-    const auto outcome = play(options);
+    auto outcome = play(options);
     EXPECT_EQ(verdictName(outcome.verdict), "rolled_back") << "seed " << options.seed;
     EXPECT_LE(outcome.recordedAt, options.length);
     EXPECT_EQ(outcome.sentLate, 0U) << "seed " << options.seed;
