Wake up for roll-outs only while there are any; ask the cheap question first

The timer that judges roll-outs ran ten times a second at every edge, also where no operator had ordered one. It is set with the first order and ends with the last. nextPaceReports computed each endpoint's speed, twice for those that it names, before it asked whether the endpoint differs. A comment of settings_reader named an empty list as absent for all fields; it is so for optional texts. No change of behaviour otherwise.

--- a/packages/base/settings_reader.h
+++ b/packages/base/settings_reader.h
@@ -16,7 +16,8 @@
 // between.
 //
 // A file that a platform fills in from a template can only write a value where it has one. With
-// `filledIn`, a number may be written as text, and an empty text or an empty list counts as absent.
+// `filledIn`, a number may be written as text, and an empty text counts as absent; an optional text
+// may be a list of at most one.
 // A platform that does not know a placeholder may leave it as it is: "{{name}}". Numbers that are
 // marked for it then count as absent, too.
 
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -228,9 +228,14 @@
             m_router.configurationChanged();
         };
         m_fleetView.onEndpoints = [this] { m_router.endpointsChanged(); };
-        m_fleetView.onRollout = [this](const rollout_order &order) { m_router.setRollout(order); };
-        m_fleetView.onRolloutWithdrawn
-            = [this](const std::string &service) { m_router.withdrawRollout(service); };
+        m_fleetView.onRollout = [this](const rollout_order &order) {
+            m_router.setRollout(order);
+            updateRolloutTimer();
+        };
+        m_fleetView.onRolloutWithdrawn = [this](const std::string &service) {
+            m_router.withdrawRollout(service);
+            updateRolloutTimer();
+        };
         m_fleetView.onUpdates = [this](const endpoint_updates &updates) { announceState(updates); };
         m_fleetView.start();
     }
@@ -258,7 +263,6 @@
         };
         m_snapshots.onRequested = [this] { return m_fleetView.snapshot(); };
         m_announceTimer = m_loop.every(announceInterval, [this] { syncPeers(); });
-        m_rolloutTimer = m_loop.every(rolloutInterval, [this] { runRollouts(); });
     }
 
     auto syncPeers() -> void
@@ -291,10 +295,20 @@
         });
     }
 
-    auto runRollouts() -> void
+    // Without roll-outs nothing wakes up for them.
+    auto updateRolloutTimer() -> void
     {
-        if (m_router.rollouts().isEmpty())
+        const bool isNeeded = !m_router.rollouts().isEmpty();
+        if (isNeeded == m_isRolloutTimerSet)
             return;
+        m_isRolloutTimerSet = isNeeded;
+        m_rolloutTimer = {};
+        if (isNeeded)
+            m_rolloutTimer = m_loop.every(rolloutInterval, [this] { runRollouts(); });
+    }
+
+    auto runRollouts() -> void
+    {
         const auto now = m_clock.now();
         m_router.tickRollouts(m_peers.expectedPeers(now));
         if (!m_isShuttingDown)
@@ -432,6 +446,7 @@
     counter &m_rolloutSends;
     event_handle m_housekeepingTimer;
     event_handle m_rolloutTimer;
+    bool m_isRolloutTimerSet = false;
     event_handle m_announceTimer;
     event_handle m_shutdownTimer;
     time_point m_nextSnapshotRequest = m_clock.now() + snapshotRequestInterval;
--- a/packages/policy/endpoint_table.cpp
+++ b/packages/policy/endpoint_table.cpp
@@ -187,8 +187,11 @@
     std::vector<endpoint_pace_report> reports;
     for (std::size_t seen = 0; seen < m_rows.size() && reports.size() < most; ++seen) {
         const auto &row = m_rows[m_nextPaceRow++ % m_rows.size()];
-        if (row.present && row.pace.measured().samples >= 1 && row.pace.differs())
-            reports.push_back({.endpoint = row.id, .pace = row.pace.measured()});
+        if (!row.present || !row.pace.differs())
+            continue;
+        const auto measured = row.pace.measured();
+        if (measured.samples >= 1)
+            reports.push_back({.endpoint = row.id, .pace = measured});
     }
     return reports;
 }
