--- a/review/harness-3/rig.hh
+++ b/review/harness-3/rig.hh
@@ -282,11 +282,8 @@
         shutdown(m_fd, SHUT_RDWR);
         ::close(m_fd);
         const std::lock_guard lock(m_mutex);
-        for (const auto fd : m_open) {
-            const linger now{1, 0};
-            setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        for (const auto fd : m_open)
             shutdown(fd, SHUT_RDWR);
-        }
     }
 
 private:
