--- a/review/harness-3/rig.hh
+++ b/review/harness-2/rig.hh
@@ -1,7 +1,7 @@
 #pragma once
 
-// Stand-ins for the cases 11 and up: the platform's store, its API, servers and clients, and the
-// edges as processes of the deploy file's command. Blocking sockets and a thread for each
+// Stand-ins of the review's second sitting: the platform's store, its API, servers and clients, and
+// the edges as processes of the deploy file's command. Blocking sockets and a thread for each
 // connection; loopback addresses only.
 
 #include <algorithm>
@@ -345,9 +345,7 @@
 class Store
 {
 public:
-    Store()
-        : m_listener([this](Conn &conn) { serve(conn); })
-    {}
+    Store() : m_listener([this](Conn &conn) { serve(conn); }) {}
     [[nodiscard]] auto address() const -> std::string { return m_listener.address(); }
 
     auto put(const std::string &topic, const std::string &key,
@@ -411,8 +409,8 @@
             if (path == "/v1/log-newest")
                 text = newest(topic, parameter(request.target, "after"));
             else if (path == "/v1/log-read")
-                text = read(topic, std::strtoull(parameter(request.target, "from").c_str(),
-                                                 nullptr, 10),
+                text = read(topic,
+                            std::strtoull(parameter(request.target, "from").c_str(), nullptr, 10),
                             std::atoi(parameter(request.target, "wait_ms").c_str()));
             else if (path == "/v1/log-append")
                 text = append(topic, parameter(request.target, "at"), request.body);
@@ -510,8 +508,14 @@
 
     Server(Store &store, std::string id, std::string service, std::string zone, int slots,
            Handler handler, int coldMs = 0)
-        : id(std::move(id)), service(std::move(service)), zone(std::move(zone)), slots(slots),
-          born(unixMs()), coldUntil(nowMs() + coldMs), m_store(store), m_handler(std::move(handler)),
+        : id(std::move(id)),
+          service(std::move(service)),
+          zone(std::move(zone)),
+          slots(slots),
+          born(unixMs()),
+          coldUntil(nowMs() + coldMs),
+          m_store(store),
+          m_handler(std::move(handler)),
           m_listener([this](Conn &conn) { serve(conn); })
     {
         beat();
@@ -525,13 +529,13 @@
     }
     auto beat() -> void
     {
-        m_store.put("keyed.servers", id,
-                    "{\"service\":\"" + service + "\",\"address\":\"" + m_listener.address()
-                        + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":"
-                        + std::to_string(slots) + ",\"state\":\"" + state
-                        + "\",\"cold_remaining_ms\":" + std::to_string(std::max<std::int64_t>(coldUntil - nowMs(), 0))
-                        + ",\"sequence\":" + std::to_string(++sequence)
-                        + ",\"born\":" + std::to_string(born) + "}");
+        m_store.put(
+            "keyed.servers", id,
+            "{\"service\":\"" + service + "\",\"address\":\"" + m_listener.address()
+                + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":"
+                + std::to_string(slots) + ",\"state\":\"" + state + "\",\"cold_remaining_ms\":"
+                + std::to_string(std::max<std::int64_t>(coldUntil - nowMs(), 0)) + ",\"sequence\":"
+                + std::to_string(++sequence) + ",\"born\":" + std::to_string(born) + "}");
     }
     [[nodiscard]] auto address() const -> std::string { return m_listener.address(); }
     // The server's process ends: what runs there gets no answer.
@@ -612,14 +616,17 @@
     {
         std::string name = "edge-tuzla-1";
         std::string zone = "tuzla";
-        std::string store, cloud;
-        std::vector<std::string> seeds; // empty: itself
-        std::string extra;              // further fields, each with a comma before it
-        std::string folder;             // for the settings file and the log
+        std::string store{}, cloud{};
+        std::vector<std::string> seeds{}; // empty: itself
+        std::string extra{};              // further fields, each with a comma before it
+        std::string folder{};             // for the settings file and the log
     };
 
     explicit Edge(Options options)
-        : m_options(std::move(options)), front(freePort()), ready(freePort()), control(freePort()),
+        : m_options(std::move(options)),
+          front(freePort()),
+          ready(freePort()),
+          control(freePort()),
           metrics(freePort())
     {}
     ~Edge() { kill(SIGKILL); }
@@ -769,9 +776,11 @@
     bool resumable = false;
     int priority = 1;
 };
-inline auto desiredState(int version, const std::vector<Route> &routes,
-                         const std::vector<std::string> &services, int engineTokens = 0,
-                         const std::string &limits = R"({"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":5000,"idle_timeout_ms":30000})")
+inline auto desiredState(
+    int version, const std::vector<Route> &routes, const std::vector<std::string> &services,
+    int engineTokens = 0,
+    const std::string &limits
+    = R"({"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":5000,"idle_timeout_ms":30000})")
     -> std::string
 {
     std::string text = "{\"version\":" + std::to_string(version) + ",\"routes\":[";
