Review case 7: the stream that ends inside an event, case 6 until now

Cause: the cases are in the order of their weight, and case 6 is a graver one. Done: moved; the program is the same.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,6 +4,6 @@
 # Before: the build of the deploy file, then review/build-2.sh.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-program=target/review-2/garbled_status
+program=target/review-2/cut_event
 [ -x "$program" ] || { echo "not built: run review/build-2.sh" >&2; exit 2; }
 exec "$program" "$here/record.txt"
