--- a/review/harness-3/unframed_crash.cc
+++ b/review/harness-2/unframed_crash.cc
@@ -18,8 +18,6 @@
     int sequence = 0;
     std::atomic<bool> isUp = false;
     std::atomic<int> start = 0;
-    std::mutex mutex;
-    std::set<int> open;
     std::unique_ptr<Listener> listener;
 };
 
@@ -42,20 +40,16 @@
     std::vector<std::unique_ptr<Host>> hosts;
 
     const auto beat = [&](Host &host) {
-        store.put("keyed.servers", host.id,
-                  "{\"service\":\"hardal-llm\",\"address\":\"" + host.listener->address()
-                      + "\",\"zone\":\"tuzla\",\"version\":\"v1\",\"slots\":128,\"state\":\"ready\","
-                        "\"cold_remaining_ms\":0,\"sequence\":"
-                      + std::to_string(++host.sequence) + ",\"born\":" + std::to_string(host.born)
-                      + "}");
+        store.put(
+            "keyed.servers", host.id,
+            "{\"service\":\"hardal-llm\",\"address\":\"" + host.listener->address()
+                + "\",\"zone\":\"tuzla\",\"version\":\"v1\",\"slots\":128,\"state\":\"ready\","
+                  "\"cold_remaining_ms\":0,\"sequence\":"
+                + std::to_string(++host.sequence) + ",\"born\":" + std::to_string(host.born) + "}");
     };
     std::function<void(Host &)> crash;
     const auto serve = [&](Host &host, Conn &conn) {
         const int start = host.start;
-        {
-            const std::lock_guard lock(host.mutex);
-            host.open.insert(conn.fd);
-        }
         for (;;) {
             Message request;
             if (!readHead(conn, request, 60000))
@@ -103,9 +97,6 @@
                 break; // its end is the end of the connection
             conn.send("0\r\n\r\n");
         }
-        const std::lock_guard lock(host.mutex);
-        host.open.erase(conn.fd);
-        conn.close();
     };
     const auto begin = [&](Host &host) {
         host.born = unixMs();
@@ -124,12 +115,7 @@
                 fifthAt = nowMs();
             record().line(host.id + " crashes (" + std::to_string(crashes) + ")");
         }
-        // As when its process ends: the kernel closes its sockets.
-        {
-            const std::lock_guard lock(host.mutex);
-            for (const auto fd : host.open)
-                shutdown(fd, SHUT_RDWR);
-        }
+        host.listener->stop();
         static_cast<void>(host.listener.release()); // its threads still use it
         std::thread([&host, &begin] {
             sleepMs(backAfterMs);
@@ -149,11 +135,10 @@
                     beat(*host);
         }
     }).detach();
-    store.put("keyed.op", "config",
-              desiredState(7,
-                           {{"digest", "/digest/", "streaming", "hardal-llm", 15000, 1200, 1,
-                             false}},
-                           {"hardal-llm"}, 1002848));
+    store.put(
+        "keyed.op", "config",
+        desiredState(7, {{"digest", "/digest/", "streaming", "hardal-llm", 15000, 1200, 1, false}},
+                     {"hardal-llm"}, 1002848));
     Edge edge({.store = store.address(), .cloud = cloud.address(), .folder = folder});
     edge.start();
     if (!edge.waitReady())
@@ -169,11 +154,11 @@
             sentAt[id] = nowMs();
         }
         auto conn = connectTo(edge.front);
-        const auto reply = call(conn,
-                                requestText("POST", "/digest/x", id, 15000, std::string(400, 'q'),
-                                            "Model: m\r\nToken-Usage: 900,80\r\nPrefix-Hash: "
-                                                + parts + "\r\n"),
-                                15000);
+        const auto reply
+            = call(conn,
+                   requestText("POST", "/digest/x", id, 15000, std::string(400, 'q'),
+                               "Model: m\r\nToken-Usage: 900,80\r\nPrefix-Hash: " + parts + "\r\n"),
+                   15000);
         conn.close();
         return reply;
     };
@@ -181,9 +166,9 @@
         clients.emplace_back([&, n] {
             for (int k = 0; !stop; ++k) {
                 const auto id = "a" + std::to_string(n) + "-" + std::to_string(k);
-                const auto reply = send(id, "c0ffee01:300,b" + std::to_string((n + k) % 20)
-                                                + ":300,e" + id.substr(1, 1) + std::to_string(k)
-                                                + ":300");
+                const auto reply
+                    = send(id, "c0ffee01:300,b" + std::to_string((n + k) % 20) + ":300,e"
+                                   + id.substr(1, 1) + std::to_string(k) + ":300");
                 ++sound;
                 soundWhole += reply.status == 200 && reply.complete
                                       && reply.body.find("id: 12\n") != std::string::npos
@@ -201,8 +186,8 @@
     clients.emplace_back([&] {
         for (int k = 0; !stop; ++k) {
             const auto id = "p" + std::to_string(k);
-            const auto reply = send(id, "c0ffee01:300," + poison + ":200,f" + std::to_string(k)
-                                            + ":300");
+            const auto reply
+                = send(id, "c0ffee01:300," + poison + ":200,f" + std::to_string(k) + ":300");
             record().line("answer " + id + " " + std::to_string(reply.status)
                           + (reply.complete ? "" : ", not whole"));
             sleepMs(500);
