--- a/review/harness-3/empty_stream.cc
+++ b/review/harness-2/empty_stream.cc
@@ -26,7 +26,8 @@
         if (self.hasEnded) {
             const std::lock_guard lock(mutex);
             begunAtCrashed.insert(id);
-            record().line(self.id + " crashed after the head of " + id + ", before its first event");
+            record().line(self.id + " crashed after the head of " + id
+                          + ", before its first event");
             return false;
         }
         for (int event = last.empty() ? 1 : std::atoi(last.c_str()) + 1; event <= events; ++event) {
@@ -40,10 +41,10 @@
     for (int n = 1; n <= 7; ++n)
         servers.push_back(std::make_unique<Server>(store, "i-llm" + std::to_string(n), "hardal-llm",
                                                    "tuzla", 128, serve));
-    store.put("keyed.op", "config",
-              desiredState(7,
-                           {{"digest", "/digest/", "streaming", "hardal-llm", 15000, 1200, 2, true}},
-                           {"hardal-llm"}, 1002848));
+    store.put(
+        "keyed.op", "config",
+        desiredState(7, {{"digest", "/digest/", "streaming", "hardal-llm", 15000, 1200, 2, true}},
+                     {"hardal-llm"}, 1002848));
     Edge edge({.store = store.address(), .cloud = cloud.address(), .folder = folder});
     edge.start();
     if (!edge.waitReady())
@@ -59,12 +60,12 @@
             for (int k = 0; !stop; ++k) {
                 const auto id = "a" + std::to_string(n) + "-" + std::to_string(k);
                 auto conn = connectTo(edge.front);
-                const auto reply
-                    = call(conn,
-                           requestText("POST", "/digest/x", id, 15000, std::string(400, 'q'),
-                                       "Model: m\r\nToken-Usage: 900,72\r\nPrefix-Hash: c0ffee01:300,b"
-                                           + std::to_string((n + k) % 20) + ":300,e" + id + ":300\r\n"),
-                           15000);
+                const auto reply = call(
+                    conn,
+                    requestText("POST", "/digest/x", id, 15000, std::string(400, 'q'),
+                                "Model: m\r\nToken-Usage: 900,72\r\nPrefix-Hash: c0ffee01:300,b"
+                                    + std::to_string((n + k) % 20) + ":300,e" + id + ":300\r\n"),
+                    15000);
                 conn.close();
                 const bool isLast
                     = reply.body.find("id: " + std::to_string(events) + "\n") != std::string::npos;
--- a/review/harness-3/slow_link.cc
+++ b/review/harness-2/idle_limit.cc
@@ -1,4 +1,4 @@
-// LOST: answers that a client still reads when the machine gets SIGTERM.
+// LOST: a new desired state shortens idle_timeout_ms while clients read their answers.
 #include "rig.hh"
 
 using namespace rig;
@@ -14,12 +14,17 @@
     Server app(store, "i-app1", "siparis-app", "tuzla", 6,
                [&](Server &self, Conn &conn, const Message &request) {
                    record().line("run " + request.header("Attempt-Id") + " at " + self.id);
-                   sleepMs(700);
+                   sleepMs(60);
                    return conn.send(answer(200, sealed(self, request), body));
                });
-    store.put("keyed.op", "config",
-              desiredState(7, {{"read", "/read/", "safe", "siparis-app", 15000, 8000, 2}},
-                           {"siparis-app"}));
+    const auto state = [](int version, int idleMs) {
+        return desiredState(version, {{"read", "/read/", "safe", "siparis-app", 15000, 8000, 2}},
+                            {"siparis-app"}, 0,
+                            R"({"max_header_bytes":16384,"max_body_bytes":4194304,)"
+                            R"("header_timeout_ms":3000,"idle_timeout_ms":)"
+                                + std::to_string(idleMs) + "}");
+    };
+    store.put("keyed.op", "config", state(7, 15000));
     Edge edge({.store = store.address(), .cloud = cloud.address(), .folder = folder});
     edge.start();
     if (!edge.waitReady())
@@ -28,7 +33,7 @@
     constexpr int clients = 4;
     std::atomic<int> lost = 0;
     std::atomic<int> whole = 0;
-    std::atomic<std::int64_t> termAt = 0;
+    std::atomic<std::int64_t> changedAt = 0;
     std::vector<std::thread> threads;
     for (int n = 0; n < clients; ++n) {
         threads.emplace_back([&, n] {
@@ -42,7 +47,7 @@
                 ++lost;
                 return;
             }
-            // A link of 10 Mbit/s.
+            // A link of 20 Mbit/s, read without a pause.
             auto total = conn.buffer.size();
             const auto begun = nowMs();
             bool ended = false;
@@ -53,30 +58,25 @@
                     break;
                 }
                 total += conn.buffer.size();
-                const auto due = begun + std::int64_t(total) / 1250;
+                const auto due = begun + std::int64_t(total) / 2500;
                 if (due > nowMs())
                     sleepMs(due - nowMs());
             }
-            const auto after = termAt > 0 ? nowMs() - termAt : 0;
             record().line((ended ? "cut " : "whole ") + id + " status "
                           + std::to_string(reply.status) + ": " + std::to_string(total) + " of "
                           + reply.header("content-length") + " bytes, "
-                          + std::to_string(nowMs() - begun) + " ms after its head, "
-                          + std::to_string(after) + " ms after SIGTERM");
+                          + std::to_string(nowMs() - begun) + " ms after its head"
+                          + (changedAt > 0 ? ", " + std::to_string(nowMs() - changedAt)
+                                                 + " ms after the new desired state"
+                                           : ""));
             ++(ended ? lost : whole);
         });
     }
-    sleepMs(300);
+    sleepMs(150);
     if (isTroubled()) {
-        record().line("SIGTERM to the edge (grace 8 s)");
-        termAt = nowMs();
-        edge.kill(SIGTERM);
-        std::thread([&] {
-            while (!edge.ended())
-                sleepMs(10);
-            record().line("the edge has ended by itself, "
-                          + std::to_string(nowMs() - termAt) + " ms after SIGTERM");
-        }).detach();
+        store.put("keyed.op", "config", state(8, 1000));
+        changedAt = nowMs();
+        record().line("desired state 8 is acknowledged: idle_timeout_ms 1,000 in place of 15,000");
     }
     for (auto &each : threads)
         each.join();
