--- a/review/harness-2/ran_503.cc
+++ b/review/harness-2/ran_503.cc
@@ -52,6 +52,7 @@
                 const auto order = std::to_string(client) + "-" + std::to_string(n);
                 for (int attempt = 0; attempt < 2; ++attempt) {
                     const auto id = "a" + order + "-" + std::to_string(attempt);
+                    record().line("send " + id + " order " + order);
                     auto conn = connectTo(edge.front);
                     const auto reply
                         = call(conn, requestText("POST", "/order/new", id, 4000, order), 6000);
--- a/review/harness-2/unframed_crash.cc
+++ b/review/harness-2/unframed_crash.cc
@@ -77,6 +77,7 @@
                 std::snprintf(size, sizeof size, "%zx\r\n", text.size());
                 return conn.send(isFramed ? size + text + "\r\n" : text);
             };
+            record().line("run " + id + " at " + host.id);
             sleepMs(30);
             if (!conn.send(head))
                 break;
@@ -153,6 +154,7 @@
             const std::lock_guard lock(mutex);
             sentAt[id] = nowMs();
         }
+        record().line("send " + id + " parts " + parts);
         auto conn = connectTo(edge.front);
         const auto reply
             = call(conn,
@@ -169,11 +171,12 @@
                 const auto reply
                     = send(id, "c0ffee01:300,b" + std::to_string((n + k) % 20) + ":300,e"
                                    + id.substr(1, 1) + std::to_string(k) + ":300");
+                const bool isWhole = reply.status == 200 && reply.complete
+                                     && reply.body.find("id: 12\n") != std::string::npos;
+                record().line("answer " + id + " " + std::to_string(reply.status)
+                              + (isWhole ? ", whole" : ", not whole"));
                 ++sound;
-                soundWhole += reply.status == 200 && reply.complete
-                                      && reply.body.find("id: 12\n") != std::string::npos
-                                  ? 1
-                                  : 0;
+                soundWhole += isWhole ? 1 : 0;
                 sleepMs(60);
             }
         });
@@ -197,6 +200,7 @@
     stop = true;
     const int later = sound - calm;
     const int laterWhole = soundWhole - calmWhole;
+    sleepMs(1500); // the last answers are written down
     record().line("then: " + std::to_string(laterWhole) + " of " + std::to_string(later)
                   + " sound streams whole, " + std::to_string(crashes)
                   + " crashes, requests with the part that reached servers, sent later than "
