Take a stream that ends inside an event for broken off, whatever its framing

Cause: the router looked at the end of a stream only where the response had neither a length nor chunks, and only where its type named events. A length or a last chunk was taken as proof that the stream is whole. Evidence: with the same bytes in three framings, the router's caller gets a complete response with a length and in chunks; without either only where the type is missing or spelled otherwise. The fix looks at the events of every stream, and of held responses of that type. Such a stream is then resumed or cut by the path that other broken streams take. The end of an event is recognised with LF, CR and CR LF, also in turns, since the check now meets more streams: sound ones with CR were cut before, where the connection ends them.

--- a/packages/forwarding/event_boundary.h
+++ b/packages/forwarding/event_boundary.h
@@ -13,10 +13,22 @@
 
 namespace mustardline {
 
-// The blank lines that end an event.
+// The blank lines that end an event, where all lines of the stream end alike.
 inline constexpr std::string_view plainEventEnd = "\n\n";
 inline constexpr std::string_view eventEndWithReturns = "\r\n\r\n";
 
+// Whether `text` ends with a blank line. Lines may end with LF, CR or CR LF, also in turns.
+[[nodiscard]] inline auto endsWithBlankLine(std::string_view text) -> bool
+{
+    if (text.ends_with("\r\n"))
+        text.remove_suffix(2);
+    else if (text.ends_with('\n') || text.ends_with('\r'))
+        text.remove_suffix(1);
+    else
+        return false;
+    return text.ends_with('\n') || text.ends_with('\r');
+}
+
 class event_boundary
 {
 public:
@@ -29,12 +41,11 @@
     // True before the first byte as well.
     [[nodiscard]] auto isAtEnd() const -> bool
     {
-        return m_tail.empty() || m_tail.ends_with(plainEventEnd)
-               || m_tail.ends_with(eventEndWithReturns);
+        return m_tail.empty() || endsWithBlankLine(m_tail);
     }
 
 private:
-    // The longest end.
+    // The longest end of an event.
     static constexpr std::size_t maxMark = eventEndWithReturns.size();
 
     std::string m_tail;
--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -27,12 +27,15 @@
     return status >= firstSuccess && status < firstRedirect;
 }
 
-// Whether the end of the connection is the only mark of the response's end, and the response is a
-// stream of events.
-auto isUnframedEventStream(const http_answer &answer) -> bool
+// Whether the response is a stream of events. A stream route's success is one unless its type says
+// otherwise.
+auto isEventStream(const forward_request &request) -> bool
 {
-    return !answer.length && findHeader(answer.headers, "transfer-encoding").empty()
-           && findHeader(answer.headers, "content-type").starts_with("text/event-stream");
+    constexpr std::string_view eventStreamType = "text/event-stream";
+    const auto type = findHeader(request.answer.headers, "content-type");
+    if (type.empty())
+        return request.route->kind == route_kind::stream && isSuccess(request.answer.status);
+    return sameHeaderName(type.substr(0, eventStreamType.size()), eventStreamType);
 }
 
 // Whether the endpoint's own failure is the final response: it arrived whole, and the caller has
@@ -109,6 +112,7 @@
     const bool isRelayed
         = request->route->kind == route_kind::stream && isSuccess(request->answer.status);
     const auto now = m_clock.now();
+    request->boundary.feed(data);
     if (!request->notRun && !request->hasFirstByte)
         onFirstByte(*request, now);
     recordAnswer(*request, false, now);
@@ -121,7 +125,6 @@
     request->lastByteAt = now;
     if (!std::exchange(request->responseStarted, true))
         exchange.startStream(request->answer.status, answerHeaders(request->answer.headers));
-    request->boundary.feed(data);
     exchange.sendChunk(request->route->resumable ? request->eventBuffer.feed(data) : data);
     m_dispatcher.progressed(number, 1, now);
     if (!request->readPaused && exchange.backlogBytes() > m_options.maxBacklogBytes) {
@@ -228,7 +231,8 @@
              .sent = true});
         return;
     }
-    if (isUnframedEventStream(request.answer) && !request.boundary.isAtEnd()) {
+    // Neither a length nor a last chunk makes such a stream whole: its endpoint has broken it off.
+    if (isEventStream(request) && !request.boundary.isAtEnd()) {
         onResponseFailed(request, {.reason = {.code = result_code::answer_cut,
                                               .message = "the stream ended inside an event"},
                                    .sent = true});
--- a/packages/forwarding/testing/forward_router_failure_test.cpp
+++ b/packages/forwarding/testing/forward_router_failure_test.cpp
@@ -1,10 +1,13 @@
 // Tests of what callers get when an endpoint fails, pauses or sends too much.
 
 #include <algorithm>
+#include <array>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <vector>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "forwarding/testing/forward_router_fixture.h"
@@ -87,6 +90,132 @@
     }
 }
 
+// How an endpoint marks the end of a response's body.
+enum class body_framing { length, chunks, connection_end };
+
+// A success of an endpoint; its Content-Type is left out if `type` is empty.
+auto successText(body_framing framing, std::string_view type, const std::string &body)
+    -> std::string
+{
+    std::string text = "HTTP/1.1 200 OK\r\nSeal: s\r\n";
+    if (!type.empty())
+        text += fmt::format("Content-Type: {}\r\n", type);
+    switch (framing) {
+    case body_framing::length:
+        return text + fmt::format("Content-Length: {}\r\n\r\n{}", body.size(), body);
+    case body_framing::chunks:
+        return text
+               + fmt::format("Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n0\r\n\r\n",
+                             body.size(), body);
+    case body_framing::connection_end:
+        return text + "\r\n" + body;
+    }
+    return text;
+}
+
+constexpr auto allFramings
+    = std::to_array({body_framing::length, body_framing::chunks, body_framing::connection_end});
+
+class BrokenStreamTest : public ForwardRouterTest
+{
+protected:
+    static constexpr auto firstEvent = "id: 1\ndata: a\n\n";
+    static constexpr auto secondEvent = "id: 2\ndata: b\n\n";
+
+    // Registers two endpoints at the listener: a request gets `begun`, and one that resumes a
+    // stream gets `rest`.
+    auto serve(const std::string &begun, const std::string &rest) -> void
+    {
+        m_listener.onOpen = [begun, rest](raw_peer &peer) {
+            peer.onChange = [&peer, begun, rest] {
+                if (peer.hasEnded() || !peer.received().ends_with("\r\n\r\nx"))
+                    return;
+                const bool isResumed = peer.received().find("Last-Event-Id") != std::string::npos;
+                peer.send(isResumed ? rest : begun);
+                peer.close();
+            };
+        };
+        ++m_start;
+        for (const auto *id : {"e1", "e2"}) {
+            fake_endpoint at{.address = m_listener.address()};
+            registerEndpoint(at, m_start, id);
+        }
+    }
+
+    raw_listener m_listener{m_loop};
+    std::int64_t m_start = 0;
+};
+
+// The framing and Content-Type of a stream, and the start of an event at which it ends. A case
+// each, because a router that has resumed some streams has no retry budget left.
+using broken_stream = std::tuple<body_framing, const char *, const char *>;
+
+class StreamBrokenInsideAnEventTest : public BrokenStreamTest,
+                                      public testing::WithParamInterface<broken_stream>
+{};
+
+// Guards against a stream that its endpoint broke off inside an event and that reaches its caller
+// as complete, because a length or a last chunk ended it.
+TEST_P(StreamBrokenInsideAnEventTest, isResumedOrCutButNeverComplete)
+{
+    const auto &[framing, type, cut] = GetParam();
+    serve(successText(framing, type, firstEvent + std::string(cut)),
+          successText(framing, type, secondEvent));
+
+    setRoute({.kind = route_kind::stream, .resumable = true, .maxAttempts = 2});
+    call();
+    EXPECT_TRUE(m_isWhole);
+    EXPECT_EQ(m_body, std::string(firstEvent) + secondEvent);
+
+    setRoute({.kind = route_kind::stream, .maxAttempts = 2});
+    call();
+    EXPECT_FALSE(m_isWhole);
+    EXPECT_EQ(m_status, 200);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    FramingsAndTypes, StreamBrokenInsideAnEventTest,
+    testing::Combine(testing::ValuesIn(allFramings),
+                     testing::Values("text/event-stream", "Text/Event-Stream; charset=utf-8", ""),
+                     testing::Values("i", "id: 2\ndata: b", "id: 2\ndata: b\n", "id: 2\r\n")));
+
+// The same on routes that do not relay events as they arrive.
+TEST_F(BrokenStreamTest, heldResponseThatEndsInsideAnEventIsNotRelayed)
+{
+    for (const auto framing : allFramings) {
+        const auto cut = successText(framing, "text/event-stream", "id: 1\ndata: a");
+        serve(cut, cut);
+        for (const auto kind : {route_kind::at_most_once, route_kind::idempotent}) {
+            setRoute({.kind = kind, .maxAttempts = 2});
+            call();
+            EXPECT_EQ(m_status, 502) << fmt::underlying(framing);
+        }
+    }
+}
+
+// A check that is too strict cuts sound streams.
+TEST_F(BrokenStreamTest, streamThatEndsWithABlankLineIsComplete)
+{
+    for (const auto framing : allFramings) {
+        for (const std::string body : {"id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n",
+                                       "id: 1\rdata: a\r\r", "id: 1\ndata: a\n\r\n"}) {
+            serve(successText(framing, "text/event-stream", body), "");
+            for (const bool isResumable : {false, true}) {
+                setRoute({.kind = route_kind::stream, .resumable = isResumable, .maxAttempts = 1});
+                call();
+                EXPECT_TRUE(m_isWhole) << body;
+                EXPECT_EQ(m_body, body);
+            }
+        }
+        // Another format has no events to end inside of.
+        serve(successText(framing, "application/json", "{}"), "");
+        setRoute({.kind = route_kind::stream, .maxAttempts = 1});
+        call();
+        EXPECT_TRUE(m_isWhole);
+        EXPECT_EQ(m_body, "{}");
+    }
+}
+
 constexpr std::size_t maxHeldBytes = 1U << 20U;
 
 class EndlessResponseTest : public ForwardRouterTest
