Relay no status that promises "not run" unless that is proved

Cause: a response without the endpoint's word that it executed nothing was relayed whatever its status, so an endpoint's own 503 reached the caller as the promise that only the router can make. Evidence: the response bears the endpoint's seal; a router with one endpoint that answers 408, 429 or 503 relays each of them, on every kind of route. relayResponse, the one place that relays, now withholds these statuses: 502 instead. Where the request may run again it is sent elsewhere first, as after a 500. An idempotent request that was lost once and then refused gets 502 as well, not the refusal.

--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -192,8 +192,9 @@
         -> void;
     auto onResponseComplete(forward_request &request) -> void;
     auto onResponseFailed(forward_request &request, const http_failure &failure) -> void;
-    // Relays the endpoint's response to the caller.
+    // Relays the endpoint's response to the caller, unless it makes a promise that is not proved.
     auto relayResponse(forward_request &request) -> void;
+    auto withholdPromise(forward_request &request) -> void;
     auto onFirstByte(forward_request &request, time_point now) -> void;
     // Updates what is known of the parts of prompts and of the endpoints that crash.
     auto recordAnswer(forward_request &request, bool isComplete, time_point now) -> void;
--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "forwarding/events.h"
 #include "forwarding/forward_router.h"
 #include "forwarding/send_rules.h"
@@ -38,12 +40,18 @@
     return sameHeaderName(type.substr(0, eventStreamType.size()), eventStreamType);
 }
 
+// Whether the endpoint failed to serve the request, so that another one may succeed.
+auto isEndpointFailure(int status) -> bool
+{
+    return status >= firstFailureStatus || promisesNotRun(status);
+}
+
 // Whether the endpoint's own failure is the final response: it arrived whole, and the caller has
 // received nothing of another response.
 auto isRelayableFailure(const forward_request &request) -> bool
 {
     return request.answerComplete && !request.invalidAnswer && !request.responseStarted
-           && request.answer.status >= firstFailureStatus;
+           && isEndpointFailure(request.answer.status);
 }
 
 // Parses seconds, optionally with a fraction, and limits them to maxPause; returns zero for
@@ -254,7 +262,7 @@
         finish(request, result_code::ok);
         return;
     }
-    if (status >= firstFailureStatus && mayRetryElsewhere(request)) {
+    if (isEndpointFailure(status) && mayRetryElsewhere(request)) {
         retryOrFail(request, result_code::endpoint_error, true);
         return;
     }
@@ -266,10 +274,27 @@
 auto forward_router::relayResponse(forward_request &request) -> void
 {
     const auto &answer = request.answer;
+    if (promisesNotRun(answer.status)) {
+        withholdPromise(request);
+        return;
+    }
     request.exchange->reply(answer.status, answerHeaders(answer.headers), request.body);
     finish(request, isSuccess(answer.status) ? result_code::ok : result_code::endpoint_error);
 }
 
+// The endpoint's status would promise that nothing was executed, but the endpoint did not say so; a
+// response that does never gets here.
+auto forward_router::withholdPromise(forward_request &request) -> void
+{
+    const auto &answer = request.answer;
+    const auto pause = parseRetryAfter(findHeader(answer.headers, "retry-after"));
+    fail(request,
+         {.code = result_code::endpoint_error,
+          .message = fmt::format("endpoint answered {} without stating that it executed nothing",
+                                 answer.status),
+          .retryAfter = mayExecuteAgain(request) ? pause : duration(0)});
+}
+
 auto forward_router::onResponseFailed(forward_request &request, const http_failure &failure) -> void
 {
     recordFailure(request, failure);
--- a/packages/forwarding/send_rules.cpp
+++ b/packages/forwarding/send_rules.cpp
@@ -42,6 +42,16 @@
     return !request.inFlight && !request.mayHaveRun;
 }
 
+auto promisesNotRun(int status) -> bool
+{
+    constexpr int requestTimeout = 408;
+    constexpr int misdirected = 421;
+    constexpr int tooManyRequests = 429;
+    constexpr int unavailable = 503;
+    return status == requestTimeout || status == misdirected || status == tooManyRequests
+           || status == unavailable;
+}
+
 auto sendRejectionName(send_rejection rejection) -> std::string_view
 {
     switch (rejection) {
--- a/packages/forwarding/send_rules.h
+++ b/packages/forwarding/send_rules.h
@@ -46,6 +46,10 @@
 // Whether the request may be rejected with the promise that nothing of it was executed.
 [[nodiscard]] auto isProvenNotRun(const forward_request &request) -> bool;
 
+// Whether callers take this status as a promise that nothing of the request was or will be
+// executed. They then repeat even a request that must run at most once.
+[[nodiscard]] auto promisesNotRun(int status) -> bool;
+
 // Name of a rejection in logs and metrics.
 [[nodiscard]] auto sendRejectionName(send_rejection rejection) -> std::string_view;
 
--- a/packages/forwarding/testing/forward_router_failure_test.cpp
+++ b/packages/forwarding/testing/forward_router_failure_test.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include <fmt/format.h>
@@ -70,6 +71,79 @@
     }
 }
 
+// Guards against an endpoint's own failure that reaches the caller as the promise that nothing of
+// the request was executed, after which callers repeat what must run at most once.
+TEST_F(SpentRetryBudgetTest, failureOfAnEndpointIsNotRelayedAsAPromise)
+{
+    constexpr int ownFailure = 502;
+    constexpr int serverError = 500;
+    const auto routes = std::to_array<route_settings>({
+        {.kind = route_kind::at_most_once, .maxAttempts = 2},
+        {.kind = route_kind::stream, .maxAttempts = 2},
+        {.kind = route_kind::stream, .resumable = true, .maxAttempts = 1},
+        {.kind = route_kind::stream, .resumable = true, .maxAttempts = 2},
+        {.kind = route_kind::idempotent, .maxAttempts = 1},
+        {.kind = route_kind::idempotent, .maxAttempts = 2},
+    });
+    int status = 0;
+    m_onReceived = [&](const fake_endpoint &, http_exchange &exchange) {
+        exchange.reply(status, std::vector<http_header>{{.name = "Seal", .value = "s"}}, "ran");
+    };
+    registerEndpoint(m_oldInstance, 1);
+    for (const auto &route : routes) {
+        setRoute(route);
+        for (const int promise : {408, 429, 503}) {
+            status = promise;
+            call();
+            EXPECT_EQ(m_status, ownFailure) << promise;
+            EXPECT_EQ(findHeader(m_outcomes.back().answer.headers, "Seal"), "") << promise;
+        }
+        status = serverError;
+        call();
+        EXPECT_EQ(m_status, serverError) << "a status that promises nothing is relayed";
+        EXPECT_EQ(m_body, "ran");
+    }
+}
+
+// The same where only a later endpoint states that it executed nothing: an earlier one may have.
+TEST_F(ForwardRouterTest, refusalAfterALostAttemptIsNotRelayedAsAPromise)
+{
+    m_onReceived = [](const fake_endpoint &at, http_exchange &exchange) {
+        if (at.received.size() == 1)
+            exchange.abort();
+        else
+            exchange.reply(503,
+                           std::vector<http_header>{{.name = "Seal", .value = "s"},
+                                                    {.name = "Not-Run", .value = "1"}},
+                           "");
+    };
+    setRoute({.kind = route_kind::idempotent, .maxAttempts = 2});
+    registerEndpoint(m_oldInstance, 1);
+    call();
+    EXPECT_GE(m_oldInstance.received.size(), 2U);
+    EXPECT_EQ(m_status, 502);
+}
+
+// A withheld promise must not cost a request that another endpoint can serve.
+TEST_F(ForwardRouterTest, requestThatMayRunAgainIsRepeatedAfterAnyFailureOfAnEndpoint)
+{
+    for (const int status : {408, 429, 500, 503}) {
+        bool isFirst = true;
+        m_onReceived = [&](const fake_endpoint &, http_exchange &exchange) {
+            if (std::exchange(isFirst, false))
+                exchange.reply(status, std::vector<http_header>{{.name = "Seal", .value = "s"}},
+                               "");
+            else
+                succeed(exchange);
+        };
+        setRoute({.kind = route_kind::idempotent, .maxAttempts = 2});
+        registerEndpoint(m_oldInstance, 1, "e1");
+        registerEndpoint(m_newInstance, 1, "e2");
+        call();
+        EXPECT_EQ(m_status, 200) << status;
+    }
+}
+
 // Guards against a success whose head its endpoint broke off, and which reaches the caller as a
 // whole response with an empty or short body.
 TEST_F(ForwardRouterTest, headThatBreaksOffIsNeverASuccess)
