Take the end of a connection for orderly only if the peer received all that was sent

Two neighbours did not, by test: a server that ends its side before it resets, and a reset while reading is paused, whose error hasInput used up. Cause: a read that returns the end of input was called orderly. It also returns that after an error has been reported once, and before the reset that answers what is still being sent. An end is now orderly only with no error pending or seen and everything acknowledged.

--- a/packages/net/tcp_stream.cpp
+++ b/packages/net/tcp_stream.cpp
@@ -6,8 +6,10 @@
 
 #include <arpa/inet.h>
 #include <event2/event.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -50,6 +52,22 @@
     return buffer;
 }
 
+// Returns the error that the kernel holds for the socket and clears it; 0 if there is none.
+auto takeSocketError(int descriptor) -> int
+{
+    int socketError = 0;
+    socklen_t length = sizeof socketError;
+    getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &socketError, &length);
+    return socketError;
+}
+
+// Bytes that were sent and that the peer has not acknowledged; 0 if the kernel does not tell.
+auto unacknowledgedBytes(int descriptor) -> int
+{
+    int bytes = 0;
+    return ioctl(descriptor, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
 auto isTransient(int socketError) -> bool
 {
     return socketError == EAGAIN || socketError == EWOULDBLOCK || socketError == EINTR;
@@ -133,10 +151,12 @@
     return count >= 0 || !isTransient(errno);
 }
 
-auto tcp_stream::hasInput() const -> bool
+auto tcp_stream::hasInput() -> bool
 {
     char byte = 0;
-    return recv(m_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    const auto count = recv(m_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    m_isBroken = m_isBroken || (count < 0 && !isTransient(errno));
+    return count > 0;
 }
 
 auto tcp_stream::handleReadable() -> void
@@ -157,7 +177,7 @@
         return;
     }
     if (count == 0) {
-        finish(true);
+        finish(isEndOrderly());
         return;
     }
     // A copy, because the callback may replace `onData`.
@@ -176,10 +196,7 @@
 
 auto tcp_stream::finishConnecting() -> void
 {
-    int socketError = 0;
-    socklen_t length = sizeof socketError;
-    getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &socketError, &length);
-    if (socketError != 0) {
+    if (takeSocketError(m_descriptor) != 0) {
         finish(false);
         return;
     }
@@ -203,6 +220,7 @@
     }
     const auto count = ::send(m_descriptor, data.data(), data.size(), MSG_NOSIGNAL);
     if (count < 0 && !isTransient(errno)) {
+        m_isBroken = true;
         // `onEnd` is posted, because the caller of `send` does not expect it to run within the
         // call.
         m_loop.post([keep = shared_from_this()] { keep->finish(false); });
@@ -280,6 +298,14 @@
         finish(true);
 }
 
+// A peer that ends its side and still has bytes to receive will reset the connection when they
+// arrive; what it sent may be a part only.
+auto tcp_stream::isEndOrderly() const -> bool
+{
+    return !m_isBroken && takeSocketError(m_descriptor) == 0 && backlogBytes() == 0
+           && unacknowledgedBytes(m_descriptor) == 0;
+}
+
 auto tcp_stream::finish(bool orderly) -> void
 {
     if (isClosed())
--- a/packages/net/tcp_stream.h
+++ b/packages/net/tcp_stream.h
@@ -47,7 +47,8 @@
 
     std::function<auto()->void> onConnected;
     std::function<auto(std::string_view data)->void> onData;
-    // `orderly`: the peer closed the connection; otherwise the connection broke.
+    // `orderly`: the peer closed the connection after it had received everything that was sent;
+    // otherwise the connection broke.
     std::function<auto(bool orderly)->void> onEnd;
 
     // Called when buffered bytes have been sent.
@@ -65,7 +66,7 @@
     // Whether there is unread input, an unread end of stream or a socket error.
     [[nodiscard]] auto hasUnread() const -> bool;
     // Whether there is unread input.
-    [[nodiscard]] auto hasInput() const -> bool;
+    [[nodiscard]] auto hasInput() -> bool;
 
     // Closes the connection immediately; no callback follows.
     auto close() -> void;
@@ -84,6 +85,8 @@
     auto flush() -> void;
     auto finishConnecting() -> void;
     auto finishLingering() -> void;
+    // Whether the connection is sound although the peer has ended its side.
+    [[nodiscard]] auto isEndOrderly() const -> bool;
     auto finish(bool orderly) -> void;
 
     event_loop &m_loop;
@@ -98,6 +101,9 @@
     bool m_lingering = false;
     bool m_writeShutDown = false;
     bool m_peerEnded = false;
+    // An error of the socket was seen. The kernel reports each error once, and after that an end of
+    // input that looks orderly.
+    bool m_isBroken = false;
     event_handle m_lingerTimer;
 };
 
--- a/packages/net/testing/http_wire_test.cpp
+++ b/packages/net/testing/http_wire_test.cpp
@@ -402,6 +402,70 @@
     }
 }
 
+constexpr auto beginOfUnframedResponse = "HTTP/1.1 200 OK\r\n\r\npart";
+
+// How a peer ends a response without a length that it sends while the request is still arriving.
+enum class early_end { reset, reset_once_read, shut_down, shut_down_and_reset };
+
+// Guards against a part of a response that is taken for all of it: the peer broke the connection
+// while the request was being sent, and the end of the connection is all that ends the response.
+TEST_F(HttpClientWireTest, unframedResponseIsNotCompleteIfTheRequestWasNotReceived)
+{
+    // The smaller one waits in the kernel's buffers as a whole.
+    for (const std::size_t size : {std::size_t(1) << 20U, std::size_t(32) << 20U}) {
+        for (const auto how : {early_end::reset, early_end::reset_once_read, early_end::shut_down,
+                               early_end::shut_down_and_reset}) {
+            raw_peer *current = nullptr;
+            m_listener.onOpen = [&](raw_peer &peer) {
+                current = &peer;
+                peer.onChange = [&peer, how] {
+                    peer.setReading(false);
+                    peer.send(beginOfUnframedResponse);
+                    if (how == early_end::shut_down || how == early_end::shut_down_and_reset)
+                        peer.shutDownSending();
+                    if (how == early_end::reset || how == early_end::shut_down_and_reset)
+                        peer.reset();
+                };
+            };
+            std::optional<http_outcome> outcome;
+            auto call = m_client.start(
+                m_listener.address(), {.method = "POST", .body = std::string(size, 'x')},
+                {.onData =
+                     [&](std::string_view) {
+                         if (how == early_end::reset_once_read)
+                             current->reset();
+                     },
+                 .onDone = [&](const http_outcome &result) { outcome = result; }});
+            ASSERT_TRUE(runUntil(m_loop, [&] { return outcome.has_value(); }));
+            const auto *failure = std::get_if<http_failure>(&*outcome);
+            ASSERT_NE(failure, nullptr) << size << ", " << static_cast<int>(how);
+            EXPECT_TRUE(failure->sent);
+        }
+    }
+}
+
+// The same for a call that is paused when the connection breaks: `hasInput` must not use up the
+// error of the socket.
+TEST_F(HttpClientWireTest, unframedResponseIsNotCompleteIfItBreaksWhileTheCallIsPaused)
+{
+    respondWith({beginOfUnframedResponse});
+    std::optional<http_outcome> outcome;
+    bool hasData = false;
+    auto call = m_client.start(m_listener.address(), {},
+                               {.onData = [&](std::string_view) { hasData = true; },
+                                .onDone = [&](const http_outcome &result) { outcome = result; }});
+    ASSERT_TRUE(runUntil(m_loop, [&] { return hasData; }));
+    call.pause();
+    m_listener.peers().back()->reset();
+    // The loop runs until the reset has arrived.
+    int turns = 0;
+    ASSERT_TRUE(runUntil(m_loop, [&] { return ++turns > 20; }));
+    EXPECT_FALSE(call.hasInput());
+    call.resume();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return outcome.has_value(); }));
+    EXPECT_TRUE(std::holds_alternative<http_failure>(*outcome));
+}
+
 TEST_F(HttpClientWireTest, receivesAResponseBeforeTheRequestIsFullySent)
 {
     m_listener.onOpen = [](raw_peer &peer) {
--- a/packages/net/testing/raw_peer.cpp
+++ b/packages/net/testing/raw_peer.cpp
@@ -13,11 +13,24 @@
     setStreamCallbacks();
 }
 
-raw_peer::raw_peer(std::shared_ptr<tcp_stream> stream) : m_stream(std::move(stream))
+raw_peer::raw_peer(std::shared_ptr<tcp_stream> stream, int descriptor)
+    : m_stream(std::move(stream)), m_descriptor(descriptor)
 {
     setStreamCallbacks();
 }
 
+auto raw_peer::shutDownSending() -> void
+{
+    shutdown(m_descriptor, SHUT_WR);
+}
+
+auto raw_peer::reset() -> void
+{
+    const linger discard{.l_onoff = 1, .l_linger = 0};
+    setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+    m_stream->close();
+}
+
 auto raw_peer::setStreamCallbacks() -> void
 {
     m_stream->onData = [this](std::string_view bytes) {
@@ -48,7 +61,8 @@
         const auto descriptor = accept(m_descriptor, nullptr, nullptr);
         if (descriptor < 0)
             return;
-        m_peers.push_back(std::make_unique<raw_peer>(tcp_stream::adopt(m_loop, descriptor, {})));
+        m_peers.push_back(
+            std::make_unique<raw_peer>(tcp_stream::adopt(m_loop, descriptor, {}), descriptor));
         if (onOpen)
             onOpen(*m_peers.back());
     });
--- a/packages/net/testing/raw_peer.h
+++ b/packages/net/testing/raw_peer.h
@@ -21,11 +21,17 @@
 {
 public:
     raw_peer(event_loop &loop, const socket_address &address);
-    explicit raw_peer(std::shared_ptr<tcp_stream> stream);
+    // `descriptor`: the stream's socket.
+    raw_peer(std::shared_ptr<tcp_stream> stream, int descriptor);
 
     auto send(std::string_view bytes) -> void { m_stream->send(bytes); }
     auto close() -> void { m_stream->close(); }
     auto setReading(bool reading) -> void { m_stream->setReading(reading); }
+    // The next two are for accepted connections only.
+    // Tells the peer that nothing more is sent; the connection stays.
+    auto shutDownSending() -> void;
+    // Closes the connection in a way that breaks it for the peer.
+    auto reset() -> void;
 
     // Everything received so far.
     [[nodiscard]] auto received() const -> const std::string & { return m_received; }
@@ -37,6 +43,7 @@
     auto setStreamCallbacks() -> void;
 
     std::shared_ptr<tcp_stream> m_stream;
+    int m_descriptor = -1;
     std::string m_received;
     bool m_ended = false;
 };
