Reject responses whose status is not three digits from 100 to 599

Cause: http_parser takes any number for a status, and the reader did not check it; what is neither a success nor 500 or more is relayed. The reader now fails such a response like other bytes that are none. Two tests, of the reader and of the router, failed before and pass with it.

--- a/packages/forwarding/testing/forward_router_failure_test.cpp
+++ b/packages/forwarding/testing/forward_router_failure_test.cpp
@@ -71,6 +71,27 @@
     }
 }
 
+// Guards against an endpoint in trouble whose status is none, and which the caller gets as a
+// response with that status.
+TEST_F(ForwardRouterTest, responseWithoutAValidStatusIsNotRelayed)
+{
+    std::int64_t start = 0;
+    for (const auto *status : {"000", "20 OK", "0200 OK", "600 High"}) {
+        for (const auto kind : {route_kind::at_most_once, route_kind::stream}) {
+            setRoute({.kind = kind, .maxAttempts = 1});
+            raw_listener endpoint(m_loop);
+            answerAndClose(endpoint, fmt::format("HTTP/1.1 {}\r\nSeal: s\r\nRequest-Id: r1\r\n"
+                                                 "Content-Length: 4\r\n\r\ndone",
+                                                 status));
+            m_oldInstance.address = endpoint.address();
+            registerEndpoint(m_oldInstance, ++start);
+            call();
+            EXPECT_EQ(m_status, 502) << status;
+            EXPECT_NE(m_body, "done") << status;
+        }
+    }
+}
+
 // Guards against an endpoint's own failure that reaches the caller as the promise that nothing of
 // the request was executed, after which callers repeat what must run at most once.
 TEST_F(SpentRetryBudgetTest, failureOfAnEndpointIsNotRelayedAsAPromise)
--- a/packages/net/http1_reader.cpp
+++ b/packages/net/http1_reader.cpp
@@ -151,6 +151,24 @@
     return status >= firstInterim && status < firstFinal;
 }
 
+// Whether the head of a response names a status as HTTP defines it: three digits, 100 to 599.
+// http_parser accepts any number.
+auto hasValidStatus(std::string_view head) -> bool
+{
+    constexpr auto versionLength = std::string_view("HTTP/1.1 ").size();
+    constexpr std::size_t statusLength = 3;
+    const auto line = head.substr(0, head.find(lineEnd));
+    if (line.size() < versionLength + statusLength || line[versionLength - 1] != ' ')
+        return false;
+    const auto rest = line.substr(versionLength + statusLength);
+    if (!rest.empty() && rest.front() != ' ')
+        return false;
+    constexpr int firstStatus = 100;
+    constexpr int lastStatus = 599;
+    const auto status = parseDecimal<int>(line.substr(versionLength, statusLength)).value_or(0);
+    return status >= firstStatus && status <= lastStatus;
+}
+
 } // namespace
 
 auto http1_reader::next(std::string_view &input) -> http1_event
@@ -277,6 +295,8 @@
         return fail(badRequest, result_code::bad_request, http_errno_description(parseError));
     if (parser.http_major != 1)
         return fail(versionNotSupported, result_code::bad_request, "HTTP version is not 1.x");
+    if (!isRequest && !hasValidStatus(m_buffer))
+        return fail(badRequest, result_code::bad_request, "status is not three digits, 100 to 599");
     // A connection that stays open does not keep the memory of a large head.
     if (m_buffer.capacity() > maxIdleBufferBytes)
         m_buffer = {};
--- a/packages/net/testing/http1_reader_test.cpp
+++ b/packages/net/testing/http1_reader_test.cpp
@@ -231,5 +231,25 @@
     }
 }
 
+// Guards against a garbled status line that is taken for a response, and reaches a caller as one.
+TEST(Http1ReaderTest, rejectsStatusesThatHttpDoesNotDefine)
+{
+    for (const std::string_view status :
+         {"000", "000 OK", "0 OK", "20 OK", "2 00 OK", "099 Low", "0200 OK", "2000 OK", "600 High",
+          "999 High", "200OK", " 200 OK", "+20 OK", "-20 OK", "2x0 OK", "OK", ""}) {
+        http1_reader reader({.kind = http1_kind::response});
+        const auto head = "HTTP/1.1 " + std::string(status) + "\r\nContent-Length: 0\r\n\r\n";
+        const auto events = describeEvents(reader, head);
+        EXPECT_TRUE(matches(events, {"fault 400"})) << status << ": " << joined(events);
+    }
+    // The reason may be empty or missing.
+    for (const std::string_view status : {"200", "200 ", "404 Not Found", "599 x"}) {
+        http1_reader reader({.kind = http1_kind::response});
+        const auto head = "HTTP/1.1 " + std::string(status) + "\r\nContent-Length: 0\r\n\r\n";
+        const auto events = describeEvents(reader, head);
+        EXPECT_TRUE(events.front().starts_with("head ")) << status << ": " << joined(events);
+    }
+}
+
 } // namespace
 } // namespace mustardline
