Take a stream without an event for broken off if only its connection ended it

Cause: the start of a stream counted as the end of an event. The reader now tells whether the connection ends the body, and such a stream needs an event. The test failed before (200 on both kinds of route) and passes with it.

--- a/packages/forwarding/event_boundary.h
+++ b/packages/forwarding/event_boundary.h
@@ -38,6 +38,8 @@
         m_tail.erase(0, m_tail.size() - std::min(m_tail.size(), maxMark));
     }
 
+    [[nodiscard]] auto isEmpty() const -> bool { return m_tail.empty(); }
+
     // True before the first byte as well.
     [[nodiscard]] auto isAtEnd() const -> bool
     {
--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -40,6 +40,17 @@
     return sameHeaderName(type.substr(0, eventStreamType.size()), eventStreamType);
 }
 
+// Whether the response is a stream that its endpoint broke off. A length or a last chunk is no
+// proof that a stream is whole if it ends inside an event. Without either, no event at all proves
+// nothing.
+auto isBrokenStream(const forward_request &request) -> bool
+{
+    if (!isEventStream(request))
+        return false;
+    const auto &boundary = request.boundary;
+    return !boundary.isAtEnd() || (boundary.isEmpty() && request.answer.endsWithConnection);
+}
+
 // Whether the endpoint failed to serve the request, so that another one may succeed.
 auto isEndpointFailure(int status) -> bool
 {
@@ -239,10 +250,9 @@
              .sent = true});
         return;
     }
-    // Neither a length nor a last chunk makes such a stream whole: its endpoint has broken it off.
-    if (isEventStream(request) && !request.boundary.isAtEnd()) {
+    if (isBrokenStream(request)) {
         onResponseFailed(request, {.reason = {.code = result_code::answer_cut,
-                                              .message = "the stream ended inside an event"},
+                                              .message = "the stream was broken off"},
                                    .sent = true});
         return;
     }
--- a/packages/forwarding/testing/forward_router_failure_test.cpp
+++ b/packages/forwarding/testing/forward_router_failure_test.cpp
@@ -274,7 +274,40 @@
                      testing::Values("text/event-stream", "Text/Event-Stream; charset=utf-8", ""),
                      testing::Values("i", "id: 2\ndata: b", "id: 2\ndata: b\n", "id: 2\r\n")));
 
-// The same on routes that do not relay events as they arrive.
+// Guards against a stream whose endpoint crashed after the head and before the first event, and
+// which reaches its caller as complete and empty.
+TEST_F(BrokenStreamTest, unframedStreamWithoutAnEventIsNotComplete)
+{
+    for (const auto *type : {"text/event-stream", ""}) {
+        serve(successText(body_framing::connection_end, type, ""),
+              successText(body_framing::connection_end, type, ""));
+        for (const bool isResumable : {false, true}) {
+            setRoute({.kind = route_kind::stream, .resumable = isResumable, .maxAttempts = 2});
+            call();
+            EXPECT_EQ(m_status, 502) << type;
+        }
+    }
+}
+
+// An endpoint may have nothing left to send, and says so by a length or a last chunk, or by a
+// status that has no body.
+TEST_F(BrokenStreamTest, emptyStreamThatSaysSoIsComplete)
+{
+    setRoute({.kind = route_kind::stream, .maxAttempts = 1});
+    for (const auto *text :
+         {"HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Type: text/event-stream\r\n"
+          "Content-Length: 0\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+          "HTTP/1.1 204 No Content\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n"}) {
+        serve(text, "");
+        call();
+        EXPECT_TRUE(m_isWhole) << text;
+        EXPECT_LT(m_status, 300) << text;
+        EXPECT_EQ(m_body, "") << text;
+    }
+}
+
+// A stream that ends inside an event, on routes that do not relay events as they arrive.
 TEST_F(BrokenStreamTest, heldResponseThatEndsInsideAnEventIsNotRelayed)
 {
     for (const auto framing : allFramings) {
--- a/packages/net/http1_reader.cpp
+++ b/packages/net/http1_reader.cpp
@@ -344,6 +344,7 @@
         m_state = m_remainingBytes == 0 ? state::end : state::fixed_body;
     } else {
         head.keepAlive = false;
+        head.endsWithConnection = true;
         m_state = state::until_close;
     }
     return std::move(head);
--- a/packages/net/http1_reader.h
+++ b/packages/net/http1_reader.h
@@ -50,6 +50,8 @@
     std::vector<http_header> headers;
     // Whether the connection may carry another message after this one.
     bool keepAlive = true;
+    // Set for a response whose body is all that follows on the connection.
+    bool endsWithConnection = false;
     // Whether the peer supports chunked transfer encoding (HTTP/1.1).
     bool supportsChunked = true;
 };
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -283,6 +283,7 @@
             callbacks.onHeaders({.status = head.status,
                                  .headers = head.headers,
                                  .length = length,
+                                 .endsWithConnection = head.endsWithConnection,
                                  .reused = isReused()});
         }
     }
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -81,6 +81,8 @@
     std::vector<http_header> headers;
     // The Content-Length, if the response has one.
     std::optional<std::uint64_t> length;
+    // Neither a length nor chunks: nothing but the end of the connection ends the body.
+    bool endsWithConnection = false;
     // The connection had carried an earlier request, so the response may be a late one to that.
     bool reused = false;
 };
