Count an unframed stream that breaks off as lost in a possible crash

Cause: the kernel closes the connections of a process that ended in an orderly way, so the router saw answer_cut, and the watch for such parts is told of connection_failed alone. The test (unframed streams that end inside an event) failed before, six crashes in six rounds, and passes with three.

--- a/packages/forwarding/forward_router_parts.cpp
+++ b/packages/forwarding/forward_router_parts.cpp
@@ -14,6 +14,14 @@
 // written for this long does not.
 constexpr duration provingTime = std::chrono::milliseconds(500);
 
+// Whether the endpoint's process may have ended. Its kernel then closes the connection, which looks
+// orderly, so a broken stream that nothing else ends counts as well.
+auto isConnectionLost(const forward_request &request, const http_failure &failure) -> bool
+{
+    return failure.reason.code == result_code::connection_failed
+           || (failure.reason.code == result_code::answer_cut && request.answer.endsWithConnection);
+}
+
 } // namespace
 
 auto forward_router::recordAnswer(forward_request &request, bool isComplete, time_point now) -> void
@@ -29,7 +37,7 @@
 auto forward_router::recordFailure(const forward_request &request, const http_failure &failure)
     -> void
 {
-    if (failure.reason.code != result_code::connection_failed)
+    if (!isConnectionLost(request, failure))
         return;
     const auto crash = crashId(request.endpoint, request.endpointStartedAtMs);
     const auto now = m_clock.now();
--- a/packages/forwarding/testing/forward_router_test.cpp
+++ b/packages/forwarding/testing/forward_router_test.cpp
@@ -146,6 +146,41 @@
     EXPECT_EQ(crashes, maxCrashes);
 }
 
+// The same where streams have neither a length nor chunks: the kernel of an endpoint that crashes
+// ends the connection in an orderly way, and a stream that ended inside an event was not taken for
+// lost.
+TEST_F(ForwardRouterTest, promptPartThatCrashesEndpointsWithUnframedStreamsIsSoonRefused)
+{
+    constexpr auto rounds = 6;
+    constexpr auto maxCrashes = 3;
+    setRoute({.kind = route_kind::stream, .maxAttempts = 2});
+    raw_listener endpoint(m_loop);
+    auto crashes = 0;
+    endpoint.onOpen = [&](raw_peer &peer) {
+        peer.onChange = [&] {
+            if (peer.hasEnded() || !peer.received().ends_with("\r\n\r\nx"))
+                return;
+            const bool isCrash = peer.received().find("dead") != std::string::npos;
+            crashes += isCrash ? 1 : 0;
+            peer.send(std::string("HTTP/1.1 200 OK\r\nSeal: s\r\n\r\n")
+                      + (isCrash ? "id: 1\nda" : "id: 1\ndata: a\n\n"));
+            peer.close();
+        };
+    };
+    m_oldInstance.address = endpoint.address();
+    std::int64_t start = 1;
+    registerEndpoint(m_oldInstance, start);
+    for (auto round = 0; round < rounds; ++round) {
+        call("common:500,dead:300,own" + std::to_string(round) + ":9");
+        EXPECT_FALSE(m_isWhole && m_status == 200) << round;
+        EXPECT_EQ(m_status == 503, round >= maxCrashes) << round;
+        registerEndpoint(m_oldInstance, ++start);
+        call("common:500,fine:300,own:9");
+        EXPECT_TRUE(m_isWhole && m_status == 200) << round << ": " << m_body;
+    }
+    EXPECT_EQ(crashes, maxCrashes);
+}
+
 // Guards against a request that waits for a place when a stopping process exits, and whose caller
 // gets no answer at all.
 TEST_F(ForwardRouterTest, waitingRequestsAreRejectedWhenPlacingStops)
