Look up hop-by-hop names in a sorted list

Cause: the list of names was split and compared anew for each header. It is sorted once a message now, for requests and responses.

--- a/packages/forwarding/forward_request.cpp
+++ b/packages/forwarding/forward_request.cpp
@@ -28,19 +28,35 @@
                                [name](const auto &each) { return sameHeaderName(name, each); });
 }
 
-// Whether the `Connection` header lists this header as hop-by-hop.
-auto isNamedByConnection(std::string_view name, std::string_view connection) -> bool
+// The headers that a `Connection` header lists as hop-by-hop. A message may list thousands of names
+// and have as many headers, so the list is sorted once.
+class connection_options
 {
-    while (!connection.empty()) {
-        auto item = takeField(connection, ',');
-        const auto first = std::min(item.find_first_not_of(" \t"), item.size());
-        item.remove_prefix(first);
-        item = item.substr(0, item.find_last_not_of(" \t") + 1);
-        if (sameHeaderName(name, item))
-            return true;
+public:
+    explicit connection_options(std::string_view connection) : m_text(lowerCased(connection))
+    {
+        std::string_view rest = m_text;
+        while (!rest.empty()) {
+            auto item = takeField(rest, ',');
+            const auto first = std::min(item.find_first_not_of(" \t"), item.size());
+            item.remove_prefix(first);
+            m_names.push_back(item.substr(0, item.find_last_not_of(" \t") + 1));
+        }
+        std::ranges::sort(m_names);
     }
-    return false;
-}
+    connection_options(const connection_options &) = delete;
+    auto operator=(const connection_options &) -> connection_options & = delete;
+
+    [[nodiscard]] auto lists(std::string_view name) const -> bool
+    {
+        return !m_names.empty() && std::ranges::binary_search(m_names, lowerCased(name));
+    }
+
+private:
+    std::string m_text;
+    // Parts of `m_text`.
+    std::vector<std::string_view> m_names;
+};
 
 auto findAccount(const http_exchange &exchange, const route_table &routes)
     -> const account_settings *
@@ -87,13 +103,12 @@
 auto forwardedHeaders(const http_exchange &exchange, const header_names &names)
     -> std::vector<http_header>
 {
-    const auto connection = exchange.header("connection");
+    const connection_options connection(exchange.header("connection"));
     std::vector<http_header> headers;
     for (const auto &item : exchange.headers()) {
         if (isOneOf(item.name, connectionHeaders) || isOneOf(item.name, names.systemOnly)
             || sameHeaderName(item.name, "authorization")
-            || sameHeaderName(item.name, names.deadline)
-            || isNamedByConnection(item.name, connection))
+            || sameHeaderName(item.name, names.deadline) || connection.lists(item.name))
             continue;
         headers.push_back(item);
     }
@@ -162,10 +177,10 @@
 
 auto answerHeaders(std::span<const http_header> headers) -> std::vector<http_header>
 {
-    const auto connection = findHeader(headers, "connection");
+    const connection_options connection(findHeader(headers, "connection"));
     std::vector<http_header> kept;
     for (const auto &item : headers) {
-        if (!isOneOf(item.name, connectionHeaders) && !isNamedByConnection(item.name, connection))
+        if (!isOneOf(item.name, connectionHeaders) && !connection.lists(item.name))
             kept.push_back(item);
     }
     return kept;
--- a/packages/net/http_message.cpp
+++ b/packages/net/http_message.cpp
@@ -31,6 +31,13 @@
     return std::ranges::equal(left, right, {}, toLowerCase, toLowerCase);
 }
 
+auto lowerCased(std::string_view text) -> std::string
+{
+    std::string lower(text);
+    std::ranges::transform(lower, lower.begin(), toLowerCase);
+    return lower;
+}
+
 auto findHeader(std::span<const http_header> headers, std::string_view name) -> std::string_view
 {
     for (const auto &item : headers) {
--- a/packages/net/http_message.h
+++ b/packages/net/http_message.h
@@ -22,6 +22,9 @@
 // Case-insensitive comparison of header names.
 [[nodiscard]] auto sameHeaderName(std::string_view left, std::string_view right) -> bool;
 
+// The text with its ASCII letters in lower case.
+[[nodiscard]] auto lowerCased(std::string_view text) -> std::string;
+
 // An IPv4 address in dotted form and a port.
 struct socket_address
 {
