--- a/packages/forwarding/sse_event_buffer.cpp
+++ b/packages/forwarding/sse_event_buffer.cpp
@@ -24,13 +24,18 @@
 auto sse_event_buffer::feed(std::string_view bytes) -> std::string_view
 {
     m_complete.clear();
+    // An end of an event that was not there before ends in the new bytes.
+    const auto searchFrom
+        = m_incomplete.size() - std::min(m_incomplete.size(), eventEndWithReturns.size() - 1);
     m_incomplete += bytes;
     if (m_isPassThrough || m_incomplete.size() > maxEventBytes) {
         m_isPassThrough = true;
         m_complete = std::exchange(m_incomplete, {});
         return m_complete;
     }
-    const auto end = endOfCompleteEvents(m_incomplete);
+    const auto endInSearched
+        = endOfCompleteEvents(std::string_view(m_incomplete).substr(searchFrom));
+    const auto end = endInSearched > 0 ? searchFrom + endInSearched : 0;
     m_complete.assign(m_incomplete, 0, end);
     m_incomplete.erase(0, end);
     updateLastId(m_complete);
--- a/packages/forwarding/testing/sse_event_buffer_test.cpp
+++ b/packages/forwarding/testing/sse_event_buffer_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include "base/testing/thread_cost.h"
+
 namespace mustardline {
 namespace {
 
@@ -54,6 +56,36 @@
     }
 }
 
+// Cost of an event without an end that arrives in pieces of four bytes.
+auto costOfEndlessEvent(std::size_t bytes) -> double
+{
+    return leastCost([bytes] {
+        sse_event_buffer buffer;
+        for (std::size_t fed = 0; fed < bytes; fed += 4)
+            EXPECT_TRUE(buffer.feed("abc ").empty());
+    });
+}
+
+// Guards against a stream without the end of an event that stops the process: each piece of it was
+// searched for that end together with everything before it.
+TEST(SseEventBufferTest, costOfAnEventGrowsWithItsSizeAlone)
+{
+    constexpr std::size_t bytes = 25U << 10U;
+    constexpr std::size_t factor = 8;
+    EXPECT_LT(costOfEndlessEvent(bytes * factor), costOfEndlessEvent(bytes) * factor * 3);
+}
+
+TEST(SseEventBufferTest, findsAnEndThatArrivesInPieces)
+{
+    for (const std::string end : {"\n\n", "\r\n\r\n"}) {
+        sse_event_buffer buffer;
+        EXPECT_EQ(buffer.feed("id: 1"), "");
+        for (std::size_t index = 0; index + 1 < end.size(); ++index)
+            EXPECT_EQ(buffer.feed(end.substr(index, 1)), "");
+        EXPECT_EQ(buffer.feed(end.substr(end.size() - 1)), "id: 1" + end);
+    }
+}
+
 TEST(SseEventBufferTest, otherFormatsPassThroughAndCannotBeResumed)
 {
     sse_event_buffer buffer;
