Ignore a registration that is older than the known one of the same start

Cause: the record that came last counted as the newest; the number that each record of a start bears was not read. A lower number is ignored now, where number and start time are known. The test failed before the change and passes with it.

--- a/packages/forwarding/endpoint_directory.cpp
+++ b/packages/forwarding/endpoint_directory.cpp
@@ -10,11 +10,11 @@
     auto &entry = m_entries[registration.id];
     const bool isNew = entry.registration.id.empty();
     const bool isRestart = !isNew && registration.startedAtMs > entry.registration.startedAtMs;
-    // A record of an earlier instance may be read late.
-    if (!isNew && registration.startedAtMs < entry.registration.startedAtMs)
+    if (!isNew && isOutdated(registration, entry.registration))
         return false;
     if (registration.coldRemaining.count() > 0)
         entry.coldUntil = now + registration.coldRemaining;
+    entry.registration.sequence = registration.sequence;
     const bool changes
         = isNew || isRestart || entry.graceUntil || !(entry.registration == registration);
     if (isRestart)
@@ -28,6 +28,16 @@
     return changes;
 }
 
+auto endpoint_directory::isOutdated(const endpoint_registration &registration,
+                                    const endpoint_registration &known) -> bool
+{
+    if (registration.startedAtMs != known.startedAtMs)
+        return registration.startedAtMs < known.startedAtMs;
+    // Without a start time, a lower sequence may be that of a new start.
+    return registration.startedAtMs != 0 && registration.sequence != 0
+           && registration.sequence < known.sequence;
+}
+
 auto endpoint_directory::applyWithdrawal(std::string_view id, time_point now) -> bool
 {
     const auto found = m_entries.find(id);
--- a/packages/forwarding/endpoint_directory.h
+++ b/packages/forwarding/endpoint_directory.h
@@ -47,6 +47,8 @@
     duration coldRemaining{};
     // Start time in milliseconds since 1970; 0 if unknown.
     std::int64_t startedAtMs = 0;
+    // Grows with each registration of one start; 0 if unknown.
+    std::uint64_t sequence = 0;
 
     auto operator==(const endpoint_registration &) const -> bool = default;
 };
@@ -75,8 +77,8 @@
 public:
     explicit endpoint_directory(endpoint_directory_options options) : m_options(options) {}
 
-    // Returns false for a heartbeat, which changes nothing, and for a record of an earlier
-    // instance.
+    // Returns false for a heartbeat, which changes nothing, for a record of an earlier instance,
+    // and for an earlier record of the same instance, which the log service executed late.
     auto applyRegistration(endpoint_registration registration, time_point now) -> bool;
     // Returns false if the endpoint is unknown.
     auto applyWithdrawal(std::string_view id, time_point now) -> bool;
@@ -118,6 +120,10 @@
     [[nodiscard]] auto takeChanged() -> std::set<std::string>;
 
 private:
+    // Whether the endpoint has registered `known` after `registration`.
+    [[nodiscard]] static auto isOutdated(const endpoint_registration &registration,
+                                         const endpoint_registration &known) -> bool;
+
     endpoint_directory_options m_options;
     std::map<std::string, endpoint_entry, std::less<>> m_entries;
     std::set<std::string, std::less<>> m_evacuated;
--- a/packages/forwarding/testing/tables_test.cpp
+++ b/packages/forwarding/testing/tables_test.cpp
@@ -158,6 +158,65 @@
     EXPECT_TRUE(directory.isUsable(*directory.find("a"))) << "a new instance has registered";
 }
 
+// Guards against an older write of an endpoint that the log service executes late, and that undoes
+// its draining and what it said in its responses.
+TEST(EndpointDirectoryTest, earlierRecordOfTheSameInstanceIsIgnored)
+{
+    endpoint_directory directory({});
+    auto ready = registrationOf("a", 200);
+    ready.sequence = 7;
+    directory.applyRegistration(ready, start);
+    auto draining = ready;
+    draining.ready = false;
+    draining.sequence = 9;
+    directory.applyRegistration(draining, start);
+    directory.markLeaving("a");
+    auto late = ready;
+    late.sequence = 8;
+    EXPECT_FALSE(directory.applyRegistration(late, start));
+    EXPECT_FALSE(directory.isUsable(*directory.find("a")));
+    // A later record, and one of a later start, count.
+    auto again = ready;
+    again.sequence = 10;
+    EXPECT_TRUE(directory.applyRegistration(again, start));
+    EXPECT_TRUE(directory.isUsable(*directory.find("a")));
+    directory.markLeaving("a");
+    auto restarted = registrationOf("a", 300);
+    restarted.sequence = 1;
+    EXPECT_TRUE(directory.applyRegistration(restarted, start));
+    EXPECT_TRUE(directory.isUsable(*directory.find("a")));
+}
+
+TEST(EndpointDirectoryTest, recordsWithoutASequenceOrAStartTimeCountInTheirOrder)
+{
+    endpoint_directory directory({});
+    auto counted = registrationOf("a", 200);
+    counted.sequence = 7;
+    directory.applyRegistration(counted, start);
+    auto uncounted = counted;
+    uncounted.sequence = 0;
+    uncounted.ready = false;
+    EXPECT_TRUE(directory.applyRegistration(uncounted, start));
+    auto timeless = registrationOf("b", 0);
+    timeless.sequence = 7;
+    directory.applyRegistration(timeless, start);
+    timeless.sequence = 1;
+    timeless.ready = false;
+    EXPECT_TRUE(directory.applyRegistration(timeless, start)) << "it may have started again";
+}
+
+TEST(EndpointDirectoryTest, heartbeatWithALaterSequenceChangesNothing)
+{
+    endpoint_directory directory({});
+    auto beat = registrationOf("a", 200);
+    beat.sequence = 1;
+    directory.applyRegistration(beat, start);
+    static_cast<void>(directory.takeChanged());
+    ++beat.sequence;
+    EXPECT_FALSE(directory.applyRegistration(beat, start));
+    EXPECT_TRUE(directory.takeChanged().empty());
+}
+
 TEST(EndpointDirectoryTest, withdrawalDuringOutageTakesEffectAfterGrace)
 {
     endpoint_directory directory({.outageGrace = milliseconds(2500)});
