Keep connections and a stopping process until responses have arrived

Cause: a response counted as answered once its connection had it. The process exited with responses in its memory, and a closing connection was closed two seconds after the last response was handed over, read or not. A connection now knows what its peer has not acknowledged. A stopping edge or entry waits for that, within its grace period or drain timeout; a closing connection stays while its peer receives, and gives up one that receives nothing for the silence limit.

--- a/packages/entry/entry_process.cpp
+++ b/packages/entry/entry_process.cpp
@@ -255,7 +255,7 @@
 
 auto entry_process::finishIfIdle() -> void
 {
-    if (m_router.liveCount() > 0)
+    if (m_router.liveCount() > 0 || m_callerServer.hasUndelivered())
         return;
     if (auto record = m_demand.endReport())
         m_leases.append(std::move(*record));
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -392,7 +392,7 @@
             m_router.stopPlacing();
         if (schedule().endsRequests(elapsed))
             m_router.endAll();
-        if (schedule().exits(elapsed, m_router.liveCount() == 0))
+        if (schedule().exits(elapsed, m_router.liveCount() == 0 && !m_callers.hasUndelivered()))
             m_loop.stop();
     }
 
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -613,6 +613,12 @@
     }
 }
 
+auto http_server::hasUndelivered() const -> bool
+{
+    return std::ranges::any_of(
+        m_connections, [](const auto &each) { return each->stream->undeliveredBytes() > 0; });
+}
+
 auto http_server::closeTimedOut() -> void
 {
     const auto now = system_runtime_clock().now();
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -175,6 +175,9 @@
     };
     auto setLimits(const limits &value) -> void;
 
+    // Whether callers have not yet received all of the responses that were sent.
+    [[nodiscard]] auto hasUndelivered() const -> bool;
+
     [[nodiscard]] auto connectionCount() const -> std::size_t { return m_connections.size(); }
 
 private:
--- a/packages/net/tcp_stream.cpp
+++ b/packages/net/tcp_stream.cpp
@@ -19,7 +19,8 @@
 
 // Size of one read: holds several events of a stream, or most of a prompt.
 constexpr std::size_t readBytes = 32U << 10U;
-// Maximum time that `closeAfterSending` waits for the peer to close.
+// Maximum time that `closeAfterSending` waits for the peer to close once it has received
+// everything.
 constexpr duration lingerLimit = std::chrono::seconds(2);
 // Unanswered keep-alive probes after which the connection is considered lost.
 constexpr int keepAliveProbes = 3;
@@ -61,13 +62,6 @@
     return socketError;
 }
 
-// Bytes that were sent and that the peer has not acknowledged; 0 if the kernel does not tell.
-auto unacknowledgedBytes(int descriptor) -> int
-{
-    int bytes = 0;
-    return ioctl(descriptor, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
-}
-
 auto isTransient(int socketError) -> bool
 {
     return socketError == EAGAIN || socketError == EWOULDBLOCK || socketError == EINTR;
@@ -76,7 +70,7 @@
 } // namespace
 
 tcp_stream::tcp_stream(event_loop &loop, int descriptor, tcp_stream_options options)
-    : m_loop(loop), m_descriptor(descriptor)
+    : m_loop(loop), m_descriptor(descriptor), m_silenceLimit(options.silenceLimit)
 {
     configureSocket(descriptor, options);
     const auto onReadable = [](evutil_socket_t, short, void *argument) {
@@ -264,6 +258,14 @@
         finishLingering();
 }
 
+auto tcp_stream::undeliveredBytes() const -> std::size_t
+{
+    int kernelBytes = 0;
+    if (isClosed() || ioctl(m_descriptor, SIOCOUTQ, &kernelBytes) != 0)
+        return backlogBytes();
+    return backlogBytes() + static_cast<std::size_t>(kernelBytes);
+}
+
 auto tcp_stream::close() -> void
 {
     if (isClosed())
@@ -280,11 +282,20 @@
         return;
     m_lingering = true;
     setReading(true);
-    m_lingerTimer = m_loop.after(lingerLimit, [this] {
+    awaitDelivery();
+    finishLingering();
+}
+
+auto tcp_stream::awaitDelivery() -> void
+{
+    m_lingeringBytes = undeliveredBytes();
+    m_lingerTimer = m_loop.after(m_lingeringBytes > 0 ? m_silenceLimit : lingerLimit, [this] {
         const auto keep = shared_from_this();
-        finish(true);
+        if (undeliveredBytes() < m_lingeringBytes)
+            awaitDelivery();
+        else
+            finish(true);
     });
-    finishLingering();
 }
 
 // Shuts down writing once everything is sent, and closes the connection once the peer has closed.
@@ -302,8 +313,7 @@
 // arrive; what it sent may be a part only.
 auto tcp_stream::isEndOrderly() const -> bool
 {
-    return !m_isBroken && takeSocketError(m_descriptor) == 0 && backlogBytes() == 0
-           && unacknowledgedBytes(m_descriptor) == 0;
+    return !m_isBroken && takeSocketError(m_descriptor) == 0 && undeliveredBytes() == 0;
 }
 
 auto tcp_stream::finish(bool orderly) -> void
--- a/packages/net/tcp_stream.h
+++ b/packages/net/tcp_stream.h
@@ -59,6 +59,10 @@
     // Bytes in the send buffer.
     [[nodiscard]] auto backlogBytes() const -> std::size_t { return m_output.size() - m_sent; }
 
+    // Bytes that were sent and that the peer has not acknowledged: those in the send buffer and
+    // those that the kernel holds.
+    [[nodiscard]] auto undeliveredBytes() const -> std::size_t;
+
     // Memory of the send buffer.
     [[nodiscard]] auto heldBytes() const -> std::size_t { return m_output.capacity(); }
 
@@ -70,9 +74,10 @@
 
     // Closes the connection immediately; no callback follows.
     auto close() -> void;
-    // Sends the buffered data, closes the connection and calls `onEnd`. Until then, input is read
-    // and discarded, because closing a socket with unread input resets the connection, and the peer
-    // may lose what was sent.
+    // Sends the buffered data, closes the connection and calls `onEnd`, however long the peer takes
+    // to receive it; a peer that receives nothing for the silence limit is given up. Until then,
+    // input is read and discarded, because closing a socket with unread input resets the
+    // connection, and the peer may lose what was sent.
     auto closeAfterSending() -> void;
     [[nodiscard]] auto isClosed() const -> bool { return m_descriptor < 0; }
 
@@ -85,12 +90,16 @@
     auto flush() -> void;
     auto finishConnecting() -> void;
     auto finishLingering() -> void;
+    // Gives the peer time to receive what is left, or to close; at its end, goes on waiting if the
+    // peer has received something meanwhile.
+    auto awaitDelivery() -> void;
     // Whether the connection is sound although the peer has ended its side.
     [[nodiscard]] auto isEndOrderly() const -> bool;
     auto finish(bool orderly) -> void;
 
     event_loop &m_loop;
     int m_descriptor;
+    duration m_silenceLimit;
     event *m_readEvent = nullptr;
     event *m_writeEvent = nullptr;
     std::string m_output;
@@ -105,6 +114,8 @@
     // input that looks orderly.
     bool m_isBroken = false;
     event_handle m_lingerTimer;
+    // What was undelivered when the timer was set.
+    std::size_t m_lingeringBytes = 0;
 };
 
 } // namespace mustardline
--- a/packages/net/testing/http_wire_test.cpp
+++ b/packages/net/testing/http_wire_test.cpp
@@ -105,6 +105,38 @@
     EXPECT_LT(second, peer.received().find("/3"));
 }
 
+// Guards against a response that is cut because its caller takes long to read it: the connection of
+// a last response was closed two seconds after that was handed over.
+TEST_F(HttpWireTest, lastResponseOfAConnectionIsNotCutWhileItIsRead)
+{
+    constexpr auto pause = milliseconds(2500);
+    const std::string body(std::size_t(16) << 20U, 'x');
+    listen({});
+    raw_peer peer(m_loop, m_address);
+    peer.send("GET /later HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_kept.size() == 1; }));
+    peer.setReading(false);
+    m_kept.front()->reply(200, {}, body);
+    EXPECT_TRUE(m_server->hasUndelivered());
+    const auto resume = m_loop.after(pause, [&] { peer.setReading(true); });
+    ASSERT_TRUE(runUntil(m_loop, [&] { return peer.hasEnded(); }));
+    EXPECT_GE(peer.received().size(), body.size());
+    EXPECT_FALSE(m_server->hasUndelivered());
+}
+
+// A caller that receives nothing at all does not keep its connection, and with it the response.
+TEST_F(HttpWireTest, callerThatReceivesNothingIsGivenUp)
+{
+    const std::string body(std::size_t(16) << 20U, 'x');
+    listen({.stream = {.silenceLimit = milliseconds(200)}});
+    raw_peer peer(m_loop, m_address);
+    peer.send("GET /later HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_kept.size() == 1; }));
+    peer.setReading(false);
+    m_kept.front()->reply(200, {}, body);
+    EXPECT_TRUE(runUntil(m_loop, [&] { return m_server->connectionCount() == 0; }));
+}
+
 TEST_F(HttpWireTest, disconnectsACallerThatDoesNotFinishItsHeaders)
 {
     listen({.headerTimeout = milliseconds(50)});
