Do not take a connection for idle while its caller receives a response

Cause: only input counted as life. A connection whose time is up now stays if its caller has received something since the last check.

--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -64,6 +64,8 @@
     std::size_t bodyLimit = 0;
     // Response bytes wait for the caller to read.
     bool isUnread = false;
+    // Undelivered bytes when the idle timeout last passed.
+    std::size_t undeliveredBytes = 0;
     // The connection gave way and is about to be closed.
     bool hasYielded = false;
     time_point lastInput;
@@ -369,12 +371,24 @@
                                   && now - requestBegunAt > limits.headerTimeout;
         if (!headTimedOut && now - lastInput <= limits.idleTimeout)
             return;
+        if (!headTimedOut && isReceiving()) {
+            lastInput = now;
+            return;
+        }
         if (reader.isInsideMessage())
             sendTimeoutAndClose();
         else
             closeNow();
     }
 
+    // Whether the caller has received a part of the response since the last call, or there was
+    // none.
+    auto isReceiving() -> bool
+    {
+        const auto before = std::exchange(undeliveredBytes, stream->undeliveredBytes());
+        return undeliveredBytes > 0 && (before == 0 || undeliveredBytes < before);
+    }
+
     // Since when the connection waits for a whole request.
     [[nodiscard]] auto waitsSince() const -> time_point
     {
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -52,7 +52,8 @@
     std::size_t maxBodyBytes = 4U << 20U;
     std::size_t maxHeaderBytes = 32U << 10U;
     std::size_t maxConnections = 4096;
-    // Maximum time without input, within a request or on an idle connection.
+    // Maximum time without input, within a request or on an idle connection. A connection whose
+    // caller still receives a response is not idle.
     duration idleTimeout = std::chrono::seconds(60);
     // Maximum time from the first byte of a request to the end of its headers; no limit if zero.
     duration headerTimeout{};
--- a/packages/net/testing/http_wire_test.cpp
+++ b/packages/net/testing/http_wire_test.cpp
@@ -124,6 +124,28 @@
     EXPECT_FALSE(m_server->hasUndelivered());
 }
 
+// Guards against a response that is cut while its caller reads it, because a connection without
+// input counted as idle.
+TEST_F(HttpWireTest, responseThatIsBeingReadDoesNotCountAsIdle)
+{
+    constexpr auto idleTimeout = milliseconds(100);
+    // Several times the interval at which the server checks its connections.
+    constexpr auto slowReading = milliseconds(2500);
+    const std::string body(std::size_t(32) << 20U, 'x');
+    listen({.idleTimeout = idleTimeout});
+    raw_peer peer(m_loop, m_address);
+    peer.send("GET /later HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_kept.size() == 1; }));
+    peer.onChange = [&] { peer.setReading(false); };
+    m_kept.front()->reply(200, {}, body);
+    auto reading = m_loop.every(milliseconds(20), [&] { peer.setReading(true); });
+    const auto faster = m_loop.after(slowReading, [&] { peer.onChange = nullptr; });
+    ASSERT_TRUE(
+        runUntil(m_loop, [&] { return peer.hasEnded() || peer.received().size() > body.size(); }));
+    EXPECT_GT(peer.received().size(), body.size());
+    ASSERT_TRUE(runUntil(m_loop, [&] { return peer.hasEnded(); })) << "now it is idle";
+}
+
 // A caller that receives nothing at all does not keep its connection, and with it the response.
 TEST_F(HttpWireTest, callerThatReceivesNothingIsGivenUp)
 {
