Give each request of an open connection the limits in force

Cause: the limits went to a connection's reader when it was opened. They go to each request now. The test (raised, then lowered) failed before and passes with the change.

--- a/packages/net/http1_reader.h
+++ b/packages/net/http1_reader.h
@@ -87,6 +87,13 @@
     // Reads up to the next event and removes what it has consumed from `input`.
     [[nodiscard]] auto next(std::string_view &input) -> http1_event;
 
+    // Sets the limits of the messages that begin from now on.
+    auto setLimits(std::size_t maxHeadBytes, std::size_t maxBodyBytes) -> void
+    {
+        m_options.maxHeadBytes = maxHeadBytes;
+        m_options.maxBodyBytes = maxBodyBytes;
+    }
+
     // The next response has no body, whatever its headers say (a response to HEAD).
     auto expectNoBody() -> void { m_expectNoBody = true; }
 
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -137,6 +137,7 @@
     auto beginRequest(bool hasInput) -> void
     {
         requestBegunAt = lastInput;
+        reader.setLimits(server.m_options.maxHeaderBytes, server.m_options.maxBodyBytes);
         if (isAccounted() && hasInput)
             budget().begin(holder, lastInput);
     }
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -166,7 +166,7 @@
     auto closeIdle() -> void;
 
     // The limits that can change while the server runs. `setLimits` applies the body and header
-    // sizes to new connections, the timeouts to all.
+    // sizes to requests that begin from now on, the timeouts to all connections.
     struct limits
     {
         std::size_t maxBodyBytes;
--- a/packages/net/testing/http_wire_test.cpp
+++ b/packages/net/testing/http_wire_test.cpp
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "net/datagram_socket.h"
@@ -124,6 +125,40 @@
     EXPECT_FALSE(m_server->hasUndelivered());
 }
 
+// Guards against kept connections that go on with the limits of the time at which they were opened.
+TEST_F(HttpWireTest, newLimitsApplyToTheNextRequestOfAnOpenConnection)
+{
+    listen({.maxBodyBytes = 4, .maxHeaderBytes = 1000});
+    raw_peer peer(m_loop, m_address);
+    const auto send = [&](const std::string &body) {
+        peer.send(fmt::format("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n{}",
+                              body.size(), body));
+    };
+    const auto countOf = [&](std::string_view status) {
+        std::size_t count = 0;
+        for (auto at = peer.received().find(status); at != std::string::npos;
+             at = peer.received().find(status, at + 1))
+            ++count;
+        return count;
+    };
+    send("four");
+    ASSERT_TRUE(runUntil(m_loop, [&] { return countOf("HTTP/1.1 200") == 1; }));
+    m_server->setLimits({.maxBodyBytes = 8,
+                         .maxHeaderBytes = 1000,
+                         .idleTimeout = milliseconds(10000),
+                         .headerTimeout = milliseconds(10000)});
+    send("fourfour");
+    ASSERT_TRUE(runUntil(m_loop, [&] { return countOf("HTTP/1.1") == 2; }));
+    EXPECT_EQ(countOf("HTTP/1.1 200"), 2U) << peer.received();
+    m_server->setLimits({.maxBodyBytes = 3,
+                         .maxHeaderBytes = 1000,
+                         .idleTimeout = milliseconds(10000),
+                         .headerTimeout = milliseconds(10000)});
+    send("four");
+    ASSERT_TRUE(runUntil(m_loop, [&] { return countOf("HTTP/1.1") == 3; }));
+    EXPECT_EQ(countOf("HTTP/1.1 413"), 1U) << peer.received();
+}
+
 // Guards against a response that is cut while its caller reads it, because a connection without
 // input counted as idle.
 TEST_F(HttpWireTest, responseThatIsBeingReadDoesNotCountAsIdle)
