Limit a caller's deadline before it is added to the clock

The number is compared with the route's timeout first. A request whose deadline leaves no time is refused as not run; it was sent and answered 504.

--- a/packages/forwarding/forward_request.cpp
+++ b/packages/forwarding/forward_request.cpp
@@ -6,6 +6,7 @@
 #include "base/hashing.h"
 #include "base/text_fields.h"
 #include "net/decimal.h"
+#include "policy/durations.h"
 
 namespace mustardline {
 
@@ -120,6 +121,16 @@
     request.promptTokens = parseDecimal<std::uint32_t>(takeField(text, ',')).value_or(0);
 }
 
+// The route's timeout, or the time that the caller will wait if that is shorter. `callerMs` may be
+// any number, so it is limited before it is used as a duration, whose range is smaller.
+auto allowedTime(const route_settings &route, std::string_view callerMs) -> duration
+{
+    const auto waits = parseDecimal<std::int64_t>(callerMs);
+    if (!waits || *waits >= toMilliseconds(route.timeout))
+        return route.timeout;
+    return std::chrono::milliseconds(std::max<std::int64_t>(*waits, 0));
+}
+
 } // namespace
 
 auto readForwardRequest(const std::shared_ptr<http_exchange> &exchange, const route_table &routes,
@@ -152,10 +163,11 @@
     readTokens(request, exchange->header(names.tokenCounts));
     readSharedParts(request, exchange->header(names.promptParts));
     request.arrivedAt = now;
-    request.deadlineAt = now + route->timeout;
-    if (const auto remaining = parseDecimal<std::int64_t>(exchange->header(names.deadline)))
-        request.deadlineAt
-            = std::min(request.deadlineAt, now + std::chrono::milliseconds(*remaining));
+    const auto allowed = allowedTime(*route, exchange->header(names.deadline));
+    if (allowed <= duration(0))
+        return http_error{.code = result_code::deadline_unmeetable,
+                          .message = "the caller's deadline leaves no time"};
+    request.deadlineAt = now + allowed;
     request.headers = forwardedHeaders(*exchange, names);
     if (request.account != nullptr)
         request.headers.push_back({.name = names.account, .value = request.account->name});
--- a/packages/forwarding/testing/forward_router_fixture.h
+++ b/packages/forwarding/testing/forward_router_fixture.h
@@ -121,20 +121,18 @@
     // Sends a request; what its caller gets is added to `m_outcomes`.
     auto beginCall(const std::string &id = "r1", std::string_view promptParts = {}) -> void
     {
-        m_client.fetch(m_callerAddress,
-                       {.method = "POST",
-                        .path = "/new",
-                        .headers = {{.name = "host", .value = "a.example"},
-                                    {.name = "Request-Id", .value = id},
-                                    {.name = "Prompt-Parts", .value = std::string(promptParts)}},
-                        .body = "x"},
-                       [this](const http_outcome &outcome, const http_answer &answer,
-                              const std::string &body) {
-                           m_outcomes.push_back(
-                               {.isWhole = std::holds_alternative<std::monostate>(outcome),
-                                .answer = answer,
-                                .body = body});
-                       });
+        auto headers = m_moreHeaders;
+        headers.push_back({.name = "host", .value = "a.example"});
+        headers.push_back({.name = "Request-Id", .value = id});
+        headers.push_back({.name = "Prompt-Parts", .value = std::string(promptParts)});
+        m_client.fetch(
+            m_callerAddress, {.method = "POST", .path = "/new", .headers = headers, .body = "x"},
+            [this](const http_outcome &outcome, const http_answer &answer,
+                   const std::string &body) {
+                m_outcomes.push_back({.isWhole = std::holds_alternative<std::monostate>(outcome),
+                                      .answer = answer,
+                                      .body = body});
+            });
     }
 
     // Sends a request and runs the loop until its caller has the response.
@@ -174,6 +172,8 @@
     fake_endpoint m_newInstance;
     http_server m_callerServer{m_loop, {}};
     socket_address m_callerAddress;
+    // Sent with each request.
+    std::vector<http_header> m_moreHeaders;
     std::uint64_t m_version = 0;
     std::vector<caller_outcome> m_outcomes;
     // What the caller got of the last `call`.
--- a/packages/forwarding/testing/forward_router_test.cpp
+++ b/packages/forwarding/testing/forward_router_test.cpp
@@ -118,6 +118,26 @@
     EXPECT_EQ(endpoint.peers().size(), 2U) << "the attempt was sent twice on one connection";
 }
 
+// Guards against a deadline whose sum with the clock overflows: the request ran and was answered as
+// too late at once.
+TEST_F(ForwardRouterTest, deadlineBeyondTheClockIsThatOfTheRoute)
+{
+    m_onReceived = [](const fake_endpoint &, http_exchange &exchange) { succeed(exchange); };
+    registerEndpoint(m_oldInstance, 1);
+    for (const auto *deadline : {"9223372036854775807", "9223372036854", "99999999999999999999"}) {
+        m_moreHeaders = {{.name = "Deadline", .value = deadline}};
+        call();
+        EXPECT_EQ(m_status, 200) << deadline;
+    }
+    m_oldInstance.received.clear();
+    for (const auto *deadline : {"0", "-1", "-9223372036854775808"}) {
+        m_moreHeaders = {{.name = "Deadline", .value = deadline}};
+        call();
+        EXPECT_EQ(m_status, 503) << deadline;
+    }
+    EXPECT_EQ(m_oldInstance.received.size(), 0U);
+}
+
 // Guards against requests that crash one endpoint after the other because a part of their prompts
 // does so, and against refusing the sound ones that share their other parts.
 TEST_F(ForwardRouterTest, promptPartThatCrashesEndpointsIsSoonRefused)
