--- a/packages/forwarding/forward_request.cpp
+++ b/packages/forwarding/forward_request.cpp
@@ -17,6 +17,9 @@
 // Lower bound of the stall timeout.
 constexpr duration minStallTimeout = std::chrono::milliseconds(400);
 constexpr std::string_view bearerPrefix = "Bearer ";
+// Parts of a prompt that are remembered with its request. Prompts have a few; a header of the
+// largest permitted size names thousands.
+constexpr std::size_t maxSharedParts = 256;
 
 // Hop-by-hop headers, and headers that the sender sets itself.
 constexpr auto connectionHeaders = std::to_array<std::string_view>(
@@ -95,7 +98,8 @@
     while (!shared.empty()) {
         const auto part = takeField(shared, ',');
         const auto colon = part.find(':');
-        request.sharedParts.push_back(fastHash(part.substr(0, colon)));
+        if (!part.empty() && request.sharedParts.size() < maxSharedParts)
+            request.sharedParts.push_back(fastHash(part.substr(0, colon)));
         if (colon != std::string_view::npos)
             request.sharedTokens += parseDecimal<std::uint32_t>(part.substr(colon + 1)).value_or(0);
     }
