Count all copies of a head in the budget for callers' bytes

Cause: a running request has its headers three times, and the budget counted one. It counts three, as it does for bodies. The test failed before (201,224 bytes counted of 384,000) and passes with the change.

--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t maxPendingBytes = 64U << 10U;
 // A request that runs is kept by its exchange, by the call to an endpoint, and in the part that the
 // endpoint's socket has not yet accepted.
-constexpr std::size_t copiesOfWholeBody = 3;
+constexpr std::size_t copiesOfWholeRequest = 3;
 constexpr duration refusalRetryAfter = std::chrono::seconds(1);
 
 // Memory of a request's head.
@@ -186,7 +186,7 @@
     {
         auto request = std::move(*incoming);
         incoming.reset();
-        wholeBytes = headBytes + copiesOfWholeBody * request.body.capacity();
+        wholeBytes = copiesOfWholeRequest * (headBytes + request.body.capacity());
         current = std::shared_ptr<http_exchange>(new http_exchange(*this, std::move(request)));
         if (isAccounted() && !budget().admitWhole(holder, heldBytes(), lastInput)) {
             refuse();
--- a/packages/net/testing/http_wire_test.cpp
+++ b/packages/net/testing/http_wire_test.cpp
@@ -125,6 +125,26 @@
     EXPECT_FALSE(m_server->hasUndelivered());
 }
 
+// Guards against many short headers, which take several times their size in memory, and again in
+// each copy of a request that runs: the process exceeded the memory of its VM.
+TEST_F(HttpWireTest, budgetCountsAllCopiesOfAHead)
+{
+    constexpr std::size_t headers = 2000;
+    constexpr std::size_t copies = 3;
+    const auto budget = std::make_shared<byte_budget>(byte_budget_options{});
+    listen({.budget = budget});
+    raw_peer peer(m_loop, m_address);
+    std::string text = "GET /later HTTP/1.1\r\nHost: a\r\n";
+    for (std::size_t index = 0; index < headers; ++index)
+        text += "a:b\r\n";
+    peer.send(text + "\r\n");
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_kept.size() == 1; }));
+    EXPECT_GE(budget->heldBytes(), copies * headers * sizeof(http_header));
+    m_kept.front()->reply(200, {}, "");
+    ASSERT_TRUE(runUntil(m_loop, [&] { return !peer.received().empty(); }));
+    EXPECT_LT(budget->heldBytes(), headers * sizeof(http_header));
+}
+
 // Guards against kept connections that go on with the limits of the time at which they were opened.
 TEST_F(HttpWireTest, newLimitsApplyToTheNextRequestOfAnOpenConnection)
 {
