Name the holder's address in the usage duty's record, for edges with stale seeds

Cause: an edge finds others only through its seeds and through those that it has found. The record that each edge reads at its start now names its holder's address, which leads to all others; no call is added.

--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -92,6 +92,7 @@
           m_usage({.window = m_settings.usageWindow, .self = m_boot}),
           m_dutyDriver(m_platform, m_log, m_usage, m_wallClock,
                        {.holder = m_settings.name + "/" + m_boot,
+                        .address = addressText(m_settings.peers),
                         .sealAfter = m_settings.usageDue * 3 / 10,
                         .takeOverAfter = m_settings.usageDue * 6 / 10,
                         .term = m_settings.leaseTerm + leaseSlack}),
@@ -258,6 +259,9 @@
         m_exchange.onPaces = [this](const std::vector<endpoint_pace_report> &paces) {
             m_router.applyPaceReports(paces);
         };
+        m_dutyDriver.onHolder = [this](const std::string &address) {
+            m_peers.addAddress(parseAddress(address), m_clock.now());
+        };
         m_router.onExecutionStarted = [this](const std::string &account) {
             m_usage.count(account, m_wallClock.estimate(m_clock.now(), m_clock.unixNow()));
         };
--- a/packages/forwarding/peer_exchange.cpp
+++ b/packages/forwarding/peer_exchange.cpp
@@ -14,11 +14,6 @@
 // within the 30 s for which an address is kept, given two messages a second from each edge.
 constexpr std::size_t announcedPeers = 8;
 
-auto addressText(const socket_address &address) -> std::string
-{
-    return fmt::format("{}:{}", address.host, address.port);
-}
-
 // Larger updates are not forwarded; the other edges read them from the log themselves.
 constexpr std::size_t maxUpdateBytes = 32U << 10U;
 
--- a/packages/forwarding/testing/usage_duty_test.cpp
+++ b/packages/forwarding/testing/usage_duty_test.cpp
@@ -305,7 +305,11 @@
 
 TEST(UsageDutyTest, recordsRoundTrip)
 {
-    duty_record record{.holder = "edge", .fencing = 3, .nonce = "edge#1", .reportedTo = 4};
+    duty_record record{.holder = "edge",
+                       .address = "10.0.0.1:7340",
+                       .fencing = 3,
+                       .nonce = "edge#1",
+                       .reportedTo = 4};
     record.sealed[5] = {};
     record.sealed[6]["account"] = 7;
     EXPECT_EQ(decodeDutyRecord(encodeDutyRecord(record)), record);
--- a/packages/forwarding/usage_duty.cpp
+++ b/packages/forwarding/usage_duty.cpp
@@ -12,11 +12,9 @@
     auto sealed = nlohmann::json::array();
     for (const auto &[window, counts] : record.sealed)
         sealed.push_back({{"window", window}, {"counts", counts}});
-    return nlohmann::json{{"holder", record.holder},
-                          {"fencing", record.fencing},
-                          {"nonce", record.nonce},
-                          {"reported_to", record.reportedTo},
-                          {"sealed", std::move(sealed)}}
+    return nlohmann::json{{"holder", record.holder},          {"address", record.address},
+                          {"fencing", record.fencing},        {"nonce", record.nonce},
+                          {"reported_to", record.reportedTo}, {"sealed", std::move(sealed)}}
         .dump();
 }
 
@@ -25,6 +23,7 @@
     try {
         const auto document = nlohmann::json::parse(bytes);
         duty_record record{.holder = document.at("holder").get<std::string>(),
+                           .address = document.value("address", std::string()),
                            .fencing = document.at("fencing").get<std::uint64_t>(),
                            .nonce = document.at("nonce").get<std::string>(),
                            .reportedTo = document.at("reported_to").get<std::int64_t>()};
@@ -96,6 +95,7 @@
     -> append_duty
 {
     duty_record record{.holder = m_options.holder,
+                       .address = m_options.address,
                        .fencing = (m_record ? m_record->fencing : 0) + 1,
                        .nonce = fmt::format("{}#{}", m_options.holder, ++m_appendCount),
                        .reportedTo = m_reportedTo};
--- a/packages/forwarding/usage_duty.h
+++ b/packages/forwarding/usage_duty.h
@@ -40,6 +40,9 @@
 struct duty_record
 {
     std::string holder;
+    // IP:PORT at which the other edges reach the holder; empty if unknown. An edge whose seeds are
+    // stale finds the others by it.
+    std::string address;
     std::uint64_t fencing = 0;
     // Unique for each append.
     std::string nonce;
@@ -60,6 +63,8 @@
 {
     // Unique per process start.
     std::string holder;
+    // Kept in the record, see duty_record.
+    std::string address;
     // Delay after the end of a window until the holder, and until any other candidate, seals it.
     duration sealAfter = std::chrono::milliseconds(3000);
     duration takeOverAfter = std::chrono::milliseconds(6000);
--- a/packages/forwarding/usage_duty_driver.h
+++ b/packages/forwarding/usage_duty_driver.h
@@ -54,6 +54,9 @@
 
     [[nodiscard]] auto duty() -> usage_duty & { return m_duty; }
 
+    // Called with the address of the holder that the record names, whenever the record is read.
+    std::function<auto(const std::string &address)->void> onHolder;
+
     // Executes the next action that is due.
     auto step() -> void
     {
@@ -86,6 +89,8 @@
                                         if (entry.key == location.key && entry.value)
                                             record = decodeDutyRecord(*entry.value);
                                     }
+                                    if (record && onHolder)
+                                        onHolder(record->address);
                                     m_duty.onRead(std::move(record), page->endOffset, now);
                                     step();
                                 });
--- a/packages/net/http_message.cpp
+++ b/packages/net/http_message.cpp
@@ -58,6 +58,11 @@
     return {.host = std::string(text.substr(0, colon)), .port = port};
 }
 
+auto addressText(const socket_address &address) -> std::string
+{
+    return address.host + ":" + std::to_string(address.port);
+}
+
 auto percentDecoded(std::string_view text) -> std::string
 {
     constexpr int base = 16;
--- a/packages/net/http_message.h
+++ b/packages/net/http_message.h
@@ -38,6 +38,9 @@
 // Parses IP:PORT. A malformed text yields an empty host and port 0.
 [[nodiscard]] auto parseAddress(std::string_view text) -> socket_address;
 
+// The address as IP:PORT.
+[[nodiscard]] auto addressText(const socket_address &address) -> std::string;
+
 // Decodes percent escapes and plus signs of a query or form value.
 [[nodiscard]] auto percentDecoded(std::string_view text) -> std::string;
 
