Let a reply wait for the one before it instead of losing it

A process that asked another one waited for its whole timeout, although the other had answered (known red: ControlSocketTest.answersConsecutiveRequests, 7 of 1446 runs beside a build). Cause: replies were sent without waiting, and nng loses a reply that it cannot begin to send at once. Each is sent by a context of its own now, which may wait.

--- a/packages/net/control_socket.cpp
+++ b/packages/net/control_socket.cpp
@@ -1,5 +1,8 @@
 #include "net/control_socket.h"
 
+#include <algorithm>
+#include <atomic>
+#include <optional>
 #include <utility>
 
 #include <arpa/inet.h>
@@ -15,6 +18,8 @@
 // Large enough for a whole configuration snapshot of the maximum size that the design allows for.
 constexpr std::size_t maxMessageBytes = 64U << 20U;
 constexpr auto sendRetryDelay = std::chrono::milliseconds(20);
+// Time for a peer to accept a reply; it has given up its request long before.
+constexpr nng_duration maxReplyTime = 10'000;    // milliseconds
 constexpr nng_duration minReconnectDelay = 50;   // milliseconds
 constexpr nng_duration maxReconnectDelay = 1000; // milliseconds
 
@@ -39,10 +44,78 @@
 
 } // namespace
 
+// A context of the server's socket. nng loses a reply that it cannot begin to send at once, unless
+// its sending may wait; a context waits on its own, so that requests of other peers are answered
+// meanwhile.
+class control_server::reply_slot
+{
+public:
+    explicit reply_slot(nng_socket socket)
+    {
+        nng_ctx_open(&m_context, socket);
+        nng_aio_alloc(&m_receive, nullptr, nullptr);
+        nng_aio_set_timeout(m_receive, NNG_DURATION_ZERO);
+        nng_aio_alloc(&m_send, onSent, this);
+        nng_aio_set_timeout(m_send, maxReplyTime);
+    }
+    ~reply_slot()
+    {
+        nng_ctx_close(m_context);
+        // Both wait for a callback that runs.
+        nng_aio_free(m_receive);
+        nng_aio_free(m_send);
+    }
+    reply_slot(const reply_slot &) = delete;
+    auto operator=(const reply_slot &) -> reply_slot & = delete;
+
+    [[nodiscard]] auto isSending() const -> bool { return m_isSending; }
+
+    // A request that has arrived; none if there is none.
+    [[nodiscard]] auto receive() -> std::optional<std::string>
+    {
+        nng_ctx_recv(m_context, m_receive);
+        nng_aio_wait(m_receive);
+        if (nng_aio_result(m_receive) != 0)
+            return std::nullopt;
+        auto *message = nng_aio_get_msg(m_receive);
+        std::string request(messageBody(message));
+        nng_msg_free(message);
+        return request;
+    }
+
+    // Sends the reply to the request that was received last.
+    auto reply(std::string_view data) -> void
+    {
+        nng_msg *message = nullptr;
+        if (nng_msg_alloc(&message, 0) != 0)
+            return;
+        nng_msg_append(message, data.data(), data.size());
+        m_isSending = true;
+        nng_aio_set_msg(m_send, message);
+        nng_ctx_send(m_context, m_send);
+    }
+
+private:
+    // Called on a thread of nng.
+    static auto onSent(void *argument) -> void
+    {
+        auto &self = *static_cast<reply_slot *>(argument);
+        if (nng_aio_result(self.m_send) != 0)
+            nng_msg_free(nng_aio_get_msg(self.m_send));
+        self.m_isSending = false;
+    }
+
+    nng_ctx m_context{};
+    nng_aio *m_receive = nullptr;
+    nng_aio *m_send = nullptr;
+    std::atomic<bool> m_isSending = false;
+};
+
 control_server::control_server(event_loop &loop) : m_loop(loop) {}
 
 control_server::~control_server()
 {
+    m_slots.clear();
     if (m_open)
         nng_close(nng_socket{m_socket});
 }
@@ -74,14 +147,25 @@
 
 auto control_server::receiveAll() -> void
 {
-    nng_msg *message = nullptr;
-    while (nng_recvmsg(nng_socket{m_socket}, &message, NNG_FLAG_NONBLOCK) == 0) {
-        const auto reply = m_handler(messageBody(message));
-        nng_msg_free(message);
-        sendBytes(nng_socket{m_socket}, reply);
+    for (;;) {
+        auto &slot = freeSlot();
+        const auto request = slot.receive();
+        if (!request)
+            return;
+        slot.reply(m_handler(*request));
     }
 }
 
+auto control_server::freeSlot() -> reply_slot &
+{
+    const auto found
+        = std::ranges::find_if(m_slots, [](const auto &each) { return !each->isSending(); });
+    if (found != m_slots.end())
+        return **found;
+    m_slots.push_back(std::make_unique<reply_slot>(nng_socket{m_socket}));
+    return *m_slots.back();
+}
+
 control_client::control_client(event_loop &loop, socket_address peer,
                                control_client_options options)
     : m_loop(loop), m_options(options)
--- a/packages/net/control_socket.h
+++ b/packages/net/control_socket.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/result.h"
 #include "net/event_loop.h"
@@ -41,13 +42,20 @@
         -> result<std::uint16_t>;
 
 private:
+    // Receives one request at a time and sends its reply.
+    class reply_slot;
+
     auto receiveAll() -> void;
+    // A slot that is not sending a reply.
+    [[nodiscard]] auto freeSlot() -> reply_slot &;
 
     event_loop &m_loop;
     message_handler m_handler;
     std::uint32_t m_socket = 0;
     bool m_open = false;
     event_handle m_readable;
+    // As many as replies were ever sent at the same time, and one.
+    std::vector<std::unique_ptr<reply_slot>> m_slots;
 };
 
 struct control_client_options
