--- a/packages/agent/control_link.cpp
+++ b/packages/agent/control_link.cpp
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include <fmt/format.h>
-
 #include "agent/events.h"
 
 namespace mustardline {
@@ -20,7 +18,7 @@
 {
     for (const auto &address : peers) {
         const control_client_options options{.timeout = timeout};
-        m_peers.push_back({.name = fmt::format("{}:{}", address.host, address.port),
+        m_peers.push_back({.name = addressText(address),
                            .client = std::make_unique<control_client>(loop, address, options)});
     }
 }
--- a/packages/entry/configuration_follower.cpp
+++ b/packages/entry/configuration_follower.cpp
@@ -1,7 +1,5 @@
 #include "entry/configuration_follower.h"
 
-#include <fmt/format.h>
-
 #include "base/hashing.h"
 #include "entry/events.h"
 
@@ -33,7 +31,7 @@
 {
     std::vector<std::string> names;
     for (const auto &peer : m_options.peers) {
-        names.push_back(fmt::format("{}:{}", peer.host, peer.port));
+        names.push_back(addressText(peer));
         m_peers[names.back()]
             = std::make_unique<control_client>(m_loop, peer, control_client_options());
     }
--- a/packages/forwarding/peer_exchange.cpp
+++ b/packages/forwarding/peer_exchange.cpp
@@ -2,8 +2,6 @@
 
 #include "forwarding/snapshot_exchange.h"
 
-#include <fmt/format.h>
-
 namespace mustardline {
 
 namespace {
--- a/packages/proofs/testing/scaling_process_test.cpp
+++ b/packages/proofs/testing/scaling_process_test.cpp
@@ -14,9 +14,6 @@
                                  const std::vector<std::string> &further) -> void
     {
         const auto name = fmt::format("engine-{}", index);
-        const auto textOf = [](const socket_address &address) {
-            return fmt::format("{}:{}", address.host, address.port);
-        };
         fleet.accepted({"endpoint", "remove", name});
         std::vector<std::string> words{"endpoint",
                                        "create",
@@ -26,9 +23,9 @@
                                        "--serves",
                                        "small",
                                        "--agent",
-                                       textOf(fleet.agent(index).address),
+                                       addressText(fleet.agent(index).address),
                                        "--control",
-                                       textOf(fleet.agent(index).control),
+                                       addressText(fleet.agent(index).control),
                                        "--max-concurrency",
                                        "4",
                                        "--managed"};
--- a/packages/standin/testing/fleet.cpp
+++ b/packages/standin/testing/fleet.cpp
@@ -18,11 +18,6 @@
 // Operator token, used only by this fixture.
 constexpr std::string_view operatorToken = "test-operator-token";
 
-auto toText(const socket_address &address) -> std::string
-{
-    return fmt::format("{}:{}", address.host, address.port);
-}
-
 auto listenOn(const socket_address &address) -> json
 {
     return {{"address", address.host}, {"port", address.port}};
@@ -101,11 +96,11 @@
     fleet_member link;
     link.address = reservePort();
     link.control = reservePort();
-    link.m_options
-        = {.program = programPath("standin-cut"),
-           .arguments = {"--target", toText(target), "--port", std::to_string(link.address.port),
-                         "--control-port", std::to_string(link.control.port)},
-           .name = name};
+    link.m_options = {.program = programPath("standin-cut"),
+                      .arguments = {"--target", addressText(target), "--port",
+                                    std::to_string(link.address.port), "--control-port",
+                                    std::to_string(link.control.port)},
+                      .name = name};
     return link;
 }
 
@@ -154,8 +149,8 @@
 auto fleet::entrySettings(std::size_t index) -> json
 {
     const auto &entry = m_entries[index];
-    const auto platform = toText(m_options.platformLinks ? m_platformLinks[index].address
-                                                         : m_platform.front().address);
+    const auto platform = addressText(m_options.platformLinks ? m_platformLinks[index].address
+                                                              : m_platform.front().address);
     json settings{
         {"name", fmt::format("entry-{}", index)},
         {"data_centre", dataCentre(index)},
@@ -173,7 +168,7 @@
         {"lease_term_ms", 1000}};
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
         if (i != index)
-            settings["peers"].push_back(toText(m_entries[i].control));
+            settings["peers"].push_back(addressText(m_entries[i].control));
     }
     settings.merge_patch(m_options.entrySettings);
     return settings;
@@ -188,10 +183,10 @@
                   {"data_centre", dataCentre(index)},
                   {"listen", listenOn(m_agents[index].address)},
                   {"control", listenOn(m_agents[index].control)},
-                  {"endpoint_address", toText(endpoint.address)},
+                  {"endpoint_address", addressText(endpoint.address)},
                   {"entries", json::array()}};
     for (const auto &entry : m_entries)
-        settings["entries"].push_back(toText(entry.control));
+        settings["entries"].push_back(addressText(entry.control));
     settings["control"]["period_ms"] = 200;
     settings.merge_patch(m_options.agentSettings);
     return settings;
@@ -247,9 +242,9 @@
                                        "--data-centre",
                                        dataCentre(i),
                                        "--agent",
-                                       toText(agentAddress(i)),
+                                       addressText(agentAddress(i)),
                                        "--control",
-                                       toText(m_agents[i].control),
+                                       addressText(m_agents[i].control),
                                        "--max-concurrency",
                                        std::to_string(m_options.maxConcurrency),
                                        "--serves",
@@ -284,7 +279,7 @@
 
 auto fleet::command(std::vector<std::string> words, std::size_t entryIndex) -> command_result
 {
-    words.insert(words.end(), {"--entry", toText(m_entries.at(entryIndex).operators),
+    words.insert(words.end(), {"--entry", addressText(m_entries.at(entryIndex).operators),
                                "--token-file", m_tokenFile, "--json"});
     process command({.program = programPath("mustardline"), .arguments = std::move(words)});
     command_result result{.status = command.wait(), .output = command.output()};
