Reset the connection of a response that breaks off and has no framing

A caller of HTTP/1.0 gets streams without chunks. One that broke off was ended by an orderly close, and the part looked whole. Such a connection is reset now, as long as the caller has not received all. The test failed before the change and passes with it.

--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -71,6 +71,8 @@
     time_point lastInput;
     time_point requestBegunAt;
     bool closesAfterAnswer = false;
+    // Nothing but the end of the connection ends the response.
+    bool endsResponse = false;
     bool processing = false;
     // The connection closes once the buffered output is sent.
     bool closing = false;
@@ -347,7 +349,11 @@
 
     auto closeNow() -> void
     {
-        stream->close();
+        // An orderly end would make a part of such a response look whole.
+        if (endsResponse && (current || stream->undeliveredBytes() > 0))
+            stream->reset();
+        else
+            stream->close();
         remove();
     }
 
@@ -461,6 +467,7 @@
     } else {
         m_framing = framing::until_close;
         m_request.keepAlive = false;
+        m_connection->endsResponse = true;
         m_connection->send(start(status, headers, ""));
     }
 }
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -104,7 +104,8 @@
     auto sendChunk(std::string_view data) -> void;
     auto endStream() -> void;
 
-    // Closes the connection, so that the caller detects the truncated response.
+    // Closes the connection, so that the caller detects the truncated response; resets it if the
+    // caller could not tell otherwise.
     auto abort() -> void;
 
     // Bytes of the response that are buffered because the caller has not read them yet.
--- a/packages/net/tcp_stream.cpp
+++ b/packages/net/tcp_stream.cpp
@@ -276,6 +276,14 @@
     m_lingerTimer = {};
 }
 
+auto tcp_stream::reset() -> void
+{
+    const linger discard{.l_onoff = 1, .l_linger = 0};
+    if (!isClosed())
+        setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+    close();
+}
+
 auto tcp_stream::closeAfterSending() -> void
 {
     if (isClosed() || m_lingering)
--- a/packages/net/tcp_stream.h
+++ b/packages/net/tcp_stream.h
@@ -74,6 +74,8 @@
 
     // Closes the connection immediately; no callback follows.
     auto close() -> void;
+    // The same, and the peer learns that the connection broke; it may lose what it has not read.
+    auto reset() -> void;
     // Sends the buffered data, closes the connection and calls `onEnd`, however long the peer takes
     // to receive it; a peer that receives nothing for the silence limit is given up. Until then,
     // input is read and discarded, because closing a socket with unread input resets the
--- a/packages/net/testing/http_wire_test.cpp
+++ b/packages/net/testing/http_wire_test.cpp
@@ -125,6 +125,28 @@
     EXPECT_FALSE(m_server->hasUndelivered());
 }
 
+// Guards against a part of a response that looks whole to a caller of HTTP/1.0, for whom the end of
+// the connection ends it.
+TEST_F(HttpWireTest, abortedResponseWithoutFramingResetsTheConnection)
+{
+    listen({});
+    for (const bool isWhole : {false, true}) {
+        m_kept.clear();
+        raw_peer peer(m_loop, m_address);
+        peer.send("GET /later HTTP/1.0\r\nHost: a\r\n\r\n");
+        ASSERT_TRUE(runUntil(m_loop, [&] { return m_kept.size() == 1; }));
+        m_kept.front()->startStream(200, {});
+        m_kept.front()->sendChunk("part");
+        ASSERT_TRUE(runUntil(m_loop, [&] { return peer.received().ends_with("part"); }));
+        if (isWhole)
+            m_kept.front()->endStream();
+        else
+            m_kept.front()->abort();
+        ASSERT_TRUE(runUntil(m_loop, [&] { return peer.hasEnded(); }));
+        EXPECT_EQ(peer.isBroken(), !isWhole);
+    }
+}
+
 // Guards against many short headers, which take several times their size in memory, and again in
 // each copy of a request that runs: the process exceeded the memory of its VM.
 TEST_F(HttpWireTest, budgetCountsAllCopiesOfAHead)
--- a/packages/net/testing/raw_peer.cpp
+++ b/packages/net/testing/raw_peer.cpp
@@ -26,9 +26,7 @@
 
 auto raw_peer::reset() -> void
 {
-    const linger discard{.l_onoff = 1, .l_linger = 0};
-    setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
-    m_stream->close();
+    m_stream->reset();
 }
 
 auto raw_peer::setStreamCallbacks() -> void
@@ -38,8 +36,9 @@
         if (onChange)
             onChange();
     };
-    m_stream->onEnd = [this](bool) {
+    m_stream->onEnd = [this](bool orderly) {
         m_ended = true;
+        m_broken = !orderly;
         if (onChange)
             onChange();
     };
--- a/packages/net/testing/raw_peer.h
+++ b/packages/net/testing/raw_peer.h
@@ -36,6 +36,8 @@
     // Everything received so far.
     [[nodiscard]] auto received() const -> const std::string & { return m_received; }
     [[nodiscard]] auto hasEnded() const -> bool { return m_ended; }
+    // Whether the connection has ended because it broke.
+    [[nodiscard]] auto isBroken() const -> bool { return m_broken; }
 
     std::function<auto()->void> onChange;
 
@@ -46,6 +48,7 @@
     int m_descriptor = -1;
     std::string m_received;
     bool m_ended = false;
+    bool m_broken = false;
 };
 
 class raw_listener
