--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -18,15 +18,23 @@
     }
     int port() const { return m_port; }
 
-    void put(const std::string &topic, const std::string &key, const std::string &value)
+    // False while the store is away: then nothing was done.
+    bool put(const std::string &topic, const std::string &key, const std::string &value)
     {
         const std::lock_guard lock(m_mutex);
+        if (m_isAway)
+            return false;
         add(topic, std::string(1, static_cast<char>(key.size())) + key + value);
+        if (topic == "keyed.op")
+            m_log.line("store: record " + std::to_string(m_topics[topic].size() - 1) + " of "
+                       + topic + ": " + key);
+        return true;
     }
 
     // The store is away for `away` seconds and comes back from a copy `age` seconds old. What the
-    // operator and the servers wrote since is written again; what the system wrote is gone.
-    void drill(double away, double age)
+    // system wrote since is gone. What the operator and the servers wrote since is written again at
+    // once, or, without `isWrittenAgain`, by the caller and with the servers' next entries.
+    void drill(double away, double age, bool isWrittenAgain = true)
     {
         {
             const std::lock_guard lock(m_mutex);
@@ -40,7 +48,7 @@
                 }
                 m_log.line("drill: topic " + name + " goes back by " + std::to_string(lost.size())
                            + " records to offset " + std::to_string(topic.size()));
-                if (name == "keyed.op" || name == "keyed.servers") {
+                if (isWrittenAgain && (name == "keyed.op" || name == "keyed.servers")) {
                     for (auto &each : lost)
                         topic.push_back({each.bytes, seconds()});
                 }
