--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -14,6 +14,10 @@
 // `onUnavailable` and `onAvailable` report when the log service stops answering and when it answers
 // again.
 //
+// When the service comes back from an older copy, in a later era, the newest values are read again.
+// What it has lost of them is kept as keyed_values decides; a key that is given up then is reported
+// as deleted.
+//
 // Processes that follow the same topic can share their reads: each forwards what it has read
 // (`onRead`) to its peers, and passes what peers have read to `offer`, which postpones its own next
 // read. If each has a different delay (`setDelay`), the one with the shortest reads for all, and
@@ -25,9 +29,9 @@
 #include <set>
 #include <span>
 #include <string>
-#include <unordered_map>
 #include <utility>
 
+#include "coordination/keyed_values.h"
 #include "coordination/shared_log.h"
 #include "net/event_loop.h"
 
@@ -45,12 +49,14 @@
     // A failed call is not reported by `onUnavailable` if a peer's read was offered within this
     // time: the service then answers others.
     duration peerReadTrustTime = std::chrono::seconds(2);
+    // What is kept when the service comes back from an older copy.
+    keyed_values_options values;
 };
 
-// The newest record of each key of a topic, and the offset up to which the topic was read.
+// The newest record of each key of a topic, and the place up to which the topic was read.
 struct topic_snapshot
 {
-    std::uint64_t end = 0;
+    log_position end;
     std::vector<keyed_record> records;
 };
 
@@ -59,7 +65,7 @@
 {
 public:
     keyed_follower(event_loop &loop, Log &log, keyed_follower_options options)
-        : m_loop(loop), m_log(log), m_options(std::move(options))
+        : m_loop(loop), m_log(log), m_options(std::move(options)), m_values(m_options.values)
     {}
     keyed_follower(const keyed_follower &) = delete;
     auto operator=(const keyed_follower &) -> keyed_follower & = delete;
@@ -70,26 +76,38 @@
     std::function<auto()->void> onAvailable;
     std::function<auto(std::string_view bytes)->void> onMalformed;
     // Records from `offset` on expired before they were read; the newest values are read again.
-    std::function<auto(std::uint64_t offset)->void> onRecordsExpired;
+    std::function<auto(const log_position &from)->void> onRecordsExpired;
+    // The service came back from an older copy; the newest values are read again. `from` is where
+    // this process would have read on.
+    std::function<auto(const log_position &from)->void> onEraEnded;
     // This process has read and reported all records from `from` up to `end`; records that were
     // offered by a peer are not included.
-    std::function<auto(std::uint64_t from, std::uint64_t end)->void> onRead;
+    std::function<auto(const log_position &from, const log_position &end)->void> onRead;
 
     auto start() -> void { readNewest(""); }
 
     // Applies what another process has read from `from` up to `end`; `records` holds those of that
     // range that it forwarded. Records already reported are skipped. Returns false, and has no
-    // effect, if the range leaves a gap to what was read or ends before it.
-    auto offer(std::uint64_t from, std::uint64_t end, std::span<const keyed_record> records) -> bool
+    // effect, if the range leaves a gap to what was read, ends before it, or is of another era. One
+    // of a later era makes this process read soon, as its own era may have ended.
+    auto offer(const log_position &from, const log_position &end,
+               std::span<const keyed_record> records) -> bool
     {
-        if (!m_isFollowing || from > *m_nextOffset || end < *m_nextOffset)
+        if (!m_isFollowing)
+            return false;
+        if (from.era != m_next->era || end.era != m_next->era) {
+            if (from.era > m_next->era && !m_isReading)
+                schedule(m_readDelay, [this] { readNext(); });
+            return false;
+        }
+        if (from > *m_next || end < *m_next)
             return false;
-        m_lastOfferAt = system_runtime_clock().now();
+        m_lastOfferAt = m_clock.now();
         markAvailable();
-        const auto previousEnd = std::exchange(m_nextOffset, end);
+        const auto previousEnd = *std::exchange(m_next, end);
         for (const auto &record : records) {
-            if (record.offset >= *previousEnd)
-                report(record);
+            if (record.position >= previousEnd)
+                apply(record);
         }
         if (!m_isReading)
             schedule(m_options.readPause + m_readDelay, [this] { readNext(); });
@@ -102,10 +120,7 @@
     {
         if (!m_isFollowing)
             return std::nullopt;
-        topic_snapshot known{.end = *m_nextOffset};
-        for (const auto &[key, record] : m_newest)
-            known.records.push_back(record);
-        return known;
+        return topic_snapshot{.end = *m_next, .records = m_values.records()};
     }
 
     // Starts from the values of another process and continues reading from their end. Returns
@@ -114,13 +129,33 @@
     {
         if (m_isLoaded)
             return false;
-        m_nextOffset = known.end;
+        m_next = known.end;
+        m_values.clear();
+        m_values.beginLoad();
         for (const auto &record : known.records)
-            report(record);
+            applyLoaded(record);
         finishLoading();
         return true;
     }
 
+    // Takes from the values of another process what the service has lost, for a process that has
+    // read the newest values from an older copy.
+    auto learn(const topic_snapshot &known) -> void
+    {
+        if (!m_isFollowing)
+            return;
+        for (const auto &record : known.records) {
+            if (m_values.learn(record, *m_next, m_clock.now()) && onRecord)
+                onRecord(record);
+        }
+        awaitDecisions();
+    }
+
+    // The number of values that are kept although the service holds others, or none.
+    [[nodiscard]] auto keptCount() const -> std::size_t { return m_values.keptCount(); }
+    // Where this process reads on; in era 0 before the newest values were read.
+    [[nodiscard]] auto position() const -> log_position { return m_next.value_or(log_position()); }
+
     // Adds a delay to the pause between two reads, different for each process.
     auto setDelay(duration delay) -> void { m_readDelay = delay; }
 
@@ -131,8 +166,9 @@
     auto readNewest(const std::string &after) -> void
     {
         if (after.empty()) {
-            m_newest.clear();
-            m_nextOffset.reset();
+            m_values.beginLoad();
+            if (m_next)
+                m_readUpTo = std::exchange(m_next, std::nullopt);
             m_isFollowing = false;
         }
         m_log.newest(m_options.topic, after,
@@ -150,12 +186,21 @@
             return;
         }
         const auto &page = std::get<log_newest_page>(outcome);
+        // The service came back from an older copy between two pages.
+        if (m_next && m_next->era != page.end.era) {
+            readNewest("");
+            return;
+        }
         // The pages are not one consistent snapshot. Reading on from the log's end as of the first
         // page misses nothing.
-        if (!m_nextOffset)
-            m_nextOffset = page.endOffset;
+        if (!m_next) {
+            // Without a new era, a log that ends before what was read of it is another one.
+            if (m_readUpTo && page.end.era == m_readUpTo->era && page.end < *m_readUpTo)
+                m_values.clear();
+            m_next = page.end;
+        }
         for (const auto &record : page.entries)
-            report(record);
+            applyLoaded(record);
         if (page.more && !page.entries.empty()) {
             readNewest(page.entries.back().key);
             return;
@@ -167,11 +212,10 @@
     {
         m_isLoaded = true;
         m_isFollowing = true;
-        std::set<std::string, std::less<>> keys;
-        for (const auto &[key, record] : m_newest)
-            keys.insert(key);
+        m_values.finishLoad(*m_next, m_clock.now());
         if (onLoaded)
-            onLoaded(keys);
+            onLoaded(m_values.keys());
+        awaitDecisions();
         schedule(m_options.readPause, [this] { readNext(); });
     }
 
@@ -181,15 +225,15 @@
         // After a failed call the read does not wait for a record, so that its answer, or its
         // failure, shows soon whether the service is back.
         const auto wait = m_lastCallAnswered ? m_options.wait : duration{};
-        m_log.read({.topic = m_options.topic, .offset = *m_nextOffset, .wait = wait},
-                   [this, from = *m_nextOffset](const log_read_outcome &outcome) {
+        m_log.read({.topic = m_options.topic, .from = *m_next, .wait = wait},
+                   [this, from = *m_next](const log_read_outcome &outcome) {
                        m_isReading = false;
                        handleRecords(from, outcome);
                    });
     }
 
     // Handles the answer to a read from `from` on; peers may have offered some of it meanwhile.
-    auto handleRecords(std::uint64_t from, const log_read_outcome &outcome) -> void
+    auto handleRecords(const log_position &from, const log_read_outcome &outcome) -> void
     {
         const bool wasLastAnswered = m_lastCallAnswered;
         if (!isAnswered(outcome)) {
@@ -198,19 +242,28 @@
             return;
         }
         const auto *batch = std::get_if<log_batch>(&outcome);
+        const auto era = batch != nullptr ? batch->era : std::get<log_expired>(outcome).first.era;
+        if (era != from.era) {
+            if (onEraEnded)
+                onEraEnded(from);
+            // The processes that follow the topic do not read it all at the same time.
+            readNewestAfter(m_readDelay);
+            return;
+        }
         // Records expired unread, or the log ends before what was already read of it.
-        if (batch == nullptr || batch->endOffset < from || batch->firstOffset > from) {
+        if (batch == nullptr || batch->endOffset < from.offset
+            || batch->firstOffset > from.offset) {
             if (onRecordsExpired)
                 onRecordsExpired(from);
-            m_isFollowing = false;
-            schedule(m_options.readPause, [this] { readNewest(""); });
+            readNewestAfter(m_options.readPause);
             return;
         }
-        const auto reportedUpTo = *m_nextOffset;
+        const auto reportedUpTo = *m_next;
         auto next = from;
         for (const auto &bytes : batch->records) {
-            const auto offset = next++;
-            if (offset < reportedUpTo)
+            const auto position = next;
+            ++next.offset;
+            if (position < reportedUpTo)
                 continue;
             auto record = Log::decodeKeyedRecord(bytes);
             if (!record) {
@@ -218,25 +271,45 @@
                     onMalformed(bytes);
                 continue;
             }
-            record->offset = offset;
-            report(*record);
+            record->position = position;
+            apply(*record);
         }
-        m_nextOffset = std::max(reportedUpTo, next);
+        m_next = std::max(reportedUpTo, next);
         if (onRead)
-            onRead(reportedUpTo, *m_nextOffset);
+            onRead(reportedUpTo, *m_next);
         schedule(m_options.readPause + m_readDelay, [this] { readNext(); });
     }
 
-    auto report(const keyed_record &record) -> void
+    auto readNewestAfter(duration delay) -> void
     {
-        const auto known = m_newest.find(record.key);
-        if (known != m_newest.end() && record.offset < known->second.offset)
-            return;
-        m_newest[record.key] = record;
-        if (onRecord)
+        m_isFollowing = false;
+        schedule(delay, [this] { readNewest(""); });
+    }
+
+    auto apply(const keyed_record &record) -> void
+    {
+        if (m_values.apply(record, m_clock.now()) && onRecord)
             onRecord(record);
-        if (!record.value)
-            m_newest.erase(record.key);
+    }
+
+    auto applyLoaded(const keyed_record &record) -> void
+    {
+        if (m_values.applyLoaded(record, m_clock.now()) && onRecord)
+            onRecord(record);
+    }
+
+    // Reports what takes the place of kept values, once their time is over.
+    auto awaitDecisions() -> void
+    {
+        if (m_values.keptCount() == 0)
+            return;
+        m_decisionTimer = m_loop.after(m_options.values.rewriteTime, [this] {
+            for (const auto &record : m_values.takeDecided(m_clock.now())) {
+                if (onRecord)
+                    onRecord(record);
+            }
+            awaitDecisions();
+        });
     }
 
     auto schedule(duration delay, std::function<auto()->void> action) -> void
@@ -265,7 +338,7 @@
 
     auto markUnavailable(const std::string &reason) -> void
     {
-        const auto now = system_runtime_clock().now();
+        const auto now = m_clock.now();
         if (m_lastOfferAt && now - *m_lastOfferAt < m_options.peerReadTrustTime)
             return;
         if (!std::exchange(m_isUnavailable, true) && onUnavailable)
@@ -275,9 +348,12 @@
     event_loop &m_loop;
     Log &m_log;
     keyed_follower_options m_options;
-    std::optional<std::uint64_t> m_nextOffset;
-    // The newest reported record of each key; deleted keys are absent.
-    std::unordered_map<std::string, keyed_record> m_newest;
+    system_runtime_clock m_clock;
+    // Where to read on; no value until the first page of the newest values has been read.
+    std::optional<log_position> m_next;
+    // Where the topic was read up to before the newest values were read again.
+    std::optional<log_position> m_readUpTo;
+    keyed_values m_values;
     std::optional<time_point> m_lastOfferAt;
     duration m_readDelay{};
     // The service answered the last call of this process.
@@ -289,6 +365,7 @@
     // The newest values were read or adopted, and records are being read from there.
     bool m_isFollowing = false;
     event_handle m_timer;
+    event_handle m_decisionTimer;
 };
 
 } // namespace mustardline
--- a/packages/coordination/shared_log.h
+++ b/packages/coordination/shared_log.h
@@ -6,6 +6,10 @@
 // key never expires, and a record without a value deletes its key. A client of a real log service
 // models `shared_log`; code that follows a topic, or competes for a lease in one, depends only on
 // the concept.
+//
+// A service may come back from an older copy, see log_position.h. Each outcome names the era in
+// which the call was executed; a model reports an answer that is older than one it has received as
+// `log_unavailable`.
 
 #include <concepts>
 #include <cstdint>
@@ -17,6 +21,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "coordination/log_position.h"
 
 namespace mustardline {
 
@@ -25,7 +30,7 @@
 {
     std::string key;
     std::optional<std::string> value;
-    std::uint64_t offset = 0;
+    log_position position;
 };
 
 // The service refused the call, or its answer was lost.
@@ -37,14 +42,15 @@
     std::string reason;
 };
 
-// The requested records have expired.
+// The topic does not hold the requested records: they have expired, or the topic ends before them.
 struct log_expired
 {
-    std::uint64_t firstOffset = 0;
+    log_position first;
 };
 
 struct log_batch
 {
+    std::uint64_t era = 0;
     // The offset after the newest record of the topic.
     std::uint64_t endOffset = 0;
     std::uint64_t firstOffset = 0;
@@ -58,21 +64,21 @@
     std::vector<keyed_record> entries;
     // Whether there are keys after the last one of this page.
     bool more = false;
-    std::uint64_t endOffset = 0;
+    log_position end;
 };
 
 using log_newest_outcome = std::variant<log_newest_page, log_unavailable>;
 
 struct log_appended
 {
-    std::uint64_t offset = 0;
-    std::uint64_t endOffset = 0;
+    log_position first;
+    log_position end;
 };
 
 // The append was not made, because the topic does not end at the required offset.
 struct log_append_conflict
 {
-    std::uint64_t endOffset = 0;
+    log_position end;
 };
 
 using log_append_outcome = std::variant<log_appended, log_append_conflict, log_unavailable>;
@@ -80,7 +86,8 @@
 struct log_read_request
 {
     std::string topic;
-    std::uint64_t offset = 0;
+    // Where to read from; the service looks at the offset alone.
+    log_position from;
     // How long the service may hold the call until a record is appended.
     duration wait{};
 };
@@ -88,8 +95,9 @@
 struct log_append_request
 {
     std::string topic;
-    // If set, the append is made only if the topic ends at this offset.
-    std::optional<std::uint64_t> at;
+    // If set, the append is made only if the topic ends there. The service compares the offset
+    // alone; if it does so in another era, the outcome is `log_unavailable`.
+    std::optional<log_position> at;
     std::vector<std::string> records;
 };
 
--- a/packages/coordination/testing/keyed_follower_test.cpp
+++ b/packages/coordination/testing/keyed_follower_test.cpp
@@ -15,7 +15,7 @@
 public:
     auto read(const log_read_request &request, const log_read_handler &done) -> void
     {
-        calls.push_back("read " + std::to_string(request.offset));
+        calls.push_back("read " + std::to_string(request.from.offset));
         waits.push_back(request.wait);
         if (beforeAnswer)
             std::exchange(beforeAnswer, nullptr)();
@@ -82,8 +82,8 @@
         m_follower.onUnavailable
             = [this](const std::string &) { m_events.emplace_back("unavailable"); };
         m_follower.onAvailable = [this] { m_events.emplace_back("available"); };
-        m_follower.onRecordsExpired = [this](std::uint64_t offset) {
-            m_events.push_back("expired from " + std::to_string(offset));
+        m_follower.onRecordsExpired = [this](const log_position &from) {
+            m_events.push_back("expired from " + std::to_string(from.offset));
         };
         m_follower.onMalformed = [this](std::string_view) { m_events.emplace_back("malformed"); };
     }
@@ -102,21 +102,26 @@
     std::vector<std::string> m_events;
 };
 
+auto at(std::uint64_t offset, std::uint64_t era = 0) -> log_position
+{
+    return {.era = era, .offset = offset};
+}
+
 auto recordOf(const std::string &key, const std::string &value, std::uint64_t offset)
     -> keyed_record
 {
-    return {.key = key, .value = value, .offset = offset};
+    return {.key = key, .value = value, .position = {.offset = offset}};
 }
 
 auto pageOf(std::vector<keyed_record> entries, std::uint64_t end, bool more = false)
     -> log_newest_page
 {
-    return {.entries = std::move(entries), .more = more, .endOffset = end};
+    return {.entries = std::move(entries), .more = more, .end = {.offset = end}};
 }
 
 TEST_F(KeyedFollowerTest, reportsTheNewestValuesAndThenEachRecord)
 {
-    m_log.pages = {pageOf({{.key = "a", .value = "1", .offset = 3}}, 5)};
+    m_log.pages = {pageOf({{.key = "a", .value = "1", .position = {.offset = 3}}}, 5)};
     m_log.reads = {log_batch{.endOffset = 7, .firstOffset = 0, .records = {"a=2", "a"}}};
     follow();
     EXPECT_EQ(m_events, (std::vector<std::string>{"a=1", "loaded 1", "a=2", "a deleted"}));
@@ -125,8 +130,8 @@
 
 TEST_F(KeyedFollowerTest, continuesFromTheLogEndOfTheFirstPage)
 {
-    m_log.pages = {pageOf({{.key = "a", .value = "1", .offset = 3}}, 5, true),
-                   pageOf({{.key = "b", .value = "new", .offset = 6}}, 8)};
+    m_log.pages = {pageOf({{.key = "a", .value = "1", .position = {.offset = 3}}}, 5, true),
+                   pageOf({{.key = "b", .value = "new", .position = {.offset = 6}}}, 8)};
     m_log.reads
         = {log_batch{.endOffset = 8, .firstOffset = 0, .records = {"b=old", "b=new", "c=1"}}};
     follow();
@@ -137,13 +142,13 @@
 
 TEST_F(KeyedFollowerTest, readsTheNewestValuesAgainWhenRecordsExpired)
 {
-    const std::vector<log_read_outcome> gaps{log_expired{.firstOffset = 90},
+    const std::vector<log_read_outcome> gaps{log_expired{.first = {.offset = 90}},
                                              log_batch{.endOffset = 99, .firstOffset = 90},
                                              log_batch{.endOffset = 2, .firstOffset = 0}};
     for (const auto &gap : gaps) {
         m_events.clear();
-        m_log.pages = {pageOf({{.key = "a", .value = "1", .offset = 3}}, 5),
-                       pageOf({{.key = "b", .value = "1", .offset = 1}}, 99)};
+        m_log.pages = {pageOf({{.key = "a", .value = "1", .position = {.offset = 3}}}, 5),
+                       pageOf({{.key = "b", .value = "1", .position = {.offset = 1}}}, 99)};
         m_log.reads = {gap};
         follow();
         EXPECT_EQ(m_events, (std::vector<std::string>{"a=1", "loaded 1", "expired from 5", "b=1",
@@ -202,7 +207,7 @@
                                           .readPause = milliseconds(1),
                                           .retryAfter = milliseconds(1)});
     m_log.reads = {log_batch{.endOffset = 5}};
-    ASSERT_TRUE(waiting.adopt({.end = 5}));
+    ASSERT_TRUE(waiting.adopt({.end = {.offset = 5}}));
     m_loop.run();
     EXPECT_EQ(m_log.waits, (std::vector<duration>{{}, milliseconds(2000)}));
 }
@@ -220,9 +225,11 @@
     m_log.pages = {pageOf({}, 5)};
     m_follower.onLoaded = [this](const auto &) {
         const std::vector<keyed_record> peerRecords{recordOf("old", "1", 4), recordOf("a", "1", 6)};
-        EXPECT_TRUE(m_follower.offer(4, 8, peerRecords));
-        EXPECT_FALSE(m_follower.offer(3, 5, peerRecords)) << "ends before what was already read";
-        EXPECT_FALSE(m_follower.offer(9, 12, std::vector{recordOf("b", "1", 9)})) << "leaves a gap";
+        EXPECT_TRUE(m_follower.offer(at(4), at(8), peerRecords));
+        EXPECT_FALSE(m_follower.offer(at(3), at(5), peerRecords))
+            << "ends before what was already read";
+        EXPECT_FALSE(m_follower.offer(at(9), at(12), std::vector{recordOf("b", "1", 9)}))
+            << "leaves a gap";
     };
     follow();
     EXPECT_EQ(m_events, (std::vector<std::string>{"a=1"}));
@@ -235,10 +242,11 @@
     m_log.reads = {log_batch{.endOffset = 8, .firstOffset = 0, .records = {"a=1", "b=1", "c=1"}},
                    log_batch{.endOffset = 8, .firstOffset = 0}};
     std::vector<std::pair<std::uint64_t, std::uint64_t>> read;
-    m_follower.onRead
-        = [&read](std::uint64_t from, std::uint64_t end) { read.emplace_back(from, end); };
+    m_follower.onRead = [&read](const log_position &from, const log_position &end) {
+        read.emplace_back(from.offset, end.offset);
+    };
     m_log.beforeAnswer = [this] {
-        m_follower.offer(5, 7, std::vector{recordOf("a", "1", 5), recordOf("b", "1", 6)});
+        m_follower.offer(at(5), at(7), std::vector{recordOf("a", "1", 5), recordOf("b", "1", 6)});
     };
     follow();
     EXPECT_EQ(m_events, (std::vector<std::string>{"loaded 0", "a=1", "b=1", "c=1"}));
@@ -250,9 +258,9 @@
 TEST_F(KeyedFollowerTest, ignoresOffersUntilTheNewestValuesAreReadAgain)
 {
     m_log.pages = {pageOf({}, 5), pageOf({}, 99)};
-    m_log.reads = {log_expired{.firstOffset = 90}};
-    m_follower.onRecordsExpired = [this](std::uint64_t) {
-        m_loop.post([this] { m_follower.offer(5, 6, std::vector{recordOf("a", "1", 5)}); });
+    m_log.reads = {log_expired{.first = {.offset = 90}}};
+    m_follower.onRecordsExpired = [this](const log_position &) {
+        m_loop.post([this] { m_follower.offer(at(5), at(6), std::vector{recordOf("a", "1", 5)}); });
     };
     follow();
     EXPECT_EQ(m_events, (std::vector<std::string>{"loaded 0", "loaded 0"}));
@@ -264,7 +272,7 @@
     m_log.pages = {pageOf({}, 5)};
     m_log.reads = {log_unavailable{}, log_unavailable{},
                    log_batch{.endOffset = 6, .firstOffset = 0, .records = {"a=1"}}};
-    m_follower.onLoaded = [this](const auto &) { m_follower.offer(5, 5, {}); };
+    m_follower.onLoaded = [this](const auto &) { m_follower.offer(at(5), at(5), {}); };
     follow();
     EXPECT_EQ(m_events, (std::vector<std::string>{"a=1"}));
 }
@@ -275,7 +283,7 @@
     m_log.reads = {log_batch{.endOffset = 9, .firstOffset = 0, .records = {"b=3"}}};
     m_follower.onUnavailable = [this](const std::string &) {
         EXPECT_FALSE(m_follower.knowledge()) << "nothing has been read yet";
-        const topic_snapshot known{.end = 8,
+        const topic_snapshot known{.end = {.offset = 8},
                                    .records = {recordOf("a", "1", 3), recordOf("b", "2", 6)}};
         EXPECT_TRUE(m_follower.adopt(known));
         EXPECT_FALSE(m_follower.adopt(known)) << "the values were already adopted";
@@ -285,7 +293,7 @@
     EXPECT_EQ(m_log.calls, (std::vector<std::string>{"newest ", "read 8", "read 9"}));
     const auto known = m_follower.knowledge();
     ASSERT_TRUE(known);
-    EXPECT_EQ(known->end, 9U);
+    EXPECT_EQ(known->end, (log_position{.offset = 9}));
     EXPECT_EQ(known->records.size(), 2U);
 }
 
@@ -300,6 +308,104 @@
     EXPECT_EQ(known->records.front().value, "2");
 }
 
+auto pageOfEra(std::uint64_t era, std::vector<keyed_record> entries, std::uint64_t end,
+               bool more = false) -> log_newest_page
+{
+    for (auto &entry : entries)
+        entry.position.era = era;
+    return {.entries = std::move(entries), .more = more, .end = at(end, era)};
+}
+
+// Guards against a follower that reads on at its offset after the log came back from an older copy:
+// records at offsets that were given out again would never be reported.
+TEST_F(KeyedFollowerTest, readsTheNewestValuesAgainInALaterEra)
+{
+    const std::vector<log_read_outcome> answers{
+        log_batch{.era = 2, .endOffset = 6, .records = {"b=1"}},
+        log_batch{.era = 2, .endOffset = 5}, log_batch{.era = 2, .endOffset = 3},
+        log_expired{.first = at(0, 2)}};
+    for (const auto &answer : answers) {
+        m_events.clear();
+        m_log.calls.clear();
+        m_log.pages = {pageOfEra(1, {recordOf("a", "1", 4)}, 5),
+                       pageOfEra(2, {recordOf("a", "2", 4), recordOf("b", "1", 5)}, 6)};
+        m_log.reads = {answer, log_batch{.era = 2, .endOffset = 7, .records = {"a=3"}}};
+        keyed_follower<scripted_log> follower(
+            m_loop, m_log,
+            {.topic = "t",
+             .readPause = milliseconds(1),
+             .values = {.compare = [](const auto &left, const auto &right) {
+                 return std::partial_ordering(*left.value <=> *right.value);
+             }}});
+        follower.onRecord = m_follower.onRecord;
+        follower.onEraEnded = [this](const log_position &from) {
+            m_events.push_back("era " + std::to_string(from.era) + " ended");
+        };
+        follower.start();
+        m_loop.run();
+        EXPECT_EQ(m_events, (std::vector<std::string>{"a=1", "era 1 ended", "a=2", "b=1", "a=3"}));
+        EXPECT_EQ(m_log.calls,
+                  (std::vector<std::string>{"newest ", "read 5", "newest ", "read 6", "read 7"}));
+        EXPECT_EQ(follower.position(), at(7, 2));
+    }
+}
+
+// Guards against pages of two eras that are taken for one state of the topic.
+TEST_F(KeyedFollowerTest, startsAnewIfTheEraEndsBetweenTwoPages)
+{
+    m_log.pages = {pageOfEra(1, {recordOf("a", "1", 4)}, 5, true),
+                   pageOfEra(2, {recordOf("b", "1", 2)}, 3), pageOfEra(2, {}, 3)};
+    follow();
+    EXPECT_EQ(m_log.calls, (std::vector<std::string>{"newest ", "newest a", "newest ", "read 3"}));
+    EXPECT_EQ(m_follower.position(), at(3, 2));
+}
+
+// Guards against records of another era that fit by their offsets.
+TEST_F(KeyedFollowerTest, ignoresOffersOfAnotherEra)
+{
+    m_log.pages = {pageOfEra(2, {}, 5)};
+    m_follower.onLoaded = [this](const auto &) {
+        for (const auto era : {1U, 3U}) {
+            auto record = recordOf("a", "1", 5);
+            record.position.era = era;
+            EXPECT_FALSE(m_follower.offer(at(5, era), at(6, era), std::vector{record}));
+        }
+    };
+    follow();
+    EXPECT_TRUE(m_events.empty());
+    EXPECT_EQ(m_follower.position(), at(5, 2));
+}
+
+// Guards against a process that passes on the older value of the copy as the newest one.
+TEST_F(KeyedFollowerTest, passesOnWhatTheLogHasLost)
+{
+    m_log.pages = {pageOfEra(1, {recordOf("a", "1", 4)}, 5), pageOfEra(2, {}, 3)};
+    m_log.reads = {log_batch{.era = 2, .endOffset = 3}};
+    follow();
+    const auto known = m_follower.knowledge();
+    ASSERT_TRUE(known);
+    ASSERT_EQ(known->records.size(), 1U);
+    EXPECT_EQ(known->records.front().position, at(4, 1));
+    EXPECT_EQ(m_follower.keptCount(), 1U);
+
+    // A process that has read the copy takes it from there, and gives it up if nobody writes it.
+    scripted_log copy;
+    copy.onIdle = [] {};
+    copy.pages = {pageOfEra(2, {}, 3)};
+    keyed_follower<scripted_log> other(m_loop, copy,
+                                       {.topic = "t", .values = {.rewriteTime = milliseconds(20)}});
+    other.onRecord = [this](const keyed_record &record) {
+        m_events.push_back(record.value ? "learned" : "given up");
+        if (!record.value)
+            m_loop.stop();
+    };
+    other.start();
+    m_events.clear();
+    other.learn(*known);
+    m_loop.run();
+    EXPECT_EQ(m_events, (std::vector<std::string>{"learned", "given up"}));
+}
+
 // A log that stores the handler of a call for the newest values, for the test to answer it later.
 class deferred_log : public scripted_log
 {
@@ -326,9 +432,10 @@
         events.push_back(record.key + (record.value ? "=" + *record.value : " deleted"));
     };
     follower.start();
-    follower.adopt({.end = 6, .records = {recordOf("a", "1", 5)}});
-    const std::vector<keyed_record> deletions{{.key = "a", .value = std::nullopt, .offset = 6}};
-    ASSERT_TRUE(follower.offer(6, 7, deletions));
+    follower.adopt({.end = {.offset = 6}, .records = {recordOf("a", "1", 5)}});
+    const std::vector<keyed_record> deletions{
+        {.key = "a", .value = std::nullopt, .position = {.offset = 6}}};
+    ASSERT_TRUE(follower.offer(at(6), at(7), deletions));
     // The page is from the time of the request, before the deletion.
     log.pendingHandler(pageOf({recordOf("a", "1", 5)}, 6));
     EXPECT_EQ(events, (std::vector<std::string>{"a=1", "a deleted"}));
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -38,8 +38,13 @@
 namespace mustardline {
 
 template<class T>
-concept edge_platform = fleet_platform<T> && duty_platform<T> && rollout_platform<T> && requires
+concept edge_platform = fleet_platform<T> && duty_platform<T> && rollout_platform<T> && requires(
+    typename T::log_type &log)
 {
+    log.onEra = std::function<auto(std::uint64_t)->void>();
+    {
+        log.era()
+        } -> std::same_as<std::uint64_t>;
     {
         T::headers()
         } -> std::same_as<header_names>;
@@ -119,6 +124,13 @@
           m_logAge(m_metrics.add({.name = "mustardline_log_age_milliseconds",
                                   .help = "Time since the log service last answered.",
                                   .kind = counter_kind::gauge})),
+          m_logEra(m_metrics.add({.name = "mustardline_log_era",
+                                  .help = "The era that the log service names in its answers.",
+                                  .kind = counter_kind::gauge})),
+          m_recordsKept(m_metrics.add(
+              {.name = "mustardline_records_kept",
+               .help = "Records that hold although the log has lost them or holds older ones.",
+               .kind = counter_kind::gauge})),
           m_rolloutsRunning(m_metrics.add({.name = "mustardline_rollouts_running",
                                            .help = "Roll-outs without a verdict.",
                                            .kind = counter_kind::gauge})),
@@ -238,6 +250,8 @@
             updateRolloutTimer();
         };
         m_fleetView.onUpdates = [this](const endpoint_updates &updates) { announceState(updates); };
+        m_platform.log().onEra
+            = [this](std::uint64_t era) { m_log.write(logEraBegan, field("era", era)); };
         m_fleetView.start();
     }
 
@@ -281,12 +295,13 @@
         m_fleetView.setReadDelay(std::min(readDelayStep * m_peers.rank(now), maxReadDelay));
     }
 
-    // The log rejects this process or is slow: request a snapshot from another edge.
+    // Another edge knows more than the log: it rejects this process or is slow, or it came back
+    // from an older copy, which this process has read without knowing anything newer.
     auto requestSnapshot(time_point now) -> void
     {
         if (now < m_nextSnapshotRequest)
             return;
-        const auto *peer = m_peers.newestConfiguredPeer(now);
+        const auto *peer = isReady() ? m_peers.keepingPeer(now) : m_peers.newestConfiguredPeer(now);
         if (peer == nullptr)
             return;
         m_nextSnapshotRequest = now + snapshotRequestInterval;
@@ -294,8 +309,10 @@
             const auto *failure = failed(outcome);
             m_log.write(knowledgeAsked, field("peer", address.host), field("port", address.port),
                         field("reason", failure == nullptr ? "" : failure->message));
-            if (failure == nullptr)
-                m_fleetView.applySnapshot(std::get<fleet_snapshot>(outcome));
+            if (failure != nullptr)
+                return;
+            m_fleetView.applySnapshot(std::get<fleet_snapshot>(outcome));
+            m_fleetView.learn(std::get<fleet_snapshot>(outcome));
         });
     }
 
@@ -333,6 +350,7 @@
              .paces = m_router.nextPaceReports(),
              .configurationVersion = m_routes.current() ? m_routes.current()->version : 0,
              .sealedWindow = m_dutyDriver.duty().sealedTo(),
+             .keptRecords = static_cast<std::uint32_t>(m_fleetView.keptRecords()),
              .leaving = m_isShuttingDown,
              .urgent = isUrgent,
              .updates = updates});
@@ -350,6 +368,8 @@
         m_rolloutSends.set(m_router.rollouts().sendCount());
         m_endpointsUneven.set(static_cast<std::int64_t>(m_router.unevenEndpointCount()));
         m_logAge.set(toMilliseconds(now - m_directory.upToDateAt()));
+        m_logEra.set(static_cast<std::int64_t>(m_platform.log().era()));
+        m_recordsKept.set(static_cast<std::int64_t>(m_fleetView.keptRecords()));
     }
 
     auto runHousekeeping() -> void
@@ -363,7 +383,7 @@
             m_wasReady = ready;
             m_log.write(edgeReady, field("ready", ready));
         }
-        if (!isReady() && !m_isShuttingDown)
+        if (!m_isShuttingDown && (!isReady() || m_fleetView.keptRecords() == 0))
             requestSnapshot(now);
         if (m_settings.reportsUsage() && !m_isShuttingDown)
             m_dutyDriver.step();
@@ -446,6 +466,8 @@
     counter &m_peersLive;
     counter &m_endpointsUneven;
     counter &m_logAge;
+    counter &m_logEra;
+    counter &m_recordsKept;
     counter &m_rolloutsRunning;
     counter &m_rolloutSends;
     event_handle m_housekeepingTimer;
--- a/packages/forwarding/endpoint_directory.cpp
+++ b/packages/forwarding/endpoint_directory.cpp
@@ -4,13 +4,24 @@
 
 namespace mustardline {
 
+auto compareAge(const endpoint_registration &left, const endpoint_registration &right)
+    -> std::partial_ordering
+{
+    if (left.startedAtMs != right.startedAtMs)
+        return left.startedAtMs <=> right.startedAtMs;
+    // Without a start time, a lower sequence may be that of a new start.
+    if (left.startedAtMs == 0 || left.sequence == 0 || right.sequence == 0)
+        return std::partial_ordering::unordered;
+    return left.sequence <=> right.sequence;
+}
+
 auto endpoint_directory::applyRegistration(endpoint_registration registration, time_point now)
     -> bool
 {
     auto &entry = m_entries[registration.id];
     const bool isNew = entry.registration.id.empty();
     const bool isRestart = !isNew && registration.startedAtMs > entry.registration.startedAtMs;
-    if (!isNew && isOutdated(registration, entry.registration))
+    if (!isNew && compareAge(registration, entry.registration) == std::partial_ordering::less)
         return false;
     if (registration.coldRemaining.count() > 0)
         entry.coldUntil = now + registration.coldRemaining;
@@ -28,16 +39,6 @@
     return changes;
 }
 
-auto endpoint_directory::isOutdated(const endpoint_registration &registration,
-                                    const endpoint_registration &known) -> bool
-{
-    if (registration.startedAtMs != known.startedAtMs)
-        return registration.startedAtMs < known.startedAtMs;
-    // Without a start time, a lower sequence may be that of a new start.
-    return registration.startedAtMs != 0 && registration.sequence != 0
-           && registration.sequence < known.sequence;
-}
-
 auto endpoint_directory::applyWithdrawal(std::string_view id, time_point now) -> bool
 {
     const auto found = m_entries.find(id);
--- a/packages/forwarding/endpoint_directory.h
+++ b/packages/forwarding/endpoint_directory.h
@@ -16,6 +16,7 @@
 // An address belongs to one instance of an endpoint: the same id with a later `startedAtMs` is a
 // new instance.
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -53,6 +54,11 @@
     auto operator==(const endpoint_registration &) const -> bool = default;
 };
 
+// Compares two registrations of one endpoint by its start, then by its count of registrations;
+// unordered if the starts are equal and a count or the start is unknown.
+[[nodiscard]] auto compareAge(const endpoint_registration &left, const endpoint_registration &right)
+    -> std::partial_ordering;
+
 struct endpoint_entry
 {
     endpoint_registration registration;
@@ -120,10 +126,6 @@
     [[nodiscard]] auto takeChanged() -> std::set<std::string>;
 
 private:
-    // Whether the endpoint has registered `known` after `registration`.
-    [[nodiscard]] static auto isOutdated(const endpoint_registration &registration,
-                                         const endpoint_registration &known) -> bool;
-
     endpoint_directory_options m_options;
     std::map<std::string, endpoint_entry, std::less<>> m_entries;
     std::set<std::string, std::less<>> m_evacuated;
--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -99,6 +99,11 @@
 inline constexpr log_event endpointSpeedChanged{
     5040, "endpoint_speed_changed", log_level::info,
     "An endpoint is taken to be slower or faster than the mean of its service."};
+inline constexpr log_event logEraEnded{
+    5041, "log_era_ended", log_level::warning,
+    "The log came back from an older copy; the newest records are read again."};
+inline constexpr log_event logEraBegan{5042, "log_era_began", log_level::info,
+                                       "The log answers in a later era than before."};
 
 inline constexpr auto forwardingEvents
     = std::to_array<log_event>({edgeStarted,         edgeReady,
@@ -117,6 +122,7 @@
                                 promptPartBlocked,   rolloutOrdered,
                                 rolloutMoves,        rolloutJudged,
                                 rolloutRecorded,     rolloutAdopted,
-                                rolloutWithdrawn,    endpointSpeedChanged});
+                                rolloutWithdrawn,    endpointSpeedChanged,
+                                logEraEnded,         logEraBegan});
 
 } // namespace mustardline
--- a/packages/forwarding/fleet_view.h
+++ b/packages/forwarding/fleet_view.h
@@ -11,8 +11,13 @@
 //
 // `routes` and `directory` are updated before the callbacks are called. A record that cannot be
 // decoded is logged and skipped; it affects nothing else.
+//
+// When the log comes back from an older copy, an older configuration or an older registration of an
+// endpoint is not taken for the newest one. What else the log has lost, such as an evacuation,
+// holds until its writer has had time to write it again.
 
 #include <algorithm>
+#include <compare>
 #include <concepts>
 #include <functional>
 #include <map>
@@ -77,10 +82,16 @@
         : m_log(logger),
           m_routes(routes),
           m_directory(directory),
-          m_configuration(loop, log,
-                          {.topic = Platform::configurationTopic(), .wait = configurationWait}),
-          m_endpoints(loop, log,
-                      {.topic = Platform::endpointTopic(), .readPause = endpointReadInterval})
+          m_configuration(
+              loop, log,
+              {.topic = Platform::configurationTopic(),
+               .wait = configurationWait,
+               .values = {.rewriteTime = operatorRewriteTime, .compare = compareOperatorRecords}}),
+          m_endpoints(
+              loop, log,
+              {.topic = Platform::endpointTopic(),
+               .readPause = endpointReadInterval,
+               .values = {.rewriteTime = endpointRewriteTime, .compare = compareRegistrations}})
     {}
 
     // Called when a newer configuration is in force.
@@ -109,13 +120,19 @@
             m_changedRecords.clear();
             onEndpoints();
         };
-        m_endpoints.onRead = [this](std::uint64_t from, std::uint64_t end) {
+        m_endpoints.onRead = [this](const log_position &from, const log_position &end) {
             m_directory.markUpToDate(m_clock.now());
             onUpdates({.from = from, .end = end, .records = std::exchange(m_changedRecords, {})});
         };
         m_endpoints.onAvailable = [this] { m_directory.onLogAvailable(m_clock.now()); };
         logAvailability(m_configuration, "configuration");
         logAvailability(m_endpoints, "endpoints");
+        m_endpoints.onEraEnded
+            = [this, then = std::move(m_endpoints.onEraEnded)](const log_position &from) {
+                  // Registrations may have expired while the log was away.
+                  m_directory.onLogAvailable(m_clock.now());
+                  then(from);
+              };
         m_configuration.start();
         m_endpoints.start();
     }
@@ -147,6 +164,19 @@
                               .endpoints = std::move(*endpoints)};
     }
 
+    // Takes from another edge's snapshot what the log has lost.
+    auto learn(const fleet_snapshot &peerSnapshot) -> void
+    {
+        m_configuration.learn(peerSnapshot.configuration);
+        m_endpoints.learn(peerSnapshot.endpoints);
+    }
+
+    // The number of records that are kept although the log has lost them or holds older ones.
+    [[nodiscard]] auto keptRecords() const -> std::size_t
+    {
+        return m_configuration.keptCount() + m_endpoints.keptCount();
+    }
+
     // Applies another edge's snapshot to topics of which this edge has read nothing itself.
     auto applySnapshot(const fleet_snapshot &peerSnapshot) -> void
     {
@@ -161,6 +191,36 @@
     // Every endpoint writes about once a second, so the topic is polled at a fixed interval. An
     // endpoint that is shutting down must get no new requests after 2 s.
     static constexpr duration endpointReadInterval = std::chrono::milliseconds(900);
+    // Time for operators, and for endpoints, to write again what the log has lost. A live endpoint
+    // is back within two seconds.
+    static constexpr duration operatorRewriteTime = std::chrono::milliseconds(5000);
+    static constexpr duration endpointRewriteTime = std::chrono::milliseconds(2500);
+
+    // Compares two configurations by their versions. Other records of operators have no order.
+    static auto compareOperatorRecords(const keyed_record &left, const keyed_record &right)
+        -> std::partial_ordering
+    {
+        if (!Platform::isConfiguration(left.key))
+            return std::partial_ordering::unordered;
+        const auto one = Platform::decodeConfiguration(*left.value);
+        const auto other = Platform::decodeConfiguration(*right.value);
+        if (failed(one) || failed(other))
+            return std::partial_ordering::unordered;
+        return std::get<fleet_configuration>(one).version
+               <=> std::get<fleet_configuration>(other).version;
+    }
+
+    // Compares two registrations of an endpoint by its start and its count of registrations.
+    static auto compareRegistrations(const keyed_record &left, const keyed_record &right)
+        -> std::partial_ordering
+    {
+        const auto one = Platform::decodeRegistration(left.key, *left.value);
+        const auto other = Platform::decodeRegistration(right.key, *right.value);
+        if (failed(one) || failed(other))
+            return std::partial_ordering::unordered;
+        return compareAge(std::get<endpoint_registration>(one),
+                          std::get<endpoint_registration>(other));
+    }
 
     // Logs when a topic becomes unavailable and when it is available again.
     auto logAvailability(keyed_follower<log_type> &follower, const std::string &topic) -> void
@@ -173,8 +233,12 @@
             if (then)
                 then();
         };
-        follower.onRecordsExpired = [this, topic](std::uint64_t offset) {
-            m_log.write(logHistoryLost, field("topic", topic), field("offset", offset));
+        follower.onRecordsExpired = [this, topic](const log_position &from) {
+            m_log.write(logHistoryLost, field("topic", topic), field("offset", from.offset));
+        };
+        follower.onEraEnded = [this, topic](const log_position &from) {
+            m_log.write(logEraEnded, field("topic", topic), field("era", from.era),
+                        field("offset", from.offset));
         };
         follower.onMalformed = [this, topic](std::string_view bytes) {
             m_log.write(recordMalformed, field("topic", topic), field("bytes", bytes.size()));
@@ -205,12 +269,12 @@
         }
         auto outcome = Platform::decodeRollout(record.key, *record.value);
         if (const auto *failure = failed(outcome)) {
-            m_log.write(recordMalformed, field("key", record.key), field("offset", record.offset),
-                        field("reason", failure->message));
+            m_log.write(recordMalformed, field("key", record.key),
+                        field("offset", record.position.offset), field("reason", failure->message));
             return;
         }
         auto order = std::get<rollout_order>(std::move(outcome));
-        order.id = record.offset;
+        order.id = record.position.number();
         m_rollouts[record.key] = service;
         onRollout(order);
     }
@@ -244,8 +308,8 @@
     {
         auto outcome = Platform::decodeConfiguration(*record.value);
         if (const auto *failure = failed(outcome)) {
-            m_log.write(recordMalformed, field("key", record.key), field("offset", record.offset),
-                        field("reason", failure->message));
+            m_log.write(recordMalformed, field("key", record.key),
+                        field("offset", record.position.offset), field("reason", failure->message));
             return;
         }
         auto configuration = std::make_shared<const fleet_configuration>(
@@ -254,7 +318,8 @@
             return;
         onConfiguration(*configuration);
         m_log.write(configurationInForce, field("version", configuration->version),
-                    field("offset", record.offset), field("routes", configuration->routes.size()),
+                    field("offset", record.position.offset),
+                    field("routes", configuration->routes.size()),
                     field("accounts", configuration->accounts.size()));
     }
 
@@ -275,7 +340,8 @@
             return m_directory.applyRegistration(std::move(*registration), now);
         // Logged once per writer, because such a record may arrive every second.
         if (m_loggedMalformedKeys.insert(record.key).second) {
-            m_log.write(recordMalformed, field("key", record.key), field("offset", record.offset),
+            m_log.write(recordMalformed, field("key", record.key),
+                        field("offset", record.position.offset),
                         field("reason", failed(outcome)->message));
         }
         return m_directory.applyWithdrawal(record.key, now);
--- a/packages/forwarding/peer_exchange.cpp
+++ b/packages/forwarding/peer_exchange.cpp
@@ -18,8 +18,9 @@
 auto addUpdates(v1::EdgeState &state, const endpoint_updates &updates) -> void
 {
     auto *message = state.mutable_news();
-    message->set_from(updates.from);
-    message->set_end(updates.end);
+    message->set_from(updates.from.offset);
+    message->set_end(updates.end.offset);
+    message->set_era(updates.end.era);
     for (const auto &record : updates.records)
         *message->add_records() = toMessage(record);
     if (message->ByteSizeLong() > maxUpdateBytes)
@@ -132,7 +133,8 @@
 
 auto updatesOf(const v1::EndpointNews &message) -> endpoint_updates
 {
-    endpoint_updates updates{.from = message.from(), .end = message.end()};
+    endpoint_updates updates{.from = {.era = message.era(), .offset = message.from()},
+                             .end = {.era = message.era(), .offset = message.end()}};
     for (const auto &item : message.records())
         updates.records.push_back(fromMessage(item));
     return updates;
@@ -169,6 +171,7 @@
     state.set_leaving(announcement.leaving);
     state.set_configuration_version(announcement.configurationVersion);
     state.set_sealed_window(announcement.sealedWindow);
+    state.set_kept_records(announcement.keptRecords);
     for (const auto &address : m_peers.rotateAddresses(announcedPeers, now))
         state.add_peers(addressText(address));
     for (const auto &[endpoint, used] : announcement.uses) {
--- a/packages/forwarding/peer_exchange.h
+++ b/packages/forwarding/peer_exchange.h
@@ -33,11 +33,11 @@
 };
 
 // Endpoint records that an edge has read from the topic of endpoints: those in [`from`, `end`) that
-// changed something.
+// changed something. Both places are of one era.
 struct endpoint_updates
 {
-    std::uint64_t from = 0;
-    std::uint64_t end = 0;
+    log_position from;
+    log_position end;
     std::vector<keyed_record> records;
 };
 
@@ -54,6 +54,8 @@
     std::vector<endpoint_pace_report> paces;
     std::uint64_t configurationVersion = 0;
     std::int64_t sealedWindow = 0;
+    // Records that this edge keeps although the shared log has lost them or holds older ones.
+    std::uint32_t keptRecords = 0;
     bool leaving = false;
     // Goes to all edges at once.
     bool urgent = false;
--- a/packages/forwarding/peer_table.cpp
+++ b/packages/forwarding/peer_table.cpp
@@ -38,6 +38,7 @@
     row.lastMessageAt = now;
     row.leaving = state.leaving();
     row.configurationVersion = state.configuration_version();
+    row.keptRecords = state.kept_records();
     row.lanes.clear();
     for (const auto &needs : state.lanes())
         row.lanes[needs.target()] = demandOf(needs);
@@ -133,6 +134,16 @@
     return best.empty() ? nullptr : best[m_newestConfiguredCalls++ % best.size()];
 }
 
+auto peer_table::keepingPeer(time_point now) const -> const peer_row *
+{
+    const peer_row *best = nullptr;
+    for (const auto &[name, row] : m_rows) {
+        if (isLive(row, now) && row.keptRecords > (best == nullptr ? 0 : best->keptRecords))
+            best = &row;
+    }
+    return best;
+}
+
 auto peer_table::rank(time_point now) const -> std::uint32_t
 {
     const auto before = std::ranges::count_if(m_rows, [this, now](const auto &item) {
--- a/packages/forwarding/peer_table.h
+++ b/packages/forwarding/peer_table.h
@@ -74,6 +74,8 @@
     std::vector<std::pair<std::string, endpoint_use>> uses;
     std::map<std::string, lane_demand> lanes;
     std::uint64_t configurationVersion = 0;
+    // See EdgeState.kept_records of wire/peer.proto.
+    std::uint32_t keptRecords = 0;
 };
 
 class peer_table
@@ -101,6 +103,9 @@
     // Returns a live edge with the newest configuration version among all, rotating between calls;
     // null if no live edge has a configuration.
     [[nodiscard]] auto newestConfiguredPeer(time_point now) -> const peer_row *;
+    // Returns the live edge that keeps most records of which the shared log has none or older ones;
+    // null if no live edge keeps any.
+    [[nodiscard]] auto keepingPeer(time_point now) const -> const peer_row *;
     // Number of live edges whose names sort before our own.
     [[nodiscard]] auto rank(time_point now) const -> std::uint32_t;
     // Number of edges that may use the fleet-wide limits, including this one.
--- a/packages/forwarding/rollout_driver.h
+++ b/packages/forwarding/rollout_driver.h
@@ -103,12 +103,12 @@
     // Reads the pages from the key `after` on. The end of the log is that of the first page, since
     // the pages are not one snapshot.
     auto read(const service_rollout &rollout, const std::string &after,
-              std::optional<std::uint64_t> endOffset) -> void
+              std::optional<log_position> firstEnd) -> void
     {
         const auto location = Platform::rolloutStatus(rollout.order.service);
         m_platform.log().newest(
             location.topic, after,
-            [this, order = rollout.order, location, endOffset](const log_newest_outcome &outcome) {
+            [this, order = rollout.order, location, firstEnd](const log_newest_outcome &outcome) {
                 auto *current = find(order);
                 if (current == nullptr)
                     return;
@@ -117,7 +117,12 @@
                     current->record.onReadFailed(m_clock.now());
                     return;
                 }
-                const auto end = endOffset.value_or(page->endOffset);
+                const auto end = firstEnd.value_or(page->end);
+                // The log came back from an older copy between two pages.
+                if (end.era != page->end.era) {
+                    current->record.onReadFailed(m_clock.now());
+                    return;
+                }
                 const auto found
                     = std::ranges::find(page->entries, location.key, &keyed_record::key);
                 if (found == page->entries.end() && page->more && !page->entries.empty()) {
--- a/packages/forwarding/rollout_record.cpp
+++ b/packages/forwarding/rollout_record.cpp
@@ -21,7 +21,7 @@
         return std::nullopt;
     m_isActionInProgress = true;
     m_appended = wish.status;
-    return append_rollout{.at = m_endOffset, .status = wish.status};
+    return append_rollout{.at = m_end, .status = wish.status};
 }
 
 auto rollout_record::read() -> rollout_action
@@ -30,14 +30,14 @@
     return read_rollout();
 }
 
-auto rollout_record::onRead(const std::optional<rollout_status> &status, std::uint64_t endOffset,
+auto rollout_record::onRead(const std::optional<rollout_status> &status, const log_position &end,
                             time_point now) -> void
 {
     m_isActionInProgress = false;
     m_isKnown = true;
     m_mustRead = false;
     m_readAt = now;
-    m_endOffset = endOffset;
+    m_end = end;
     // Reads may be stale.
     if (isFinal())
         return;
@@ -57,7 +57,7 @@
     m_isActionInProgress = false;
     if (const auto *appended = std::get_if<log_appended>(&outcome)) {
         m_status = m_appended;
-        m_endOffset = appended->endOffset;
+        m_end = appended->end;
         m_readAt = now;
         return;
     }
--- a/packages/forwarding/rollout_record.h
+++ b/packages/forwarding/rollout_record.h
@@ -31,7 +31,7 @@
     std::string version;
     // Time until the deadline.
     duration length{};
-    // Offset of the order in the shared log.
+    // Position of the order in the shared log, as one number.
     std::uint64_t id = 0;
 
     auto operator==(const rollout_order &) const -> bool = default;
@@ -66,7 +66,7 @@
 struct append_rollout
 {
     // Required end of the log.
-    std::uint64_t at = 0;
+    log_position at;
     rollout_status status;
 };
 
@@ -93,7 +93,7 @@
     [[nodiscard]] auto tick(time_point now, const rollout_wish &wish)
         -> std::optional<rollout_action>;
 
-    auto onRead(const std::optional<rollout_status> &status, std::uint64_t endOffset,
+    auto onRead(const std::optional<rollout_status> &status, const log_position &end,
                 time_point now) -> void;
     auto onReadFailed(time_point now) -> void;
     auto onAppend(const log_append_outcome &outcome, time_point now) -> void;
@@ -117,7 +117,7 @@
     std::uint64_t m_order;
     rollout_record_options m_options;
     std::optional<rollout_status> m_status;
-    std::uint64_t m_endOffset = 0;
+    log_position m_end;
     time_point m_readAt{};
     bool m_isKnown = false;
     bool m_mustRead = true;
--- a/packages/forwarding/snapshot_exchange.cpp
+++ b/packages/forwarding/snapshot_exchange.cpp
@@ -17,14 +17,15 @@
 
 auto fill(v1::TopicKnowledge &message, const topic_snapshot &snapshot) -> void
 {
-    message.set_end(snapshot.end);
+    message.set_end(snapshot.end.offset);
+    message.set_era(snapshot.end.era);
     for (const auto &record : snapshot.records)
         *message.add_records() = toMessage(record);
 }
 
 auto read(const v1::TopicKnowledge &message) -> topic_snapshot
 {
-    topic_snapshot snapshot{.end = message.end()};
+    topic_snapshot snapshot{.end = {.era = message.era(), .offset = message.end()}};
     for (const auto &record : message.records())
         snapshot.records.push_back(fromMessage(record));
     return snapshot;
@@ -51,7 +52,8 @@
 auto toMessage(const keyed_record &record) -> v1::KeyedRecord
 {
     v1::KeyedRecord message;
-    message.set_offset(record.offset);
+    message.set_offset(record.position.offset);
+    message.set_era(record.position.era);
     message.set_key(record.key);
     if (record.value)
         message.set_value(*record.value);
@@ -60,7 +62,8 @@
 
 auto fromMessage(const v1::KeyedRecord &message) -> keyed_record
 {
-    keyed_record record{.key = message.key(), .offset = message.offset()};
+    keyed_record record{.key = message.key(),
+                        .position = {.era = message.era(), .offset = message.offset()}};
     if (message.has_value())
         record.value = message.value();
     return record;
--- a/packages/forwarding/testing/forward_router_rollout_test.cpp
+++ b/packages/forwarding/testing/forward_router_rollout_test.cpp
@@ -46,7 +46,7 @@
         m_router.setRollout(m_order);
         auto &record = m_router.rollouts().find("orders")->record;
         static_cast<void>(record.tick(m_clock.now(), {}));
-        record.onRead(std::nullopt, 0, m_clock.now());
+        record.onRead(std::nullopt, {}, m_clock.now());
     }
 
     auto callOften(int count) -> void
--- a/packages/forwarding/testing/rollout_record_test.cpp
+++ b/packages/forwarding/testing/rollout_record_test.cpp
@@ -26,11 +26,11 @@
 
     auto append(const append_rollout &action) -> log_append_outcome
     {
-        if (action.at != end)
-            return log_append_conflict{.endOffset = end};
+        if (action.at.offset != end)
+            return log_append_conflict{.end = {.offset = end}};
         status = action.status;
         ++end;
-        return log_appended{.offset = end - 1, .endOffset = end};
+        return log_appended{.first = action.at, .end = {.offset = end}};
     }
 };
 
@@ -42,7 +42,7 @@
         if (const auto *append = std::get_if<append_rollout>(&*action))
             record.onAppend(topic.append(*append), now);
         else
-            record.onRead(topic.status, topic.end, now);
+            record.onRead(topic.status, {.offset = topic.end}, now);
     }
 }
 
@@ -109,7 +109,7 @@
     rollout_record record(order);
     const auto wish = wishFor(rollout_verdict::rolled_back);
     ASSERT_TRUE(record.tick(start, wish));
-    record.onRead(topic.status, topic.end, start);
+    record.onRead(topic.status, {.offset = topic.end}, start);
     const auto action = record.tick(start, wish);
     ASSERT_TRUE(action);
     static_cast<void>(topic.append(std::get<append_rollout>(*action)));
--- a/packages/forwarding/testing/rollout_table_test.cpp
+++ b/packages/forwarding/testing/rollout_table_test.cpp
@@ -101,7 +101,7 @@
     };
     EXPECT_EQ(exposed(), 0);
     static_cast<void>(m_rollout->record.tick(start, {}));
-    m_rollout->record.onRead(std::nullopt, 0, start);
+    m_rollout->record.onRead(std::nullopt, {}, start);
     EXPECT_GT(exposed(), 0);
 }
 
--- a/packages/forwarding/testing/tables_test.cpp
+++ b/packages/forwarding/testing/tables_test.cpp
@@ -402,6 +402,23 @@
     EXPECT_TRUE(peers.applyState(restarted, start));
 }
 
+TEST(PeerTableTest, namesTheLiveEdgeThatKeepsMostRecords)
+{
+    peer_table peers({.name = "self", .boot = "b"}, start);
+    EXPECT_EQ(peers.keepingPeer(start), nullptr);
+    peers.applyState(stateOf("a", 1), start);
+    EXPECT_EQ(peers.keepingPeer(start), nullptr) << "it keeps none";
+    for (const auto *name : {"b", "c", "d"}) {
+        auto state = stateOf(name, 1);
+        state.set_address(name + std::string(":1"));
+        state.set_kept_records(name == std::string("c") ? 2 : 1);
+        peers.applyState(state, start);
+    }
+    ASSERT_NE(peers.keepingPeer(start), nullptr);
+    EXPECT_EQ(peers.keepingPeer(start)->keptRecords, 2U);
+    EXPECT_EQ(peers.keepingPeer(start + seconds(60)), nullptr);
+}
+
 TEST(PeerTableTest, sumsPeerUseByEndpoint)
 {
     peer_table peers({.name = "self", .boot = "b"}, start);
--- a/packages/forwarding/testing/usage_duty_test.cpp
+++ b/packages/forwarding/testing/usage_duty_test.cpp
@@ -105,7 +105,8 @@
         auto failed = simulation;
         failed.candidates[candidate].onReadFailed(now);
         visit(std::move(failed));
-        simulation.candidates[candidate].onRead(simulation.record, simulation.endOffset, now);
+        simulation.candidates[candidate].onRead(simulation.record, {.offset = simulation.endOffset},
+                                                now);
         visit(std::move(simulation));
         return;
     }
@@ -115,22 +116,21 @@
         visit(std::move(refused));
         if (!simulation.pendingAppend) {
             auto delayed = simulation;
-            delayed.pendingAppend = std::pair(append->at, append->record);
+            delayed.pendingAppend = std::pair(append->at.offset, append->record);
             delayed.candidates[candidate].onAppend(log_unavailable{.mayHaveTakenEffect = true},
                                                    now);
             visit(std::move(delayed));
         }
-        const bool appended = simulation.append(append->at, append->record);
+        const bool appended = simulation.append(append->at.offset, append->record);
         auto unanswered = simulation;
         unanswered.candidates[candidate].onAppend(log_unavailable{.mayHaveTakenEffect = true}, now);
         visit(std::move(unanswered));
         if (appended)
             simulation.candidates[candidate].onAppend(
-                log_appended{.offset = simulation.endOffset - 1, .endOffset = simulation.endOffset},
-                now);
+                log_appended{.first = append->at, .end = {.offset = simulation.endOffset}}, now);
         else
             simulation.candidates[candidate].onAppend(
-                log_append_conflict{.endOffset = simulation.endOffset}, now);
+                log_append_conflict{.end = {.offset = simulation.endOffset}}, now);
         visit(std::move(simulation));
         return;
     }
@@ -245,11 +245,11 @@
     const unix_milliseconds unixNow = 53'000;
     ASSERT_TRUE(std::holds_alternative<read_duty>(*duty.tick(now, unixNow, usage)));
     EXPECT_FALSE(duty.tick(now, unixNow, usage)) << "only one action at a time";
-    duty.onRead(std::nullopt, 7, now);
+    duty.onRead(std::nullopt, {.offset = 7}, now);
     const auto append = std::get<append_duty>(*duty.tick(now, unixNow, usage));
-    EXPECT_EQ(append.at, 7U);
+    EXPECT_EQ(append.at.offset, 7U);
     EXPECT_EQ(append.record.sealed.rbegin()->first, 9);
-    duty.onAppend(log_appended{.offset = 7, .endOffset = 8}, now);
+    duty.onAppend(log_appended{.first = {.offset = 7}, .end = {.offset = 8}}, now);
     const auto report = std::get<usage_report>(*duty.tick(now, unixNow, usage));
     EXPECT_EQ(report.window, 9);
     EXPECT_EQ(report.counts.at("account"), 10U);
@@ -270,9 +270,9 @@
     const auto usage = usageWith(10, 100);
     time_point now{.nanoseconds = 1'000'000'000};
     ASSERT_TRUE(duty.tick(now, 53'000, usage));
-    duty.onRead(std::nullopt, 0, now);
+    duty.onRead(std::nullopt, {}, now);
     const auto first = std::get<append_duty>(*duty.tick(now, 53'000, usage));
-    duty.onAppend(log_appended{.offset = 0, .endOffset = 1}, now);
+    duty.onAppend(log_appended{.first = {.offset = 0}, .end = {.offset = 1}}, now);
     now = now + seconds(4);
     EXPECT_FALSE(duty.holds(now));
     const auto renewal = std::get<append_duty>(*duty.tick(now, 54'000, usage));
@@ -289,15 +289,15 @@
     const auto usage = usageWith(10, 100);
     time_point now{.nanoseconds = 1'000'000'000};
     ASSERT_TRUE(duty.tick(now, 61'000, usage));
-    duty.onRead(predecessorRecord, 3, now);
+    duty.onRead(predecessorRecord, {.offset = 3}, now);
     EXPECT_FALSE(duty.tick(now, 61'000, usage)) << "a full term must pass first";
     now = now + seconds(4);
     ASSERT_TRUE(std::holds_alternative<read_duty>(*duty.tick(now, 65'000, usage)));
-    duty.onRead(predecessorRecord, 3, now);
+    duty.onRead(predecessorRecord, {.offset = 3}, now);
     const auto append = std::get<append_duty>(*duty.tick(now, 65'000, usage));
-    EXPECT_EQ(append.at, 3U);
+    EXPECT_EQ(append.at.offset, 3U);
     EXPECT_EQ(append.record.fencing, 6U);
-    duty.onAppend(log_appended{.offset = 3, .endOffset = 4}, now);
+    duty.onAppend(log_appended{.first = {.offset = 3}, .end = {.offset = 4}}, now);
     const auto report = std::get<usage_report>(*duty.tick(now, 65'000, usage));
     EXPECT_EQ(report.window, 9);
     EXPECT_EQ(report.counts.at("account"), 42U);
--- a/packages/forwarding/usage_duty.cpp
+++ b/packages/forwarding/usage_duty.cpp
@@ -110,10 +110,10 @@
         record.sealed.erase(record.sealed.begin());
     m_lastAppend = record;
     m_lastAppendAt = now;
-    return {.at = m_endOffset.value_or(0), .record = std::move(record)};
+    return {.at = m_end.value_or(log_position()), .record = std::move(record)};
 }
 
-auto usage_duty::onRead(std::optional<duty_record> record, std::uint64_t endOffset, time_point now)
+auto usage_duty::onRead(std::optional<duty_record> record, const log_position &end, time_point now)
     -> void
 {
     m_isActionInProgress = false;
@@ -122,17 +122,17 @@
     // An append of this process that was not confirmed did take effect.
     if (record && m_lastAppend && record->nonce == m_lastAppend->nonce)
         m_holdsUntil = m_lastAppendAt + m_options.term - m_options.margin;
-    setRecord(std::move(record), endOffset, now);
+    setRecord(std::move(record), end, now);
 }
 
-auto usage_duty::setRecord(std::optional<duty_record> record, std::uint64_t endOffset,
+auto usage_duty::setRecord(std::optional<duty_record> record, const log_position &end,
                            time_point seenAt) -> void
 {
     const bool isNew = !record || !m_record || record->nonce != m_record->nonce;
     if (isNew)
         m_recordSeenAt = seenAt;
     m_record = std::move(record);
-    m_endOffset = endOffset;
+    m_end = end;
     if (!m_record)
         return;
     m_reportedTo = std::max(m_reportedTo, m_record->reportedTo);
@@ -152,7 +152,7 @@
     m_isActionInProgress = false;
     if (const auto *appended = std::get_if<log_appended>(&outcome)) {
         m_holdsUntil = m_lastAppendAt + m_options.term - m_options.margin;
-        setRecord(m_lastAppend, appended->endOffset, now);
+        setRecord(m_lastAppend, appended->end, now);
         m_readAt = now;
         return;
     }
--- a/packages/forwarding/usage_duty.h
+++ b/packages/forwarding/usage_duty.h
@@ -86,10 +86,10 @@
 struct read_duty
 {};
 
-// Action: append the record if the log's end offset is `at`.
+// Action: append the record if the log ends at `at`.
 struct append_duty
 {
-    std::uint64_t at = 0;
+    log_position at;
     duty_record record;
 };
 
@@ -104,7 +104,7 @@
     [[nodiscard]] auto tick(time_point now, unix_milliseconds unixNow, const usage_windows &usage)
         -> std::optional<duty_action>;
 
-    auto onRead(std::optional<duty_record> record, std::uint64_t endOffset, time_point now) -> void;
+    auto onRead(std::optional<duty_record> record, const log_position &end, time_point now) -> void;
     auto onReadFailed(time_point now) -> void;
     auto onAppend(const log_append_outcome &outcome, time_point now) -> void;
     auto onReport(std::int64_t window, bool accepted, time_point now) -> void;
@@ -132,13 +132,13 @@
         -> std::int64_t;
     [[nodiscard]] auto makeAppend(std::int64_t last, time_point now, const usage_windows &usage)
         -> append_duty;
-    auto setRecord(std::optional<duty_record> record, std::uint64_t endOffset, time_point seenAt)
+    auto setRecord(std::optional<duty_record> record, const log_position &end, time_point seenAt)
         -> void;
     auto backOff(time_point now) -> void;
 
     usage_duty_options m_options;
     std::optional<duty_record> m_record;
-    std::optional<std::uint64_t> m_endOffset;
+    std::optional<log_position> m_end;
     // When this process first read the record in `m_record`.
     time_point m_recordSeenAt{};
     time_point m_readAt{};
--- a/packages/forwarding/usage_duty_driver.h
+++ b/packages/forwarding/usage_duty_driver.h
@@ -91,7 +91,7 @@
                                     }
                                     if (record && onHolder)
                                         onHolder(record->address);
-                                    m_duty.onRead(std::move(record), page->endOffset, now);
+                                    m_duty.onRead(std::move(record), page->end, now);
                                     step();
                                 });
     }
--- a/packages/standin/fault_gate.cpp
+++ b/packages/standin/fault_gate.cpp
@@ -10,8 +10,8 @@
 
 auto send(const exchange_ptr &exchange, const gate_response &response) -> void
 {
-    const auto headers
-        = std::to_array<http_header>({{.name = "content-type", .value = response.contentType}});
+    auto headers = response.headers;
+    headers.push_back({.name = "content-type", .value = response.contentType});
     exchange->reply(response.status, headers, response.body);
 }
 
@@ -26,8 +26,12 @@
 auto fault_gate::admit(const exchange_ptr &exchange) -> bool
 {
     // In a stall no response is sent: the connection keeps the exchange until the caller closes it.
-    if (m_outage == outage_mode::down)
-        replyError(exchange, unavailableStatus, "the interface is down");
+    if (m_outage == outage_mode::down) {
+        auto response
+            = jsonResponse(unavailableStatus, {{"error", {{"message", "the interface is down"}}}});
+        response.headers = m_headers;
+        send(exchange, response);
+    }
     return m_outage == outage_mode::none;
 }
 
--- a/packages/standin/fault_gate.h
+++ b/packages/standin/fault_gate.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "standin/json_exchange.h"
 #include "standin/timer_set.h"
@@ -27,6 +28,7 @@
     int status = 200;
     std::string contentType = "application/json";
     std::string body;
+    std::vector<http_header> headers;
 };
 
 // A response with a JSON body.
@@ -41,6 +43,8 @@
     // The next `count` writes take effect, but their connections are closed without a response.
     auto loseResponses(std::uint64_t count) -> void { m_responsesToLose = count; }
     auto setDelay(duration delay) -> void { m_delay = delay; }
+    // Headers of all responses from now on, also of those in an outage.
+    auto setHeaders(std::vector<http_header> headers) -> void { m_headers = std::move(headers); }
 
     // True if the call may take effect. False in an outage; the caller must then leave the exchange
     // alone.
@@ -53,8 +57,11 @@
     auto serve(const exchange_ptr &exchange, call_kind kind,
                const std::function<auto()->gate_response> &effect) -> void
     {
-        if (admit(exchange))
-            respond(exchange, kind, effect());
+        if (!admit(exchange))
+            return;
+        auto response = effect();
+        response.headers = m_headers;
+        respond(exchange, kind, std::move(response));
     }
 
 private:
@@ -62,6 +69,7 @@
     outage_mode m_outage = outage_mode::none;
     std::uint64_t m_responsesToLose = 0;
     duration m_delay{};
+    std::vector<http_header> m_headers;
 };
 
 } // namespace mustardline::standin
--- a/packages/standin/store_server.cpp
+++ b/packages/standin/store_server.cpp
@@ -1,6 +1,8 @@
 #include "standin/store_server.h"
 
 #include <charconv>
+#include <iterator>
+#include <utility>
 
 #include <openssl/evp.h>
 
@@ -53,6 +55,8 @@
 {
     auto &topic = m_topics[exchange->parameter("topic")];
     if (exchange->path() == "/v1/log-append") {
+        if (holdAppend(exchange))
+            return;
         m_gate.serve(exchange, call_kind::write, [&] { return appendTo(topic, *exchange); });
     } else if (exchange->path() == "/v1/log-read") {
         m_gate.serve(exchange, call_kind::read, [&] { return readFrom(topic, *exchange); });
@@ -94,6 +98,46 @@
     state.records.clear();
 }
 
+auto store_server::startEra(std::uint64_t era) -> void
+{
+    m_era = era;
+    m_gate.setHeaders({{.name = "Store-Era", .value = std::to_string(era)}});
+}
+
+auto store_server::keepCopy() -> void
+{
+    m_copies.insert_or_assign(m_clock.now(), m_topics);
+}
+
+auto store_server::restoreCopy(duration age) -> void
+{
+    const auto end = m_copies.upper_bound(m_clock.now() - age);
+    const auto newest = end == m_copies.begin() ? end : std::prev(end);
+    m_topics = newest->second;
+    // Later copies are of a history that has ended.
+    m_copies.erase(std::next(newest), m_copies.end());
+    startEra(m_era + 1);
+}
+
+auto store_server::holdAppend(const std::shared_ptr<http_exchange> &exchange) -> bool
+{
+    if (m_appendsToHold == 0)
+        return false;
+    --m_appendsToHold;
+    m_heldAppends.push_back(exchange);
+    return true;
+}
+
+auto store_server::executeHeldAppends() -> std::size_t
+{
+    std::size_t count = 0;
+    for (const auto &exchange : std::exchange(m_heldAppends, {})) {
+        if (appendTo(m_topics[exchange->parameter("topic")], *exchange).status == statusOk)
+            ++count;
+    }
+    return count;
+}
+
 auto store_server::newestOf(const std::string &topic, const std::string &key) const
     -> std::optional<std::string>
 {
@@ -124,7 +168,7 @@
     -> gate_response
 {
     const auto from = parseNumber(exchange.parameter("from"));
-    if (from < topic.firstOffset)
+    if (from < topic.firstOffset || from > topic.endOffset())
         return jsonResponse(statusGone, {{"first_offset", topic.firstOffset}});
     auto body
         = bigEndian(topic.endOffset(), offsetBytes) + bigEndian(topic.firstOffset, offsetBytes);
--- a/packages/standin/store_server.h
+++ b/packages/standin/store_server.h
@@ -8,6 +8,9 @@
 //     store.put("keyed.op", "config", "{...}");   // as by an operator
 //     store.gate().setOutage(outage_mode::down);  // and other faults
 //     store.deleteRecords("keyed.op");            // deletes the records, keeps the newest values
+//     store.startEra(1);
+//     store.keepCopy();
+//     store.restoreCopy();                        // comes back from the copy, in era 2
 
 #include <map>
 #include <memory>
@@ -33,6 +36,20 @@
     auto deleteRecords(const std::string &topic) -> void;
     [[nodiscard]] auto gate() -> fault_gate & { return m_gate; }
 
+    // Names the era in all responses from now on; without this call they have no such header.
+    auto startEra(std::uint64_t era) -> void;
+    // Keeps a copy of all topics, and the copies before it.
+    auto keepCopy() -> void;
+    // Goes back to the newest copy that is at least `age` old, or to the oldest: what was appended
+    // since is lost, its offsets are given out again, and the era rises by one.
+    auto restoreCopy(duration age = {}) -> void;
+    [[nodiscard]] auto era() const -> std::uint64_t { return m_era; }
+    // The next `count` appends get no response. They are executed, under their condition, by
+    // `executeHeldAppends`.
+    auto holdAppends(std::size_t count) -> void { m_appendsToHold = count; }
+    // Returns the number of appends that took effect.
+    auto executeHeldAppends() -> std::size_t;
+
     // The newest value of a key; nothing if the key is absent or deleted.
     [[nodiscard]] auto newestOf(const std::string &topic, const std::string &key) const
         -> std::optional<std::string>;
@@ -58,11 +75,19 @@
     [[nodiscard]] static auto newestIn(const topic_state &topic, const http_exchange &exchange)
         -> gate_response;
     auto add(topic_state &topic, std::string record) -> void;
+    // Returns whether the append was kept for later.
+    auto holdAppend(const std::shared_ptr<http_exchange> &exchange) -> bool;
 
     event_loop &m_loop;
     http_server m_server;
     fault_gate m_gate;
     std::map<std::string, topic_state> m_topics;
+    // Copies of all topics by the time at which they were kept.
+    std::map<time_point, std::map<std::string, topic_state>> m_copies;
+    system_runtime_clock m_clock;
+    std::uint64_t m_era = 0;
+    std::size_t m_appendsToHold = 0;
+    std::vector<std::shared_ptr<http_exchange>> m_heldAppends;
 };
 
 } // namespace mustardline::standin
