Write a roll-out's record again when the store has lost it

What the operator saw: after a drill of the store a roll-out that had its verdict stayed `in_progress` in the record, for good.

Cause: a process that has read a final verdict asks no more, and an order is known by its offset.

An order that is seen again in a later era, with the same version and length, is the known one at another place; its record is read once more, and written again if the store has lost it. A record of an earlier era answers the order if it names the same version, so that an edge that starts then does not begin an ended roll-out anew.

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -96,6 +96,7 @@
         if (!m_isFollowing)
             return false;
         if (from.era != m_next->era || end.era != m_next->era) {
+            ++m_otherEraOffers;
             if (from.era > m_next->era && !m_isReading)
                 schedule(m_readDelay, [this] { readNext(); });
             return false;
@@ -153,6 +154,8 @@
 
     // The number of values that are kept although the service holds others, or none.
     [[nodiscard]] auto keptCount() const -> std::size_t { return m_values.keptCount(); }
+    // The number of offers of another era, which had no effect.
+    [[nodiscard]] auto otherEraOfferCount() const -> std::uint64_t { return m_otherEraOffers; }
     // Where this process reads on; in era 0 before the newest values were read.
     [[nodiscard]] auto position() const -> log_position { return m_next.value_or(log_position()); }
 
@@ -356,6 +359,7 @@
     keyed_values m_values;
     std::optional<time_point> m_lastOfferAt;
     duration m_readDelay{};
+    std::uint64_t m_otherEraOffers = 0;
     // The service answered the last call of this process.
     bool m_lastCallAnswered = false;
     // A read is in progress.
--- a/packages/coordination/testing/keyed_follower_test.cpp
+++ b/packages/coordination/testing/keyed_follower_test.cpp
@@ -374,6 +374,7 @@
     follow();
     EXPECT_TRUE(m_events.empty());
     EXPECT_EQ(m_follower.position(), at(5, 2));
+    EXPECT_EQ(m_follower.otherEraOfferCount(), 2U);
 }
 
 // Guards against a process that passes on the older value of the copy as the newest one.
--- a/packages/coordination/testing/keyed_values_test.cpp
+++ b/packages/coordination/testing/keyed_values_test.cpp
@@ -36,7 +36,8 @@
 class KeyedValuesTest : public testing::Test
 {
 protected:
-    auto load(std::vector<keyed_record> records, const log_position &end, time_point now) -> void
+    auto load(const std::vector<keyed_record> &records, const log_position &end, time_point now)
+        -> void
     {
         m_values.beginLoad();
         for (const auto &record : records)
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -45,6 +45,9 @@
     {
         log.era()
         } -> std::same_as<std::uint64_t>;
+    {
+        log.lateResponseCount()
+        } -> std::same_as<std::uint64_t>;
     {
         T::headers()
         } -> std::same_as<header_names>;
@@ -131,6 +134,10 @@
               {.name = "mustardline_records_kept",
                .help = "Records that hold although the log has lost them or holds older ones.",
                .kind = counter_kind::gauge})),
+          m_otherEraDrops(m_metrics.add(
+              {.name = "mustardline_other_era_drops",
+               .help = "Answers of the log and messages of peers that were of another era.",
+               .kind = counter_kind::gauge})),
           m_rolloutsRunning(m_metrics.add({.name = "mustardline_rollouts_running",
                                            .help = "Roll-outs without a verdict.",
                                            .kind = counter_kind::gauge})),
@@ -372,6 +379,8 @@
         m_logAge.set(toMilliseconds(now - m_directory.upToDateAt()));
         m_logEra.set(static_cast<std::int64_t>(m_platform.log().era()));
         m_recordsKept.set(static_cast<std::int64_t>(m_fleetView.keptRecords()));
+        m_otherEraDrops.set(static_cast<std::int64_t>(m_platform.log().lateResponseCount()
+                                                      + m_fleetView.otherEraUpdates()));
     }
 
     auto runHousekeeping() -> void
@@ -470,6 +479,7 @@
     counter &m_logAge;
     counter &m_logEra;
     counter &m_recordsKept;
+    counter &m_otherEraDrops;
     counter &m_rolloutsRunning;
     counter &m_rolloutSends;
     event_handle m_housekeepingTimer;
--- a/packages/forwarding/fleet_view.h
+++ b/packages/forwarding/fleet_view.h
@@ -177,6 +177,12 @@
         return m_configuration.keptCount() + m_endpoints.keptCount();
     }
 
+    // The number of updates of another era of the log that peers sent, and that had no effect.
+    [[nodiscard]] auto otherEraUpdates() const -> std::uint64_t
+    {
+        return m_endpoints.otherEraOfferCount();
+    }
+
     // Applies another edge's snapshot to topics of which this edge has read nothing itself.
     auto applySnapshot(const fleet_snapshot &peerSnapshot) -> void
     {
--- a/packages/forwarding/rollout_record.h
+++ b/packages/forwarding/rollout_record.h
@@ -11,11 +11,16 @@
 // nothing, and a final verdict is never replaced. No lease is needed: a writer that is lost leaves
 // nothing behind, and the others write in its place once their delays have passed.
 //
+// When the log comes back from an older copy, the order has another position, and the record may be
+// gone. After `renew`, what this process has known of the roll-out is written again unless the log
+// still holds it. A record of an earlier era answers the order if it names the same version.
+//
 // The class does no I/O.
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 
 #include "base/clock.h"
@@ -85,8 +90,10 @@
 class rollout_record
 {
 public:
-    explicit rollout_record(std::uint64_t order, rollout_record_options options = {})
-        : m_order(order), m_options(options)
+    // `version` is the version that the order names.
+    explicit rollout_record(std::uint64_t order, std::string version = "",
+                            rollout_record_options options = {})
+        : m_order(order), m_version(std::move(version)), m_options(options)
     {}
 
     // Returns the next action, if any. Only one action is in progress at a time.
@@ -98,6 +105,9 @@
     auto onReadFailed(time_point now) -> void;
     auto onAppend(const log_append_outcome &outcome, time_point now) -> void;
 
+    // The order of this roll-out has another position since the log came back from an older copy.
+    auto renew(std::uint64_t order, time_point now) -> void;
+
     // Whether the record was read since this process knows the order.
     [[nodiscard]] auto isKnown() const -> bool { return m_isKnown; }
     // The record, if it answers this order.
@@ -110,21 +120,26 @@
     }
     [[nodiscard]] auto isWritten(const rollout_wish &wish) const -> bool
     {
-        return m_status && m_status->verdict == wish.status.verdict;
+        return m_isInLog && m_status && m_status->verdict == wish.status.verdict;
     }
+    [[nodiscard]] auto isAnswer(const rollout_status &status) const -> bool;
     auto read() -> rollout_action;
 
     std::uint64_t m_order;
+    std::string m_version;
     rollout_record_options m_options;
     std::optional<rollout_status> m_status;
     log_position m_end;
     time_point m_readAt{};
+    // The log holds `m_status`.
+    bool m_isInLog = false;
     bool m_isKnown = false;
     bool m_mustRead = true;
     bool m_isActionInProgress = false;
     // The verdict that the process last wished to write, and since when.
     std::optional<rollout_verdict> m_wished;
     time_point m_wishedAt{};
+    time_point m_renewedAt{};
     // The append in progress.
     rollout_status m_appended;
     time_point m_retryAt{};
--- a/packages/forwarding/rollout_table.cpp
+++ b/packages/forwarding/rollout_table.cpp
@@ -38,12 +38,26 @@
     const auto *known = findOf(order.service);
     if (!m_settings.isDecided() || (known != nullptr && known->order.id >= order.id))
         return false;
+    if (renewOrder(order, now))
+        return false;
     m_rollouts.insert_or_assign(
         order.service,
         service_rollout{.order = order,
                         .watch = rollout_watch({.startedAt = now, .deadlineAt = now + order.length},
                                                watchOptions(m_settings), m_random.uniform()),
-                        .record = rollout_record(order.id)});
+                        .record = rollout_record(order.id, order.version)});
+    return true;
+}
+
+auto rollout_table::renewOrder(const rollout_order &order, time_point now) -> bool
+{
+    auto *known = find(order.service);
+    if (known == nullptr || known->order.version != order.version
+        || known->order.length != order.length
+        || log_position::eraOf(known->order.id) == log_position::eraOf(order.id))
+        return false;
+    known->order.id = order.id;
+    known->record.renew(order.id, now);
     return true;
 }
 
--- a/packages/forwarding/rollout_table.h
+++ b/packages/forwarding/rollout_table.h
@@ -73,7 +73,8 @@
 
     rollout_table(rollout_settings settings, std::uint64_t seed);
 
-    // Returns false if the order is known, or roll-outs are not decided here.
+    // Returns false if the order is known, or roll-outs are not decided here. An order that is seen
+    // again after the log came back from an older copy is the known one, at another position.
     auto setOrder(const rollout_order &order, time_point now) -> bool;
     auto removeOrder(const std::string &service) -> bool;
 
@@ -113,6 +114,8 @@
     [[nodiscard]] auto sendCount() const -> std::int64_t;
 
 private:
+    // Takes the new position of a known order; returns false for any other order.
+    auto renewOrder(const rollout_order &order, time_point now) -> bool;
     [[nodiscard]] auto findOf(std::string_view service) const -> const service_rollout *;
 
     rollout_settings m_settings;
--- a/packages/forwarding/testing/rollout_record_test.cpp
+++ b/packages/forwarding/testing/rollout_record_test.cpp
@@ -23,14 +23,17 @@
 {
     std::optional<rollout_status> status;
     std::uint64_t end = 0;
+    std::uint64_t era = 0;
+
+    [[nodiscard]] auto position() const -> log_position { return {.era = era, .offset = end}; }
 
     auto append(const append_rollout &action) -> log_append_outcome
     {
         if (action.at.offset != end)
-            return log_append_conflict{.end = {.offset = end}};
+            return log_append_conflict{.end = position()};
         status = action.status;
         ++end;
-        return log_appended{.first = action.at, .end = {.offset = end}};
+        return log_appended{.first = action.at, .end = position()};
     }
 };
 
@@ -42,7 +45,7 @@
         if (const auto *append = std::get_if<append_rollout>(&*action))
             record.onAppend(topic.append(*append), now);
         else
-            record.onRead(topic.status, {.offset = topic.end}, now);
+            record.onRead(topic.status, topic.position(), now);
     }
 }
 
@@ -109,7 +112,7 @@
     rollout_record record(order);
     const auto wish = wishFor(rollout_verdict::rolled_back);
     ASSERT_TRUE(record.tick(start, wish));
-    record.onRead(topic.status, {.offset = topic.end}, start);
+    record.onRead(topic.status, topic.position(), start);
     const auto action = record.tick(start, wish);
     ASSERT_TRUE(action);
     static_cast<void>(topic.append(std::get<append_rollout>(*action)));
@@ -144,5 +147,56 @@
     EXPECT_EQ(topic.status->order, order);
 }
 
+// The same order after the log came back from an older copy.
+constexpr log_position orderAgain{.era = 1, .offset = 3};
+
+auto renewedWish(rollout_verdict verdict) -> rollout_wish
+{
+    auto wish = wishFor(verdict);
+    wish.status.order = orderAgain.number();
+    return wish;
+}
+
+// Guards against a final verdict that is lost with the copy, so that the operator never sees it.
+TEST(RolloutRecordTest, verdictThatTheLogHasLostIsWrittenAgain)
+{
+    fake_topic topic;
+    rollout_record record(order, "v2");
+    settle(record, topic, wishFor(rollout_verdict::in_progress), start);
+    const auto copy = topic;
+    settle(record, topic, wishFor(rollout_verdict::completed), start + seconds(9));
+    topic = copy;
+    topic.era = 1;
+    record.renew(orderAgain.number(), start + seconds(10));
+    settle(record, topic, renewedWish(rollout_verdict::rolled_back), start + seconds(10));
+    EXPECT_EQ(topic.status->verdict, rollout_verdict::completed);
+    EXPECT_EQ(topic.status->order, orderAgain.number());
+    // A copy that still holds it is left alone.
+    const auto end = topic.end;
+    record.renew(log_position{.era = 2, .offset = 3}.number(), start + seconds(20));
+    topic.era = 2;
+    settle(record, topic, renewedWish(rollout_verdict::completed), start + seconds(20));
+    EXPECT_EQ(topic.end, end);
+}
+
+// Guards against a process that starts after a drill and orders an ended roll-out again, because
+// the record names the order by its earlier position.
+TEST(RolloutRecordTest, recordOfAnEarlierEraAnswersTheSameOrder)
+{
+    fake_topic topic{
+        .status
+        = rollout_status{.verdict = rollout_verdict::rolled_back, .version = "v2", .order = order},
+        .end = 1,
+        .era = 1};
+    rollout_record same(orderAgain.number(), "v2");
+    settle(same, topic, renewedWish(rollout_verdict::in_progress), start);
+    ASSERT_TRUE(same.status());
+    EXPECT_EQ(same.status()->verdict, rollout_verdict::rolled_back);
+    EXPECT_EQ(topic.end, 1U);
+    rollout_record another(orderAgain.number(), "v3");
+    settle(another, topic, renewedWish(rollout_verdict::in_progress), start);
+    EXPECT_EQ(topic.end, 2U);
+}
+
 } // namespace
 } // namespace mustardline
--- a/packages/forwarding/testing/rollout_table_test.cpp
+++ b/packages/forwarding/testing/rollout_table_test.cpp
@@ -113,5 +113,26 @@
     EXPECT_FALSE(m_table.setOrder(order, start));
 }
 
+// Guards against a roll-out that begins anew, with new exposure, because its order has another
+// position since the log came back from an older copy.
+TEST_F(RolloutTableTest, orderThatIsSeenAgainInALaterEraGoesOn)
+{
+    m_rollout->watch.adopt(rollout_verdict::rolled_back);
+    auto again = order;
+    again.id = log_position{.era = 1, .offset = 3}.number();
+    EXPECT_FALSE(m_table.setOrder(again, start + seconds(9)));
+    EXPECT_EQ(m_table.find("orders")->order.id, again.id);
+    EXPECT_EQ(m_table.find("orders")->watch.verdict(), rollout_verdict::rolled_back);
+    // Another order of the same era is a new one, and so is one of other contents.
+    auto next = again;
+    ++next.id;
+    EXPECT_TRUE(m_table.setOrder(next, start + seconds(10)));
+    EXPECT_EQ(m_table.find("orders")->watch.verdict(), rollout_verdict::in_progress);
+    auto other = order;
+    other.version = "v3";
+    other.id = log_position{.era = 2, .offset = 1}.number();
+    EXPECT_TRUE(m_table.setOrder(other, start + seconds(11)));
+}
+
 } // namespace
 } // namespace mustardline
