--- a/packages/coordination/keyed_values.cpp
+++ b/packages/coordination/keyed_values.cpp
@@ -126,11 +126,13 @@
         return m_options.compare(record, known.known);
     }
     // The copy may hold the value that was deleted since.
-    if (!known.deletedValue || known.deletedValue == record.value)
-        return std::partial_ordering::less;
+    if (!known.deletedValue)
+        return std::partial_ordering::greater;
     const auto order = m_options.compare(
         record, {.key = record.key, .value = known.deletedValue, .position = known.known.position});
-    return order == std::partial_ordering::greater ? order : std::partial_ordering::less;
+    const bool isOld
+        = order == std::partial_ordering::less || order == std::partial_ordering::equivalent;
+    return isOld ? std::partial_ordering::less : std::partial_ordering::greater;
 }
 
 auto keyed_values::forgetDeletions(time_point now) -> void
--- a/packages/coordination/keyed_values.h
+++ b/packages/coordination/keyed_values.h
@@ -14,9 +14,10 @@
 // Within one era, the record at the later offset is the newer one. After the service came back from
 // an older copy, the newest values that are read may be older than the known ones. `compare`
 // decides where it can: a newer value is taken at once, and an older one never. Where it cannot,
-// and for a key that the service has lost or still has although it was deleted, the known state is
-// kept for `rewriteTime`: its writer writes it again. What the service holds afterwards counts. A
-// record that is appended in the new era counts at once.
+// and for a key that the service has lost, the known value is kept for `rewriteTime`: its writer
+// writes it again. What the service holds afterwards counts. A deleted key stays deleted for that
+// time if the service holds the deleted value, or an older one; a value that cannot be compared
+// with it counts at once. So does a record that is appended in the new era.
 
 #include <compare>
 #include <deque>
--- a/packages/coordination/testing/keyed_values_test.cpp
+++ b/packages/coordination/testing/keyed_values_test.cpp
@@ -93,8 +93,8 @@
 // Guards against a deleted key that comes back from the copy, such as an endpoint that has left.
 TEST_F(KeyedValuesTest, deletedKeyStaysDeletedUnlessItIsWrittenAgain)
 {
-    for (const auto &[held, isWritten] :
-         std::vector<std::pair<std::string, bool>>{{"v4", false}, {"v3", false}, {"v5", true}}) {
+    for (const auto &[held, isWritten] : std::vector<std::pair<std::string, bool>>{
+             {"v4", false}, {"v3", false}, {"v5", true}, {"a", true}}) {
         m_values.clear();
         load({recordOf("v4", {.era = 1, .offset = 8})}, {.era = 1, .offset = 9}, start);
         m_values.apply(recordOf("", {.era = 1, .offset = 9}), start);
--- a/packages/forwarding/fleet_view.h
+++ b/packages/forwarding/fleet_view.h
@@ -202,10 +202,15 @@
     static constexpr duration operatorRewriteTime = std::chrono::milliseconds(5000);
     static constexpr duration endpointRewriteTime = std::chrono::milliseconds(2500);
 
-    // Compares two configurations by their versions. Other records of operators have no order.
+    // Compares two configurations by their versions, and orders of roll-outs by being the same. An
+    // evacuation may have been withdrawn and ordered again, so that even the same ones have no
+    // order.
     static auto compareOperatorRecords(const keyed_record &left, const keyed_record &right)
         -> std::partial_ordering
     {
+        const bool isSame = left.value == right.value;
+        if (isSame && !Platform::evacuatedDataCentre(left.key))
+            return std::partial_ordering::equivalent;
         if (!Platform::isConfiguration(left.key))
             return std::partial_ordering::unordered;
         const auto one = Platform::decodeConfiguration(*left.value);
@@ -220,6 +225,8 @@
     static auto compareRegistrations(const keyed_record &left, const keyed_record &right)
         -> std::partial_ordering
     {
+        if (left.value == right.value)
+            return std::partial_ordering::equivalent;
         const auto one = Platform::decodeRegistration(left.key, *left.value);
         const auto other = Platform::decodeRegistration(right.key, *right.value);
         if (failed(one) || failed(other))
