Process one request of a connection in each turn of the event loop

What callers saw: while 150 connections without a key sent small requests without waiting for the answers, 24 to 30 of 30 ordinary requests had no answer half a second after their timeout, and the readiness check none in a second.

Cause: a connection answered all requests of one read, some 600, before it returned to the event loop, and so did the next one.

Evidence: with 20 connections of 200 requests the request of another connection is handled as number 4,000. The same clients get about as many refusals when they wait for each answer, which rules out the cost of a refusal.

--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -51,8 +51,10 @@
     http_server &server;
     std::shared_ptr<tcp_stream> stream;
     http1_reader reader;
-    // Input that arrived while a response is outstanding.
+    // Input that arrived while a response is outstanding, or that waits for its turn.
     std::string pending;
+    // Processes `pending` in a later turn of the event loop.
+    event_handle nextTurn;
     std::optional<http_exchange::request> incoming;
     std::shared_ptr<http_exchange> current;
     // In the server's budget; 0 without one.
@@ -97,43 +99,57 @@
 
     auto takeInput(std::string_view data) -> void
     {
-        if (current || processing) {
+        if (current || processing || !pending.empty()) {
             pending += data;
             if (pending.size() > maxPendingBytes)
                 stream->setReading(false);
             return;
         }
-        if (pending.empty()) {
-            process(data);
-            return;
-        }
-        pending += data;
-        processPending();
+        process(data);
     }
 
     auto processPending() -> void
     {
         const auto taken = std::exchange(pending, {});
-        stream->setReading(true);
         process(taken);
+        if (pending.size() <= maxPendingBytes)
+            stream->setReading(true);
     }
 
-    // Parses requests until one waits for its response; buffers the remaining input.
+    // Parses input up to the end of one request; buffers the remaining input. A client that sends
+    // many requests at once gets one processed in each turn of the event loop, as all others do.
     auto process(std::string_view input) -> void
     {
         const auto keep = shared_from_this();
+        bool hasRequest = false;
         processing = true;
-        while (!current && !stream->isClosed() && !closesAfterAnswer) {
+        while (!hasRequest && !stream->isClosed() && !closesAfterAnswer) {
             if (!reader.isInsideMessage())
                 beginRequest(!input.empty());
             const auto event = reader.next(input);
             if (std::holds_alternative<http1_need_more>(event) && input.empty())
                 break;
+            hasRequest = std::holds_alternative<http1_end>(event);
             handleEvent(event);
         }
         processing = false;
-        if (!stream->isClosed() && !closesAfterAnswer)
-            pending.insert(0, input);
+        if (stream->isClosed() || closesAfterAnswer)
+            return;
+        pending.insert(0, input);
+        if (!current)
+            continueLater();
+    }
+
+    // Processes pending input once the code that runs has returned and others had their turn.
+    auto continueLater() -> void
+    {
+        if (pending.empty())
+            return;
+        nextTurn = server.m_loop.after({}, [raw = this] {
+            const auto keep = raw->shared_from_this();
+            if (!raw->stream->isClosed() && !raw->current)
+                raw->processPending();
+        });
     }
 
     auto beginRequest(bool hasInput) -> void
@@ -326,13 +342,8 @@
             return;
         }
         lastInput = system_runtime_clock().now();
-        // Pipelined input is processed after the code that responded has returned.
-        if (!pending.empty() && !processing) {
-            server.m_loop.post([self = shared_from_this()] {
-                if (!self->stream->isClosed() && !self->current && !self->pending.empty())
-                    self->processPending();
-            });
-        }
+        if (!processing)
+            continueLater();
     }
 
     auto finishConnection() -> void
@@ -629,8 +640,8 @@
 {
     const std::vector<std::shared_ptr<connection>> open(m_connections.begin(), m_connections.end());
     for (const auto &each : open) {
-        if (!each->closing && !each->current && !each->reader.isInsideMessage()
-            && !each->stream->hasUnread())
+        if (!each->closing && !each->current && each->pending.empty()
+            && !each->reader.isInsideMessage() && !each->stream->hasUnread())
             each->finishConnection();
     }
 }
--- a/packages/net/testing/http_test.cpp
+++ b/packages/net/testing/http_test.cpp
@@ -1,8 +1,12 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
+#include "net/testing/raw_peer.h"
+
 namespace mustardline {
 namespace {
 
@@ -67,6 +71,34 @@
     }
 }
 
+// Guards against a client whose many requests, sent without waiting for the answers, hold up those
+// of all others.
+TEST_F(HttpTest, requestsSentAtOnceTakeTurnsWithThoseOfOthers)
+{
+    constexpr std::size_t clients = 20;
+    constexpr std::size_t requestsOfEach = 200;
+    std::vector<std::string> paths;
+    listen({}, [&](const std::shared_ptr<http_exchange> &exchange) {
+        paths.emplace_back(exchange->path());
+        exchange->reply(200, {}, "");
+    });
+    const auto requestTo
+        = [](const std::string &path) { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n"; };
+    std::vector<std::unique_ptr<raw_peer>> many;
+    for (std::size_t number = 0; number < clients; ++number) {
+        many.push_back(std::make_unique<raw_peer>(m_loop, m_address));
+        for (std::size_t count = 0; count < requestsOfEach; ++count)
+            many.back()->send(requestTo("/many"));
+    }
+    raw_peer other(m_loop, m_address);
+    other.send(requestTo("/other"));
+    runUntil(m_loop, [&] { return paths.size() == clients * requestsOfEach + 1; });
+    const auto found = std::ranges::find(paths, "/other");
+    ASSERT_NE(found, paths.end());
+    // It comes with the first or the second request of each of the others.
+    EXPECT_LE(std::distance(paths.begin(), found), 2 * static_cast<std::ptrdiff_t>(clients));
+}
+
 TEST_F(HttpTest, formBodyIsNotPartOfTheQuery)
 {
     listen({}, [](const std::shared_ptr<http_exchange> &exchange) {
