Keep little of what a client sends behind a request under way

What was seen: 1,900 connections with a stream each, which sent further requests without waiting, took 309 MB of 260 MiB, and ordinary callers got 503.

Cause: a connection kept 64 KiB and a read of such input, in a buffer that had doubled; only requests that are being received give way in the budget.

Evidence: 131,489 bytes held by one connection whose client sends 600 KB ahead; the endpoints see none of the further requests.

Reading now pauses at 4 KiB and reads are of that size while a request is under way. As nothing is read then, a client that leaves is found by asking the kernel twice a second; before, its request went on to its end.

--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -22,8 +22,9 @@
 constexpr int listenBacklog = 1024;
 // Interval of the check for timed-out connections; a timeout is overrun by at most this much.
 constexpr duration sweepInterval = std::chrono::milliseconds(500);
-// Pipelined input buffered per connection; beyond it, reading pauses.
-constexpr std::size_t maxPendingBytes = 64U << 10U;
+// Input that a connection keeps while its request is under way; beyond it, reading pauses. It is
+// the size of a read, too, so that twice as much is kept at the most.
+constexpr std::size_t maxPendingBytes = 4U << 10U;
 // A request that runs is kept by its exchange, by the call to an endpoint, and in the part that the
 // endpoint's socket has not yet accepted.
 constexpr std::size_t copiesOfWholeRequest = 3;
@@ -206,6 +207,7 @@
         incoming.reset();
         wholeBytes = copiesOfWholeRequest * (headBytes + request.body.capacity());
         current = std::shared_ptr<http_exchange>(new http_exchange(*this, std::move(request)));
+        stream->setMaxReadBytes(maxPendingBytes);
         if (isAccounted() && !budget().admitWhole(holder, heldBytes(), lastInput)) {
             refuse();
             return;
@@ -333,6 +335,7 @@
         const auto keep = shared_from_this();
         if (current.get() == &exchange)
             current.reset();
+        stream->setMaxReadBytes(SIZE_MAX);
         settle();
         // A response that began before `closeAfterAnswers` has no `Connection: close`, so its
         // connection is closed here, unless the caller has already sent another request.
@@ -378,10 +381,17 @@
             left->detach();
     }
 
-    // Ends a connection that exceeds the idle timeout or the header timeout.
+    // Ends a connection that exceeds the idle timeout or the header timeout, and one whose client
+    // has left while reading pauses.
     auto checkTimeouts(time_point now) -> void
     {
-        if (current || closing || hasYielded)
+        if (closing || hasYielded)
+            return;
+        if (pending.size() > maxPendingBytes && stream->hasPeerEnded()) {
+            closeNow();
+            return;
+        }
+        if (current)
             return;
         const auto &limits = server.m_options;
         const bool inHead = reader.isInsideMessage() && !incoming;
--- a/packages/net/tcp_stream.cpp
+++ b/packages/net/tcp_stream.cpp
@@ -1,5 +1,6 @@
 #include "net/tcp_stream.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -9,6 +10,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -153,10 +155,17 @@
     return count > 0;
 }
 
+auto tcp_stream::hasPeerEnded() const -> bool
+{
+    pollfd state{.fd = m_descriptor, .events = POLLRDHUP, .revents = 0};
+    return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 auto tcp_stream::handleReadable() -> void
 {
     auto &buffer = readBuffer();
-    const auto count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+    const auto count
+        = recv(m_descriptor, buffer.data(), std::min(buffer.size(), m_maxReadBytes), 0);
     if (count < 0) {
         if (!isTransient(errno))
             finish(false);
--- a/packages/net/tcp_stream.h
+++ b/packages/net/tcp_stream.h
@@ -12,6 +12,7 @@
 // `onEnd` is called once, unless `close` was called before. A peer that disappears without closing
 // is detected by TCP keep-alive probes and by the timeout for unacknowledged data.
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -67,6 +68,10 @@
     [[nodiscard]] auto heldBytes() const -> std::size_t { return m_output.capacity(); }
 
     auto setReading(bool reading) -> void;
+    // Bounds the size of one read.
+    auto setMaxReadBytes(std::size_t bytes) -> void { m_maxReadBytes = bytes; }
+    // Whether the peer has ended its side or the connection broke, also behind unread input.
+    [[nodiscard]] auto hasPeerEnded() const -> bool;
     // Whether there is unread input, an unread end of stream or a socket error.
     [[nodiscard]] auto hasUnread() const -> bool;
     // Whether there is unread input.
@@ -104,6 +109,7 @@
     duration m_silenceLimit;
     event *m_readEvent = nullptr;
     event *m_writeEvent = nullptr;
+    std::size_t m_maxReadBytes = SIZE_MAX;
     std::string m_output;
     // Bytes of m_output that have been sent.
     std::size_t m_sent = 0;
--- a/packages/net/testing/http_test.cpp
+++ b/packages/net/testing/http_test.cpp
@@ -99,6 +99,52 @@
     EXPECT_LE(std::distance(paths.begin(), found), 2 * static_cast<std::ptrdiff_t>(clients));
 }
 
+// Guards against clients that fill the memory with requests behind one that is under way.
+TEST_F(HttpTest, inputBehindARequestUnderWayTakesLittleMemory)
+{
+    constexpr std::size_t mostBytes = 16U << 10U;
+    const auto budget = std::make_shared<byte_budget>(byte_budget_options{});
+    std::vector<std::shared_ptr<http_exchange>> received;
+    listen({.budget = budget}, [&](std::shared_ptr<http_exchange> exchange) {
+        received.push_back(std::move(exchange));
+    });
+    raw_peer peer(m_loop, m_address);
+    const std::string request
+        = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 12000\r\n\r\n" + std::string(12000, 'x');
+    peer.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    runUntil(m_loop, [&] { return received.size() == 1; });
+    for (int count = 0; count < 50; ++count)
+        peer.send(request);
+    const auto pause = m_loop.after(milliseconds(200), [this] { m_loop.stop(); });
+    m_loop.run();
+    EXPECT_LE(budget->heldBytes(), mostBytes);
+    // All of them are processed, in their order.
+    for (std::size_t count = 1; count <= 50; ++count) {
+        received.back()->reply(200, {}, "");
+        ASSERT_TRUE(runUntil(m_loop, [&] { return received.size() == count + 1; }));
+        EXPECT_EQ(received.back()->body().size(), 12000U);
+    }
+}
+
+// Guards against a request that goes on for a client that has left behind unread input.
+TEST_F(HttpTest, clientThatLeavesBehindUnreadInputIsNoticed)
+{
+    std::vector<std::shared_ptr<http_exchange>> received;
+    bool isGone = false;
+    listen({}, [&](std::shared_ptr<http_exchange> exchange) {
+        exchange->onGone([&] { isGone = true; });
+        received.push_back(std::move(exchange));
+    });
+    auto peer = std::make_unique<raw_peer>(m_loop, m_address);
+    peer->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n" + std::string(100'000, 'x'));
+    runUntil(m_loop, [&] { return received.size() == 1; });
+    const auto pause = m_loop.after(milliseconds(200), [this] { m_loop.stop(); });
+    m_loop.run();
+    EXPECT_FALSE(isGone);
+    peer->close();
+    EXPECT_TRUE(runUntil(m_loop, [&] { return isGone; }));
+}
+
 TEST_F(HttpTest, formBodyIsNotPartOfTheQuery)
 {
     listen({}, [](const std::shared_ptr<http_exchange> &exchange) {
