Keep connections free of a client account that has its share

What callers saw: one account with a stream under way on each of the 2,000 connections for callers; the edge said that it was ready and closed every new connection without an answer.

Cause: at the limit a new connection takes the place of one without a request; all had one. Nothing bounded an account's requests below that.

A request beyond gets 503, and its connection can be given to another. An edge whose connections all have a request is not ready.

--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -74,11 +74,10 @@
           m_directory({}),
           m_heldBytes(std::make_shared<byte_budget>(
               byte_budget_options{.capacityBytes = callerBytes(m_settings.memoryBytes)})),
-          m_callers(m_loop,
-                    {.address = m_settings.callers.host,
-                     .port = m_settings.callers.port,
-                     .maxConnections = callerConnections(descriptorLimit(), maxCallerConnections),
-                     .budget = m_heldBytes}),
+          m_callers(m_loop, {.address = m_settings.callers.host,
+                             .port = m_settings.callers.port,
+                             .maxConnections = maxRequests(),
+                             .budget = m_heldBytes}),
           m_readiness(m_loop,
                       {.address = m_settings.readiness.host, .port = m_settings.readiness.port}),
           m_metricsServer(m_loop,
@@ -88,6 +87,7 @@
                     .names = Platform::headers(),
                     .seed = randomBits(),
                     .maxHeldBytes = m_settings.memoryBytes / heldMemoryDivisor,
+                    .maxRequests = maxRequests(),
                     .retries = {.ratio = m_settings.retryRatio,
                                 .slack = m_settings.retrySlack,
                                 .window = m_settings.retryWindow},
@@ -234,7 +234,14 @@
 
     [[nodiscard]] auto isReady() const -> bool
     {
-        return !m_isShuttingDown && m_routes.current() && m_fleetView.hasEndpoints();
+        return !m_isShuttingDown && m_routes.current() && m_fleetView.hasEndpoints()
+               && m_callers.hasRoom();
+    }
+
+    // Requests of callers at the same time: each takes a connection of its own.
+    [[nodiscard]] static auto maxRequests() -> std::size_t
+    {
+        return callerConnections(descriptorLimit(), maxCallerConnections);
     }
 
     auto followLog() -> void
--- a/packages/forwarding/forward_router.cpp
+++ b/packages/forwarding/forward_router.cpp
@@ -32,6 +32,13 @@
     return headers;
 }
 
+// Empty for a request without an account.
+auto accountName(const forward_request &request) -> std::string_view
+{
+    return request.account != nullptr ? std::string_view(request.account->name)
+                                      : std::string_view();
+}
+
 } // namespace
 
 forward_router::forward_router(event_loop &loop, http_client &http, logger &log, counters &metrics,
@@ -47,7 +54,8 @@
       m_random(m_options.seed),
       m_dispatcher({.dataCentre = m_options.dataCentre, .seed = m_options.seed}),
       m_warmUp(m_options.warmUp),
-      m_rollouts(m_options.rollouts, m_options.seed)
+      m_rollouts(m_options.rollouts, m_options.seed),
+      m_places(m_options.maxRequests)
 {}
 
 forward_router::~forward_router()
@@ -74,6 +82,12 @@
                           {.code = result_code::prompt_blocked, .retryAfter = blockedRetryAfter});
         return;
     }
+    if (!m_places.take(accountName(std::get<forward_request>(read)))) {
+        rejectImmediately(exchange, {.code = result_code::overloaded,
+                                     .message = "the account has too many requests under way here",
+                                     .retryAfter = defaultRetryAfter});
+        return;
+    }
     const auto number = ++m_lastRequestNumber;
     auto &request
         = m_requests.emplace(number, std::move(std::get<forward_request>(read))).first->second;
@@ -85,9 +99,7 @@
     const auto &route = *request.route;
     request.target = chooseTarget(request, now);
     m_dispatcher.arrive({.request = number,
-                         .clientAccount = request.account != nullptr
-                                              ? std::string_view(request.account->name)
-                                              : std::string_view(),
+                         .clientAccount = accountName(request),
                          .requestClass = route.name,
                          .target = request.target,
                          .tier = request.priority + 1,
@@ -369,10 +381,10 @@
 {
     const auto now = m_clock.now();
     m_log.write(forwardEnded, field("request", request.id), field("route", request.route->name),
-                field("account", request.account != nullptr ? request.account->name : ""),
-                field("result", describe(code).name), field("reason", reason),
-                field("status", request.answer.status), field("endpoint", request.endpoint),
-                field("sends", request.sends), field("version", request.configuration->version),
+                field("account", accountName(request)), field("result", describe(code).name),
+                field("reason", reason), field("status", request.answer.status),
+                field("endpoint", request.endpoint), field("sends", request.sends),
+                field("version", request.configuration->version),
                 field("took_ms", toMilliseconds(now - request.arrivedAt)));
     m_metrics.recordEnd(code, now - request.arrivedAt);
     m_rollouts.ended(request.service, request.number,
@@ -383,6 +395,7 @@
         m_dispatcher.finished(request.number, code, 0, now);
     dropSuspended(request);
     releaseBody(request);
+    m_places.release(accountName(request));
     m_requests.erase(request.number);
 }
 
--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -25,6 +25,7 @@
 #include "forwarding/route_table.h"
 #include "forwarding/send_rules.h"
 #include "forwarding/shared_retry_budget.h"
+#include "policy/account_places.h"
 #include "policy/dispatcher.h"
 #include "policy/random.h"
 #include "policy/warm_up_shares.h"
@@ -43,6 +44,8 @@
     // Maximum size of all responses together that are held until they are whole. Beyond it, the
     // largest one is given up.
     std::size_t maxHeldBytes = 32U << 20U;
+    // Requests that may be under way at the same time: each takes a connection of its caller.
+    std::size_t maxRequests = 4096;
     shared_retry_budget_options retries;
     // Selects the edges that may send to a cold endpoint.
     warm_up_options warmUp;
@@ -266,6 +269,7 @@
     std::map<std::string, double> m_loggedSpeeds;
     std::vector<dispatch_action> m_actions;
     std::unordered_map<std::uint64_t, forward_request> m_requests;
+    account_places m_places;
     std::uint64_t m_lastRequestNumber = 0;
     // Sum of the sizes of the requests' `body`.
     std::size_t m_heldBytes = 0;
--- a/packages/forwarding/testing/forward_router_test.cpp
+++ b/packages/forwarding/testing/forward_router_test.cpp
@@ -33,6 +33,32 @@
     EXPECT_EQ(m_newInstance.received.size(), 1U);
 }
 
+// Guards against one client whose requests take every connection of callers.
+class FewPlacesTest : public ForwardRouterTest
+{
+protected:
+    FewPlacesTest() : ForwardRouterTest({.maxRequests = 8}) {}
+};
+
+TEST_F(FewPlacesTest, accountWithTooManyRequestsUnderWayIsRefused)
+{
+    registerEndpoint(m_oldInstance, 1);
+    std::vector<std::unique_ptr<raw_peer>> callers;
+    for (int count = 0; count < 7; ++count) {
+        callers.push_back(std::make_unique<raw_peer>(m_loop, m_callerAddress));
+        callers.back()->send("GET / HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r\r\n\r\n");
+    }
+    runUntil(m_loop, [this] { return m_router.liveCount() == 7; });
+    call();
+    EXPECT_EQ(m_status, 503) << m_body;
+    EXPECT_EQ(m_router.liveCount(), 7U);
+    callers.clear();
+    runUntil(m_loop, [this] { return m_router.liveCount() == 0; });
+    m_onReceived = [](const fake_endpoint &, http_exchange &exchange) { succeed(exchange); };
+    call();
+    EXPECT_EQ(m_status, 200) << m_body;
+}
+
 // The same with an earlier instance that responds to its last request and says that it is shutting
 // down.
 TEST_F(ForwardRouterTest, leavingHeaderOfOldInstanceKeepsNewInstanceUsable)
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -656,6 +656,14 @@
     }
 }
 
+auto http_server::hasRoom() const -> bool
+{
+    if (m_connections.size() < m_options.maxConnections)
+        return true;
+    return m_options.budget
+           && std::ranges::any_of(m_connections, [](const auto &each) { return !each->current; });
+}
+
 auto http_server::hasUndelivered() const -> bool
 {
     return std::ranges::any_of(
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -180,6 +180,10 @@
     // Whether callers have not yet received all of the responses that were sent.
     [[nodiscard]] auto hasUndelivered() const -> bool;
 
+    // Whether a new connection would be accepted: there are fewer than the limit, or one that waits
+    // for a request can give way.
+    [[nodiscard]] auto hasRoom() const -> bool;
+
     [[nodiscard]] auto connectionCount() const -> std::size_t { return m_connections.size(); }
 
 private:
--- a/packages/net/testing/http_test.cpp
+++ b/packages/net/testing/http_test.cpp
@@ -126,6 +126,24 @@
     }
 }
 
+// Guards against a process that says it is ready and closes each new connection.
+TEST_F(HttpTest, connectionsWithRequestsUnderWayLeaveNoRoom)
+{
+    std::vector<std::shared_ptr<http_exchange>> received;
+    listen(
+        {.maxConnections = 1, .budget = std::make_shared<byte_budget>(byte_budget_options{})},
+        [&](std::shared_ptr<http_exchange> exchange) { received.push_back(std::move(exchange)); });
+    EXPECT_TRUE(m_server->hasRoom());
+    raw_peer peer(m_loop, m_address);
+    runUntil(m_loop, [&] { return m_server->connectionCount() == 1; });
+    EXPECT_TRUE(m_server->hasRoom()) << "a connection without a request gives way";
+    peer.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    runUntil(m_loop, [&] { return received.size() == 1; });
+    EXPECT_FALSE(m_server->hasRoom());
+    received.back()->reply(200, {}, "");
+    EXPECT_TRUE(m_server->hasRoom());
+}
+
 // Guards against a request that goes on for a client that has left behind unread input.
 TEST_F(HttpTest, clientThatLeavesBehindUnreadInputIsNoticed)
 {
