Forget what was kept for a key that the store has lost again

A key that is deleted, held by the copy and deleted again while its records expire would have come back after 5 s: what the store held was kept beside the deletion, and not forgotten when a later load no longer names the key. Found by reading; KeyedValuesTest.keyThatIsMissingInALaterLoadStaysDeleted shows it.

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -75,7 +75,7 @@
     std::function<auto(const std::string &reason)->void> onUnavailable;
     std::function<auto()->void> onAvailable;
     std::function<auto(std::string_view bytes)->void> onMalformed;
-    // Records from `offset` on expired before they were read; the newest values are read again.
+    // Records from `from` on expired before they were read; the newest values are read again.
     std::function<auto(const log_position &from)->void> onRecordsExpired;
     // The service came back from an older copy; the newest values are read again. `from` is where
     // this process would have read on.
--- a/packages/coordination/keyed_values.cpp
+++ b/packages/coordination/keyed_values.cpp
@@ -30,7 +30,10 @@
 {
     for (auto next = m_entries.begin(); next != m_entries.end();) {
         const auto &known = next->second.known;
-        if (!known.value || m_loaded.contains(next->first)) {
+        if (m_loaded.contains(next->first)) {
+            ++next;
+        } else if (!known.value) {
+            m_kept.erase(next->first);
             ++next;
         } else if (known.position.era == end.era) {
             m_kept.erase(next->first);
@@ -78,6 +81,13 @@
     return true;
 }
 
+auto keyed_values::clear() -> void
+{
+    m_entries.clear();
+    m_kept.clear();
+    m_deletions.clear();
+}
+
 auto keyed_values::keys() const -> key_set
 {
     key_set keys;
--- a/packages/coordination/keyed_values.h
+++ b/packages/coordination/keyed_values.h
@@ -72,7 +72,7 @@
     auto learn(const keyed_record &record, const log_position &end, time_point now) -> bool;
 
     // Forgets all.
-    auto clear() -> void { m_entries.clear(); }
+    auto clear() -> void;
 
     // The keys that have a value, and their records.
     [[nodiscard]] auto keys() const -> key_set;
--- a/packages/coordination/testing/keyed_values_test.cpp
+++ b/packages/coordination/testing/keyed_values_test.cpp
@@ -103,6 +103,18 @@
     }
 }
 
+// Guards against a key that comes back although it was deleted again: the copy held it, and the
+// record of its second deletion expired unread.
+TEST_F(KeyedValuesTest, keyThatIsMissingInALaterLoadStaysDeleted)
+{
+    load({recordOf("v4", {.era = 1, .offset = 8})}, {.era = 1, .offset = 9}, start);
+    m_values.apply(recordOf("", {.era = 1, .offset = 9}), start);
+    load({recordOf("v4", {.era = 2, .offset = 8})}, {.era = 2, .offset = 9}, start);
+    load({}, {.era = 2, .offset = 90}, start);
+    EXPECT_TRUE(m_values.takeDecided(start + rewriteTime).empty());
+    EXPECT_EQ(value(), "");
+}
+
 TEST_F(KeyedValuesTest, appendedRecordOfTheNewEraCountsAtOnce)
 {
     load({recordOf("a", {.era = 1, .offset = 8})}, {.era = 1, .offset = 9}, start);
