--- a/packages/forwarding/usage_duty.cpp
+++ b/packages/forwarding/usage_duty.cpp
@@ -139,7 +139,7 @@
         record.sealed.erase(record.sealed.begin());
     m_lastAppend = record;
     m_lastAppendAt = now;
-    return {.at = at, .record = std::move(record)};
+    return {.at = at, .record = std::move(record), .waited = now - m_recordSeenAt};
 }
 
 auto usage_duty::onRead(std::optional<duty_record> record, const log_position &end, time_point now)
--- a/packages/forwarding/usage_duty.h
+++ b/packages/forwarding/usage_duty.h
@@ -95,6 +95,8 @@
 {
     log_position at;
     duty_record record;
+    // Time since this process first saw the record that is replaced.
+    duration waited{};
 };
 
 using duty_action = std::variant<read_duty, append_duty, usage_report>;
--- a/packages/forwarding/usage_duty_driver.h
+++ b/packages/forwarding/usage_duty_driver.h
@@ -105,10 +105,12 @@
              .at = append.at,
              .records
              = {log_type::encodeKeyedRecord(location.key, encodeDutyRecord(append.record))}},
-            [this, fencing = append.record.fencing](const log_append_outcome &outcome) {
+            [this, fencing = append.record.fencing,
+             waited = append.waited](const log_append_outcome &outcome) {
                 m_duty.onAppend(outcome, m_clock.now());
                 m_log.write(dutyClaimed, field("duty", "usage"), field("fencing", fencing),
                             field("result", outcomeName(outcome)),
+                            field("waited_ms", toMilliseconds(waited)),
                             field("sealed_to", m_duty.sealedTo()));
                 step();
             });
