--- a/packages/policy/testing/account_places_test.cpp
+++ b/packages/policy/testing/account_places_test.cpp
@@ -1,6 +1,8 @@
 #include "policy/account_places.h"
 
 #include <random>
+#include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
