Derive what can be derived in the duty, the values and the places

No behaviour changes. The usage duty kept the whole record of an ended era only to know that there is one; the nonce that it notes says so. The keys named by a load are forgotten when the load ends, not at the next one. Places are looked up by the account's name without a copy of it, on each request. The endpoints' callback for an ended era is chained like the one for the log's return.

--- a/packages/coordination/keyed_values.cpp
+++ b/packages/coordination/keyed_values.cpp
@@ -44,6 +44,7 @@
             ++next;
         }
     }
+    m_loaded.clear();
 }
 
 auto keyed_values::takeDecided(time_point now) -> std::vector<keyed_record>
--- a/packages/coordination/keyed_values.h
+++ b/packages/coordination/keyed_values.h
@@ -107,7 +107,7 @@
     std::unordered_map<std::string, entry> m_entries;
     std::unordered_map<std::string, kept_state> m_kept;
     // Keys that the load in progress has named.
-    std::set<std::string, std::less<>> m_loaded;
+    key_set m_loaded;
     // When keys were deleted, in order.
     std::deque<std::pair<time_point, std::string>> m_deletions;
 };
--- a/packages/forwarding/fleet_view.h
+++ b/packages/forwarding/fleet_view.h
@@ -125,14 +125,11 @@
             onUpdates({.from = from, .end = end, .records = std::exchange(m_changedRecords, {})});
         };
         m_endpoints.onAvailable = [this] { m_directory.onLogAvailable(m_clock.now()); };
+        // Registrations may have expired while the log was away.
+        m_endpoints.onEraEnded
+            = [this](const log_position &) { m_directory.onLogAvailable(m_clock.now()); };
         logAvailability(m_configuration, "configuration");
         logAvailability(m_endpoints, "endpoints");
-        m_endpoints.onEraEnded
-            = [this, then = std::move(m_endpoints.onEraEnded)](const log_position &from) {
-                  // Registrations may have expired while the log was away.
-                  m_directory.onLogAvailable(m_clock.now());
-                  then(from);
-              };
         m_configuration.start();
         m_endpoints.start();
     }
@@ -249,10 +246,13 @@
         follower.onRecordsExpired = [this, topic](const log_position &from) {
             m_log.write(logHistoryLost, field("topic", topic), field("offset", from.offset));
         };
-        follower.onEraEnded = [this, topic](const log_position &from) {
-            m_log.write(logEraEnded, field("topic", topic), field("era", from.era),
-                        field("offset", from.offset));
-        };
+        follower.onEraEnded
+            = [this, topic, then = std::move(follower.onEraEnded)](const log_position &from) {
+                  m_log.write(logEraEnded, field("topic", topic), field("era", from.era),
+                              field("offset", from.offset));
+                  if (then)
+                      then(from);
+              };
         follower.onMalformed = [this, topic](std::string_view bytes) {
             m_log.write(recordMalformed, field("topic", topic), field("bytes", bytes.size()));
         };
--- a/packages/forwarding/usage_duty.cpp
+++ b/packages/forwarding/usage_duty.cpp
@@ -81,7 +81,7 @@
 {
     if (isHolder() && (isCurrent() || now < m_holdsUntil))
         return true;
-    const bool isFirst = !m_record && !m_staleRecord && m_end->era == 0;
+    const bool isFirst = !m_record && !isAnyInLog() && m_end->era == 0;
     return now - m_readAt <= m_options.maxReadAge
            && (isFirst || now - m_recordSeenAt >= m_options.term);
 }
@@ -113,7 +113,7 @@
 auto usage_duty::newestToSeal(unix_milliseconds unixNow, const usage_windows &usage) const
     -> std::int64_t
 {
-    const bool isAnothers = (m_record || m_staleRecord) && !isHolder();
+    const bool isAnothers = (m_record || isAnyInLog()) && !isHolder();
     const auto after = isAnothers ? m_options.takeOverAfter : m_options.sealAfter;
     return usage.windowOf(unixNow - toMilliseconds(after)) - 1;
 }
@@ -151,7 +151,7 @@
     m_readAt = now;
     m_end = end;
     if (!record || record->era != end.era) {
-        setStaleRecord(std::move(record), now);
+        setStaleRecord(record, now);
         return;
     }
     // An append of this process that was not confirmed did take effect.
@@ -164,14 +164,13 @@
 {
     noteLogRecord(record.nonce, seenAt);
     m_mustSkip = false;
-    m_staleRecord.reset();
     noteWindows(record);
     m_record = std::move(record);
 }
 
 // The log holds no record of its era. One of an earlier era comes from the copy, or was appended
 // late; its figures may differ from those that were reported, so only its windows count.
-auto usage_duty::setStaleRecord(std::optional<duty_record> record, time_point seenAt) -> void
+auto usage_duty::setStaleRecord(const std::optional<duty_record> &record, time_point seenAt) -> void
 {
     const bool isNew = noteLogRecord(record ? record->nonce : "", seenAt);
     if (m_end->era == 0)
@@ -182,7 +181,6 @@
     const bool isOwn = record && m_lastAppend && record->nonce == m_lastAppend->nonce;
     if (record && !isOwn)
         noteWindows(*record);
-    m_staleRecord = std::move(record);
 }
 
 // Returns whether the log holds another record than when it was last read in this era.
--- a/packages/forwarding/usage_duty.h
+++ b/packages/forwarding/usage_duty.h
@@ -151,7 +151,9 @@
     [[nodiscard]] auto makeAppend(std::int64_t last, time_point now, const usage_windows &usage)
         -> append_duty;
     auto setRecord(duty_record record, time_point seenAt) -> void;
-    auto setStaleRecord(std::optional<duty_record> record, time_point seenAt) -> void;
+    auto setStaleRecord(const std::optional<duty_record> &record, time_point seenAt) -> void;
+    // Whether there was a record in the log when it was last read, of whatever era.
+    [[nodiscard]] auto isAnyInLog() const -> bool { return m_logNonce && !m_logNonce->empty(); }
     auto noteLogRecord(const std::string &nonce, time_point seenAt) -> bool;
     auto noteWindows(const duty_record &record) -> void;
     auto backOff(time_point now) -> void;
@@ -160,8 +162,6 @@
     // The last known record that was the state of the duty when it was read or written.
     std::optional<duty_record> m_record;
     std::optional<log_position> m_end;
-    // The record in the log, if it is of an earlier era than the log.
-    std::optional<duty_record> m_staleRecord;
     // The nonce of the record in the log, empty if there is none; not known before the first read
     // of an era. And when this process first read it.
     std::optional<std::string> m_logNonce;
--- a/packages/policy/account_places.cpp
+++ b/packages/policy/account_places.cpp
@@ -4,8 +4,7 @@
 
 auto account_places::take(std::string_view account) -> bool
 {
-    const std::string name(account);
-    const auto found = m_accounts.find(name);
+    const auto found = m_accounts.find(account);
     const auto own = found == m_accounts.end() ? 0 : found->second;
     if (m_taken >= m_places - m_places / keptDivisor) {
         const auto accounts = m_accounts.size() + (own == 0 ? 1 : 0);
@@ -14,14 +13,17 @@
         if (m_taken >= m_places || own >= share)
             return false;
     }
-    ++m_accounts[name];
+    if (found == m_accounts.end())
+        m_accounts.emplace(account, 1);
+    else
+        ++found->second;
     ++m_taken;
     return true;
 }
 
 auto account_places::release(std::string_view account) -> void
 {
-    const auto found = m_accounts.find(std::string(account));
+    const auto found = m_accounts.find(account);
     if (found == m_accounts.end())
         return;
     --m_taken;
--- a/packages/policy/account_places.h
+++ b/packages/policy/account_places.h
@@ -11,9 +11,10 @@
 // equal share, so that one account cannot take them all, however many requests it starts.
 
 #include <cstddef>
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 
 namespace mustardline {
 
@@ -37,7 +38,7 @@
     std::size_t m_places;
     std::size_t m_taken = 0;
     // Places by account; accounts without one are absent.
-    std::unordered_map<std::string, std::size_t> m_accounts;
+    std::map<std::string, std::size_t, std::less<>> m_accounts;
 };
 
 } // namespace mustardline
