Take the limits of an edge from its settings, control group and resource limits

What callers saw: edges were gone while clients held much open; shown by hand, 1,500 clients that stop half-way through 4 MB bodies take an edge with the settings of the template to 2,970 MB, of the 260 MB of its VM, and 5,456 half-sent requests to 4,107 descriptors of 4,100.

Cause: the template passed neither limits.memory_mb nor limits.max_fds, and an edge without them asked the host: the memory of the whole box, the descriptors of the shell. Class: a limit that is read from where it does not hold.

Change: the template passes both. net/process_limits takes the smallest of the settings, the control groups (both versions, the groups above included), the resource limits and the VM; the kernel enforces max_descriptors from the start. The gauges of edge_process.h have a file of their own.

SettingsTemplateTest.limitsOfTheVmArriveInTheSettings does not compile before, as its fields did not exist; ProcessLimitsTest and ControlGroupTest are new. net_test, forwarding_test and platform_test pass.

--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -19,6 +19,7 @@
 #include "base/hashing.h"
 #include "base/log.h"
 #include "base/log_output.h"
+#include "forwarding/edge_gauges.h"
 #include "forwarding/edge_settings.h"
 #include "forwarding/endpoint_directory.h"
 #include "forwarding/events.h"
@@ -67,6 +68,8 @@
     edge_process(std::string settingsFile, edge_settings settings)
         : m_settingsFile(std::move(settingsFile)),
           m_settings(std::move(settings)),
+          m_memory(memoryLimit(m_settings.memoryBytes)),
+          m_descriptors(applyDescriptorLimit(m_settings.maxDescriptors)),
           m_output({}),
           m_crashReport(m_output),
           m_boot(randomId()),
@@ -77,7 +80,7 @@
           m_platform(m_controlHttp, m_settings),
           m_directory({}),
           m_heldBytes(std::make_shared<byte_budget>(
-              byte_budget_options{.capacityBytes = callerBytes(m_settings.memoryBytes)})),
+              byte_budget_options{.capacityBytes = callerBytes(m_memory.value)})),
           m_callers(m_loop, {.address = m_settings.callers.host,
                              .port = m_settings.callers.port,
                              .maxConnections = maxRequests(),
@@ -90,7 +93,7 @@
                    {.dataCentre = m_settings.dataCentre,
                     .names = Platform::headers(),
                     .seed = randomBits(),
-                    .maxHeldBytes = m_settings.memoryBytes / heldMemoryDivisor,
+                    .maxHeldBytes = m_memory.value / heldMemoryDivisor,
                     .maxRequests = maxRequests(),
                     .retries = {.ratio = m_settings.retryRatio,
                                 .slack = m_settings.retrySlack,
@@ -117,46 +120,14 @@
           m_fleetView(m_loop, m_platform.log(), m_log, m_routes, m_directory),
           m_streams(m_loop, m_platform.log(), m_exchange, m_peers, m_router, m_fleetView,
                     {.registrationInterval = m_settings.registrationInterval}),
-          m_version(m_metrics.add({.name = "mustardline_configuration_version",
-                                   .help = "The version of the configuration in force.",
-                                   .kind = counter_kind::gauge})),
-          m_usable(m_metrics.add({.name = "mustardline_endpoints_usable",
-                                  .help = "Endpoints that may get new work.",
-                                  .kind = counter_kind::gauge})),
-          m_peersLive(m_metrics.add({.name = "mustardline_edges_live",
-                                     .help = "Edges heard of lately, this one included.",
-                                     .kind = counter_kind::gauge})),
-          m_endpointsUneven(
-              m_metrics.add({.name = "mustardline_endpoints_uneven",
-                             .help = "Endpoints slower or faster than the mean of their service.",
-                             .kind = counter_kind::gauge})),
-          m_logAge(m_metrics.add({.name = "mustardline_log_age_milliseconds",
-                                  .help = "Time since the log service last answered.",
-                                  .kind = counter_kind::gauge})),
-          m_logEra(m_metrics.add({.name = "mustardline_log_era",
-                                  .help = "The era that the log service names in its answers.",
-                                  .kind = counter_kind::gauge})),
-          m_recordsKept(m_metrics.add(
-              {.name = "mustardline_records_kept",
-               .help = "Records that hold although the log has lost them or holds older ones.",
-               .kind = counter_kind::gauge})),
-          m_otherEraDrops(m_metrics.add(
-              {.name = "mustardline_other_era_drops",
-               .help = "Answers of the log and messages of peers that were of another era.",
-               .kind = counter_kind::gauge})),
-          m_rolloutsRunning(m_metrics.add({.name = "mustardline_rollouts_running",
-                                           .help = "Roll-outs without a verdict.",
-                                           .kind = counter_kind::gauge})),
-          m_rolloutSends(m_metrics.add(
-              {.name = "mustardline_rollout_sends",
-               .help = "Requests that this edge sent to the new versions of ordered roll-outs.",
-               .kind = counter_kind::gauge}))
+          m_gauges(m_metrics)
     {}
 
     // Runs until SIGTERM; returns the program's exit status.
     [[nodiscard]] auto run() -> int
     {
         returnLargeBlocks();
+        reportLimits();
         if (!listen())
             return exitCannotListen;
         followLog();
@@ -198,12 +169,24 @@
     // second.
     static constexpr duration shutdownInterval = std::chrono::milliseconds(50);
 
+    auto reportLimits() -> void
+    {
+        m_gauges.setLimits({.memoryBytes = m_memory.value, .descriptors = m_descriptors.value});
+        m_log.write(limitsInForce, field("memory_bytes", m_memory.value),
+                    field("memory_source", sourceName(m_memory.source)),
+                    field("descriptors", m_descriptors.value),
+                    field("descriptors_source", sourceName(m_descriptors.source)),
+                    field("connections", maxRequests()));
+    }
+
     auto listen() -> bool
     {
         m_callers.onRequest([this](const auto &exchange) { handleRequest(exchange); });
         m_readiness.onRequest([this](const auto &exchange) { respondReadiness(exchange); });
-        m_metricsServer.onRequest(
-            [this](const auto &exchange) { exchange->reply(200, {}, m_metrics.text()); });
+        m_metricsServer.onRequest([this](const auto &exchange) {
+            m_gauges.updateUsage();
+            exchange->reply(200, {}, m_metrics.text());
+        });
         std::vector ports{m_exchange.start(), m_snapshots.listen(), m_callers.listen(),
                           m_readiness.listen()};
         if (m_settings.metricsPort != 0)
@@ -250,9 +233,9 @@
     }
 
     // Requests of callers at the same time: each takes a connection of its own.
-    [[nodiscard]] static auto maxRequests() -> std::size_t
+    [[nodiscard]] auto maxRequests() const -> std::size_t
     {
-        return callerConnections(descriptorLimit(), maxCallerConnections);
+        return callerConnections(m_descriptors.value, maxCallerConnections);
     }
 
     auto followLog() -> void
@@ -391,19 +374,18 @@
     auto updateGauges(time_point now) -> void
     {
         const auto &entries = m_directory.entries();
-        m_version.set(m_routes.current() ? static_cast<std::int64_t>(m_routes.current()->version)
-                                         : 0);
-        m_usable.set(std::ranges::count_if(
-            entries, [this](const auto &item) { return m_directory.isUsable(item.second); }));
-        m_peersLive.set(m_peers.liveCount(now));
-        m_rolloutsRunning.set(m_router.rollouts().runningCount());
-        m_rolloutSends.set(m_router.rollouts().sendCount());
-        m_endpointsUneven.set(static_cast<std::int64_t>(m_router.unevenEndpointCount()));
-        m_logAge.set(toMilliseconds(now - m_directory.upToDateAt()));
-        m_logEra.set(static_cast<std::int64_t>(m_platform.log().era()));
-        m_recordsKept.set(static_cast<std::int64_t>(m_fleetView.keptRecords()));
-        m_otherEraDrops.set(static_cast<std::int64_t>(m_platform.log().lateResponseCount()
-                                                      + m_fleetView.otherEraUpdates()));
+        m_gauges.update(
+            {.configurationVersion = m_routes.current() ? m_routes.current()->version : 0,
+             .usableEndpoints = std::ranges::count_if(
+                 entries, [this](const auto &item) { return m_directory.isUsable(item.second); }),
+             .liveEdges = m_peers.liveCount(now),
+             .unevenEndpoints = m_router.unevenEndpointCount(),
+             .logAgeMs = toMilliseconds(now - m_directory.upToDateAt()),
+             .logEra = m_platform.log().era(),
+             .keptRecords = m_fleetView.keptRecords(),
+             .otherEraDrops = m_platform.log().lateResponseCount() + m_fleetView.otherEraUpdates(),
+             .runningRollouts = m_router.rollouts().runningCount(),
+             .rolloutSends = m_router.rollouts().sendCount()});
     }
 
     auto runHousekeeping() -> void
@@ -469,6 +451,8 @@
 
     std::string m_settingsFile;
     edge_settings m_settings;
+    process_limit m_memory;
+    process_limit m_descriptors;
     system_runtime_clock m_clock;
     log_output m_output;
     crash_report m_crashReport;
@@ -496,16 +480,7 @@
     snapshot_exchange m_snapshots;
     fleet_view<Platform> m_fleetView;
     stream_origin_search<Platform> m_streams;
-    counter &m_version;
-    counter &m_usable;
-    counter &m_peersLive;
-    counter &m_endpointsUneven;
-    counter &m_logAge;
-    counter &m_logEra;
-    counter &m_recordsKept;
-    counter &m_otherEraDrops;
-    counter &m_rolloutsRunning;
-    counter &m_rolloutSends;
+    edge_gauges m_gauges;
     event_handle m_housekeepingTimer;
     event_handle m_rolloutTimer;
     bool m_isRolloutTimerSet = false;
--- a/packages/forwarding/edge_settings.cpp
+++ b/packages/forwarding/edge_settings.cpp
@@ -7,7 +7,6 @@
 
 #include "base/settings_reader.h"
 #include "net/held_signals.h"
-#include "net/process_limits.h"
 
 namespace mustardline {
 
@@ -19,6 +18,7 @@
 constexpr double maxSeconds = 3600;
 constexpr std::int64_t maxColdSlack = 10'000;
 constexpr std::int64_t maxMegabytes = 1 << 20;
+constexpr std::int64_t maxDescriptors = 1 << 20;
 constexpr unsigned bytesPerMegabyteLog2 = 20;
 
 // Parses IP:PORT; the first failure is stored in `failure`.
@@ -70,9 +70,12 @@
     settings.retryWindow = readSeconds(reader, "repeat_window_s", settings.retryWindow);
     settings.coldSlack = static_cast<std::uint32_t>(reader.integer(
         "cold_slack", {.lowest = 1, .highest = maxColdSlack, .fallback = settings.coldSlack}));
-    const auto megabytes = static_cast<std::uint64_t>(
-        reader.integer("memory_mb", {.lowest = 0, .highest = maxMegabytes, .fallback = 0}));
-    settings.memoryBytes = megabytes > 0 ? megabytes << bytesPerMegabyteLog2 : vmMemoryBytes();
+    const auto megabytes = static_cast<std::uint64_t>(reader.integer(
+        "memory_mb", {.lowest = 0, .highest = maxMegabytes, .fallback = 0, .mayBeUnfilled = true}));
+    settings.memoryBytes = megabytes << bytesPerMegabyteLog2;
+    settings.maxDescriptors = static_cast<std::uint64_t>(reader.integer(
+        "max_descriptors",
+        {.lowest = 0, .highest = maxDescriptors, .fallback = 0, .mayBeUnfilled = true}));
     settings.stopGrace = readSeconds(reader, "stop_grace_s", settings.stopGrace);
     settings.registrationInterval = std::chrono::milliseconds(reader.integer(
         "registration_interval_ms",
--- a/packages/forwarding/edge_settings.h
+++ b/packages/forwarding/edge_settings.h
@@ -44,8 +44,10 @@
     duration retryWindow = std::chrono::seconds(10);
     // Requests per second that a cold endpoint accepts beyond the rate that its service declares.
     std::uint32_t coldSlack = 1;
-    // Memory that this process may use: that of the VM if the file does not say.
-    std::uint64_t memoryBytes = 256U << 20U;
+    // Memory in bytes and descriptors that this process may use; 0 if the file does not say (see
+    // net/process_limits.h).
+    std::uint64_t memoryBytes = 0;
+    std::uint64_t maxDescriptors = 0;
     // Time from SIGTERM until the process is killed.
     duration stopGrace = std::chrono::seconds(5);
     // Interval at which endpoints register again; zero if it is not known.
