Bound the connections of every port and client of an edge

What callers saw: connection attempts without an answer. Shown by hand: 5,000 idle connections to the ports of counters and readiness take all descriptors; the listeners then use a whole core and print 282 MB of "accept: Too many open files" within seconds, by a call that waits for the reader of standard error.

Cause: three of four ports accepted without a bound, connections to endpoints had one for each endpoint only, and libevent tries a failed accept again at once and prints the error itself. Class: what is shared by all parts has a bound at one of them.

Change: resource_plan divides the descriptors among all parts, so that they add up to less than the limit. At its limit each server replaces the connection that waits for longest, each client closes the one that was idle for longest. A failed accept frees a waiting connection or pauses for 100 ms, and is logged once. What libevent and protobuf print goes through the bounded log.

EdgeLimitsTest.idleConnectionsToAnyPortLeaveDescriptorsToOthers is red on (no port answers) and passes now, one run each. HttpTest.acceptingPausesWhileThereAreNoDescriptors, idleConnectionsGiveWay..., newConnectionTakesThePlace..., clientClosesTheLongestIdle... and callBeyondTheLimit... are new, as the interfaces are. callerConnections became a part of resource_plan; ResourcePlanTest checks all parts over all limits where the test before checked three values. net_test and forwarding_test pass; the crowd of HostileClientsTest moved to a fixture of its own, unchanged.

--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -26,7 +26,9 @@
 #include "forwarding/fleet_view.h"
 #include "forwarding/forward_router.h"
 #include "forwarding/header_names.h"
+#include "forwarding/library_log.h"
 #include "forwarding/peer_exchange.h"
+#include "forwarding/resource_plan.h"
 #include "forwarding/rollout_driver.h"
 #include "forwarding/route_table.h"
 #include "forwarding/shutdown_schedule.h"
@@ -70,31 +72,38 @@
           m_settings(std::move(settings)),
           m_memory(memoryLimit(m_settings.memoryBytes)),
           m_descriptors(applyDescriptorLimit(m_settings.maxDescriptors)),
+          m_plan(
+              planResources({.memoryBytes = m_memory.value, .descriptors = m_descriptors.value})),
           m_output({}),
           m_crashReport(m_output),
           m_boot(randomId()),
           m_log({.sink = [this](std::string_view line) { m_output.add(line); }}),
-          m_controlHttp(m_loop, {.connectTimeout = controlConnectTimeout}),
+          m_libraryLog(m_log),
+          m_controlHttp(m_loop, {.connectTimeout = controlConnectTimeout,
+                                 .maxConnections = m_plan.controlConnections}),
           m_endpointHttp(m_loop, {.connectTimeout = endpointConnectTimeout,
+                                  .maxConnections = m_plan.endpointConnections,
                                   .maxIdlePerAddress = maxIdlePerEndpoint}),
           m_platform(m_controlHttp, m_settings),
           m_directory({}),
           m_heldBytes(std::make_shared<byte_budget>(
-              byte_budget_options{.capacityBytes = callerBytes(m_memory.value)})),
+              byte_budget_options{.capacityBytes = m_plan.callerBytes})),
           m_callers(m_loop, {.address = m_settings.callers.host,
                              .port = m_settings.callers.port,
-                             .maxConnections = maxRequests(),
+                             .maxConnections = m_plan.callerConnections,
                              .budget = m_heldBytes}),
-          m_readiness(m_loop,
-                      {.address = m_settings.readiness.host, .port = m_settings.readiness.port}),
-          m_metricsServer(m_loop,
-                          {.address = m_settings.callers.host, .port = m_settings.metricsPort}),
+          m_readiness(m_loop, {.address = m_settings.readiness.host,
+                               .port = m_settings.readiness.port,
+                               .maxConnections = m_plan.readinessConnections}),
+          m_metricsServer(m_loop, {.address = m_settings.callers.host,
+                                   .port = m_settings.metricsPort,
+                                   .maxConnections = m_plan.metricsConnections}),
           m_router(m_loop, m_endpointHttp, m_log, m_metrics, m_routes, m_directory,
                    {.dataCentre = m_settings.dataCentre,
                     .names = Platform::headers(),
                     .seed = randomBits(),
-                    .maxHeldBytes = m_memory.value / heldMemoryDivisor,
-                    .maxRequests = maxRequests(),
+                    .maxHeldBytes = m_plan.responseBytes,
+                    .maxRequests = m_plan.callerConnections,
                     .retries = {.ratio = m_settings.retryRatio,
                                 .slack = m_settings.retrySlack,
                                 .window = m_settings.retryWindow},
@@ -116,7 +125,8 @@
                   m_clock.now()),
           m_exchange(m_loop, {.name = m_settings.name, .boot = m_boot, .address = m_settings.peers},
                      m_peers, m_usage, m_wallClock),
-          m_snapshots(m_loop, m_controlHttp, m_settings.peers),
+          m_snapshots(m_loop, m_controlHttp,
+                      {.address = m_settings.peers, .maxConnections = m_plan.peerConnections}),
           m_fleetView(m_loop, m_platform.log(), m_log, m_routes, m_directory),
           m_streams(m_loop, m_platform.log(), m_exchange, m_peers, m_router, m_fleetView,
                     {.registrationInterval = m_settings.registrationInterval}),
@@ -154,10 +164,6 @@
     static constexpr duration controlConnectTimeout = std::chrono::milliseconds(1000);
     static constexpr duration endpointConnectTimeout = std::chrono::milliseconds(300);
     static constexpr std::size_t maxIdlePerEndpoint = 100;
-    static constexpr std::size_t maxCallerConnections = 4096;
-    // Fraction of the memory that holds responses. The text of a response that grows can take three
-    // times its length, and callers' requests and connections need the rest.
-    static constexpr std::uint64_t heldMemoryDivisor = 8;
     // Added to the lease term of the settings, so that two holders are at least one term apart.
     static constexpr duration leaseSlack = std::chrono::milliseconds(500);
     // Interval between announcements to the other edges.
@@ -176,7 +182,7 @@
                     field("memory_source", sourceName(m_memory.source)),
                     field("descriptors", m_descriptors.value),
                     field("descriptors_source", sourceName(m_descriptors.source)),
-                    field("connections", maxRequests()));
+                    field("connections", m_plan.callerConnections));
     }
 
     auto listen() -> bool
@@ -187,6 +193,10 @@
             m_gauges.updateUsage();
             exchange->reply(200, {}, m_metrics.text());
         });
+        reportAccepting(m_callers, "callers");
+        reportAccepting(m_readiness, "readiness");
+        reportAccepting(m_metricsServer, "metrics");
+        reportAccepting(m_snapshots.server(), "peers");
         std::vector ports{m_exchange.start(), m_snapshots.listen(), m_callers.listen(),
                           m_readiness.listen()};
         if (m_settings.metricsPort != 0)
@@ -204,6 +214,15 @@
         return true;
     }
 
+    // Logs when `server` cannot accept connections, and when it can again.
+    auto reportAccepting(http_server &server, std::string_view name) -> void
+    {
+        server.onAcceptPaused = [this, name](std::string_view reason) {
+            m_log.write(acceptPaused, field("port", name), field("reason", reason));
+        };
+        server.onAcceptResumed = [this, name] { m_log.write(acceptResumed, field("port", name)); };
+    }
+
     auto handleRequest(const std::shared_ptr<http_exchange> &exchange) -> void
     {
         // A request that arrives this late could not be completed before the process is killed.
@@ -232,12 +251,6 @@
         return m_routes.current() && m_fleetView.hasEndpoints();
     }
 
-    // Requests of callers at the same time: each takes a connection of its own.
-    [[nodiscard]] auto maxRequests() const -> std::size_t
-    {
-        return callerConnections(m_descriptors.value, maxCallerConnections);
-    }
-
     auto followLog() -> void
     {
         m_fleetView.onConfiguration = [this](const fleet_configuration &configuration) {
@@ -453,12 +466,14 @@
     edge_settings m_settings;
     process_limit m_memory;
     process_limit m_descriptors;
+    resource_plan m_plan;
     system_runtime_clock m_clock;
     log_output m_output;
     crash_report m_crashReport;
     // Unique per process start.
     std::string m_boot;
     logger m_log;
+    library_log m_libraryLog;
     counters m_metrics;
     event_loop m_loop;
     http_client m_controlHttp;
--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -24,6 +24,15 @@
     5006, "limits_in_force", log_level::info,
     "The memory and the descriptors that the process may use, and what each follows from."};
 
+inline constexpr log_event libraryMessage{
+    5007, "library_message", log_level::warning,
+    "A library reports an error; the line says how many of its messages were left out before."};
+inline constexpr log_event acceptPaused{
+    5008, "accept_paused", log_level::warning,
+    "New connections cannot be accepted for a moment; it is tried again."};
+inline constexpr log_event acceptResumed{5009, "accept_resumed", log_level::info,
+                                         "New connections are accepted again."};
+
 inline constexpr log_event forwardPlaced{5010, "forward_placed", log_level::info,
                                          "A request was sent to an endpoint."};
 inline constexpr log_event forwardEnded{5011, "forward_ended", log_level::info,
@@ -114,44 +123,27 @@
 inline constexpr log_event logEraBegan{5042, "log_era_began", log_level::info,
                                        "The log answers in a later era than before."};
 
-inline constexpr auto forwardingEvents = std::to_array<log_event>({edgeStarted,
-                                                                   edgeReady,
-                                                                   edgeStopping,
-                                                                   edgeStopped,
-                                                                   edgeFailed,
-                                                                   settingsReloaded,
-                                                                   limitsInForce,
-                                                                   forwardPlaced,
-                                                                   forwardEnded,
-                                                                   forwardRetried,
-                                                                   forwardNotSent,
-                                                                   forwardStalled,
-                                                                   responseGivenUp,
-                                                                   forwardResumed,
-                                                                   streamResumeRequested,
-                                                                   streamVersionDoubted,
-                                                                   configurationInForce,
-                                                                   recordMalformed,
-                                                                   endpointChanged,
-                                                                   evacuationChanged,
-                                                                   logServiceLost,
-                                                                   logServiceBack,
-                                                                   logHistoryLost,
-                                                                   knowledgeAsked,
-                                                                   endpointLeaves,
-                                                                   endpointPauses,
-                                                                   dutyClaimed,
-                                                                   usageWindowReported,
-                                                                   lanesChanged,
-                                                                   promptPartBlocked,
-                                                                   rolloutOrdered,
-                                                                   rolloutMoves,
-                                                                   rolloutJudged,
-                                                                   rolloutRecorded,
-                                                                   rolloutAdopted,
-                                                                   rolloutWithdrawn,
-                                                                   endpointSpeedChanged,
-                                                                   logEraEnded,
-                                                                   logEraBegan});
+inline constexpr auto forwardingEvents
+    = std::to_array<log_event>({edgeStarted,          edgeReady,
+                                edgeStopping,         edgeStopped,
+                                edgeFailed,           settingsReloaded,
+                                limitsInForce,        libraryMessage,
+                                acceptPaused,         acceptResumed,
+                                forwardPlaced,        forwardEnded,
+                                forwardRetried,       forwardNotSent,
+                                forwardStalled,       responseGivenUp,
+                                forwardResumed,       streamResumeRequested,
+                                streamVersionDoubted, configurationInForce,
+                                recordMalformed,      endpointChanged,
+                                evacuationChanged,    logServiceLost,
+                                logServiceBack,       logHistoryLost,
+                                knowledgeAsked,       endpointLeaves,
+                                endpointPauses,       dutyClaimed,
+                                usageWindowReported,  lanesChanged,
+                                promptPartBlocked,    rolloutOrdered,
+                                rolloutMoves,         rolloutJudged,
+                                rolloutRecorded,      rolloutAdopted,
+                                rolloutWithdrawn,     endpointSpeedChanged,
+                                logEraEnded,          logEraBegan});
 
 } // namespace mustardline
--- /dev/null
+++ b/packages/forwarding/resource_plan.h
@@ -0,0 +1,69 @@
+#pragma once
+
+// How an edge divides the memory and the descriptors that it may use.
+//
+//     constexpr auto plan = planResources({.memoryBytes = 160U << 20U, .descriptors = 4100});
+//     http_server callers(loop, {.maxConnections = plan.callerConnections});
+//
+// The parts add up to less than the limits, whatever the limits are (see docs/CAPACITY.md).
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+
+namespace mustardline {
+
+struct resource_limits
+{
+    std::uint64_t memoryBytes = 0;
+    std::uint64_t descriptors = 0;
+};
+
+struct resource_plan
+{
+    // Bytes that are held for callers: requests, and responses that are not read.
+    std::size_t callerBytes = 0;
+    // Bytes of responses that are not yet whole. The text of a response that grows can take three
+    // times its length.
+    std::size_t responseBytes = 0;
+
+    // Connections of callers; each request under way has one.
+    std::size_t callerConnections = 0;
+    // Connections to endpoints, idle ones included.
+    std::size_t endpointConnections = 0;
+    // Connections to the log and the duty service, and to other edges.
+    std::size_t controlConnections = 0;
+    // Connections that ask for readiness, for counters, and those of other edges.
+    std::size_t readinessConnections = 0;
+    std::size_t metricsConnections = 0;
+    std::size_t peerConnections = 0;
+};
+
+// Descriptors for files, the log, listeners and the event loop.
+inline constexpr std::size_t reservedDescriptors = 200;
+inline constexpr std::size_t maxCallerConnections = 4096;
+
+constexpr auto planResources(const resource_limits &limits) -> resource_plan
+{
+    constexpr std::size_t sides = 2;
+    // Connections that serve no caller take a quarter of a small number, and no more than this.
+    constexpr std::size_t mostOwnConnections = 96;
+    constexpr std::size_t ownDivisor = 4;
+    constexpr std::size_t leastDescriptors = 32;
+    const auto available = std::max<std::size_t>(
+        limits.descriptors > reservedDescriptors ? limits.descriptors - reservedDescriptors : 0,
+        leastDescriptors);
+    const auto own = std::min(mostOwnConnections, available / ownDivisor);
+    const auto forwarding = available - own;
+    const auto callers = std::min(maxCallerConnections, forwarding / sides);
+    return {.callerBytes = static_cast<std::size_t>(limits.memoryBytes * 3 / 8),
+            .responseBytes = static_cast<std::size_t>(limits.memoryBytes / 8),
+            .callerConnections = callers,
+            .endpointConnections = forwarding - callers,
+            .controlConnections = own / 2,
+            .readinessConnections = own / 8,
+            .metricsConnections = own / 8,
+            .peerConnections = own / 4};
+}
+
+} // namespace mustardline
--- a/packages/forwarding/snapshot_exchange.cpp
+++ b/packages/forwarding/snapshot_exchange.cpp
@@ -70,8 +70,11 @@
 }
 
 snapshot_exchange::snapshot_exchange(event_loop &loop, http_client &http,
-                                     const socket_address &address)
-    : m_http(http), m_server(loop, {.address = address.host, .port = address.port})
+                                     const snapshot_exchange_options &options)
+    : m_http(http),
+      m_server(loop, {.address = options.address.host,
+                      .port = options.address.port,
+                      .maxConnections = options.maxConnections})
 {
     m_server.onRequest([this](const auto &exchange) { respond(*exchange); });
 }
--- a/packages/forwarding/snapshot_exchange.h
+++ b/packages/forwarding/snapshot_exchange.h
@@ -3,7 +3,7 @@
 // Transfers a snapshot of the fleet's state from another edge over HTTP, for an edge that cannot
 // read the shared log. It uses the address at which edges reach each other.
 //
-//     snapshot_exchange snapshots(loop, http, {.host = ..., .port = ...});
+//     snapshot_exchange snapshots(loop, http, {.address = {.host = ..., .port = ...}});
 //     snapshots.onRequested = [] { return the snapshot of this edge; };
 //     snapshots.listen();
 //     snapshots.request(peer, [](const result<fleet_snapshot> &outcome) { ... });
@@ -33,12 +33,21 @@
     topic_snapshot endpoints;
 };
 
+struct snapshot_exchange_options
+{
+    socket_address address;
+    // Connections of other edges.
+    std::size_t maxConnections = 32;
+};
+
 class snapshot_exchange
 {
 public:
-    snapshot_exchange(event_loop &loop, http_client &http, const socket_address &address);
+    snapshot_exchange(event_loop &loop, http_client &http,
+                      const snapshot_exchange_options &options);
 
     [[nodiscard]] auto listen() -> result<std::uint16_t> { return m_server.listen(); }
+    [[nodiscard]] auto server() -> http_server & { return m_server; }
 
     // Returns this edge's snapshot, or nothing if it is not complete.
     std::function<auto()->std::optional<fleet_snapshot>> onRequested;
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -44,6 +44,9 @@
 {
     duration connectTimeout = std::chrono::seconds(2);
     std::size_t maxHeaderBytes = 64U << 10U;
+    // Maximum number of open connections, idle ones included. At the limit, the connection that has
+    // been idle for longest is closed; a call that finds none fails with `overloaded`, not sent.
+    std::size_t maxConnections = SIZE_MAX;
     // Maximum number of idle connections kept per address.
     std::size_t maxIdlePerAddress = 64;
     // How long a connection may be idle before it carries another request.
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -1,12 +1,14 @@
 #include "net/http_server.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <optional>
 #include <utility>
 #include <vector>
 
 #include <arpa/inet.h>
 #include <event2/listener.h>
+#include <event2/util.h>
 #include <fmt/format.h>
 #include <http_parser.h>
 
@@ -22,6 +24,8 @@
 constexpr int listenBacklog = 1024;
 // Interval of the check for timed-out connections; a timeout is overrun by at most this much.
 constexpr duration sweepInterval = std::chrono::milliseconds(500);
+// Time without accepting connections after the kernel gave none.
+constexpr duration acceptPause = std::chrono::milliseconds(100);
 // Input that a connection keeps while its request is under way; beyond it, reading pauses. It is
 // the size of a read, too, so that twice as much is kept at the most.
 constexpr std::size_t maxPendingBytes = 4U << 10U;
@@ -591,6 +595,10 @@
                      .message
                      = fmt::format("cannot listen on {}:{}", m_options.address, m_options.port)};
     }
+    // Without this callback, libevent prints each error, and tries again at once.
+    evconnlistener_set_error_cb(m_listener, [](evconnlistener *, void *argument) {
+        static_cast<http_server *>(argument)->handleAcceptError(EVUTIL_SOCKET_ERROR());
+    });
     m_sweep = m_loop.every(sweepInterval, [this] { closeTimedOut(); });
     sockaddr_in bound{};
     socklen_t length = sizeof bound;
@@ -600,6 +608,7 @@
 
 auto http_server::stopListening() -> void
 {
+    m_acceptRetry = {};
     if (m_listener != nullptr)
         evconnlistener_free(std::exchange(m_listener, nullptr));
 }
@@ -612,8 +621,21 @@
     m_options.headerTimeout = value.headerTimeout;
 }
 
+auto http_server::handleAcceptError(int code) -> void
+{
+    const bool lacksDescriptors = code == EMFILE || code == ENFILE;
+    if (lacksDescriptors && closeLongestWaiting())
+        return;
+    evconnlistener_disable(m_listener);
+    m_acceptRetry = m_loop.after(acceptPause, [this] { evconnlistener_enable(m_listener); });
+    if (!std::exchange(m_isAcceptPaused, true) && onAcceptPaused)
+        onAcceptPaused(evutil_socket_error_to_string(code));
+}
+
 auto http_server::addConnection(int descriptor, std::uint32_t address) -> void
 {
+    if (std::exchange(m_isAcceptPaused, false) && onAcceptResumed)
+        onAcceptResumed();
     auto stream = tcp_stream::adopt(m_loop, descriptor, m_options.stream);
     if (m_connections.size() >= m_options.maxConnections && !closeLongestWaiting())
         return;
@@ -634,8 +656,6 @@
 
 auto http_server::closeLongestWaiting() -> bool
 {
-    if (!m_options.budget)
-        return false;
     connection *chosen = nullptr;
     for (const auto &each : m_connections) {
         if (!each->current && (chosen == nullptr || each->waitsSince() < chosen->waitsSince()))
@@ -658,10 +678,8 @@
 
 auto http_server::hasRoom() const -> bool
 {
-    if (m_connections.size() < m_options.maxConnections)
-        return true;
-    return m_options.budget
-           && std::ranges::any_of(m_connections, [](const auto &each) { return !each->current; });
+    return m_connections.size() < m_options.maxConnections
+           || std::ranges::any_of(m_connections, [](const auto &each) { return !each->current; });
 }
 
 auto http_server::hasUndelivered() const -> bool
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -15,9 +15,12 @@
 //
 // Limits: a request that exceeds the body or header limit is answered with 413 or 431 and does not
 // reach the handler; a malformed request is answered with 400 and its connection is closed;
-// connections over the limit are closed on arrival, or, with a budget, the one that waits for
-// longest without a whole request is; a caller that sends nothing for longer than the idle timeout
-// within a request is disconnected.
+// at the limit of connections, a new one takes the place of the one that waits for longest without
+// a whole request, or is closed if there is none; a caller that sends nothing for longer than the
+// idle timeout within a request is disconnected.
+//
+// Without free descriptors, connections give way in the same way; if none can, accepting pauses for
+// a moment at a time, and `onAcceptPaused` is called once.
 //
 // With a `byte_budget`, connections that hold memory and do not go on give way when it runs out: a
 // stalled request is answered with 408, others and responses that are not read are closed. A whole
@@ -153,6 +156,10 @@
 
     auto onRequest(request_handler handler) -> void { m_handler = std::move(handler); }
 
+    // Called when connections cannot be accepted, with the error, and when they can be again.
+    std::function<auto(std::string_view reason)->void> onAcceptPaused;
+    std::function<auto()->void> onAcceptResumed;
+
     // Opens the socket; returns the port, or `listen_failed`.
     [[nodiscard]] auto listen() -> result<std::uint16_t>;
 
@@ -195,12 +202,17 @@
     // Closes the connection that has waited for longest without a whole request; returns whether
     // there was one.
     auto closeLongestWaiting() -> bool;
+    // The kernel gave no connection, with this error.
+    auto handleAcceptError(int code) -> void;
     auto closeTimedOut() -> void;
 
     event_loop &m_loop;
     http_server_options m_options;
     request_handler m_handler;
     evconnlistener *m_listener = nullptr;
+    // Accepts again after a pause.
+    event_handle m_acceptRetry;
+    bool m_isAcceptPaused = false;
     bool m_closing = false;
     std::set<std::shared_ptr<connection>> m_connections;
     event_handle m_sweep;
--- a/packages/net/process_limits.cpp
+++ b/packages/net/process_limits.cpp
@@ -1,8 +1,8 @@
 #include "net/process_limits.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
-#include <optional>
 
 #include <malloc.h>
 #include <sys/resource.h>
--- a/packages/net/process_limits.h
+++ b/packages/net/process_limits.h
@@ -4,13 +4,11 @@
 //
 //     const auto memory = memoryLimit(settings.memoryBytes);
 //     const auto descriptors = applyDescriptorLimit(settings.maxDescriptors);
-//     const auto connections = callerConnections(descriptors.value, 4096);
 //
 // A limit is the smallest of what the settings state, of what the control group and the process's
 // own resource limits allow, and of what the VM has. The VM alone is no limit to rely on: a process
 // may share it with others, and is killed or refused where its own part ends.
 
-#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -57,22 +55,4 @@
 // that come and go leave gaps, and the process keeps memory that no one holds.
 auto returnLargeBlocks() -> void;
 
-// Descriptors for files, the log and sockets of the process's own.
-inline constexpr std::size_t reservedDescriptors = 200;
-
-// Part of the memory for bytes that are held for callers: the rest is for the program, responses
-// that are not yet whole, and the kernel's buffers.
-constexpr auto callerBytes(std::uint64_t memoryBytes) -> std::size_t
-{
-    return static_cast<std::size_t>(memoryBytes * 3 / 8);
-}
-
-// Connections of callers at most: a request takes one of the caller's and one to an endpoint.
-constexpr auto callerConnections(std::size_t descriptors, std::size_t most) -> std::size_t
-{
-    const auto available
-        = descriptors > reservedDescriptors ? descriptors - reservedDescriptors : std::size_t(2);
-    return std::min(most, available / 2);
-}
-
 } // namespace mustardline
