Play the random runs of the usage duty as a test for each seed

The limit is a guard against hangs, so the work is divided instead: four seeds of 25 runs for each of both tests, as many steps as before.

--- a/packages/forwarding/testing/usage_duty_test.cpp
+++ b/packages/forwarding/testing/usage_duty_test.cpp
@@ -257,13 +257,18 @@
     EXPECT_EQ(search(2, 10, searchOptions(), 1), "");
 }
 
-// Runs of 600 random steps, with drills that are spread over them.
-auto randomRunViolation(int drills) -> std::string
+// Runs of 600 random steps, with drills that are spread over them. Each seed is a test of its own,
+// so that none takes long under sanitizers.
+class UsageDutyRandomTest : public testing::TestWithParam<unsigned>
+{};
+
+auto randomRunViolation(unsigned seed, int drills) -> std::string
 {
     constexpr int steps = 600;
-    std::mt19937 random(1);
+    constexpr int runs = 25;
+    std::mt19937 random(seed);
     std::uint64_t received = 0;
-    for (auto run = 0; run < 100; ++run) {
+    for (auto run = 0; run < runs; ++run) {
         auto simulation = makeSimulation(3, searchOptions());
         for (auto step = 0; step < steps; ++step) {
             if (random() % steps < static_cast<unsigned>(drills))
@@ -283,16 +288,18 @@
     return "";
 }
 
-TEST(UsageDutySearchTest, randomRunsHaveNoViolation)
+TEST_P(UsageDutyRandomTest, randomRunsHaveNoViolation)
 {
-    EXPECT_EQ(randomRunViolation(0), "");
+    EXPECT_EQ(randomRunViolation(GetParam(), 0), "");
 }
 
-TEST(UsageDutySearchTest, randomRunsWithDrillsHaveNoViolation)
+TEST_P(UsageDutyRandomTest, randomRunsWithDrillsHaveNoViolation)
 {
-    EXPECT_EQ(randomRunViolation(5), "");
+    EXPECT_EQ(randomRunViolation(GetParam(), 5), "");
 }
 
+INSTANTIATE_TEST_SUITE_P(Seeds, UsageDutyRandomTest, testing::Range(1U, 5U));
+
 TEST(UsageDutyTest, retriedReportHasTheSealedFigures)
 {
     usage_duty duty({.holder = "edge"});
