Take no log with a gap for proof that one version was alone

What callers saw: streams that began at endpoints of a new version were taken up at an edge that had stood still meanwhile, and went on at the old version. The store may delete the records of registrations at any time and keeps only the newest of each endpoint.

Cause: the proof by registrations reads on from where the edge's view ends. Where the log no longer held what follows, the scan began at the first record that it had, often none, and counted as complete. In the 0.9 s before the view is loaded anew, the edge had known of one version alone for long enough. Class: a read that has to be gapless and does not check that it is. The same scan took a log that ends before the view for read to its end, and counted across a gap that opens while it reads.

Evidence, on the code before: EdgeOutOfStepTest.registrationsDeletedWhileAnEdgeStandsStillProveNothing (real processes, SIGSTOP) joined 16 of 24 streams; its log shows log_history_lost for the topic and, in the same instant, stream_resume_requested with known=true and the old version, with a view 3.96 s old. RegistrationReaderTest.scanWithAGapAfterWhatWasReadIsNotComplete, scanOfALogThatEndsBeforeWhatWasReadIsNotComplete and scanAcrossAGapReachesBackToItsEndAlone (reach of 24 h instead of 0) fail.

Why it works: a scan is complete only if the log holds every record from the view's end on, and reaches back only over records without a gap. A stream that is refused for it may be begun anew; the view loads the newest registrations within a second and its history begins anew.

After: these tests and EdgeVersionsTest (9) pass, one run each. The second test of the new file was green before, too.

--- a/packages/forwarding/registration_reader.h
+++ b/packages/forwarding/registration_reader.h
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <utility>
 
 #include "coordination/read_turns.h"
@@ -62,12 +63,13 @@
     {
         m_handlers.begin();
         m_scan = registration_scan({.interval = m_options.interval});
+        m_position = m_nextPosition;
         const auto count = std::exchange(m_nextCount, 0);
         const auto interval = m_options.interval > duration{} ? m_options.interval : usualInterval;
         const auto perEndpoint = static_cast<std::uint64_t>(m_options.reach / interval);
         const auto most = count == 0 ? 0 : (perEndpoint + otherRecords) * (count + 1);
-        readFrom({.era = m_nextPosition.era,
-                  .offset = m_nextPosition.offset - std::min(m_nextPosition.offset, most)});
+        readFrom({.era = m_position.era,
+                  .offset = m_position.offset - std::min(m_position.offset, most)});
     }
 
     auto readFrom(const log_position &from) -> void
@@ -78,13 +80,18 @@
 
     auto handle(const log_position &from, const log_read_outcome &outcome) -> void
     {
-        const auto *expired = std::get_if<log_expired>(&outcome);
-        if (expired != nullptr && expired->first.era == from.era && expired->first > from) {
-            readFrom(expired->first);
+        const auto *batch = std::get_if<log_batch>(&outcome);
+        const auto first = firstOf(outcome);
+        if (first && first->era == from.era && *first > from && *first <= m_position) {
+            // What was read before it is apart from it by records that are not known.
+            m_scan = registration_scan({.interval = m_options.interval});
+            readFrom(*first);
             return;
         }
-        const auto *batch = std::get_if<log_batch>(&outcome);
-        if (batch == nullptr || batch->era != from.era) {
+        const bool isGapless = batch != nullptr && batch->era == from.era
+                               && batch->firstOffset <= from.offset
+                               && batch->endOffset >= from.offset;
+        if (!isGapless) {
             finish(false);
             return;
         }
@@ -102,6 +109,16 @@
             readFrom(next);
     }
 
+    // Where the records begin that the log still holds; nothing if it did not answer.
+    static auto firstOf(const log_read_outcome &outcome) -> std::optional<log_position>
+    {
+        if (const auto *expired = std::get_if<log_expired>(&outcome))
+            return expired->first;
+        if (const auto *batch = std::get_if<log_batch>(&outcome))
+            return log_position{.era = batch->era, .offset = batch->firstOffset};
+        return std::nullopt;
+    }
+
     auto add(std::string_view bytes) -> void
     {
         const auto record = log_type::decodeKeyedRecord(bytes);
@@ -126,6 +143,8 @@
     registration_reader_options m_options;
     registration_scan m_scan{{}};
     read_turns<handler> m_handlers;
+    // Up to where the caller knows the registrations, of the read in progress and the next one.
+    log_position m_position;
     log_position m_nextPosition;
     std::size_t m_nextCount = 0;
 };
