Wait a bounded time for ports that another socket holds

What callers saw: an edge that was restarted while a port of callers, readiness or peers was held (by an older process that still drained, or by an outgoing connection) was gone at once, with status 3, at every restart until the port was free. A taken port of metrics did the same.

Cause: the ports were opened once, and any failure ended the process. The class: a start that gives up at once where a bounded wait would do.

Why this works: port_opening tries the ports in order (peers' datagrams, peers, readiness, callers) ten times a second for the time that an older process has to stop (stop_grace_s) and two seconds more, with a line a second; then the edge ends with 3 as before. Callers come last, and the edge reads the log, tells other edges of itself and may be ready only once all are open; the period in which the other edges announce themselves begins then. The wait is counted in tries. A stop meanwhile ends with 0. A metrics port is tried for as long as the edge runs.

--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -20,7 +20,9 @@
 #include "base/log.h"
 #include "base/log_output.h"
 #include "forwarding/edge_gauges.h"
+#include "forwarding/edge_platform.h"
 #include "forwarding/edge_settings.h"
+#include "forwarding/edge_timing.h"
 #include "forwarding/endpoint_directory.h"
 #include "forwarding/events.h"
 #include "forwarding/fleet_view.h"
@@ -28,6 +30,7 @@
 #include "forwarding/header_names.h"
 #include "forwarding/library_log.h"
 #include "forwarding/peer_exchange.h"
+#include "forwarding/port_opening.h"
 #include "forwarding/resource_plan.h"
 #include "forwarding/rollout_driver.h"
 #include "forwarding/route_table.h"
@@ -41,28 +44,6 @@
 
 namespace mustardline {
 
-template<class T>
-concept edge_platform = fleet_platform<T> && duty_platform<T> && rollout_platform<T> && requires(
-    typename T::log_type &log)
-{
-    log.onEra = std::function<auto(std::uint64_t)->void>();
-    {
-        log.era()
-        } -> std::same_as<std::uint64_t>;
-    {
-        log.lateResponseCount()
-        } -> std::same_as<std::uint64_t>;
-    {
-        T::headers()
-        } -> std::same_as<header_names>;
-    {
-        T::readinessPath()
-        } -> std::same_as<std::string_view>;
-    {
-        T::streamTopic()
-        } -> std::same_as<std::string>;
-};
-
 template<edge_platform Platform>
 class edge_process
 {
@@ -138,43 +119,18 @@
     {
         returnLargeBlocks();
         reportLimits();
-        if (!listen())
-            return exitCannotListen;
-        followLog();
         m_loop.onSignal(SIGTERM, [this] { beginShutdown(); });
         m_loop.onSignal(SIGHUP, [this] { reload(); });
-        startPeerExchange();
         m_housekeepingTimer = m_loop.every(housekeepingInterval, [this] { runHousekeeping(); });
+        openPorts();
         m_loop.run();
-        m_log.write(edgeStopped, field("live", m_router.liveCount()));
+        if (m_exitStatus == 0)
+            m_log.write(edgeStopped, field("live", m_router.liveCount()));
         m_output.flush();
-        return 0;
+        return m_exitStatus;
     }
 
 private:
-    static constexpr int exitCannotListen = 3;
-    // The first live edge by name reads the log without delay. Each further edge waits one step
-    // longer, so that another one reads if the first does not, and so that forwarded updates arrive
-    // before an edge reads itself. The delay is limited to 500 ms, which together with the read
-    // interval stays within the required 2 s.
-    static constexpr duration readDelayStep = std::chrono::milliseconds(70);
-    static constexpr duration maxReadDelay = std::chrono::milliseconds(500);
-    // Time for the log to respond before a peer is asked, and between requests to peers.
-    static constexpr duration snapshotRequestInterval = std::chrono::milliseconds(600);
-    static constexpr duration controlConnectTimeout = std::chrono::milliseconds(1000);
-    static constexpr duration endpointConnectTimeout = std::chrono::milliseconds(300);
-    static constexpr std::size_t maxIdlePerEndpoint = 100;
-    // Added to the lease term of the settings, so that two holders are at least one term apart.
-    static constexpr duration leaseSlack = std::chrono::milliseconds(500);
-    // Interval between announcements to the other edges.
-    static constexpr duration announceInterval = std::chrono::milliseconds(500);
-    static constexpr duration housekeepingInterval = std::chrono::milliseconds(250);
-    // Interval between judgements of new versions: short against the time for a roll-back.
-    static constexpr duration rolloutInterval = std::chrono::milliseconds(100);
-    // Interval at which a shutdown goes on: short against the margins of a grace period of a
-    // second.
-    static constexpr duration shutdownInterval = std::chrono::milliseconds(50);
-
     auto reportLimits() -> void
     {
         m_gauges.setLimits({.memoryBytes = m_memory.value, .descriptors = m_descriptors.value});
@@ -185,7 +141,7 @@
                     field("connections", m_plan.callerConnections));
     }
 
-    auto listen() -> bool
+    auto openPorts() -> void
     {
         m_callers.onRequest([this](const auto &exchange) { handleRequest(exchange); });
         m_readiness.onRequest([this](const auto &exchange) { respondReadiness(exchange); });
@@ -197,21 +153,44 @@
         reportAccepting(m_readiness, "readiness");
         reportAccepting(m_metricsServer, "metrics");
         reportAccepting(m_snapshots.server(), "peers");
-        std::vector ports{m_exchange.start(), m_snapshots.listen(), m_callers.listen(),
-                          m_readiness.listen()};
+        m_ports.onOpen = [this] { serve(); };
+        m_ports.onGivenUp = [this](const error &failure) {
+            m_log.write(edgeFailed, field("reason", failure.message));
+            m_exitStatus = edgeCannotListen;
+            m_loop.stop();
+        };
+        // Callers come last: what arrives before finds an edge that is not ready.
+        m_ports.open({{.name = "peers",
+                       .address = m_settings.peers,
+                       .listen = [this] { return m_exchange.start(); }},
+                      {.name = "peers",
+                       .address = m_settings.peers,
+                       .listen = [this] { return m_snapshots.listen(); }},
+                      {.name = "readiness",
+                       .address = m_settings.readiness,
+                       .listen = [this] { return m_readiness.listen(); }},
+                      {.name = "callers", .address = m_settings.callers, .listen = [this] {
+                           return m_callers.listen();
+                       }}});
         if (m_settings.metricsPort != 0)
-            ports.push_back(m_metricsServer.listen());
-        for (const auto &port : ports) {
-            if (const auto *failure = failed(port)) {
-                m_log.write(edgeFailed, field("reason", failure->message));
-                m_output.flush();
-                return false;
-            }
-        }
+            m_metricsPort.open(
+                {{.name = "metrics",
+                  .address = {.host = m_settings.callers.host, .port = m_settings.metricsPort},
+                  .listen = [this] { return m_metricsServer.listen(); }}});
+    }
+
+    // All ports are open. The other edges and the log are met only now: an edge that waits for its
+    // ports takes no part.
+    auto serve() -> void
+    {
+        m_isServing = true;
+        m_peers.restartStartup(m_clock.now());
+        m_nextSnapshotRequest = m_clock.now() + snapshotRequestInterval;
         m_log.write(edgeStarted, field("name", m_settings.name),
                     field("data_centre", m_settings.dataCentre),
                     field("port", m_settings.callers.port));
-        return true;
+        followLog();
+        startPeerExchange();
     }
 
     // Logs when `server` cannot accept connections, and when it can again.
@@ -242,7 +221,7 @@
 
     [[nodiscard]] auto isReady() const -> bool
     {
-        return !m_isShuttingDown && knowsFleet() && m_callers.hasRoom();
+        return m_isServing && !m_isShuttingDown && knowsFleet() && m_callers.hasRoom();
     }
 
     // Whether this edge has a configuration and has read the endpoints.
@@ -404,6 +383,10 @@
     auto runHousekeeping() -> void
     {
         const auto now = m_clock.now();
+        if (!m_isServing) {
+            m_output.flush();
+            return;
+        }
         updateGauges(now);
         m_directory.tick(now);
         m_router.endpointsChanged();
@@ -424,6 +407,10 @@
         if (m_isShuttingDown)
             return;
         m_isShuttingDown = true;
+        if (!m_isServing) {
+            m_loop.stop();
+            return;
+        }
         m_signalledAt = m_clock.now();
         m_callers.closeAfterAnswers();
         announceState();
@@ -496,6 +483,14 @@
     fleet_view<Platform> m_fleetView;
     stream_origin_search<Platform> m_streams;
     edge_gauges m_gauges;
+    port_opening m_ports{m_loop, m_log, {.waitLimit = m_settings.stopGrace + olderProcessMargin}};
+    port_opening m_metricsPort{
+        m_loop,
+        m_log,
+        {.retryInterval = metricsRetryInterval, .lineInterval = metricsLineInterval}};
+    // Whether all ports that callers and other edges need are open.
+    bool m_isServing = false;
+    int m_exitStatus = 0;
     event_handle m_housekeepingTimer;
     event_handle m_rolloutTimer;
     bool m_isRolloutTimerSet = false;
--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -61,6 +61,9 @@
 inline constexpr log_event streamVersionDoubted{
     5018, "stream_version_doubted", log_level::warning,
     "An endpoint restarted with another version; which one began its last streams is not known."};
+inline constexpr log_event portHeld{
+    5019, "port_held", log_level::warning,
+    "A port cannot be opened yet; it is tried again for the time that the line says."};
 inline constexpr log_event configurationInForce{5020, "configuration_in_force", log_level::info,
                                                 "A new configuration version is in force."};
 inline constexpr log_event recordMalformed{5021, "record_malformed", log_level::warning,
@@ -133,17 +136,18 @@
                                 forwardRetried,       forwardNotSent,
                                 forwardStalled,       responseGivenUp,
                                 forwardResumed,       streamResumeRequested,
-                                streamVersionDoubted, configurationInForce,
-                                recordMalformed,      endpointChanged,
-                                evacuationChanged,    logServiceLost,
-                                logServiceBack,       logHistoryLost,
-                                knowledgeAsked,       endpointLeaves,
-                                endpointPauses,       dutyClaimed,
-                                usageWindowReported,  lanesChanged,
-                                promptPartBlocked,    rolloutOrdered,
-                                rolloutMoves,         rolloutJudged,
-                                rolloutRecorded,      rolloutAdopted,
-                                rolloutWithdrawn,     endpointSpeedChanged,
-                                logEraEnded,          logEraBegan});
+                                streamVersionDoubted, portHeld,
+                                configurationInForce, recordMalformed,
+                                endpointChanged,      evacuationChanged,
+                                logServiceLost,       logServiceBack,
+                                logHistoryLost,       knowledgeAsked,
+                                endpointLeaves,       endpointPauses,
+                                dutyClaimed,          usageWindowReported,
+                                lanesChanged,         promptPartBlocked,
+                                rolloutOrdered,       rolloutMoves,
+                                rolloutJudged,        rolloutRecorded,
+                                rolloutAdopted,       rolloutWithdrawn,
+                                endpointSpeedChanged, logEraEnded,
+                                logEraBegan});
 
 } // namespace mustardline
--- a/packages/forwarding/peer_table.h
+++ b/packages/forwarding/peer_table.h
@@ -110,6 +110,8 @@
     [[nodiscard]] auto rank(time_point now) const -> std::uint32_t;
     // Number of edges that may use the fleet-wide limits, including this one.
     [[nodiscard]] auto budgetSharerCount(time_point now) const -> std::uint32_t;
+    // The other edges have not been able to announce themselves before `now`.
+    auto restartStartup(time_point now) -> void { m_startedAt = now; }
     // True once the other edges had time to announce themselves.
     [[nodiscard]] auto isPastStartup(time_point now) const -> bool
     {
--- a/packages/net/datagram_socket.cpp
+++ b/packages/net/datagram_socket.cpp
@@ -44,6 +44,9 @@
 
 auto datagram_socket::bind(const std::string &address, std::uint16_t port) -> result<std::uint16_t>
 {
+    // A call before this one may have failed.
+    if (m_descriptor >= 0)
+        close(m_descriptor);
     m_descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     auto bound = toSockaddr(address, port);
     socklen_t length = sizeof bound;
--- a/packages/net/datagram_socket.h
+++ b/packages/net/datagram_socket.h
@@ -35,7 +35,8 @@
 
     auto onMessage(message_handler handler) -> void { m_handler = std::move(handler); }
 
-    // Returns the bound port (chosen by the kernel for port 0), or `listen_failed`.
+    // Returns the bound port (chosen by the kernel for port 0), or `listen_failed`; it may
+    // be called again after that.
     [[nodiscard]] auto bind(const std::string &address, std::uint16_t port)
         -> result<std::uint16_t>;
 
