Pass on no range of which this edge knew records before

What callers saw: nothing shown on a deployment. An edge may not hear of endpoints of a new version, nor of endpoints that left, until it reads the topic of endpoints itself, which each update of another edge postpones; the proof that one version was alone then reads on behind their registrations.

Cause: an edge passes on of a range of the topic only what changed its own view. The receiver moved past them. Class: a difference that is taken against a state other than that of the receiver. An edge that was out of step loads anew when it is back, and so does each edge that starts during a release.

Why it works: after a load, or after values were learned from another edge, a range is not passed on until this edge is past all that it knows. The receivers find a gap in the next one, and read for themselves. Cost: one read of each edge.

--- a/packages/forwarding/fleet_view.h
+++ b/packages/forwarding/fleet_view.h
@@ -124,12 +124,13 @@
             m_directory.retainOnly(keys, m_clock.now());
             m_directory.markUpToDate(m_clock.now());
             m_changedRecords.clear();
+            m_isAhead = true;
             onEndpointsLoaded();
             onEndpoints();
         };
         m_endpoints.onRead = [this](const log_position &from, const log_position &end) {
             m_directory.markUpToDate(m_clock.now());
-            onUpdates({.from = from, .end = end, .records = std::exchange(m_changedRecords, {})});
+            forwardUpdates(from, end);
         };
         m_endpoints.onAvailable = [this] { m_directory.onLogAvailable(m_clock.now()); };
         // Registrations may have expired while the log was away.
@@ -178,6 +179,7 @@
     {
         m_configuration.learn(peerSnapshot.configuration);
         m_endpoints.learn(peerSnapshot.endpoints);
+        m_isAhead = m_isAhead || m_newestKnown >= m_endpoints.position();
     }
 
     // The number of records that are kept although the log has lost them or holds older ones.
@@ -348,8 +350,22 @@
                     field("accounts", configuration->accounts.size()));
     }
 
+    // What changes nothing here is left out, as others know it too. This does not hold where this
+    // edge was ahead of its range: the others read that themselves, since what follows leaves a
+    // gap.
+    auto forwardUpdates(const log_position &from, const log_position &end) -> void
+    {
+        auto records = std::exchange(m_changedRecords, {});
+        if (m_isAhead) {
+            m_isAhead = end <= m_newestKnown;
+            return;
+        }
+        onUpdates({.from = from, .end = end, .records = std::move(records)});
+    }
+
     auto onEndpointRecord(const keyed_record &record) -> void
     {
+        m_newestKnown = std::max(m_newestKnown, record.position);
         if (applyEndpointRecord(record, m_clock.now()))
             m_changedRecords.push_back(record);
         onEndpoints();
@@ -385,6 +401,10 @@
     std::set<std::string> m_loggedMalformedKeys;
     // Endpoint records that changed something and are to be forwarded to the other edges.
     std::vector<keyed_record> m_changedRecords;
+    // Values were loaded, or learned from another edge, that may be newer than the place from which
+    // the topic is read on.
+    bool m_isAhead = false;
+    log_position m_newestKnown;
 };
 
 } // namespace mustardline
