Name no place of the log while the newest registrations are loaded

What callers saw: nothing shown on a deployment. While an edge that was out of step loads the newest registrations anew, in pages of 500, a stream that it cannot place may go on at another version.

Cause: the follower's position is that of the first page at once, and the history of versions begins anew only after the last one. A proof in between reads on from that place with a history that claims to know all before it; what is on later pages, or was deleted, is in neither. Class: two parts of one state that change at different moments.

Evidence: FleetViewTest.aLoadInProgressHasNoPosition; on the code before the view names offset 2 after the first page.

Why it works: without a position the scan begins at the beginning of the log: it is complete only if the log holds all, or names era 0, which no log with eras has.

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -156,8 +156,12 @@
     [[nodiscard]] auto keptCount() const -> std::size_t { return m_values.keptCount(); }
     // The number of offers of another era, which had no effect.
     [[nodiscard]] auto otherEraOfferCount() const -> std::uint64_t { return m_otherEraOffers; }
-    // Where this process reads on; in era 0 before the newest values were read.
-    [[nodiscard]] auto position() const -> log_position { return m_next.value_or(log_position()); }
+    // Where this process reads on; the beginning, in era 0, while the newest values have not been
+    // read, or are to be read anew: what was reported then does not reach up to any later place.
+    [[nodiscard]] auto position() const -> log_position
+    {
+        return m_isFollowing ? *m_next : log_position();
+    }
 
     // Adds a delay to the pause between two reads, different for each process.
     auto setDelay(duration delay) -> void { m_readDelay = delay; }
--- a/packages/forwarding/fleet_view.h
+++ b/packages/forwarding/fleet_view.h
@@ -154,7 +154,7 @@
         m_changedRecords.clear();
     }
 
-    // Up to where the topic of endpoints was read.
+    // Up to where the topic of endpoints was read; its beginning while a load is in progress.
     [[nodiscard]] auto endpointsPosition() const -> log_position { return m_endpoints.position(); }
 
     [[nodiscard]] auto endpointCount() const -> std::size_t { return m_directory.entries().size(); }
--- a/packages/forwarding/testing/fleet_view_test.cpp
+++ b/packages/forwarding/testing/fleet_view_test.cpp
@@ -139,6 +139,18 @@
     EXPECT_FALSE(reader.told.empty()) << "what is read later is passed on";
 }
 
+// Guards against a proof that begins at the place which the first page of a load names, while the
+// registrations of later pages are not known yet.
+TEST(FleetViewTest, aLoadInProgressHasNoPosition)
+{
+    event_loop loop;
+    viewing_edge edge(loop);
+    edge.log.pages = {pageOf("a", "v1", 0, 2, true)};
+    edge.view.start();
+    EXPECT_EQ(edge.view.endpointsPosition(), log_position());
+    EXPECT_FALSE(edge.view.hasEndpoints());
+}
+
 } // namespace
 
 } // namespace mustardline
