Bound what an edge keeps of the messages of others

A usage window far ahead in one message also made the windows of the present the oldest ones, so that they were discarded before their report.

Cause: rows of edges were never removed, and neither rows, addresses, load, usage counts nor explained crashes had a limit. Class: state whose size is chosen by whoever can reach the port.

Edges that were silent for the time of an address are forgotten; the numbers of edges and addresses, and the memory for load and counts, are limited; names longer than a key are ignored, and so are windows and wall-clock times that no edge can mean. The limits lie above the size that is designed for, but for the usage counts of 24 windows at 860 edges, which were not measured.

--- a/packages/forwarding/peer_exchange.cpp
+++ b/packages/forwarding/peer_exchange.cpp
@@ -12,6 +12,10 @@
 // within the 30 s for which an address is kept, given two messages a second from each edge.
 constexpr std::size_t announcedPeers = 8;
 
+// Later times, the year 10000 and beyond, are mistakes of the sender; arithmetic on them could
+// overflow.
+constexpr std::int64_t lastUnixMs = 253'402'300'800'000;
+
 // Larger updates are not forwarded; the other edges read them from the log themselves.
 constexpr std::size_t maxUpdateBytes = 32U << 10U;
 
@@ -232,8 +236,12 @@
     const auto now = m_clock.now();
     if (!m_peers.applyState(state, now))
         return;
-    m_wallClock.addPeerReading(state.name(), now, state.unix_ms());
+    if (state.unix_ms() >= 0 && state.unix_ms() <= lastUnixMs)
+        m_wallClock.addPeerReading(state.name(), now, state.unix_ms());
+    const auto unixNow = m_wallClock.estimate(now, m_clock.unixNow());
     for (const auto &window : state.windows()) {
+        if (!m_usage.accepts(window.window(), unixNow))
+            continue;
         for (const auto &item : window.accounts())
             m_usage.merge(state.boot(), window.window(), item.client_account(), item.count());
     }
--- a/packages/forwarding/peer_table.cpp
+++ b/packages/forwarding/peer_table.cpp
@@ -1,11 +1,18 @@
 #include "forwarding/peer_table.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace mustardline {
 
 namespace {
 
+// Longer names are mistakes of the sender.
+constexpr std::size_t maxNameBytes = 255;
+constexpr std::size_t maxHostBytes = 64;
+// Memory for an item of load in a row and in the sums, without its name, which is kept twice.
+constexpr std::size_t itemBytes = 200;
+
 auto demandOf(const v1::LaneNeeds &needs) -> lane_demand
 {
     lane_demand demand{.lanes
@@ -25,10 +32,19 @@
         addAddress(seed, now);
 }
 
-auto peer_table::applyState(const v1::EdgeState &state, time_point now) -> bool
+auto peer_table::isAcceptable(const v1::EdgeState &state) const -> bool
 {
     if (state.name().empty() || state.name() == m_options.name)
         return false;
+    if (state.name().size() > maxNameBytes || state.boot().size() > maxNameBytes)
+        return false;
+    return m_rows.size() < m_options.maxEdges || m_rows.contains(state.name());
+}
+
+auto peer_table::applyState(const v1::EdgeState &state, time_point now) -> bool
+{
+    if (!isAcceptable(state))
+        return false;
     auto &row = m_rows[state.name()];
     if (row.boot == state.boot() && state.sequence() <= row.sequence)
         return false;
@@ -39,11 +55,33 @@
     row.leaving = state.leaving();
     row.configurationVersion = state.configuration_version();
     row.keptRecords = state.kept_records();
-    row.lanes.clear();
-    for (const auto &needs : state.lanes())
-        row.lanes[needs.target()] = demandOf(needs);
-    clearUses(row);
+    setLoad(row, state);
+    keepAddress(row.address, now, 2 * m_options.maxNamedAddresses);
+    for (const auto &peer : state.peers())
+        addAddress(parseAddress(peer), now);
+    return true;
+}
+
+auto peer_table::reserve(peer_row &row, const std::string &name) -> bool
+{
+    const auto bytes = itemBytes + 2 * name.size();
+    if (name.size() > maxNameBytes || m_loadBytes + bytes > m_options.maxLoadBytes)
+        return false;
+    m_loadBytes += bytes;
+    row.loadBytes += bytes;
+    return true;
+}
+
+auto peer_table::setLoad(peer_row &row, const v1::EdgeState &state) -> void
+{
+    clearLoad(row);
+    for (const auto &needs : state.lanes()) {
+        if (reserve(row, needs.target()))
+            row.lanes[needs.target()] = demandOf(needs);
+    }
     for (const auto &use : state.uses()) {
+        if (!reserve(row, use.endpoint()))
+            continue;
         const endpoint_use used{.inFlight = use.in_flight(), .promptTokens = use.prompt_tokens()};
         row.uses.emplace_back(use.endpoint(), used);
         auto &sum = m_useSums[use.endpoint()];
@@ -51,14 +89,9 @@
         sum.promptTokens += used.promptTokens;
         m_changed.insert(use.endpoint());
     }
-    if (row.address.port != 0)
-        m_addresses[row.address] = now;
-    for (const auto &peer : state.peers())
-        addAddress(parseAddress(peer), now);
-    return true;
 }
 
-auto peer_table::clearUses(peer_row &row) -> void
+auto peer_table::clearLoad(peer_row &row) -> void
 {
     for (const auto &[endpoint, used] : row.uses) {
         // An edge may have announced zero load, which leaves no sum.
@@ -71,21 +104,37 @@
             m_useSums.erase(sum);
         m_changed.insert(endpoint);
     }
-    row.uses.clear();
+    m_loadBytes -= std::exchange(row.loadBytes, 0);
+    row.lanes.clear();
+    // Frees the memory of a row that was large once.
+    row.uses = {};
 }
 
 auto peer_table::tick(time_point now) -> void
 {
-    for (auto &[name, row] : m_rows) {
-        if (now - row.lastMessageAt > livenessTimeout())
-            clearUses(row);
+    for (auto next = m_rows.begin(); next != m_rows.end();) {
+        auto &row = next->second;
+        const auto silence = now - row.lastMessageAt;
+        const bool isForgotten = silence > m_options.addressTtl;
+        if (isForgotten || silence > livenessTimeout())
+            clearLoad(row);
+        next = isForgotten ? m_rows.erase(next) : std::next(next);
     }
 }
 
 auto peer_table::addAddress(const socket_address &address, time_point now) -> void
 {
-    if (address.port != 0)
-        m_addresses.try_emplace(address, now);
+    if (!m_addresses.contains(address))
+        keepAddress(address, now, m_options.maxNamedAddresses);
+}
+
+auto peer_table::keepAddress(const socket_address &address, time_point now,
+                             std::size_t maxAddresses) -> void
+{
+    if (address.port == 0 || address.host.size() > maxHostBytes)
+        return;
+    if (m_addresses.size() < maxAddresses || m_addresses.contains(address))
+        m_addresses[address] = now;
 }
 
 auto peer_table::addresses(time_point now) -> std::vector<socket_address>
--- a/packages/forwarding/peer_table.h
+++ b/packages/forwarding/peer_table.h
@@ -18,6 +18,9 @@
 // rounds, and the liveness timeout is multiplied by the number of rounds. Traffic then grows by a
 // fourth of what it would otherwise.
 //
+// What arrives may come from anything that can reach the port. The number of edges, of addresses
+// and the load that is kept are limited; what is beyond the limit is ignored.
+//
 // The other edges' load per endpoint is summed incrementally: the cost of a message depends only on
 // the number of endpoints that it names, not on the number of edges and endpoints.
 
@@ -53,6 +56,11 @@
     // Assumed number of edges during the `startupPeriod`.
     std::uint32_t assumedEdgeCount = 5;
     duration startupPeriod = std::chrono::seconds(3);
+    // Limits on what is kept: edges, addresses that were only named by others (as many again may
+    // have sent messages), and the memory for the load and demand of all edges.
+    std::size_t maxEdges = 2000;
+    std::size_t maxNamedAddresses = 2000;
+    std::size_t maxLoadBytes = 32U << 20U;
 };
 
 // In-flight load of one edge, or of all others, at an endpoint.
@@ -73,6 +81,8 @@
     // Load of its last message, which is included in the sums.
     std::vector<std::pair<std::string, endpoint_use>> uses;
     std::map<std::string, lane_demand> lanes;
+    // Approximate memory for `uses` and `lanes`.
+    std::size_t loadBytes = 0;
     std::uint64_t configurationVersion = 0;
     // See EdgeState.kept_records of wire/peer.proto.
     std::uint32_t keptRecords = 0;
@@ -85,7 +95,8 @@
 
     // Applies a message; returns false for our own messages, duplicates and older ones.
     auto applyState(const v1::EdgeState &state, time_point now) -> bool;
-    // Removes the load of edges that are not live from the sums.
+    // Removes the load of edges that are not live from the sums, and forgets edges that have been
+    // silent for long.
     auto tick(time_point now) -> void;
     // Adds an address at which there may be an edge.
     auto addAddress(const socket_address &address, time_point now) -> void;
@@ -138,7 +149,14 @@
 private:
     static constexpr std::size_t maxRounds = 4;
 
-    auto clearUses(peer_row &row) -> void;
+    [[nodiscard]] auto isAcceptable(const v1::EdgeState &state) const -> bool;
+    auto setLoad(peer_row &row, const v1::EdgeState &state) -> void;
+    auto clearLoad(peer_row &row) -> void;
+    // Counts the memory for an item of load; returns false if there is none left, or the name is
+    // too long.
+    auto reserve(peer_row &row, const std::string &name) -> bool;
+    auto keepAddress(const socket_address &address, time_point now, std::size_t maxAddresses)
+        -> void;
     // Liveness timeout, adjusted to the number of rounds.
     [[nodiscard]] auto livenessTimeout() const -> duration
     {
@@ -149,6 +167,8 @@
     time_point m_startedAt;
     // Keyed by name.
     std::map<std::string, peer_row> m_rows;
+    // Approximate memory for the load in all rows.
+    std::size_t m_loadBytes = 0;
     // Keyed by endpoint.
     std::unordered_map<std::string, endpoint_use> m_useSums;
     std::unordered_set<std::string> m_changed;
--- a/packages/forwarding/prompt_part_watch.cpp
+++ b/packages/forwarding/prompt_part_watch.cpp
@@ -68,7 +68,7 @@
     if (std::ranges::find(row.crashes, crash) != row.crashes.end())
         return;
     row.lastAt = now;
-    if (row.isBlocked)
+    if (row.isBlocked && m_explained.size() < m_options.maxExplained)
         m_explained.insert(crash);
     if (row.crashes.size() < m_options.maxCrashes)
         row.crashes.push_back(crash);
--- a/packages/forwarding/prompt_part_watch.h
+++ b/packages/forwarding/prompt_part_watch.h
@@ -50,6 +50,8 @@
     // Limits on what is kept; the oldest sound parts and the newest suspects are dropped.
     std::size_t maxSound = 20000;
     std::size_t maxSuspects = 500;
+    // Crashes that blocked parts explain; further ones are not remembered.
+    std::size_t maxExplained = 10000;
 };
 
 // A part with the crashes in which it was suspected.
@@ -93,6 +95,9 @@
     [[nodiscard]] auto report(time_point now) -> prompt_part_report;
     auto applyReport(const prompt_part_report &report, time_point now) -> void;
 
+    // Crashes that are explained by blocked parts.
+    [[nodiscard]] auto explainedCount() const -> std::size_t { return m_explained.size(); }
+
     // Parts that were blocked since the last call, for the log.
     [[nodiscard]] auto takeNewlyBlocked() -> std::vector<suspected_part>;
 
--- a/packages/forwarding/usage_windows.cpp
+++ b/packages/forwarding/usage_windows.cpp
@@ -4,16 +4,41 @@
 
 namespace mustardline {
 
+namespace {
+
+// Longer names are mistakes of the sender.
+constexpr std::size_t maxNameBytes = 255;
+// Memory for a count, without its name, and its part of the memory for its edge.
+constexpr std::size_t itemBytes = 200;
+
+auto bytesOf(const std::string &edge, std::string_view account) -> std::size_t
+{
+    return itemBytes + edge.size() + account.size();
+}
+
+} // namespace
+
 auto usage_windows::countsFor(std::int64_t window, const std::string &edge) -> account_counts &
 {
     auto &row = m_windows[window][edge];
     const auto newest = m_windows.rbegin()->first;
     while (m_windows.begin()->first <= newest - m_options.keptWindows
            && m_windows.begin()->first != window)
-        m_windows.erase(m_windows.begin());
+        discardOldest();
     return row;
 }
 
+auto usage_windows::discardOldest() -> void
+{
+    for (const auto &[edge, row] : m_windows.begin()->second) {
+        if (edge == m_options.self)
+            continue;
+        for (const auto &[account, count] : row)
+            m_peerBytes -= bytesOf(edge, account);
+    }
+    m_windows.erase(m_windows.begin());
+}
+
 auto usage_windows::count(std::string_view account, unix_milliseconds time) -> void
 {
     auto &row = countsFor(windowOf(time), m_options.self);
@@ -27,11 +52,16 @@
 auto usage_windows::merge(const std::string &edge, std::int64_t window, std::string_view account,
                           std::uint64_t count) -> void
 {
-    if (edge == m_options.self)
+    if (edge == m_options.self || edge.size() > maxNameBytes || account.size() > maxNameBytes)
+        return;
+    if (m_peerBytes + bytesOf(edge, account) > m_options.maxPeerBytes)
         return;
     auto &row = countsFor(window, edge);
-    auto &found = row[std::string(account)];
-    found = std::max(found, count);
+    const auto [found, isNew] = row.try_emplace(std::string(account), count);
+    if (isNew)
+        m_peerBytes += bytesOf(edge, account);
+    else
+        found->second = std::max(found->second, count);
 }
 
 auto usage_windows::ownCounts(std::int64_t window) const -> account_counts
--- a/packages/forwarding/usage_windows.h
+++ b/packages/forwarding/usage_windows.h
@@ -25,6 +25,10 @@
     duration window = std::chrono::seconds(5);
     // Number of windows that are kept; older ones are discarded.
     std::int64_t keptWindows = 24;
+    // Number of windows ahead of this process's clock that others may count.
+    std::int64_t aheadWindows = 3;
+    // Memory for the counts of other edges; what is beyond it is ignored.
+    std::size_t maxPeerBytes = 32U << 20U;
     // Identifies this edge's process start.
     std::string self = "self";
 };
@@ -49,15 +53,26 @@
     auto count(std::string_view account, unix_milliseconds time) -> void;
     auto merge(const std::string &edge, std::int64_t window, std::string_view account,
                std::uint64_t count) -> void;
+    // Whether counts of another edge for this window are to be merged at `time`. A window far ahead
+    // would make those of the present the oldest ones.
+    [[nodiscard]] auto accepts(std::int64_t window, unix_milliseconds time) const -> bool
+    {
+        const auto current = windowOf(time);
+        return window > current - m_options.keptWindows
+               && window <= current + m_options.aheadWindows;
+    }
 
     // Counts of this edge only; empty if there are none.
     [[nodiscard]] auto ownCounts(std::int64_t window) const -> account_counts;
     [[nodiscard]] auto totals(std::int64_t window) const -> account_counts;
 
 private:
+    auto discardOldest() -> void;
     auto countsFor(std::int64_t window, const std::string &edge) -> account_counts &;
 
     usage_windows_options m_options;
+    // Approximate memory for the counts of other edges.
+    std::size_t m_peerBytes = 0;
     std::map<std::int64_t, std::map<std::string, account_counts>> m_windows;
 };
 
