Hand large bodies on without copies, and count what growing responses take

What is measured: the edge's peak memory with responses that nobody reads is larger than its budgets say.

Cause: a response of a call was counted by its length while its text grows by doubling with both copies allocated; the whole one was copied behind its head, and the rest of that copied into the send buffer, which kept all of it until its last byte was read. A request's body was copied twice on its way to the endpoint. Class: a budget that counts bytes where memory is allocated.

Change: the send buffer is a list of blocks, each freed once it is sent; a large body becomes a block without a copy (replyOwned, sendOwned). maxHeldBytes counts allocated memory, both copies of a body that grows included, before it grows.

--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -7,6 +7,7 @@
 
 #include "forwarding/events.h"
 #include "forwarding/forward_router.h"
+#include "forwarding/held_body.h"
 #include "forwarding/send_rules.h"
 #include "net/decimal.h"
 #include "policy/durations.h"
@@ -24,6 +25,7 @@
 constexpr int firstRedirect = 300;
 // Polling interval for a slow caller's unsent response bytes.
 constexpr duration backlogInterval = std::chrono::milliseconds(50);
+
 auto isSuccess(int status) -> bool
 {
     return status >= firstSuccess && status < firstRedirect;
@@ -161,22 +163,33 @@
 // many of them from exhausting the process's memory and with it the requests of all callers.
 auto forward_router::holdBody(forward_request &request, std::string_view data) -> void
 {
-    request.body += data;
-    m_heldBytes += data.size();
-    while (m_heldBytes > m_options.maxHeldBytes)
+    const auto number = request.number;
+    const auto attempt = request.attempt;
+    const auto limit = std::min<std::uint64_t>(
+        request.answer.length.value_or(m_options.maxAnswerBytes), m_options.maxAnswerBytes);
+    const auto grown = grownCapacity(request.body, data.size(), limit);
+    // While a body grows there are two copies of it.
+    const auto added = grown == memoryOf(request.body) ? 0 : grown;
+    while (m_heldBytes + added > m_options.maxHeldBytes) {
         giveUpLargestBody();
+        if (findCurrent(number, attempt) != &request || !request.inFlight)
+            return;
+    }
+    m_heldBytes -= memoryOf(request.body);
+    appendToBody(request.body, data, grown);
+    m_heldBytes += memoryOf(request.body);
 }
 
 auto forward_router::releaseBody(forward_request &request) -> void
 {
-    m_heldBytes -= request.body.size();
+    m_heldBytes -= memoryOf(request.body);
     request.body = {};
 }
 
 auto forward_router::giveUpLargestBody() -> void
 {
     const auto largest = std::ranges::max_element(
-        m_requests, {}, [](const auto &item) { return item.second.body.size(); });
+        m_requests, {}, [](const auto &item) { return memoryOf(item.second.body); });
     auto &request = largest->second;
     m_log.write(responseGivenUp, field("request", request.id), field("endpoint", request.endpoint),
                 field("bytes", request.body.size()), field("held_bytes", m_heldBytes));
@@ -292,7 +305,10 @@
         withholdPromise(request);
         return;
     }
-    request.exchange->reply(answer.status, answerHeaders(answer.headers), request.body);
+    // From here on the body counts as held for the caller.
+    m_heldBytes -= memoryOf(request.body);
+    request.exchange->replyOwned(answer.status, answerHeaders(answer.headers),
+                                 std::exchange(request.body, {}));
     finish(request, isSuccess(answer.status) ? result_code::ok : result_code::endpoint_error);
 }
 
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -18,6 +18,9 @@
 // Interval of the check for connections that exceed the maximum idle age.
 constexpr duration idleSweepInterval = std::chrono::seconds(2);
 
+// Bodies from this size on are sent on their own instead of in a copy behind the head.
+constexpr std::size_t largeBodyBytes = 64U << 10U;
+
 // A peer that has dropped a connection resets it within a round trip after the request.
 constexpr duration resetTime = std::chrono::milliseconds(250);
 
@@ -251,8 +254,13 @@
         connected = true;
         startIdleTimer(request.idleTimeout);
         auto text = requestHead(address, request);
-        text += request.body;
+        if (request.body.size() < largeBodyBytes) {
+            text += request.body;
+            stream->send(text);
+            return;
+        }
         stream->send(text);
+        stream->sendOwned(std::exchange(request.body, {}));
     }
 
     auto startLimitTimer() -> void
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -29,9 +29,11 @@
 // Input that a connection keeps while its request is under way; beyond it, reading pauses. It is
 // the size of a read, too, so that twice as much is kept at the most.
 constexpr std::size_t maxPendingBytes = 4U << 10U;
-// A request that runs is kept by its exchange, by the call to an endpoint, and in the part that the
-// endpoint's socket has not yet accepted.
+// A request that runs is kept by its exchange and by the call to an endpoint. A small one is also
+// kept in the part that the endpoint's socket has not yet accepted.
 constexpr std::size_t copiesOfWholeRequest = 3;
+// Bodies from this size on are sent on their own instead of in a copy behind the head.
+constexpr std::size_t largeBodyBytes = 64U << 10U;
 constexpr duration refusalRetryAfter = std::chrono::seconds(1);
 
 // Memory of a request's head.
@@ -256,6 +258,18 @@
     auto send(std::string_view data) -> void
     {
         stream->send(data);
+        accountForOutput();
+    }
+
+    // The same for a large part, without a copy of it.
+    auto sendOwned(std::string data) -> void
+    {
+        stream->sendOwned(std::move(data));
+        accountForOutput();
+    }
+
+    auto accountForOutput() -> void
+    {
         if (!isAccounted() || stream->backlogBytes() == 0)
             return;
         const auto now = system_runtime_clock().now();
@@ -482,6 +496,20 @@
     finish();
 }
 
+auto http_exchange::replyOwned(int status, std::span<const http_header> headers, std::string body)
+    -> void
+{
+    if (body.size() < largeBodyBytes || m_request.method == "HEAD") {
+        reply(status, headers, body);
+        return;
+    }
+    if (!isOpen() || m_started)
+        return;
+    m_connection->send(start(status, headers, fmt::format("Content-Length: {}\r\n", body.size())));
+    m_connection->sendOwned(std::move(body));
+    finish();
+}
+
 auto http_exchange::startStream(int status, std::span<const http_header> headers) -> void
 {
     if (!isOpen() || m_started)
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -100,6 +100,9 @@
     // Sends a complete response.
     auto reply(int status, std::span<const http_header> headers, std::string_view body) -> void;
 
+    // The same for a body that may be large, without a copy of it.
+    auto replyOwned(int status, std::span<const http_header> headers, std::string body) -> void;
+
     // Streams a response: one `startStream`, any number of `sendChunk`, one `endStream`.
     auto startStream(int status, std::span<const http_header> headers) -> void;
     // Like `startStream`, for a body of known length; the chunks must add up to `length`.
--- a/packages/net/tcp_stream.cpp
+++ b/packages/net/tcp_stream.cpp
@@ -21,6 +21,8 @@
 
 // Size of one read: holds several events of a stream, or most of a prompt.
 constexpr std::size_t readBytes = 32U << 10U;
+// Size up to which small pieces of output share a block.
+constexpr std::size_t sharedBlockBytes = 32U << 10U;
 // Maximum time that `closeAfterSending` waits for the peer to close once it has received
 // everything.
 constexpr duration lingerLimit = std::chrono::seconds(2);
@@ -217,29 +219,75 @@
 {
     if (isClosed() || m_lingering || data.empty())
         return;
-    if (m_connecting || backlogBytes() > 0) {
-        m_output.append(data);
+    if (buffersOutput()) {
+        buffer(std::string(data), 0);
         return;
     }
-    const auto count = ::send(m_descriptor, data.data(), data.size(), MSG_NOSIGNAL);
-    if (count < 0 && !isTransient(errno)) {
-        m_isBroken = true;
-        // `onEnd` is posted, because the caller of `send` does not expect it to run within the
-        // call.
-        m_loop.post([keep = shared_from_this()] { keep->finish(false); });
+    const auto sent = trySend(data);
+    if (!sent || *sent == data.size())
+        return;
+    buffer(std::string(data.substr(*sent)), 0);
+    event_add(m_writeEvent, nullptr);
+}
+
+auto tcp_stream::sendOwned(std::string data) -> void
+{
+    if (isClosed() || m_lingering || data.empty())
+        return;
+    if (buffersOutput()) {
+        buffer(std::move(data), 0);
         return;
     }
-    const auto sent = static_cast<std::size_t>(std::max<ssize_t>(count, 0));
-    if (sent == data.size())
+    const auto sent = trySend(data);
+    if (!sent || *sent == data.size())
         return;
-    m_output.assign(data.substr(sent));
-    m_sent = 0;
+    buffer(std::move(data), *sent);
     event_add(m_writeEvent, nullptr);
 }
 
+auto tcp_stream::trySend(std::string_view data) -> std::optional<std::size_t>
+{
+    const auto count = ::send(m_descriptor, data.data(), data.size(), MSG_NOSIGNAL);
+    if (count >= 0)
+        return static_cast<std::size_t>(count);
+    if (isTransient(errno))
+        return 0;
+    m_isBroken = true;
+    // `onEnd` is posted, because the caller of `send` does not expect it to run within the call.
+    m_loop.post([keep = shared_from_this()] { keep->finish(false); });
+    return std::nullopt;
+}
+
+auto tcp_stream::buffer(std::string block, std::size_t sent) -> void
+{
+    const bool sharesLast
+        = !m_output.empty() && m_output.back().size() + block.size() <= sharedBlockBytes;
+    m_backlogBytes += block.size() - sent;
+    if (sharesLast) {
+        m_heldBytes -= m_output.back().capacity();
+        m_output.back() += block;
+    } else {
+        // Sent bytes can lead the first block only.
+        m_sent = m_output.empty() ? sent : m_sent;
+        m_output.push_back(std::move(block));
+    }
+    m_heldBytes += m_output.back().capacity();
+}
+
+auto tcp_stream::dropFirstBlock() -> void
+{
+    m_heldBytes -= m_output.front().capacity();
+    m_output.pop_front();
+    m_sent = 0;
+}
+
 auto tcp_stream::flush() -> void
 {
-    const auto rest = std::string_view(m_output).substr(m_sent);
+    if (m_output.empty()) {
+        event_del(m_writeEvent);
+        return;
+    }
+    const auto rest = std::string_view(m_output.front()).substr(m_sent);
     const auto count = ::send(m_descriptor, rest.data(), rest.size(), MSG_NOSIGNAL);
     if (count < 0) {
         if (!isTransient(errno))
@@ -249,14 +297,13 @@
         return;
     }
     m_sent += static_cast<std::size_t>(count);
-    if (backlogBytes() > 0) {
+    m_backlogBytes -= static_cast<std::size_t>(count);
+    if (m_sent == m_output.front().size())
+        dropFirstBlock();
+    if (backlogBytes() > 0)
         event_add(m_writeEvent, nullptr);
-    } else {
-        // The buffer of an idle connection keeps no memory.
-        m_output = {};
-        m_sent = 0;
+    else
         event_del(m_writeEvent);
-    }
     // A copy, as for `onData`.
     const auto callback = onSent;
     if (callback)
--- a/packages/net/tcp_stream.h
+++ b/packages/net/tcp_stream.h
@@ -14,7 +14,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -57,15 +59,17 @@
 
     // Sends `data`; buffers what cannot be sent without blocking.
     auto send(std::string_view data) -> void;
+    // The same for large data, which is kept without a copy of it.
+    auto sendOwned(std::string data) -> void;
     // Bytes in the send buffer.
-    [[nodiscard]] auto backlogBytes() const -> std::size_t { return m_output.size() - m_sent; }
+    [[nodiscard]] auto backlogBytes() const -> std::size_t { return m_backlogBytes; }
 
     // Bytes that were sent and that the peer has not acknowledged: those in the send buffer and
     // those that the kernel holds.
     [[nodiscard]] auto undeliveredBytes() const -> std::size_t;
 
     // Memory of the send buffer.
-    [[nodiscard]] auto heldBytes() const -> std::size_t { return m_output.capacity(); }
+    [[nodiscard]] auto heldBytes() const -> std::size_t { return m_heldBytes; }
 
     auto setReading(bool reading) -> void;
     // Bounds the size of one read.
@@ -95,6 +99,12 @@
     auto handleReadable() -> void;
     auto handleWritable() -> void;
     auto flush() -> void;
+    // Sends what the socket accepts now, without blocking; none if the connection is broken.
+    [[nodiscard]] auto trySend(std::string_view data) -> std::optional<std::size_t>;
+    [[nodiscard]] auto buffersOutput() const -> bool { return m_connecting || m_backlogBytes > 0; }
+    // Adds a block to the send buffer, of which `sent` bytes have been sent.
+    auto buffer(std::string block, std::size_t sent) -> void;
+    auto dropFirstBlock() -> void;
     auto finishConnecting() -> void;
     auto finishLingering() -> void;
     // Gives the peer time to receive what is left, or to close; at its end, goes on waiting if the
@@ -110,9 +120,13 @@
     event *m_readEvent = nullptr;
     event *m_writeEvent = nullptr;
     std::size_t m_maxReadBytes = SIZE_MAX;
-    std::string m_output;
-    // Bytes of m_output that have been sent.
+    // The send buffer. Each block is freed once it has been sent; small pieces share one.
+    std::list<std::string> m_output;
+    // Bytes of the first block that have been sent.
     std::size_t m_sent = 0;
+    // Bytes of the send buffer that have not been sent, and the memory of all its blocks.
+    std::size_t m_backlogBytes = 0;
+    std::size_t m_heldBytes = 0;
     bool m_connecting = false;
     bool m_reading = false;
     bool m_lingering = false;
