Free the memory of callers that give way before others take its place

What callers saw: the process passes memory_mb and is killed, and the requests of all callers end with it.

Cause: a connection that gives way counted as empty at once, while its memory was freed after all events of the turn. Where many callers have sent while the process stood still, it holds in one turn what gave way and what takes its place. A response that is whole and not read was, once it had stalled for a second, not freed at all: the connection was sent a 408 behind that response and kept both until its caller was given up seconds later. Class: a budget that says free before the memory is.

Change: the body that arrives, and the send buffer, are freed within the callback; the connection is closed later in the turn, as before, and never in a way that makes a part of a response look whole. Who does not read a response gets no second one.

--- a/packages/net/byte_budget.h
+++ b/packages/net/byte_budget.h
@@ -16,8 +16,8 @@
 // first, then the holder that has made no progress for longest. Requests that are whole never give
 // way; when they fill the budget, new ones are refused, large ones earlier than small ones.
 //
-// A holder that gives way counts as empty at once; its callback must release the memory soon. No
-// I/O, no clock; not synchronised.
+// A holder that gives way counts as empty at once; its callback must release the memory before it
+// returns. No I/O, no clock; not synchronised.
 
 #include <array>
 #include <cstddef>
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -305,19 +305,33 @@
             budget().settle(holder);
     }
 
-    // Frees the memory of the connection and closes it, once the code that runs has returned: it
-    // may be that of this connection.
+    // Frees the memory of the connection, and closes it once the code that runs has returned: it
+    // may be that of this connection. Freed that late, the memory of all that give way in one turn
+    // of the event loop would come on top of what takes its place.
     auto giveWay(yield_reason reason) -> void
     {
         hasYielded = true;
+        if (!processing)
+            freeInput();
+        if (isUnread)
+            stream->discardOutput();
         server.m_loop.post([self = shared_from_this(), reason] { self->closeYielded(reason); });
     }
 
+    // Nothing more of the request under way is received.
+    auto freeInput() -> void
+    {
+        nextTurn = {};
+        incoming.reset();
+        pending = {};
+        stream->setReading(false);
+    }
+
     auto closeYielded(yield_reason reason) -> void
     {
         if (stream->isClosed())
             return;
-        if (current || closing || reason != yield_reason::stalled)
+        if (current || closing || isUnread || reason != yield_reason::stalled)
             closeNow();
         else
             sendTimeoutAndClose();
@@ -382,7 +396,8 @@
     auto closeNow() -> void
     {
         // An orderly end would make a part of such a response look whole.
-        if (endsResponse && (current || stream->undeliveredBytes() > 0))
+        const bool isPartial = current || isUnread || stream->undeliveredBytes() > 0;
+        if (endsResponse && isPartial)
             stream->reset();
         else
             stream->close();
--- a/packages/net/tcp_stream.cpp
+++ b/packages/net/tcp_stream.cpp
@@ -217,7 +217,7 @@
 
 auto tcp_stream::send(std::string_view data) -> void
 {
-    if (isClosed() || m_lingering || data.empty())
+    if (isClosed() || m_lingering || m_discardsOutput || data.empty())
         return;
     if (buffersOutput()) {
         buffer(std::string(data), 0);
@@ -232,7 +232,7 @@
 
 auto tcp_stream::sendOwned(std::string data) -> void
 {
-    if (isClosed() || m_lingering || data.empty())
+    if (isClosed() || m_lingering || m_discardsOutput || data.empty())
         return;
     if (buffersOutput()) {
         buffer(std::move(data), 0);
@@ -281,6 +281,17 @@
     m_sent = 0;
 }
 
+auto tcp_stream::discardOutput() -> void
+{
+    m_discardsOutput = true;
+    m_output.clear();
+    m_sent = 0;
+    m_backlogBytes = 0;
+    m_heldBytes = 0;
+    if (!isClosed() && !m_connecting)
+        event_del(m_writeEvent);
+}
+
 auto tcp_stream::flush() -> void
 {
     if (m_output.empty()) {
@@ -365,7 +376,8 @@
 // Shuts down writing once everything is sent, and closes the connection once the peer has closed.
 auto tcp_stream::finishLingering() -> void
 {
-    if (backlogBytes() > 0)
+    // An end of the output would make a part of it look whole.
+    if (backlogBytes() > 0 || m_discardsOutput)
         return;
     if (!std::exchange(m_writeShutDown, true))
         shutdown(m_descriptor, SHUT_WR);
--- a/packages/net/tcp_stream.h
+++ b/packages/net/tcp_stream.h
@@ -61,6 +61,8 @@
     auto send(std::string_view data) -> void;
     // The same for large data, which is kept without a copy of it.
     auto sendOwned(std::string data) -> void;
+    // Frees the send buffer and sends nothing more; the connection is to be closed soon.
+    auto discardOutput() -> void;
     // Bytes in the send buffer.
     [[nodiscard]] auto backlogBytes() const -> std::size_t { return m_backlogBytes; }
 
@@ -127,6 +129,7 @@
     // Bytes of the send buffer that have not been sent, and the memory of all its blocks.
     std::size_t m_backlogBytes = 0;
     std::size_t m_heldBytes = 0;
+    bool m_discardsOutput = false;
     bool m_connecting = false;
     bool m_reading = false;
     bool m_lingering = false;
