Return the memory of what bodies leave while they grow

What callers saw: the process passes memory_mb and is killed.

Cause: blocks below 128 KiB stay in the heap when they are freed. A body begins with the 32 KiB of a read and doubles; each step leaves a gap between what connections keep, in which the grown bodies do not fit. Class: memory that no one holds.

Change: blocks from 16 KiB on are returned when they are freed, and the spare memory at the end of the heap is smaller than such a block, so that none is taken from there.

The cost in processor time of more returns to the kernel was not measured.

--- a/packages/net/process_limits.cpp
+++ b/packages/net/process_limits.cpp
@@ -134,9 +134,12 @@
 
 auto returnLargeBlocks() -> void
 {
-    // A value that is set stays; the allocator's own grows with the blocks that are freed.
-    constexpr int largeBlock = 128 << 10;
+    // A value that is set stays; the allocator's own grows with the blocks that are freed. Bodies
+    // grow from the size of a read on, so what they leave at each step has to count as large.
+    constexpr int largeBlock = 16 << 10;
     mallopt(M_MMAP_THRESHOLD, largeBlock);
+    // A large block is taken from the heap after all where the spare memory at its end suffices.
+    mallopt(M_TOP_PAD, largeBlock / 2);
 }
 
 } // namespace mustardline
--- a/packages/net/testing/process_limits_test.cpp
+++ b/packages/net/testing/process_limits_test.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <gtest/gtest.h>
+#include <malloc.h>
 #include <sys/resource.h>
 
 namespace mustardline {
@@ -15,6 +16,30 @@
 
 constexpr auto noLimit = UINT64_MAX;
 
+// Guards against bodies that leave the memory of their smaller beginnings to the process, as gaps
+// in its heap that the grown bodies do not fit in.
+TEST(ProcessLimitsTest, blocksOfTheSizeOfAReadLeaveNoGapsOnceFreed)
+{
+    constexpr std::size_t readSize = 32'000;
+    constexpr std::size_t bodies = 200;
+    returnLargeBlocks();
+    const auto freeBefore = mallinfo2().fordblks;
+    std::vector<std::string> begun;
+    // What a connection keeps beside its body separates the gaps.
+    std::vector<std::string> kept;
+    constexpr std::size_t keptSize = 1000;
+    for (std::size_t index = 0; index < bodies; ++index) {
+        begun.emplace_back(readSize, 'x');
+        kept.emplace_back(keptSize, 'x');
+    }
+    std::vector<std::string> grown;
+    for (auto &body : begun) {
+        grown.emplace_back(body + body);
+        std::string().swap(body);
+    }
+    EXPECT_LT(mallinfo2().fordblks, freeBefore + bodies * readSize / 4);
+}
+
 // Guards against an edge that sizes its budgets by the memory of the whole box.
 TEST(ProcessLimitsTest, memoryOfTheSettingsGoesBeforeThatOfTheVm)
 {
