--- a/packages/forwarding/edge_settings.cpp
+++ b/packages/forwarding/edge_settings.cpp
@@ -170,15 +170,6 @@
     }
 }
 
-// Whether the file may be in the middle of a write: a part of a JSON object is not valid JSON.
-auto isNotWhole(const result<edge_settings> &settings) -> bool
-{
-    const auto *failure = failed(settings);
-    return failure != nullptr
-           && (failure->code == result_code::settings_unreadable
-               || failure->code == result_code::settings_malformed);
-}
-
 } // namespace
 
 auto edgeSettingsFields() -> std::vector<settings_description>
@@ -215,13 +206,14 @@
 
 auto awaitEdgeSettings(const std::string &fileName) -> result<edge_settings>
 {
-    // A file is written within milliseconds; the rest is for a busy VM.
+    // A file is written within milliseconds, and a wrong one is replaced; the rest is for a busy
+    // VM.
     constexpr duration waitLimit = std::chrono::seconds(3);
     constexpr duration pause = std::chrono::milliseconds(50);
     const system_runtime_clock clock;
     const auto end = clock.now() + waitLimit;
     auto settings = readEdgeSettings(fileName);
-    for (; isNotWhole(settings) && clock.now() < end && !hasArrived(SIGTERM);
+    for (; failed(settings) != nullptr && clock.now() < end && !hasArrived(SIGTERM);
          settings = readEdgeSettings(fileName)) {
         std::this_thread::sleep_for(pause);
     }
--- a/packages/forwarding/edge_settings.h
+++ b/packages/forwarding/edge_settings.h
@@ -87,8 +87,8 @@
 
 [[nodiscard]] auto readEdgeSettings(const std::string &fileName) -> result<edge_settings>;
 
-// As above, for a start: a file that is absent, or not whole as it is being written, is read again
-// for three seconds, unless SIGTERM is held back (see net/held_signals.h). Blocks.
+// As above, for a start: a file that is absent, not whole as it is being written, or not usable is
+// read again for three seconds, unless SIGTERM is held back (see net/held_signals.h). Blocks.
 [[nodiscard]] auto awaitEdgeSettings(const std::string &fileName) -> result<edge_settings>;
 
 } // namespace mustardline
