Keep signals that nobody meant for an edge from ending it

What callers saw: SIGUSR1, SIGUSR2, SIGALRM or SIGVTALRM, sent by some program of the VM, ended an edge at once with all its requests, without a line.

Cause: only SIGTERM and SIGHUP were held; any other signal had its default action. The class is that of the SIGHUP during the start.

Why this works: these signals are held from before anything else and never released.

`serve` and the agent are unchanged.

--- a/packages/entry/command_line.cpp
+++ b/packages/entry/command_line.cpp
@@ -72,7 +72,9 @@
 
 auto edge(std::vector<std::string> &arguments) -> int
 {
-    holdSignals({SIGTERM, SIGHUP});
+    // Besides those with a meaning, signals that some program may send to an edge, and that would
+    // end it. They stay held.
+    holdSignals({SIGTERM, SIGHUP, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM});
     TCLAP::CmdLine line("Runs an edge process on the users' platform until SIGTERM.", ' ',
                         std::string(version));
     line.setExceptionHandling(false);
