Let no scan extend a history that began anew since it was asked for

At an edge that was out of step, the answer to a scan of the registrations may wait and be handled after the newest registrations were loaded.

Cause: the scan ends before the load, and what was registered between them is in neither, but the history was extended over the gap as far back as the scan reaches.

Evidence: RegistrationScanTest.aScanBeforeALoadTellsNothingOfTheTimeBetween. Without the comparison, as the code before did, it names v1 where nothing is known.

Why it works: the history counts its beginnings, and a scan extends only the one that it was asked for.

--- a/packages/forwarding/registration_scan.h
+++ b/packages/forwarding/registration_scan.h
@@ -5,7 +5,7 @@
 //
 //     registration_scan scan({.interval = 1200ms});
 //     for (const auto &registration : registrations) scan.add(registration);
-//     history.extend(now - scan.reach());
+//     history.extend(now - scan.reach(), history.beginnings());
 //
 // Records bear no time. But an endpoint registers again at a known interval and counts how often it
 // has done so, so that two registrations of one start are apart by their counts. Between them the
--- a/packages/forwarding/stream_origin_search.h
+++ b/packages/forwarding/stream_origin_search.h
@@ -110,21 +110,22 @@
         const bool reachesBack = history.reachesBack(question.lifetime, now);
         m_registrations.read(
             m_view.endpointsPosition(), reachesBack ? 0 : m_view.endpointCount(),
-            [this, question, done](const registration_scan &scan) {
-                learnVersions(scan);
+            [this, question, done,
+             beginnings = history.beginnings()](const registration_scan &scan) {
+                learnVersions(scan, beginnings);
                 done(scan.isComplete() ? m_router.streamVersions().proved(question, m_clock.now())
                                        : std::nullopt);
             });
     }
 
-    auto learnVersions(const registration_scan &scan) -> void
+    auto learnVersions(const registration_scan &scan, std::uint64_t beginnings) -> void
     {
         auto &history = m_router.streamVersions().history();
         const auto now = m_clock.now();
         for (const auto &[service, version] : scan.versions())
             history.noteVersion(service, version, now);
         if (scan.isComplete())
-            history.extend(now - scan.reach());
+            history.extend(now - scan.reach(), beginnings);
     }
 
     peer_exchange &m_exchange;
--- a/packages/forwarding/testing/stream_versions_test.cpp
+++ b/packages/forwarding/testing/stream_versions_test.cpp
@@ -46,11 +46,17 @@
     {
         m_versions.origins().doubtEndpoint("a", "v2", m_clock.now() - since);
     }
-    auto learn(const registration_scan &scan) -> void
+    // The scan was asked for when the history had begun this often; now, if not told otherwise.
+    auto learn(const registration_scan &scan, std::optional<std::uint64_t> beginnings = {}) -> void
     {
+        auto &history = m_versions.history();
         for (const auto &[service, version] : scan.versions())
-            m_versions.history().noteVersion(service, version, m_clock.now());
-        m_versions.history().extend(m_clock.now() - scan.reach());
+            history.noteVersion(service, version, m_clock.now());
+        history.extend(m_clock.now() - scan.reach(), beginnings.value_or(history.beginnings()));
+    }
+    [[nodiscard]] auto beginnings() const -> std::uint64_t
+    {
+        return m_versions.history().beginnings();
     }
 
     // The version of the stream, "" if it is not known.
@@ -255,6 +261,25 @@
     EXPECT_EQ(known.versionOf("other"), "v1");
 }
 
+// Guards against a version that joined and left between a scan and a load of the newest
+// registrations, where the answer to the scan is handled after the load, as after a pause.
+TEST(RegistrationScanTest, aScanBeforeALoadTellsNothingOfTheTimeBetween)
+{
+    registration_scan scan({.interval = 1s});
+    scan.add(registration("a", "v1", 100));
+    scan.add(registration("a", "v1", 130));
+    known_versions known;
+    known.begin();
+    known.registerEndpoint("a", "v1");
+    const auto beginnings = known.beginnings();
+    known.advance(10s);
+    known.begin();
+    known.learn(scan, beginnings);
+    EXPECT_EQ(known.versionOf("other"), "");
+    known.learn(scan);
+    EXPECT_EQ(known.versionOf("other"), "v1");
+}
+
 // A fleet that is seen whole, as the reference: endpoints of changing versions, and edges that read
 // the registrations late, are killed, and tell each other of streams by messages that may be lost.
 class version_fleet
--- a/packages/forwarding/version_history.h
+++ b/packages/forwarding/version_history.h
@@ -13,6 +13,7 @@
 // began at that version, also those of which this process knows nothing. That a version was not
 // seen proves nothing by itself: knowledge has to reach back far enough.
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -41,11 +42,19 @@
     explicit version_history(version_history_options options) : m_options(options) {}
 
     // The newest registrations were read, and what was registered before is not known.
-    auto begin(time_point now) -> void { m_knownSince = now; }
-    // All versions that were registered since `since` have been passed to `noteVersion`.
-    auto extend(time_point since) -> void
+    auto begin(time_point now) -> void
     {
-        if (!m_knownSince || since < *m_knownSince)
+        m_knownSince = now;
+        ++m_beginnings;
+    }
+    // How often the history has begun.
+    [[nodiscard]] auto beginnings() const -> std::uint64_t { return m_beginnings; }
+    // All versions that were registered since `since` have been passed to `noteVersion`, as read
+    // when the history had begun `beginnings` times. If it has begun again since, what lies between
+    // that read and the new beginning is not known, and this has no effect.
+    auto extend(time_point since, std::uint64_t beginnings) -> void
+    {
+        if (beginnings == m_beginnings && (!m_knownSince || since < *m_knownSince))
             m_knownSince = since;
     }
     auto noteVersion(std::string_view service, std::string_view version, time_point now) -> void;
@@ -106,6 +115,7 @@
 
     version_history_options m_options;
     std::optional<time_point> m_knownSince;
+    std::uint64_t m_beginnings = 0;
     std::map<std::string, version_states, std::less<>> m_services;
     // Keyed by the endpoint's id.
     std::unordered_map<std::string, endpoint_version> m_endpoints;
