Count the view as up to date only after a read to the end of the log

After a pause, an endpoint that lost its connection may be trusted to be the process that it was, and get streams of its old version, before its new start is read.

Cause: each answer to a read marked the view up to date as of the moment when it was handled, also one that ends before the log does, as the first one after a pause may, and one that waited through the pause. Class: an age that begins when a message is handled, not when it was true.

Evidence: FleetViewTest.aReadThatEndsBeforeTheLogDoesNotBringTheViewUpToDate; on the code before, the view is up to date after two of four records. That the beginning of the read counts has no test.

Why it works: the follower names the beginning of its last read that reached the end; the mark never goes back. Not mended: datagrams of other edges and loads still count as of when they are handled.

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -163,6 +163,11 @@
         return m_isFollowing ? *m_next : log_position();
     }
 
+    // When the last read of this process that reached the end of the topic was begun: all that was
+    // appended before has been reported. Its answer may have waited for any time. Nothing before
+    // the first one.
+    [[nodiscard]] auto readToEndAt() const -> std::optional<time_point> { return m_readToEndAt; }
+
     // Adds a delay to the pause between two reads, different for each process.
     auto setDelay(duration delay) -> void { m_readDelay = delay; }
 
@@ -232,15 +237,17 @@
         // After a failed call the read does not wait for a record, so that its answer, or its
         // failure, shows soon whether the service is back.
         const auto wait = m_lastCallAnswered ? m_options.wait : duration{};
-        m_log.read({.topic = m_options.topic, .from = *m_next, .wait = wait},
-                   [this, from = *m_next](const log_read_outcome &outcome) {
-                       m_isReading = false;
-                       handleRecords(from, outcome);
-                   });
+        m_log.read(
+            {.topic = m_options.topic, .from = *m_next, .wait = wait},
+            [this, from = *m_next, begunAt = m_clock.now()](const log_read_outcome &outcome) {
+                m_isReading = false;
+                handleRecords(from, begunAt, outcome);
+            });
     }
 
     // Handles the answer to a read from `from` on; peers may have offered some of it meanwhile.
-    auto handleRecords(const log_position &from, const log_read_outcome &outcome) -> void
+    auto handleRecords(const log_position &from, time_point begunAt,
+                       const log_read_outcome &outcome) -> void
     {
         const bool wasLastAnswered = m_lastCallAnswered;
         if (!isAnswered(outcome)) {
@@ -282,6 +289,8 @@
             apply(*record);
         }
         m_next = std::max(reportedUpTo, next);
+        if (next.offset >= batch->endOffset)
+            m_readToEndAt = begunAt;
         if (onRead)
             onRead(reportedUpTo, *m_next);
         schedule(m_options.readPause + m_readDelay, [this] { readNext(); });
@@ -362,6 +371,7 @@
     std::optional<log_position> m_readUpTo;
     keyed_values m_values;
     std::optional<time_point> m_lastOfferAt;
+    std::optional<time_point> m_readToEndAt;
     duration m_readDelay{};
     std::uint64_t m_otherEraOffers = 0;
     // The service answered the last call of this process.
--- a/packages/forwarding/endpoint_directory.h
+++ b/packages/forwarding/endpoint_directory.h
@@ -16,6 +16,7 @@
 // An address belongs to one instance of an endpoint: the same id with a later `startedAtMs` is a
 // new instance.
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -92,8 +93,8 @@
     // unread.
     auto retainOnly(const std::set<std::string, std::less<>> &ids, time_point now) -> void;
 
-    // The log was read to its end at this time.
-    auto markUpToDate(time_point now) -> void { m_upToDateAt = now; }
+    // All that the log held at this time has been applied.
+    auto markUpToDate(time_point at) -> void { m_upToDateAt = std::max(m_upToDateAt, at); }
     [[nodiscard]] auto upToDateAt() const -> time_point { return m_upToDateAt; }
 
     // The log service became available after an outage.
--- a/packages/forwarding/fleet_view.h
+++ b/packages/forwarding/fleet_view.h
@@ -129,7 +129,8 @@
             onEndpoints();
         };
         m_endpoints.onRead = [this](const log_position &from, const log_position &end) {
-            m_directory.markUpToDate(m_clock.now());
+            if (const auto readAt = m_endpoints.readToEndAt())
+                m_directory.markUpToDate(*readAt);
             forwardUpdates(from, end);
         };
         m_endpoints.onAvailable = [this] { m_directory.onLogAvailable(m_clock.now()); };
--- a/packages/forwarding/testing/fleet_view_test.cpp
+++ b/packages/forwarding/testing/fleet_view_test.cpp
@@ -151,6 +151,23 @@
     EXPECT_FALSE(edge.view.hasEndpoints());
 }
 
+// Guards against an endpoint that is trusted to be the process that it was, because a read which
+// ended before the log did counts as one to its end.
+TEST(FleetViewTest, aReadThatEndsBeforeTheLogDoesNotBringTheViewUpToDate)
+{
+    event_loop loop;
+    viewing_edge edge(loop);
+    edge.log.pages = {pageOf("a", "v1", 0, 1, false)};
+    edge.log.reads = {log_batch{.endOffset = 4, .records = {"b=v1"}},
+                      log_batch{.endOffset = 4, .records = {"a=v2", "c=v1"}}};
+    edge.view.start();
+    const auto loadedAt = edge.directory.upToDateAt();
+    ASSERT_TRUE(runUntil(loop, [&] { return edge.view.endpointsPosition().offset == 2; }));
+    EXPECT_EQ(edge.directory.upToDateAt(), loadedAt);
+    ASSERT_TRUE(runUntil(loop, [&] { return edge.view.endpointsPosition().offset == 4; }));
+    EXPECT_GT(edge.directory.upToDateAt(), loadedAt);
+}
+
 } // namespace
 
 } // namespace mustardline
