Tell in the log how many endpoints of a resumed stream's version are in doubt

Callers saw streams that were refused with no_endpoint although servers of their version were there. The log could not tell an endpoint in doubt (it lost a connection a short time ago) from one that is not registered: class of fault, a decision whose inputs are not logged. stream_resume_requested now has endpoints= and doubted=, from the same count that decides whether a request may be sent again.

Evidence: StreamEndpointsLogTest.aRefusedStreamTellsHowManyEndpointsAreInDoubt fails on the code before ("Actual: false Expected: true", no such field) and passes with it, with the 20 tests of StreamVersionRouterTest. Not run: the rest of the suite on the final text; the Stream tests (82) passed on the same code before the new test.

--- a/packages/forwarding/forward_router.h
+++ b/packages/forwarding/forward_router.h
@@ -199,6 +199,14 @@
     auto removeVersionTargets() -> void;
     // Whether endpoints of several versions are registered, or were while the stream could begin.
     [[nodiscard]] auto hasSeveralVersions(const forward_request &request) const -> bool;
+    // The usable endpoints of a version, and how many of these get no stream to resume for now.
+    struct version_endpoints
+    {
+        std::size_t usable = 0;
+        std::size_t doubted = 0;
+    };
+    [[nodiscard]] auto endpointsOfVersion(std::string_view service, std::string_view version) const
+        -> version_endpoints;
     // Whether an endpoint may get the request, if its stream has begun.
     [[nodiscard]] auto hasEndpointFor(const forward_request &request) const -> bool;
     // Keeps a request whose stream has begun at the version that began it.
--- a/packages/forwarding/forward_router_streams.cpp
+++ b/packages/forwarding/forward_router_streams.cpp
@@ -65,11 +65,14 @@
         return;
     const auto now = m_clock.now();
     const bool isKnown = origin && leadsTo(*request->route, origin->service);
+    const auto endpoints
+        = isKnown ? endpointsOfVersion(origin->service, origin->version) : version_endpoints{};
     m_metrics.recordResumeRequest(isKnown);
     m_log.write(streamResumeRequested, field("request", request->id),
                 field("began_by", request->originAttempt), field("known", isKnown),
                 field("asked", wasAsked), field("service", origin ? origin->service : ""),
                 field("endpoint_version", origin ? origin->version : ""),
+                field("endpoints", endpoints.usable), field("doubted", endpoints.doubted),
                 field("waited_ms", toMilliseconds(now - request->arrivedAt)));
     if (!isKnown) {
         rejectResume(*request, false);
@@ -278,13 +281,23 @@
 {
     if (!request.streamVersion)
         return true;
-    return std::ranges::any_of(m_directory.entries(), [&](const auto &item) {
-        const auto &registration = item.second.registration;
-        return registration.service == request.service
-               && registration.version == *request.streamVersion
-               && m_directory.isUsable(item.second)
-               && !isDoubtful(registration.service, registration.id);
-    });
+    const auto endpoints = endpointsOfVersion(request.service, *request.streamVersion);
+    return endpoints.usable > endpoints.doubted;
+}
+
+auto forward_router::endpointsOfVersion(std::string_view service, std::string_view version) const
+    -> version_endpoints
+{
+    version_endpoints endpoints;
+    for (const auto &[id, entry] : m_directory.entries()) {
+        if (entry.registration.service != service || entry.registration.version != version
+            || !m_directory.isUsable(entry))
+            continue;
+        ++endpoints.usable;
+        if (isDoubtful(service, id))
+            ++endpoints.doubted;
+    }
+    return endpoints;
 }
 
 auto forward_router::keepVersion(const forward_request &request) -> void
--- a/packages/forwarding/testing/forward_router_fixture.h
+++ b/packages/forwarding/testing/forward_router_fixture.h
@@ -164,7 +164,9 @@
     system_runtime_clock m_clock;
     http_client m_http{m_loop, {}};
     http_client m_client{m_loop, {}};
-    logger m_log{{.sink = [](std::string_view) {}}};
+    // All lines of the log.
+    std::string m_logged;
+    logger m_log{{.sink = [this](std::string_view text) { m_logged += text; }}};
     counters m_metrics;
     route_table m_routes;
     endpoint_directory m_directory{{}};
