Free the bodies of responses that are given up

A request whose response was given up, or that is tried again, kept the memory of that response until it ended, and the budget counted it as free: so the responses held could take any multiple of their eighth of the memory.

Cause: `text = {}` leaves a string its memory. Class: a budget that says free before the memory is.

Change: freeBody, and the same where a connection gives way.

HeldBodyTest.freedBodyKeepsNoMemory: red with the assignment (1,048,576 bytes kept), green now. EndlessResponseTest and ResourcePlanTest passed with it, and all 84 tests of net_test. forwarding_test as a whole was not run again after the change.

--- a/packages/forwarding/forward_router_responses.cpp
+++ b/packages/forwarding/forward_router_responses.cpp
@@ -183,7 +183,7 @@
 auto forward_router::releaseBody(forward_request &request) -> void
 {
     m_heldBytes -= memoryOf(request.body);
-    request.body = {};
+    freeBody(request.body);
 }
 
 auto forward_router::giveUpLargestBody() -> void
--- a/packages/forwarding/held_body.h
+++ b/packages/forwarding/held_body.h
@@ -19,6 +19,12 @@
     return body.empty() ? 0 : body.capacity();
 }
 
+// Frees the memory of `body`. An empty string that is assigned would keep it.
+inline auto freeBody(std::string &body) -> void
+{
+    std::string().swap(body);
+}
+
 // The capacity that `body` needs for `added` more bytes. It doubles, so that few bytes are copied,
 // but not beyond `limit`, which is what the whole response takes at most.
 inline auto grownCapacity(const std::string &body, std::size_t added, std::size_t limit)
--- a/packages/forwarding/testing/resource_plan_test.cpp
+++ b/packages/forwarding/testing/resource_plan_test.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/resource_plan.h"
 
+#include "forwarding/held_body.h"
+
 #include <gtest/gtest.h>
 
 namespace mustardline {
@@ -51,5 +53,14 @@
     EXPECT_LT(plan.callerBytes + copiesOfGrowingResponse * plan.responseBytes, smallestVm);
 }
 
+// Guards against responses that are given up and whose memory stays with the request, uncounted.
+TEST(HeldBodyTest, freedBodyKeepsNoMemory)
+{
+    std::string body(1U << 20U, 'x');
+    freeBody(body);
+    EXPECT_EQ(memoryOf(body), 0U);
+    EXPECT_LE(body.capacity(), std::string().capacity());
+}
+
 } // namespace
 } // namespace mustardline
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -323,7 +323,8 @@
     {
         nextTurn = {};
         incoming.reset();
-        pending = {};
+        // An empty string that is assigned would keep the memory.
+        std::string().swap(pending);
         stream->setReading(false);
     }
 
