Let old usage windows give way where the memory for counts is full

What callers would see: usage reports that are too low. Found by the review: bounded the counts of other edges and, once full, refused those of the newest window, while windows that had been reported long before kept their memory. By reckoning the bound is met after a minute at 300 edges with 40 client accounts each. Class: a bound that favours what came first over what is needed.

Windows from seven before on now give way first.

--- a/packages/forwarding/usage_windows.cpp
+++ b/packages/forwarding/usage_windows.cpp
@@ -28,6 +28,16 @@
     return row;
 }
 
+// Windows that were reported long ago give way to the counts of later ones.
+auto usage_windows::makeRoom(std::size_t added, std::int64_t window) -> void
+{
+    // Those that are not reported yet, also if an edge names one ahead of the present.
+    const auto windowsInUse = m_options.aheadWindows + 4;
+    while (m_peerBytes + added > m_options.maxPeerBytes && !m_windows.empty()
+           && m_windows.begin()->first <= window - windowsInUse)
+        discardOldest();
+}
+
 auto usage_windows::discardOldest() -> void
 {
     for (const auto &[edge, row] : m_windows.begin()->second) {
@@ -54,12 +64,14 @@
 {
     if (edge == m_options.self || edge.size() > maxNameBytes || account.size() > maxNameBytes)
         return;
-    if (m_peerBytes + bytesOf(edge, account) > m_options.maxPeerBytes)
+    const auto added = bytesOf(edge, account);
+    makeRoom(added, window);
+    if (m_peerBytes + added > m_options.maxPeerBytes)
         return;
     auto &row = countsFor(window, edge);
     const auto [found, isNew] = row.try_emplace(std::string(account), count);
     if (isNew)
-        m_peerBytes += bytesOf(edge, account);
+        m_peerBytes += added;
     else
         found->second = std::max(found->second, count);
 }
--- a/packages/forwarding/usage_windows.h
+++ b/packages/forwarding/usage_windows.h
@@ -27,7 +27,7 @@
     std::int64_t keptWindows = 24;
     // Number of windows ahead of this process's clock that others may count.
     std::int64_t aheadWindows = 3;
-    // Memory for the counts of other edges; what is beyond it is ignored.
+    // Memory for the counts of other edges. Old windows give way; what is beyond it is ignored.
     std::size_t maxPeerBytes = 32U << 20U;
     // Identifies this edge's process start.
     std::string self = "self";
@@ -67,6 +67,8 @@
     [[nodiscard]] auto totals(std::int64_t window) const -> account_counts;
 
 private:
+    // Discards old windows, as far as counts of `added` bytes for `window` need their memory.
+    auto makeRoom(std::size_t added, std::int64_t window) -> void;
     auto discardOldest() -> void;
     auto countsFor(std::int64_t window, const std::string &edge) -> account_counts &;
 
