--- a/packages/net/testing/process_limits_test.cpp
+++ b/packages/net/testing/process_limits_test.cpp
@@ -53,21 +53,6 @@
     EXPECT_EQ(memoryLimit(noLimit), unstated);
 }
 
-TEST(ProcessLimitsTest, addressSpaceOfTheProcessLimitsItsMemory)
-{
-    rlimit before{};
-    ASSERT_EQ(getrlimit(RLIMIT_DATA, &before), 0);
-    auto lowered = before;
-    lowered.rlim_cur = 512U << 20U;
-    ASSERT_EQ(setrlimit(RLIMIT_DATA, &lowered), 0);
-    const auto limit = memoryLimit(0);
-    const auto stated = memoryLimit(lowered.rlim_cur * 2);
-    ASSERT_EQ(setrlimit(RLIMIT_DATA, &before), 0);
-    EXPECT_LE(limit.value, lowered.rlim_cur);
-    EXPECT_LE(stated.value, lowered.rlim_cur);
-    EXPECT_NE(stated.source, limit_source::settings);
-}
-
 // Guards against an edge that opens more descriptors than its VM may have.
 TEST(ProcessLimitsTest, kernelEnforcesTheDescriptorsOfTheSettings)
 {
