Log how a load of newest values goes, and what readiness waits for

Seen by operators: an edge that cannot read the newest values of a topic writes edge_started and then only answers 503.

A load now has a line when it begins, one a second while it lasts and one when it ends, and a gauge; edge_ready is written at the start too, and like the readiness response says what the edge waits for. No decision changes.

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -12,7 +12,7 @@
 // the start, and whenever records expired before they were read. A key that is not among them was
 // deleted. A record may be reported twice, but never after a newer one of the same key.
 // `onUnavailable` and `onAvailable` report when the log service stops answering and when it answers
-// again.
+// again. `onLoadBegan`, `onLoadContinues` and `onLoadEnded` report a load of the newest values.
 //
 // When the service comes back from an older copy, in a later era, the newest values are read again.
 // What it has lost of them is kept as keyed_values decides; a key that is given up then is reported
@@ -32,6 +32,7 @@
 #include <utility>
 
 #include "coordination/keyed_values.h"
+#include "coordination/load_progress.h"
 #include "coordination/shared_log.h"
 #include "net/event_loop.h"
 
@@ -80,11 +81,20 @@
     // The service came back from an older copy; the newest values are read again. `from` is where
     // this process would have read on.
     std::function<auto(const log_position &from)->void> onEraEnded;
+    // A load of the newest values began, has lasted for another second, or ended; `progress` says
+    // how far it has come and what kept it from going on.
+    std::function<auto(const load_progress &progress)->void> onLoadBegan;
+    std::function<auto(const load_progress &progress)->void> onLoadContinues;
+    std::function<auto(const load_progress &progress)->void> onLoadEnded;
     // This process has read and reported all records from `from` up to `end`; records that were
     // offered by a peer are not included.
     std::function<auto(const log_position &from, const log_position &end)->void> onRead;
 
-    auto start() -> void { readNewest(""); }
+    auto start() -> void
+    {
+        beginLoad(load_cause::start);
+        readNewest("");
+    }
 
     // Applies what another process has read from `from` up to `end`; `records` holds those of that
     // range that it forwarded. Records already reported are skipped. Returns false, and has no
@@ -131,6 +141,9 @@
         if (m_isLoaded)
             return false;
         m_next = known.end;
+        if (!m_loadTimer)
+            m_progress = {.cause = load_cause::start, .begunAt = m_clock.now()};
+        m_progress.isFromPeer = true;
         m_values.clear();
         m_values.beginLoad();
         for (const auto &record : known.records)
@@ -174,7 +187,33 @@
     // Whether the newest values have been read or adopted at least once.
     [[nodiscard]] auto isLoaded() const -> bool { return m_isLoaded; }
 
+    // When the load of the newest values that is in progress began; no value if there is none.
+    [[nodiscard]] auto loadBegunAt() const -> std::optional<time_point>
+    {
+        return m_loadTimer ? std::optional(m_progress.begunAt) : std::nullopt;
+    }
+
 private:
+    static constexpr duration progressInterval = std::chrono::seconds(1);
+
+    auto beginLoad(load_cause cause) -> void
+    {
+        m_progress = {.cause = cause, .begunAt = m_clock.now()};
+        m_loadTimer = m_loop.every(progressInterval, [this] {
+            if (onLoadContinues)
+                onLoadContinues(m_progress);
+        });
+        if (onLoadBegan)
+            onLoadBegan(m_progress);
+    }
+
+    auto endLoad() -> void
+    {
+        m_loadTimer.reset();
+        if (onLoadEnded)
+            onLoadEnded(m_progress);
+    }
+
     auto readNewest(const std::string &after) -> void
     {
         if (after.empty()) {
@@ -194,15 +233,20 @@
         if (m_isFollowing)
             return;
         if (!wasAnswered) {
+            m_progress.fail(std::get<log_unavailable>(outcome).reason);
+            m_progress.beginAnew();
             schedule(m_options.retryAfter, [this] { readNewest(""); });
             return;
         }
         const auto &page = std::get<log_newest_page>(outcome);
         // The service came back from an older copy between two pages.
         if (m_next && m_next->era != page.end.era) {
+            m_progress.fail("the log is of another era than the page before");
+            m_progress.beginAnew();
             readNewest("");
             return;
         }
+        m_progress.addPage(page);
         // The pages are not one consistent snapshot. Reading on from the log's end as of the first
         // page misses nothing.
         if (!m_next) {
@@ -225,6 +269,7 @@
         m_isLoaded = true;
         m_isFollowing = true;
         m_values.finishLoad(*m_next, m_clock.now());
+        endLoad();
         if (onLoaded)
             onLoaded(m_values.keys());
         awaitDecisions();
@@ -261,7 +306,7 @@
             if (onEraEnded)
                 onEraEnded(from);
             // The processes that follow the topic do not read it all at the same time.
-            readNewestAfter(m_readDelay);
+            readNewestAfter(m_readDelay, load_cause::era_ended);
             return;
         }
         // Records expired unread, or the log ends before what was already read of it.
@@ -269,7 +314,7 @@
             || batch->firstOffset > from.offset) {
             if (onRecordsExpired)
                 onRecordsExpired(from);
-            readNewestAfter(m_options.readPause);
+            readNewestAfter(m_options.readPause, load_cause::records_expired);
             return;
         }
         const auto reportedUpTo = *m_next;
@@ -296,9 +341,10 @@
         schedule(m_options.readPause + m_readDelay, [this] { readNext(); });
     }
 
-    auto readNewestAfter(duration delay) -> void
+    auto readNewestAfter(duration delay, load_cause cause) -> void
     {
         m_isFollowing = false;
+        beginLoad(cause);
         schedule(delay, [this] { readNewest(""); });
     }
 
@@ -384,6 +430,9 @@
     bool m_isFollowing = false;
     event_handle m_timer;
     event_handle m_decisionTimer;
+    // The load in progress, or the last one; the timer runs during a load.
+    load_progress m_progress;
+    std::optional<event_handle> m_loadTimer;
 };
 
 } // namespace mustardline
--- a/packages/forwarding/edge_gauges.cpp
+++ b/packages/forwarding/edge_gauges.cpp
@@ -27,6 +27,9 @@
                         "Endpoints slower or faster than the mean of their service.")),
       m_logAge(addGauge(metrics, "mustardline_log_age_milliseconds",
                         "Time since the log service last answered.")),
+      m_logLoadAge(addGauge(metrics, "mustardline_log_load_age_milliseconds",
+                            "Time for which the newest values of a topic have been read; 0 if "
+                            "none are being read.")),
       m_logEra(addGauge(metrics, "mustardline_log_era",
                         "The era that the log service names in its answers.")),
       m_keptRecords(
@@ -63,6 +66,7 @@
     m_liveEdges.set(state.liveEdges);
     m_uneven.set(static_cast<std::int64_t>(state.unevenEndpoints));
     m_logAge.set(state.logAgeMs);
+    m_logLoadAge.set(state.logLoadAgeMs);
     m_logEra.set(static_cast<std::int64_t>(state.logEra));
     m_keptRecords.set(static_cast<std::int64_t>(state.keptRecords));
     m_otherEraDrops.set(static_cast<std::int64_t>(state.otherEraDrops));
--- a/packages/forwarding/edge_gauges.h
+++ b/packages/forwarding/edge_gauges.h
@@ -21,6 +21,8 @@
     std::int64_t liveEdges = 0;
     std::size_t unevenEndpoints = 0;
     std::int64_t logAgeMs = 0;
+    // How long the oldest load of newest values that is in progress has lasted; 0 if there is none.
+    std::int64_t logLoadAgeMs = 0;
     std::uint64_t logEra = 0;
     std::size_t keptRecords = 0;
     std::uint64_t otherEraDrops = 0;
@@ -50,6 +52,7 @@
     counter &m_liveEdges;
     counter &m_uneven;
     counter &m_logAge;
+    counter &m_logLoadAge;
     counter &m_logEra;
     counter &m_keptRecords;
     counter &m_otherEraDrops;
--- a/packages/forwarding/edge_process.h
+++ b/packages/forwarding/edge_process.h
@@ -232,12 +232,22 @@
         constexpr int ready = 200;
         constexpr int notReady = 503;
         const bool isKnown = exchange->path() == Platform::readinessPath();
-        exchange->reply(isKnown && isReady() ? ready : notReady, {}, "");
+        const auto awaited = readinessWait();
+        exchange->reply(isKnown && awaited.empty() ? ready : notReady, {}, awaited);
     }
 
-    [[nodiscard]] auto isReady() const -> bool
+    // What keeps this edge from being ready for new connections; empty if it is ready.
+    [[nodiscard]] auto readinessWait() const -> std::string_view
     {
-        return m_isServing && !m_isShuttingDown && knowsFleet() && m_callers.hasRoom();
+        if (!m_isServing)
+            return "ports";
+        if (m_isShuttingDown)
+            return "stop";
+        if (!m_routes.current())
+            return "configuration";
+        if (!m_fleetView.hasEndpoints())
+            return "endpoints";
+        return m_callers.hasRoom() ? "" : "room";
     }
 
     // Whether this edge has a configuration and has read the endpoints.
@@ -389,6 +399,7 @@
              .liveEdges = m_peers.liveCount(now),
              .unevenEndpoints = m_router.unevenEndpointCount(),
              .logAgeMs = toMilliseconds(now - m_directory.upToDateAt()),
+             .logLoadAgeMs = toMilliseconds(now - m_fleetView.loadBegunAt().value_or(now)),
              .logEra = m_platform.log().era(),
              .keptRecords = m_fleetView.keptRecords(),
              .otherEraDrops = m_platform.log().lateResponseCount() + m_fleetView.otherEraUpdates(),
@@ -407,9 +418,9 @@
         m_directory.tick(now);
         m_router.endpointsChanged();
         m_router.tick();
-        if (const bool ready = isReady(); ready != m_wasReady) {
-            m_wasReady = ready;
-            m_log.write(edgeReady, field("ready", ready));
+        if (const auto awaited = readinessWait(); awaited != m_readinessWait) {
+            m_readinessWait = awaited;
+            m_log.write(edgeReady, field("ready", awaited.empty()), field("waits_for", awaited));
         }
         if (!m_isShuttingDown && (!knowsFleet() || m_fleetView.keptRecords() == 0))
             requestSnapshot(now);
@@ -515,7 +526,8 @@
     event_handle m_announceTimer;
     event_handle m_shutdownTimer;
     time_point m_nextSnapshotRequest = m_clock.now() + snapshotRequestInterval;
-    bool m_wasReady = false;
+    // As it was last logged.
+    std::optional<std::string_view> m_readinessWait;
     bool m_isShuttingDown = false;
     time_point m_signalledAt{};
 };
--- a/packages/forwarding/events.h
+++ b/packages/forwarding/events.h
@@ -130,6 +130,16 @@
     5043, "settings_value_ignored", log_level::warning,
     "A value of the settings file cannot be used; the line says what is used instead."};
 
+inline constexpr log_event logLoadBegan{
+    5044, "log_load_began", log_level::info,
+    "The newest values of a topic are read; the line says what made that necessary."};
+inline constexpr log_event logLoadContinues{
+    5045, "log_load_continues", log_level::warning,
+    "The newest values of a topic have not been read yet; written once a second."};
+inline constexpr log_event logLoadEnded{
+    5046, "log_load_ended", log_level::info,
+    "The newest values of a topic were read, or received from another edge."};
+
 inline constexpr auto forwardingEvents
     = std::to_array<log_event>({edgeStarted,          edgeReady,
                                 edgeStopping,         edgeStopped,
@@ -152,6 +162,8 @@
                                 rolloutJudged,        rolloutRecorded,
                                 rolloutAdopted,       rolloutWithdrawn,
                                 endpointSpeedChanged, logEraEnded,
-                                logEraBegan,          settingsValueIgnored});
+                                logEraBegan,          settingsValueIgnored,
+                                logLoadBegan,         logLoadContinues,
+                                logLoadEnded});
 
 } // namespace mustardline
--- a/packages/forwarding/fleet_view.h
+++ b/packages/forwarding/fleet_view.h
@@ -139,10 +139,22 @@
             = [this](const log_position &) { m_directory.onLogAvailable(m_clock.now()); };
         logAvailability(m_configuration, "configuration");
         logAvailability(m_endpoints, "endpoints");
+        logLoads(m_configuration, "configuration");
+        logLoads(m_endpoints, "endpoints");
         m_configuration.start();
         m_endpoints.start();
     }
 
+    // When the oldest load of newest values that is in progress began; no value if there is none.
+    [[nodiscard]] auto loadBegunAt() const -> std::optional<time_point>
+    {
+        const auto configuration = m_configuration.loadBegunAt();
+        const auto endpoints = m_endpoints.loadBegunAt();
+        if (configuration && endpoints)
+            return std::min(*configuration, *endpoints);
+        return configuration ? configuration : endpoints;
+    }
+
     // Whether the topic of endpoints was read to its end at least once.
     [[nodiscard]] auto hasEndpoints() const -> bool { return m_endpoints.isLoaded(); }
 
@@ -273,6 +285,32 @@
         };
     }
 
+    // Logs how each load of the newest values of a topic goes.
+    auto logLoads(keyed_follower<log_type> &follower, const std::string &topic) -> void
+    {
+        follower.onLoadBegan = [this, topic](const load_progress &progress) {
+            m_log.write(logLoadBegan, field("topic", topic),
+                        field("cause", causeName(progress.cause)));
+        };
+        follower.onLoadContinues = [this, topic](const load_progress &progress) {
+            writeLoad(logLoadContinues, topic, progress);
+        };
+        follower.onLoadEnded = [this, topic](const load_progress &progress) {
+            writeLoad(logLoadEnded, topic, progress);
+        };
+    }
+
+    auto writeLoad(const log_event &event, const std::string &topic, const load_progress &progress)
+        -> void
+    {
+        m_log.write(event, field("topic", topic), field("cause", causeName(progress.cause)),
+                    field("pages", progress.pages), field("entries", progress.entries),
+                    field("last_key", progress.lastKey.value_or("")),
+                    field("age_ms", toMilliseconds(m_clock.now() - progress.begunAt)),
+                    field("restarts", progress.restarts), field("failures", progress.failures),
+                    field("reason", progress.reason), field("from_peer", progress.isFromPeer));
+    }
+
     auto applyOperatorRecord(const keyed_record &record) -> void
     {
         if (const auto dataCentre = Platform::evacuatedDataCentre(record.key)) {
