Build paths with texts of others in one place that encodes them

Seen by operators: nothing yet but the faults that mended for one call. Class: text that chooses what else is asked for, or sent on a connection.

request_path encodes all that has a meaning; the client of HTTP sends no request whose path, method or headers hold a byte that would end them, and fails it as not sent. Stream names and request ids in other paths are this system's own.

--- a/packages/coordination/orders_client.cpp
+++ b/packages/coordination/orders_client.cpp
@@ -1,6 +1,6 @@
 #include "coordination/orders_client.h"
 
-#include <fmt/format.h>
+#include "net/request_path.h"
 
 namespace mustardline {
 
@@ -57,7 +57,7 @@
 auto orders_client::list(const std::string &dataCentre, list_handler done) -> void
 {
     callPlatform(m_http, m_address,
-                 {.path = fmt::format("/v1/endpoints?data_centre={}", dataCentre)},
+                 {.path = request_path("/v1/endpoints").query("data_centre", dataCentre).text()},
                  [done = std::move(done)](const result<nlohmann::json> &answer) {
                      if (const auto *failure = failed(answer))
                          done(*failure);
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -24,6 +24,25 @@
 // A peer that has dropped a connection resets it within a round trip after the request.
 constexpr duration resetTime = std::chrono::milliseconds(250);
 
+// Whether a text can stand in a request head without ending a line of it.
+auto isOneLine(std::string_view text) -> bool
+{
+    return std::ranges::none_of(
+        text, [](char letter) { return letter == '\r' || letter == '\n' || letter == '\0'; });
+}
+
+// Whether the head says what the caller means: a byte such as a line end in a text that came from
+// elsewhere would begin another header or another request.
+auto isSendable(const http_request &request) -> bool
+{
+    const auto hasMeaning = [](char letter) { return static_cast<unsigned char>(letter) <= ' '; };
+    return std::ranges::none_of(request.method, hasMeaning)
+           && std::ranges::none_of(request.path, hasMeaning)
+           && std::ranges::all_of(request.headers, [](const http_header &header) {
+                  return isOneLine(header.name) && isOneLine(header.value);
+              });
+}
+
 // Serialises the request line and headers.
 auto requestHead(const socket_address &address, const http_request &request) -> std::string
 {
@@ -202,6 +221,11 @@
     auto begin() -> void
     {
         lastInput = system_runtime_clock().now();
+        if (!isSendable(request)) {
+            failLater(result_code::malformed_message,
+                      "the path or a header holds a byte that ends it");
+            return;
+        }
         reader = http1_reader(
             {.kind = http1_kind::response, .maxHeadBytes = pool->options.maxHeaderBytes});
         if (request.method == "HEAD")
