Read newest values with one loader that goes on or says why not

Seen by callers: an edge that starts, or starts again after a kill, beside some records of the store answers 503 and is never ready. The ways: a page ends at the empty key, which counted as no key; a page that says more keys follow and holds none ended the load; a page that ends at the key it was asked for was asked for without a pause or a line; each lost page began the load at the first one; a key that is no text is named otherwise by the store, so that the next page begins with it again, or spoils its page.

Cause: the place in a load was a text whose empty value meant the beginning, and nothing checked that a page leads on. Class: a loop over another system's pages that trusts them to advance. The same loop stood in the roll-out's driver, and the usage duty read the first page alone.

A load with pages that did not lead on is repeated later, as it may have missed keys.

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -32,7 +32,7 @@
 #include <utility>
 
 #include "coordination/keyed_values.h"
-#include "coordination/load_progress.h"
+#include "coordination/newest_loader.h"
 #include "coordination/shared_log.h"
 #include "net/event_loop.h"
 
@@ -45,11 +45,15 @@
     duration wait{};
     // Pause between the end of a read and the next one.
     duration readPause = std::chrono::milliseconds(100);
-    // Pause after a failed call; the first retry of a read follows at once.
+    // Pause after a failed call; the first retry of a call whose answer was lost follows at once.
     duration retryAfter = std::chrono::milliseconds(400);
     // A failed call is not reported by `onUnavailable` if a peer's read was offered within this
     // time: the service then answers others.
     duration peerReadTrustTime = std::chrono::seconds(2);
+    // Time after which the newest values are read again if pages of them did not lead on. Doubles
+    // with each such load, up to `maxReloadAfter`.
+    duration reloadAfter = std::chrono::seconds(2);
+    duration maxReloadAfter = std::chrono::seconds(60);
     // What is kept when the service comes back from an older copy.
     keyed_values_options values;
 };
@@ -66,8 +70,14 @@
 {
 public:
     keyed_follower(event_loop &loop, Log &log, keyed_follower_options options)
-        : m_loop(loop), m_log(log), m_options(std::move(options)), m_values(m_options.values)
-    {}
+        : m_loop(loop),
+          m_log(log),
+          m_options(std::move(options)),
+          m_loader(loop, log, {.topic = m_options.topic, .retryAfter = m_options.retryAfter}),
+          m_values(m_options.values)
+    {
+        connectLoader();
+    }
     keyed_follower(const keyed_follower &) = delete;
     auto operator=(const keyed_follower &) -> keyed_follower & = delete;
 
@@ -90,11 +100,7 @@
     // offered by a peer are not included.
     std::function<auto(const log_position &from, const log_position &end)->void> onRead;
 
-    auto start() -> void
-    {
-        beginLoad(load_cause::start);
-        readNewest("");
-    }
+    auto start() -> void { m_loader.start(load_cause::start); }
 
     // Applies what another process has read from `from` up to `end`; `records` holds those of that
     // range that it forwarded. Records already reported are skipped. Returns false, and has no
@@ -140,10 +146,8 @@
     {
         if (m_isLoaded)
             return false;
+        m_loader.endByPeer();
         m_next = known.end;
-        if (!m_loadTimer)
-            m_progress = {.cause = load_cause::start, .begunAt = m_clock.now()};
-        m_progress.isFromPeer = true;
         m_values.clear();
         m_values.beginLoad();
         for (const auto &record : known.records)
@@ -190,78 +194,37 @@
     // When the load of the newest values that is in progress began; no value if there is none.
     [[nodiscard]] auto loadBegunAt() const -> std::optional<time_point>
     {
-        return m_loadTimer ? std::optional(m_progress.begunAt) : std::nullopt;
+        return m_loader.begunAt();
     }
 
 private:
-    static constexpr duration progressInterval = std::chrono::seconds(1);
-
-    auto beginLoad(load_cause cause) -> void
-    {
-        m_progress = {.cause = cause, .begunAt = m_clock.now()};
-        m_loadTimer = m_loop.every(progressInterval, [this] {
-            if (onLoadContinues)
-                onLoadContinues(m_progress);
-        });
-        if (onLoadBegan)
-            onLoadBegan(m_progress);
-    }
-
-    auto endLoad() -> void
+    auto connectLoader() -> void
     {
-        m_loadTimer.reset();
-        if (onLoadEnded)
-            onLoadEnded(m_progress);
-    }
-
-    auto readNewest(const std::string &after) -> void
-    {
-        if (after.empty()) {
+        m_loader.onFirstPage = [this] {
             m_values.beginLoad();
+            m_isFollowing = false;
             if (m_next)
                 m_readUpTo = std::exchange(m_next, std::nullopt);
-            m_isFollowing = false;
-        }
-        m_log.newest(m_options.topic, after,
-                     [this](const log_newest_outcome &outcome) { handleNewest(outcome); });
+        };
+        m_loader.onOutcome = [this](const log_newest_outcome &outcome) { noteOutcome(outcome); };
+        m_loader.onPage
+            = [this](const log_newest_page &page, bool isFirst) { applyPage(page, isFirst); };
+        m_loader.onLoaded = [this](const log_position &end) {
+            m_next = end;
+            finishLoading();
+        };
+        m_loader.onBegan = [this](const auto &progress) { report(onLoadBegan, progress); };
+        m_loader.onContinues = [this](const auto &progress) { report(onLoadContinues, progress); };
+        m_loader.onEnded = [this](const auto &progress) { report(onLoadEnded, progress); };
     }
 
-    auto handleNewest(const log_newest_outcome &outcome) -> void
+    auto applyPage(const log_newest_page &page, bool isFirst) -> void
     {
-        const bool wasAnswered = isAnswered(outcome);
-        // The values of another process were adopted during the call; the page may be older.
-        if (m_isFollowing)
-            return;
-        if (!wasAnswered) {
-            m_progress.fail(std::get<log_unavailable>(outcome).reason);
-            m_progress.beginAnew();
-            schedule(m_options.retryAfter, [this] { readNewest(""); });
-            return;
-        }
-        const auto &page = std::get<log_newest_page>(outcome);
-        // The service came back from an older copy between two pages.
-        if (m_next && m_next->era != page.end.era) {
-            m_progress.fail("the log is of another era than the page before");
-            m_progress.beginAnew();
-            readNewest("");
-            return;
-        }
-        m_progress.addPage(page);
-        // The pages are not one consistent snapshot. Reading on from the log's end as of the first
-        // page misses nothing.
-        if (!m_next) {
-            // Without a new era, a log that ends before what was read of it is another one.
-            if (m_readUpTo && page.end.era == m_readUpTo->era && page.end < *m_readUpTo)
-                m_values.clear();
-            m_next = page.end;
-        }
+        // Without a new era, a log that ends before what was read of it is another one.
+        if (isFirst && m_readUpTo && page.end.era == m_readUpTo->era && page.end < *m_readUpTo)
+            m_values.clear();
         for (const auto &record : page.entries)
             applyLoaded(record);
-        if (page.more && !page.entries.empty()) {
-            readNewest(page.entries.back().key);
-            return;
-        }
-        finishLoading();
     }
 
     auto finishLoading() -> void
@@ -269,15 +232,38 @@
         m_isLoaded = true;
         m_isFollowing = true;
         m_values.finishLoad(*m_next, m_clock.now());
-        endLoad();
+        scheduleReload();
         if (onLoaded)
             onLoaded(m_values.keys());
         awaitDecisions();
         schedule(m_options.readPause, [this] { readNext(); });
     }
 
+    // A load of which pages did not lead on may have passed over keys.
+    auto scheduleReload() -> void
+    {
+        m_reloadAt.reset();
+        if (!m_loader.isDoubtful()) {
+            m_reloadAfter = m_options.reloadAfter;
+            return;
+        }
+        m_reloadAt = m_clock.now() + m_reloadAfter;
+        m_reloadAfter = std::min(m_reloadAfter * 2, m_options.maxReloadAfter);
+    }
+
+    static auto report(const std::function<auto(const load_progress &)->void> &callback,
+                       const load_progress &progress) -> void
+    {
+        if (callback)
+            callback(progress);
+    }
+
     auto readNext() -> void
     {
+        if (m_reloadAt && m_clock.now() >= *m_reloadAt) {
+            readNewestAfter({}, load_cause::pages_contradicted);
+            return;
+        }
         m_isReading = true;
         // After a failed call the read does not wait for a record, so that its answer, or its
         // failure, shows soon whether the service is back.
@@ -295,7 +281,7 @@
                        const log_read_outcome &outcome) -> void
     {
         const bool wasLastAnswered = m_lastCallAnswered;
-        if (!isAnswered(outcome)) {
+        if (!noteOutcome(outcome)) {
             // A single call may be lost with its connection alone; records wait since it began.
             schedule(wasLastAnswered ? duration{} : m_options.retryAfter, [this] { readNext(); });
             return;
@@ -344,8 +330,8 @@
     auto readNewestAfter(duration delay, load_cause cause) -> void
     {
         m_isFollowing = false;
-        beginLoad(cause);
-        schedule(delay, [this] { readNewest(""); });
+        m_timer = {};
+        m_loader.start(cause, delay);
     }
 
     auto apply(const keyed_record &record) -> void
@@ -381,7 +367,7 @@
 
     // Returns whether the service answered the call, and reports a change of its availability.
     template<class Outcome>
-    auto isAnswered(const Outcome &outcome) -> bool
+    auto noteOutcome(const Outcome &outcome) -> bool
     {
         const auto *failure = std::get_if<log_unavailable>(&outcome);
         m_lastCallAnswered = failure == nullptr;
@@ -410,12 +396,16 @@
     event_loop &m_loop;
     Log &m_log;
     keyed_follower_options m_options;
+    newest_loader<Log> m_loader;
     system_runtime_clock m_clock;
-    // Where to read on; no value until the first page of the newest values has been read.
+    // Where to read on; no value while the newest values have not been read.
     std::optional<log_position> m_next;
     // Where the topic was read up to before the newest values were read again.
     std::optional<log_position> m_readUpTo;
     keyed_values m_values;
+    // When the newest values are read again, as the last load may have missed some.
+    std::optional<time_point> m_reloadAt;
+    duration m_reloadAfter = m_options.reloadAfter;
     std::optional<time_point> m_lastOfferAt;
     std::optional<time_point> m_readToEndAt;
     duration m_readDelay{};
@@ -430,9 +420,6 @@
     bool m_isFollowing = false;
     event_handle m_timer;
     event_handle m_decisionTimer;
-    // The load in progress, or the last one; the timer runs during a load.
-    load_progress m_progress;
-    std::optional<event_handle> m_loadTimer;
 };
 
 } // namespace mustardline
--- a/packages/coordination/load_progress.h
+++ b/packages/coordination/load_progress.h
@@ -22,7 +22,9 @@
     // Records were deleted before they were read.
     records_expired,
     // The log came back from an older copy.
-    era_ended
+    era_ended,
+    // Pages of the load before did not lead on, so that it may have missed keys.
+    pages_contradicted
 };
 
 [[nodiscard]] constexpr auto causeName(load_cause cause) -> std::string_view
@@ -34,6 +36,8 @@
         return "records_expired";
     case load_cause::era_ended:
         return "era_ended";
+    case load_cause::pages_contradicted:
+        return "pages_contradicted";
     }
     return "";
 }
--- a/packages/coordination/shared_log.h
+++ b/packages/coordination/shared_log.h
@@ -106,12 +106,14 @@
 using log_append_handler = std::function<auto(const log_append_outcome &)->void>;
 
 template<class T>
-concept shared_log
-    = requires(T log, const log_read_request &request, const log_append_request &append,
-               const std::string &text, std::string_view bytes)
+concept shared_log = requires(T log, const log_read_request &request,
+                              const log_append_request &append, const std::string &topic,
+                              const std::optional<std::string> &after, std::string_view bytes)
 {
     log.read(request, log_read_handler());
-    log.newest(text, text, log_newest_handler());
+    // Reads one page of the newest values, of the keys after `after`, which may be empty; without a
+    // value, the first page.
+    log.newest(topic, after, log_newest_handler());
     log.append(append, log_append_handler());
     {
         T::decodeKeyedRecord(bytes)
--- a/packages/coordination/testing/keyed_follower_test.cpp
+++ b/packages/coordination/testing/keyed_follower_test.cpp
@@ -27,10 +27,10 @@
         reads.pop_front();
         done(outcome);
     }
-    auto newest(const std::string &, const std::string &after, const log_newest_handler &done)
-        -> void
+    auto newest(const std::string &, const std::optional<std::string> &after,
+                const log_newest_handler &done) -> void
     {
-        calls.push_back("newest " + after);
+        calls.push_back("newest " + after.value_or(""));
         const auto outcome = pages.front();
         pages.pop_front();
         done(outcome);
@@ -411,7 +411,8 @@
 class deferred_log : public scripted_log
 {
 public:
-    auto newest(const std::string &, const std::string &, const log_newest_handler &done) -> void
+    auto newest(const std::string &, const std::optional<std::string> &,
+                const log_newest_handler &done) -> void
     {
         pendingHandler = done;
     }
--- a/packages/forwarding/rollout_driver.h
+++ b/packages/forwarding/rollout_driver.h
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "coordination/newest_search.h"
 #include "coordination/shared_log.h"
 #include "forwarding/events.h"
 #include "forwarding/forward_router.h"
@@ -58,7 +59,7 @@
             if (const auto *append = std::get_if<append_rollout>(&*action))
                 write(rollout, *append);
             else
-                read(rollout, "", std::nullopt);
+                read(rollout);
         }
     }
 
@@ -100,41 +101,28 @@
         return rollout != nullptr && rollout->order.id == order.id ? rollout : nullptr;
     }
 
-    // Reads the pages from the key `after` on. The end of the log is that of the first page, since
-    // the pages are not one snapshot.
-    auto read(const service_rollout &rollout, const std::string &after,
-              std::optional<log_position> firstEnd) -> void
+    auto read(const service_rollout &rollout) -> void
     {
         const auto location = Platform::rolloutStatus(rollout.order.service);
-        m_platform.log().newest(
-            location.topic, after,
-            [this, order = rollout.order, location, firstEnd](const log_newest_outcome &outcome) {
-                auto *current = find(order);
-                if (current == nullptr)
-                    return;
-                const auto *page = std::get_if<log_newest_page>(&outcome);
-                if (page == nullptr) {
-                    current->record.onReadFailed(m_clock.now());
-                    return;
-                }
-                const auto end = firstEnd.value_or(page->end);
-                // The log came back from an older copy between two pages.
-                if (end.era != page->end.era) {
-                    current->record.onReadFailed(m_clock.now());
-                    return;
-                }
-                const auto found
-                    = std::ranges::find(page->entries, location.key, &keyed_record::key);
-                if (found == page->entries.end() && page->more && !page->entries.empty()) {
-                    read(*current, page->entries.back().key, end);
-                    return;
-                }
-                std::optional<rollout_status> status;
-                if (found != page->entries.end() && found->value)
-                    status = Platform::decodeRolloutStatus(*found->value);
-                current->record.onRead(status, end, m_clock.now());
-                adopt(*current);
-            });
+        findNewest(m_platform.log(), location.topic, location.key,
+                   [this, order = rollout.order](const newest_search_outcome &outcome) {
+                       if (auto *current = find(order))
+                           onRead(*current, outcome);
+                   });
+    }
+
+    auto onRead(service_rollout &rollout, const newest_search_outcome &outcome) -> void
+    {
+        const auto *found = std::get_if<newest_search_result>(&outcome);
+        if (found == nullptr) {
+            rollout.record.onReadFailed(m_clock.now());
+            return;
+        }
+        std::optional<rollout_status> status;
+        if (found->record && found->record->value)
+            status = Platform::decodeRolloutStatus(*found->record->value);
+        rollout.record.onRead(status, found->end, m_clock.now());
+        adopt(rollout);
     }
 
     auto write(const service_rollout &rollout, const append_rollout &append) -> void
--- a/packages/forwarding/testing/fleet_view_test.cpp
+++ b/packages/forwarding/testing/fleet_view_test.cpp
@@ -27,8 +27,8 @@
         reads.pop_front();
         done(outcome);
     }
-    auto newest(const std::string &topic, const std::string &, const log_newest_handler &done)
-        -> void
+    auto newest(const std::string &topic, const std::optional<std::string> &,
+                const log_newest_handler &done) -> void
     {
         if (topic != "endpoints" || pages.empty())
             return;
--- a/packages/forwarding/testing/stream_log_test.cpp
+++ b/packages/forwarding/testing/stream_log_test.cpp
@@ -30,7 +30,8 @@
                 = {records.begin() + static_cast<std::ptrdiff_t>(request.from.offset - first),
                    records.end()}});
     }
-    auto newest(const std::string &, const std::string &, const log_newest_handler &done) -> void
+    auto newest(const std::string &, const std::optional<std::string> &,
+                const log_newest_handler &done) -> void
     {
         done(log_unavailable{});
     }
--- a/packages/forwarding/usage_duty_driver.h
+++ b/packages/forwarding/usage_duty_driver.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "base/log.h"
+#include "coordination/newest_search.h"
 #include "coordination/shared_log.h"
 #include "forwarding/events.h"
 #include "forwarding/usage_duty.h"
@@ -76,24 +77,21 @@
     auto readDuty() -> void
     {
         const auto location = Platform::usageDuty();
-        m_platform.log().newest(location.topic, "",
-                                [this, location](const log_newest_outcome &outcome) {
-                                    const auto now = m_clock.now();
-                                    const auto *page = std::get_if<log_newest_page>(&outcome);
-                                    if (page == nullptr) {
-                                        m_duty.onReadFailed(now);
-                                        return;
-                                    }
-                                    std::optional<duty_record> record;
-                                    for (const auto &entry : page->entries) {
-                                        if (entry.key == location.key && entry.value)
-                                            record = decodeDutyRecord(*entry.value);
-                                    }
-                                    if (record && onHolder)
-                                        onHolder(record->address);
-                                    m_duty.onRead(std::move(record), page->end, now);
-                                    step();
-                                });
+        findNewest(m_platform.log(), location.topic, location.key, [this](const auto &outcome) {
+            const auto now = m_clock.now();
+            const auto *found = std::get_if<newest_search_result>(&outcome);
+            if (found == nullptr) {
+                m_duty.onReadFailed(now);
+                return;
+            }
+            std::optional<duty_record> record;
+            if (found->record && found->record->value)
+                record = decodeDutyRecord(*found->record->value);
+            if (record && onHolder)
+                onHolder(record->address);
+            m_duty.onRead(std::move(record), found->end, now);
+            step();
+        });
     }
 
     auto appendDuty(const append_duty &append) -> void
