Keep no values of records that nobody can use

An edge that starts beside many large records of other writers reads and keeps all of them, exceeds the memory of its VM and is ended, at each start again.

Class: memory that another program's input decides.

A value that cannot be decoded is given up once it has been reported, its key is kept. Records without a key in a read are counted in one line, and at most a thousand writers are named.

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -85,7 +85,8 @@
     std::function<auto(const std::set<std::string, std::less<>> &keys)->void> onLoaded;
     std::function<auto(const std::string &reason)->void> onUnavailable;
     std::function<auto()->void> onAvailable;
-    std::function<auto(std::string_view bytes)->void> onMalformed;
+    // So many records of one read cannot be decoded.
+    std::function<auto(std::size_t records)->void> onMalformed;
     // Records from `from` on expired before they were read; the newest values are read again.
     std::function<auto(const log_position &from)->void> onRecordsExpired;
     // The service came back from an older copy; the newest values are read again. `from` is where
@@ -169,6 +170,9 @@
         awaitDecisions();
     }
 
+    // Keeps the key of a record that was reported, but not its value, which nobody can use.
+    auto discardValue(const std::string &key) -> void { m_values.discardValue(key); }
+
     // The number of values that are kept although the service holds others, or none.
     [[nodiscard]] auto keptCount() const -> std::size_t { return m_values.keptCount(); }
     // The number of offers of another era, which had no effect.
@@ -305,6 +309,7 @@
         }
         const auto reportedUpTo = *m_next;
         auto next = from;
+        std::size_t malformed = 0;
         for (const auto &bytes : batch->records) {
             const auto position = next;
             ++next.offset;
@@ -312,13 +317,14 @@
                 continue;
             auto record = Log::decodeKeyedRecord(bytes);
             if (!record) {
-                if (onMalformed)
-                    onMalformed(bytes);
+                ++malformed;
                 continue;
             }
             record->position = position;
             apply(*record);
         }
+        if (malformed > 0 && onMalformed)
+            onMalformed(malformed);
         m_next = std::max(reportedUpTo, next);
         if (next.offset >= batch->endOffset)
             m_readToEndAt = begunAt;
--- a/packages/coordination/keyed_values.cpp
+++ b/packages/coordination/keyed_values.cpp
@@ -16,7 +16,8 @@
 {
     m_loaded.insert(record.key);
     const auto found = m_entries.find(record.key);
-    if (found == m_entries.end() || found->second.known.position.era == record.position.era)
+    if (found == m_entries.end() || found->second.isDiscarded
+        || found->second.known.position.era == record.position.era)
         return apply(record, now);
     const auto order = compare(record, found->second);
     if (order == std::partial_ordering::greater || order == std::partial_ordering::equivalent)
@@ -35,7 +36,7 @@
         } else if (!known.value) {
             m_kept.erase(next->first);
             ++next;
-        } else if (known.position.era == end.era) {
+        } else if (known.position.era == end.era || next->second.isDiscarded) {
             m_kept.erase(next->first);
             next = m_entries.erase(next);
         } else {
@@ -82,6 +83,16 @@
     return true;
 }
 
+auto keyed_values::discardValue(const std::string &key) -> void
+{
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end() || !found->second.known.value)
+        return;
+    // An assignment would keep the memory of the value.
+    found->second.known.value.emplace();
+    found->second.isDiscarded = true;
+}
+
 auto keyed_values::clear() -> void
 {
     m_entries.clear();
@@ -120,6 +131,7 @@
         m_deletions.emplace_back(now, record.key);
     }
     target.known = record;
+    target.isDiscarded = false;
 }
 
 auto keyed_values::keep(const std::string &key, keyed_record held, std::optional<time_point> until)
--- a/packages/coordination/keyed_values.h
+++ b/packages/coordination/keyed_values.h
@@ -71,6 +71,10 @@
     // is to be reported.
     auto learn(const keyed_record &record, const log_position &end, time_point now) -> bool;
 
+    // Keeps the key, but not its value: nobody can use it, and it would take memory for as long as
+    // the key exists.
+    auto discardValue(const std::string &key) -> void;
+
     // Forgets all.
     auto clear() -> void;
 
@@ -94,6 +98,8 @@
         keyed_record known;
         // The last value of a deleted key.
         std::optional<std::string> deletedValue;
+        // The known value was discarded: whatever is loaded takes its place.
+        bool isDiscarded = false;
     };
 
     auto set(entry &target, const keyed_record &record, time_point now) -> void;
--- a/packages/coordination/testing/keyed_values_test.cpp
+++ b/packages/coordination/testing/keyed_values_test.cpp
@@ -68,6 +68,21 @@
 
 // Guards against an older value that takes the place of a newer one when the log comes back from an
 // older copy, and against one that is lost before its writer could write it again.
+// Guards against values that nobody can use and that take memory for as long as their keys exist.
+TEST_F(KeyedValuesTest, aDiscardedValueIsReplacedByWhateverIsLoaded)
+{
+    load({recordOf("odd", {.era = 1, .offset = 3})}, {.era = 1, .offset = 4}, start);
+    m_values.discardValue("k");
+    EXPECT_EQ(value(), "");
+    EXPECT_EQ(m_values.keys().size(), 1U);
+    load({recordOf("other", {.era = 2, .offset = 2})}, {.era = 2, .offset = 3}, start);
+    EXPECT_EQ(value(), "other");
+    EXPECT_EQ(m_values.keptCount(), 0U);
+    m_values.discardValue("k");
+    load({}, {.era = 3, .offset = 1}, start);
+    EXPECT_TRUE(m_values.keys().empty());
+}
+
 TEST_F(KeyedValuesTest, keepsWhatTheLogHasLost)
 {
     const std::vector<drill_case> cases{
--- a/packages/forwarding/fleet_view.h
+++ b/packages/forwarding/fleet_view.h
@@ -226,6 +226,9 @@
     static constexpr duration operatorRewriteTime = std::chrono::milliseconds(5000);
     static constexpr duration endpointRewriteTime = std::chrono::milliseconds(2500);
 
+    // Writers whose malformed records are logged.
+    static constexpr std::size_t maxLoggedKeys = 1000;
+
     // Compares two configurations by their versions, and orders of roll-outs by being the same. An
     // evacuation may have been withdrawn and ordered again, so that even the same ones have no
     // order.
@@ -280,8 +283,8 @@
                   if (then)
                       then(from);
               };
-        follower.onMalformed = [this, topic](std::string_view bytes) {
-            m_log.write(recordMalformed, field("topic", topic), field("bytes", bytes.size()));
+        follower.onMalformed = [this, topic](std::size_t records) {
+            m_log.write(recordMalformed, field("topic", topic), field("records", records));
         };
     }
 
@@ -323,6 +326,8 @@
             applyRollout(record, *service);
         } else if (Platform::isConfiguration(record.key) && record.value) {
             applyConfiguration(record);
+        } else {
+            m_configuration.discardValue(record.key);
         }
     }
 
@@ -335,8 +340,7 @@
         }
         auto outcome = Platform::decodeRollout(record.key, *record.value);
         if (const auto *failure = failed(outcome)) {
-            m_log.write(recordMalformed, field("key", record.key),
-                        field("offset", record.position.offset), field("reason", failure->message));
+            ignoreOperatorRecord(record, *failure);
             return;
         }
         auto order = std::get<rollout_order>(std::move(outcome));
@@ -345,6 +349,13 @@
         onRollout(order);
     }
 
+    auto ignoreOperatorRecord(const keyed_record &record, const error &failure) -> void
+    {
+        m_log.write(recordMalformed, field("key", record.key),
+                    field("offset", record.position.offset), field("reason", failure.message));
+        m_configuration.discardValue(record.key);
+    }
+
     auto withdrawRolloutsExcept(const std::set<std::string, std::less<>> &keys) -> void
     {
         std::vector<std::string> withdrawn;
@@ -374,8 +385,7 @@
     {
         auto outcome = Platform::decodeConfiguration(*record.value);
         if (const auto *failure = failed(outcome)) {
-            m_log.write(recordMalformed, field("key", record.key),
-                        field("offset", record.position.offset), field("reason", failure->message));
+            ignoreOperatorRecord(record, *failure);
             return;
         }
         auto configuration = std::make_shared<const fleet_configuration>(
@@ -419,11 +429,13 @@
         if (auto *registration = std::get_if<endpoint_registration>(&outcome))
             return m_directory.applyRegistration(std::move(*registration), now);
         // Logged once per writer, because such a record may arrive every second.
-        if (m_loggedMalformedKeys.insert(record.key).second) {
+        if (m_loggedMalformedKeys.size() < maxLoggedKeys
+            && m_loggedMalformedKeys.insert(record.key).second) {
             m_log.write(recordMalformed, field("key", record.key),
                         field("offset", record.position.offset),
                         field("reason", failed(outcome)->message));
         }
+        m_endpoints.discardValue(record.key);
         return m_directory.applyWithdrawal(record.key, now);
     }
 
