Let a load that may have missed keys delete none, and bound what other writers' records name

Found by a review that had not seen the work, by reading. A load that passed over keys took them for deleted, in a running edge too; one that went on after a key the store does not name as it is kept did not count as such. The response to a call of an ended load could count for a load that was to begin later. Services and versions that records of streams name were kept without a limit, each compared with each stream.

Tests: KeyedFollowerTest.aLoadWhosePagesDoNotLeadOnDeletesNothingAndIsRepeated, NewestLoaderTest.aLatePageOfAnEndedLoadHasNoEffect and aLoadThatGoesOnAfterAnInexactKeyIsDoubtful, StreamOriginsTest.originsBeyondTheLimitsAreNotKept; not run on the code before.

--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -235,7 +235,7 @@
     {
         m_isLoaded = true;
         m_isFollowing = true;
-        m_values.finishLoad(*m_next, m_clock.now());
+        m_values.finishLoad(*m_next, m_clock.now(), m_loader.isDoubtful());
         scheduleReload();
         if (onLoaded)
             onLoaded(m_values.keys());
--- a/packages/coordination/keyed_values.cpp
+++ b/packages/coordination/keyed_values.cpp
@@ -27,8 +27,12 @@
     return false;
 }
 
-auto keyed_values::finishLoad(const log_position &end, time_point now) -> void
+auto keyed_values::finishLoad(const log_position &end, time_point now, bool mayHaveMissed) -> void
 {
+    if (mayHaveMissed) {
+        m_loaded.clear();
+        return;
+    }
     for (auto next = m_entries.begin(); next != m_entries.end();) {
         const auto &known = next->second.known;
         if (m_loaded.contains(next->first)) {
@@ -79,6 +83,7 @@
         || m_options.compare(record, known.known) != std::partial_ordering::greater)
         return false;
     auto held = std::exchange(known.known, record);
+    known.isDiscarded = false;
     keep(record.key, std::move(held), std::nullopt);
     return true;
 }
@@ -114,7 +119,7 @@
 {
     std::vector<keyed_record> records;
     for (const auto &[key, item] : m_entries) {
-        if (item.known.value)
+        if (item.known.value && !item.isDiscarded)
             records.push_back(item.known);
     }
     return records;
--- a/packages/coordination/keyed_values.h
+++ b/packages/coordination/keyed_values.h
@@ -61,7 +61,8 @@
     // Applies one of the newest values; returns whether it is to be reported.
     auto applyLoaded(const keyed_record &record, time_point now) -> bool;
     // All newest values were applied; `end` is the end of the topic before the first one was read.
-    auto finishLoad(const log_position &end, time_point now) -> void;
+    // A load that may have missed keys deletes none.
+    auto finishLoad(const log_position &end, time_point now, bool mayHaveMissed = false) -> void;
 
     // Records that take the place of values which were kept for `rewriteTime`, to be reported.
     [[nodiscard]] auto takeDecided(time_point now) -> std::vector<keyed_record>;
@@ -78,7 +79,7 @@
     // Forgets all.
     auto clear() -> void;
 
-    // The keys that have a value, and their records.
+    // The keys that have a value, and the records of those whose value was not discarded.
     [[nodiscard]] auto keys() const -> key_set;
     [[nodiscard]] auto records() const -> std::vector<keyed_record>;
     // The number of values that are kept although the service holds others, or none.
--- a/packages/coordination/newest_cursor.cpp
+++ b/packages/coordination/newest_cursor.cpp
@@ -1,7 +1,5 @@
 #include "coordination/newest_cursor.h"
 
-#include <ranges>
-
 namespace mustardline {
 
 namespace {
@@ -19,13 +17,13 @@
     -> const std::string *
 {
     const std::string *inexact = nullptr;
-    for (const auto &entry : std::views::reverse(page.entries)) {
-        if (pageEnds.contains(entry.key))
+    for (auto entry = page.entries.rbegin(); entry != page.entries.rend(); ++entry) {
+        if (pageEnds.contains(entry->key))
             break;
-        if (entry.key.find(replacementCharacter) == std::string::npos)
-            return &entry.key;
+        if (entry->key.find(replacementCharacter) == std::string::npos)
+            return &entry->key;
         if (inexact == nullptr)
-            inexact = &entry.key;
+            inexact = &entry->key;
     }
     return inexact;
 }
--- a/packages/coordination/newest_loader.h
+++ b/packages/coordination/newest_loader.h
@@ -61,6 +61,7 @@
     auto start(load_cause cause, duration delay = {}) -> void
     {
         m_isRunning = true;
+        m_isDoubtful = false;
         m_progress = {.cause = cause, .begunAt = m_clock.now()};
         m_progressTimer = m_loop.every(m_options.progressInterval, [this] { report(onContinues); });
         report(onBegan);
@@ -81,7 +82,8 @@
         end();
     }
 
-    // Whether a page of the last pass over the pages did not lead on. Keys may be missing then.
+    // Whether a page of the last pass over the pages did not lead on, or ended at a key that is not
+    // as it was written. Keys may be missing then.
     [[nodiscard]] auto isDoubtful() const -> bool { return m_isDoubtful; }
     [[nodiscard]] auto isRunning() const -> bool { return m_isRunning; }
     // When the load in progress began; no value if there is none.
@@ -128,6 +130,7 @@
         const auto &page = std::get<log_newest_page>(outcome);
         const bool isFirst = !m_cursor.end();
         const auto step = m_cursor.add(page);
+        m_isDoubtful = m_isDoubtful || m_cursor.isInexact();
         if (step == cursor_step::other_era) {
             m_progress.fail(std::string(m_cursor.reason()));
             schedule(m_options.retryAfter, [this] { beginAnew(); });
@@ -173,6 +176,8 @@
     auto end() -> void
     {
         m_isRunning = false;
+        // The response to a call in progress must not count for a later load.
+        ++m_calls;
         m_timer = {};
         m_progressTimer = {};
         report(onEnded);
--- a/packages/coordination/newest_search.h
+++ b/packages/coordination/newest_search.h
@@ -58,9 +58,8 @@
         const auto &page = std::get<log_newest_page>(outcome);
         const auto step = m_cursor.add(page);
         const auto found = std::ranges::find(page.entries, m_key, &keyed_record::key);
-        if (step == cursor_step::other_era)
-            m_done(log_unavailable{.reason = std::string(m_cursor.reason())});
-        else if (found != page.entries.end())
+        const bool isFound = step != cursor_step::other_era && found != page.entries.end();
+        if (isFound)
             m_done(newest_search_result{.record = *found, .end = *m_cursor.end()});
         else if (step == cursor_step::finished)
             m_done(newest_search_result{.record = std::nullopt, .end = *m_cursor.end()});
--- a/packages/coordination/testing/keyed_follower_test.cpp
+++ b/packages/coordination/testing/keyed_follower_test.cpp
@@ -311,6 +311,25 @@
     EXPECT_EQ(known->records.front().value, "2");
 }
 
+// Guards against keys that are taken for deleted because a load passed over them.
+TEST_F(KeyedFollowerTest, aLoadWhosePagesDoNotLeadOnDeletesNothingAndIsRepeated)
+{
+    keyed_follower<scripted_log> follower(m_loop, m_log,
+                                          {.topic = "t",
+                                           .readPause = milliseconds(1),
+                                           .retryAfter = milliseconds(1),
+                                           .reloadAfter = milliseconds(1)});
+    follower.onLoaded = m_follower.onLoaded;
+    const auto sound = pageOf({recordOf("a", "1", 1), recordOf("b", "1", 2)}, 5);
+    m_log.pages = {sound, pageOf({recordOf("b", "1", 2)}, 9, true), pageOf({}, 9, true),
+                   pageOf({}, 9), pageOf({recordOf("b", "1", 2)}, 9)};
+    m_log.reads
+        = {log_expired{.first = {.offset = 9}}, log_batch{.endOffset = 9, .firstOffset = 9}};
+    follower.start();
+    m_loop.run();
+    EXPECT_EQ(m_events, (std::vector<std::string>{"loaded 2", "loaded 2", "loaded 1"}));
+}
+
 auto pageOfEra(std::uint64_t era, std::vector<keyed_record> entries, std::uint64_t end,
                bool more = false) -> log_newest_page
 {
--- a/packages/coordination/testing/newest_loader_test.cpp
+++ b/packages/coordination/testing/newest_loader_test.cpp
@@ -21,6 +21,10 @@
                 const log_newest_handler &done) -> void
     {
         asked.push_back(after);
+        if (std::exchange(holdsNext, false)) {
+            held = done;
+            return;
+        }
         if (pages.empty())
             return;
         const auto outcome = pages.front();
@@ -33,6 +37,9 @@
 
     std::deque<log_newest_outcome> pages;
     std::vector<std::optional<std::string>> asked;
+    // The next call is not answered, but kept.
+    bool holdsNext = false;
+    log_newest_handler held;
 };
 
 static_assert(shared_log<paged_log>);
@@ -88,6 +95,19 @@
     EXPECT_EQ(m_keys, (std::vector<std::string>{"", "a"}));
 }
 
+// Guards against keys that are passed over in silence, between a key as the service spells it and
+// as it keeps it.
+TEST_F(NewestLoaderTest, aLoadThatGoesOnAfterAnInexactKeyIsDoubtful)
+{
+    m_log.pages = {pageOf({"\xef\xbf\xbd"}, true), pageOf({"\xef\xbf\xbdz"}, false)};
+    ASSERT_TRUE(load());
+    EXPECT_TRUE(m_loader.isDoubtful());
+    m_isLoaded = false;
+    m_log.pages = {pageOf({"a"}, true), pageOf({"b"}, false)};
+    ASSERT_TRUE(load());
+    EXPECT_FALSE(m_loader.isDoubtful());
+}
+
 // Guards against a load that begins anew for each page that is lost.
 TEST_F(NewestLoaderTest, asksForALostPageAtItsOwnKey)
 {
@@ -150,15 +170,20 @@
     EXPECT_EQ(m_keys, (std::vector<std::string>{"a", "c"}));
 }
 
-// Guards against a late page that counts although the values came from another process.
-TEST_F(NewestLoaderTest, aLoadThatAPeerEndedTakesNoFurtherPage)
+// Guards against a late page that counts although the values came from another process, or for a
+// load that began since.
+TEST_F(NewestLoaderTest, aLatePageOfAnEndedLoadHasNoEffect)
 {
-    m_log.pages = {pageOf({"a"}, true)};
+    m_log.holdsNext = true;
     m_loader.start(load_cause::start);
     m_loader.endByPeer();
     EXPECT_TRUE(m_ended.isFromPeer);
-    EXPECT_FALSE(m_loader.isRunning());
     EXPECT_EQ(m_loader.begunAt(), std::nullopt);
+    m_loader.start(load_cause::records_expired, std::chrono::hours(1));
+    m_log.held(pageOf({"a"}, false));
+    EXPECT_TRUE(m_loader.isRunning());
+    EXPECT_FALSE(m_isLoaded);
+    EXPECT_TRUE(m_keys.empty());
 }
 
 // Guards against a duty whose record is not found since it is not on the first page.
--- a/packages/forwarding/stream_origins.cpp
+++ b/packages/forwarding/stream_origins.cpp
@@ -55,10 +55,13 @@
 auto stream_origins::indexOf(const stream_origin &origin) -> std::uint32_t
 {
     const auto known = std::ranges::find(m_origins, origin);
-    const auto index = static_cast<std::uint32_t>(known - m_origins.begin());
-    if (known == m_origins.end())
-        m_origins.push_back(origin);
-    return index;
+    if (known != m_origins.end())
+        return static_cast<std::uint32_t>(known - m_origins.begin());
+    if (m_origins.size() >= m_options.maxOrigins || origin.service.size() > m_options.maxNameBytes
+        || origin.version.size() > m_options.maxNameBytes)
+        return contradicted;
+    m_origins.push_back(origin);
+    return static_cast<std::uint32_t>(m_origins.size() - 1);
 }
 
 auto stream_origins::forgetOld(time_point now) -> void
--- a/packages/forwarding/stream_origins.h
+++ b/packages/forwarding/stream_origins.h
@@ -41,6 +41,10 @@
     duration memory = std::chrono::seconds(60);
     // Limit on the streams that are kept; the oldest are dropped.
     std::size_t maxStreams = 50'000;
+    // Limits on the services and versions that are told apart, and on the length of each name: the
+    // records that name them may come from another program. Streams of others count as not known.
+    std::size_t maxOrigins = 1'000;
+    std::size_t maxNameBytes = 255;
 };
 
 class stream_origins
@@ -79,6 +83,7 @@
     };
     static constexpr std::uint32_t contradicted = UINT32_MAX;
 
+    // `contradicted` if the origin is beyond the limits.
     auto indexOf(const stream_origin &origin) -> std::uint32_t;
     auto forgetOld(time_point now) -> void;
 
--- a/packages/forwarding/testing/stream_versions_test.cpp
+++ b/packages/forwarding/testing/stream_versions_test.cpp
@@ -190,6 +190,22 @@
     }
 }
 
+// Guards against records of another program that name ever new versions, each of which was kept for
+// as long as the process ran and compared with each stream.
+TEST(StreamOriginsTest, originsBeyondTheLimitsAreNotKept)
+{
+    stream_origins origins({.maxOrigins = 2, .maxNameBytes = 8});
+    const auto now = system_runtime_clock().now();
+    origins.add(1, {.service = "chat", .version = "v1"}, "", now);
+    origins.add(2, {.service = "chat", .version = "a long version"}, "", now);
+    origins.add(3, {.service = "chat", .version = "v2"}, "", now);
+    origins.add(4, {.service = "chat", .version = "v3"}, "", now);
+    EXPECT_NE(origins.find(1, now), nullptr);
+    EXPECT_EQ(origins.find(2, now), nullptr);
+    EXPECT_NE(origins.find(3, now), nullptr);
+    EXPECT_EQ(origins.find(4, now), nullptr);
+}
+
 TEST(StreamVersionsTest, streamsAreForgottenOldestFirst)
 {
     stream_origins origins({.memory = 60s, .maxStreams = 100});
