--- a/packages/coordination/keyed_follower.h
+++ b/packages/coordination/keyed_follower.h
@@ -12,7 +12,7 @@
 // the start, and whenever records expired before they were read. A key that is not among them was
 // deleted. A record may be reported twice, but never after a newer one of the same key.
 // `onUnavailable` and `onAvailable` report when the log service stops answering and when it answers
-// again. `onLoadBegan`, `onLoadContinues` and `onLoadEnded` report a load of the newest values.
+// again. `onLoadProgress` reports a load of the newest values.
 //
 // When the service comes back from an older copy, in a later era, the newest values are read again.
 // What it has lost of them is kept as keyed_values decides; a key that is given up then is reported
@@ -94,9 +94,7 @@
     std::function<auto(const log_position &from)->void> onEraEnded;
     // A load of the newest values began, has lasted for another second, or ended; `progress` says
     // how far it has come and what kept it from going on.
-    std::function<auto(const load_progress &progress)->void> onLoadBegan;
-    std::function<auto(const load_progress &progress)->void> onLoadContinues;
-    std::function<auto(const load_progress &progress)->void> onLoadEnded;
+    std::function<auto(load_stage stage, const load_progress &progress)->void> onLoadProgress;
     // This process has read and reported all records from `from` up to `end`; records that were
     // offered by a peer are not included.
     std::function<auto(const log_position &from, const log_position &end)->void> onRead;
@@ -217,9 +215,10 @@
             m_next = end;
             finishLoading();
         };
-        m_loader.onBegan = [this](const auto &progress) { report(onLoadBegan, progress); };
-        m_loader.onContinues = [this](const auto &progress) { report(onLoadContinues, progress); };
-        m_loader.onEnded = [this](const auto &progress) { report(onLoadEnded, progress); };
+        m_loader.onProgress = [this](load_stage stage, const load_progress &progress) {
+            if (onLoadProgress)
+                onLoadProgress(stage, progress);
+        };
     }
 
     auto applyPage(const log_newest_page &page, bool isFirst) -> void
@@ -255,13 +254,6 @@
         m_reloadAfter = std::min(m_reloadAfter * 2, m_options.maxReloadAfter);
     }
 
-    static auto report(const std::function<auto(const load_progress &)->void> &callback,
-                       const load_progress &progress) -> void
-    {
-        if (callback)
-            callback(progress);
-    }
-
     auto readNext() -> void
     {
         if (m_reloadAt && m_clock.now() >= *m_reloadAt) {
--- a/packages/coordination/load_progress.h
+++ b/packages/coordination/load_progress.h
@@ -42,6 +42,9 @@
     return "";
 }
 
+// What a report of a load says of it.
+enum class load_stage { began, continues, ended };
+
 struct load_progress
 {
     load_cause cause = load_cause::start;
--- a/packages/coordination/newest_cursor.cpp
+++ b/packages/coordination/newest_cursor.cpp
@@ -4,15 +4,12 @@
 
 namespace {
 
-// Stands in a key for bytes that are no text. A page that goes on after such a key may pass over
-// others.
-constexpr std::string_view replacementCharacter = "\xef\xbf\xbd";
 // Above any other text, and above any other byte.
 constexpr std::string_view lastCharacter = "\xf4\x8f\xbf\xbf";
 constexpr std::string_view lastByte = "\xff";
 
-// The last key of a page at which no other page ended, preferably one that is as it was written; an
-// empty pointer if there is none.
+// The last key of a page at which no other page ended, preferably one that is as it was written, as
+// going on after another one may pass over keys; null if there is none.
 auto findPageEnd(const log_newest_page &page, const std::set<std::string, std::less<>> &pageEnds)
     -> const std::string *
 {
--- a/packages/coordination/newest_cursor.h
+++ b/packages/coordination/newest_cursor.h
@@ -20,6 +20,9 @@
 
 namespace mustardline {
 
+// Stands in a key for bytes that are no text, in place of which a service or its client may put it.
+inline constexpr std::string_view replacementCharacter = "\xef\xbf\xbd";
+
 enum class cursor_step : std::uint8_t {
     next_page,
     // The page was the last one.
--- a/packages/coordination/newest_loader.h
+++ b/packages/coordination/newest_loader.h
@@ -10,7 +10,7 @@
 //
 // A page that was lost is asked for again at its own key. A page that does not bring the load
 // further is asked for again after a pause, then from a key further on, and then the load begins
-// anew. `onContinues` says once a second how far the load has come and what keeps it.
+// anew. `onProgress` says once a second how far the load has come and what keeps it.
 
 #include <functional>
 #include <optional>
@@ -30,7 +30,7 @@
     // Pause after a page that was refused or did not bring the load further, and after the second
     // one that was lost in a row.
     duration retryAfter = std::chrono::milliseconds(400);
-    // Interval of `onContinues`.
+    // Interval of `onProgress` while a load lasts.
     duration progressInterval = std::chrono::seconds(1);
 };
 
@@ -53,9 +53,7 @@
     // Called with the outcome of each call, before it takes effect.
     std::function<auto(const log_newest_outcome &outcome)->void> onOutcome;
     // The load began, has lasted for another interval, or ended.
-    std::function<auto(const load_progress &progress)->void> onBegan;
-    std::function<auto(const load_progress &progress)->void> onContinues;
-    std::function<auto(const load_progress &progress)->void> onEnded;
+    std::function<auto(load_stage stage, const load_progress &progress)->void> onProgress;
 
     // Begins a load after `delay`; there must be none in progress.
     auto start(load_cause cause, duration delay = {}) -> void
@@ -63,8 +61,9 @@
         m_isRunning = true;
         m_isDoubtful = false;
         m_progress = {.cause = cause, .begunAt = m_clock.now()};
-        m_progressTimer = m_loop.every(m_options.progressInterval, [this] { report(onContinues); });
-        report(onBegan);
+        m_progressTimer
+            = m_loop.every(m_options.progressInterval, [this] { report(load_stage::continues); });
+        report(load_stage::began);
         if (delay > duration{})
             schedule(delay, [this] { begin(); });
         else
@@ -164,7 +163,7 @@
     {
         m_progress.fail(std::string(m_cursor.reason()));
         m_isDoubtful = true;
-        const bool isFirstTry = std::exchange(m_isLastWithoutProgress, true) == false;
+        const bool isFirstTry = !std::exchange(m_isLastWithoutProgress, true);
         if (m_cursor.isInexact() && m_cursor.skipAhead())
             ask();
         else if (isFirstTry || m_cursor.skipAhead())
@@ -180,13 +179,13 @@
         ++m_calls;
         m_timer = {};
         m_progressTimer = {};
-        report(onEnded);
+        report(load_stage::ended);
     }
 
-    auto report(const std::function<auto(const load_progress &)->void> &callback) const -> void
+    auto report(load_stage stage) const -> void
     {
-        if (callback)
-            callback(m_progress);
+        if (onProgress)
+            onProgress(stage, m_progress);
     }
 
     auto schedule(duration delay, std::function<auto()->void> action) -> void
--- a/packages/coordination/testing/newest_loader_test.cpp
+++ b/packages/coordination/testing/newest_loader_test.cpp
@@ -66,7 +66,10 @@
                 m_keys.push_back(entry.key);
         };
         m_loader.onLoaded = [this](const log_position &) { m_isLoaded = true; };
-        m_loader.onEnded = [this](const load_progress &progress) { m_ended = progress; };
+        m_loader.onProgress = [this](load_stage stage, const load_progress &progress) {
+            if (stage == load_stage::ended)
+                m_ended = progress;
+        };
     }
 
     // Loads until the load has ended; false if it does not.
--- a/packages/forwarding/fleet_view.h
+++ b/packages/forwarding/fleet_view.h
@@ -291,15 +291,13 @@
     // Logs how each load of the newest values of a topic goes.
     auto logLoads(keyed_follower<log_type> &follower, const std::string &topic) -> void
     {
-        follower.onLoadBegan = [this, topic](const load_progress &progress) {
-            m_log.write(logLoadBegan, field("topic", topic),
-                        field("cause", causeName(progress.cause)));
-        };
-        follower.onLoadContinues = [this, topic](const load_progress &progress) {
-            writeLoad(logLoadContinues, topic, progress);
-        };
-        follower.onLoadEnded = [this, topic](const load_progress &progress) {
-            writeLoad(logLoadEnded, topic, progress);
+        follower.onLoadProgress = [this, topic](load_stage stage, const load_progress &progress) {
+            if (stage == load_stage::began)
+                m_log.write(logLoadBegan, field("topic", topic),
+                            field("cause", causeName(progress.cause)));
+            else
+                writeLoad(stage == load_stage::ended ? logLoadEnded : logLoadContinues, topic,
+                          progress);
         };
     }
 
